--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -20,23 +20,42 @@
 )
 
 const (
-	threads       = 4                      // a loop in a system call must not hold up a dial
-	memoryShare   = 0.6                    // part of the memory limit that the collector aims to stay under
-	serveOn       = 600 * time.Millisecond // after SIGTERM: new connections come for up to 0.4 s
-	flushFor      = 50 * time.Millisecond  // for the last answers to leave
-	countsEvery   = 10 * time.Second
+	threads     = 4                      // a loop in a system call must not hold up a dial
+	memoryShare = 0.6                    // part of the memory limit that the collector aims to stay under
+	serveOn     = 600 * time.Millisecond // after SIGTERM: new connections come for up to 0.4 s
+	flushFor    = 50 * time.Millisecond  // for the last answers to leave
+	countsEvery = 10 * time.Second
+
+	discoveryConnect = 500 * time.Millisecond
+
 	leaveAtLatest = time.Second // past the longest deadline
 )
 
+// signals are those that the program has caught and not acted on yet.
+type signals struct {
+	leave  chan os.Signal
+	reload chan os.Signal // holds one: what comes meanwhile is served by the same rereading
+}
+
+// catch has the signals caught from now on; one that is not would end the
+// program. SIGHUP may come at any time, above all while the node leaves.
+func catch() signals {
+	s := signals{leave: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.leave, syscall.SIGTERM, syscall.SIGINT)
+	return s
+}
+
 func main() {
+	caught := catch()
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	if err := run(caught); err != nil {
 		fmt.Fprintln(os.Stderr, "ospreybend:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(caught signals) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -59,9 +78,12 @@
 			return err
 		}
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	go func() {
+		for range caught.reload {
+			n.reload(os.Getenv)
+		}
+	}()
+	<-caught.leave
 	n.leave()
 	return nil
 }
@@ -71,6 +93,7 @@
 	cfg   *config.Node
 	loop  *transport.Loop
 	core  *routing.Core
+	pool  *protocol.Discovery
 	front *protocol.Front
 	batch *batchFront // nil: off
 }
@@ -100,15 +123,15 @@
 	n.core = core
 	to := protocol.NewDestinations(protocol.DestinationConfig{Host: "app.svc", Sockets: cfg.DestinationsSockets,
 		ConnectTimeout: s.Limits.ConnectTimeout, ConnIdle: s.Limits.ConnIdle, Report: cfg.ReportFields}, n.loop, core)
-	pool := protocol.NewDiscovery(protocol.DiscoveryConfig{Address: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds,
-		ConnectTimeout: time.Second, Known: cfg.Known}, n.loop, core, to)
+	n.pool = protocol.NewDiscovery(protocol.DiscoveryConfig{Address: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds,
+		ConnectTimeout: discoveryConnect, Known: cfg.Known}, n.loop, core, to)
 	peers, err := protocol.NewPeers(protocol.PeersConfig{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll,
 		Ordinal: s.Ordinal}, n.loop, core)
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	core.Connect(to, pool, peers)
-	pool.Start()
+	core.Connect(to, n.pool, peers)
+	n.pool.Start()
 	giveUp := make([]time.Duration, len(s.Classes))
 	for i, c := range s.Classes {
 		giveUp[i] = c.GiveUp
@@ -130,6 +153,22 @@
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
 
+// reload reads the configuration once more, off the loop. Discovery's address
+// takes effect at once; the rest stays as it was at the start. A file with a
+// fault changes nothing.
+func (n *node) reload(env func(string) string) {
+	cfg, err := config.Load(env)
+	if err != nil {
+		slog.Error("reload: the old configuration stays", "fault", err)
+		return
+	}
+	slog.Info("reload", "discovery", cfg.Discovery)
+	if keys := n.cfg.NeedRestart(cfg); len(keys) > 0 {
+		slog.Warn("reload: some keys take effect at the next start", "keys", keys)
+	}
+	n.loop.Post(func() { n.pool.Move(cfg.Discovery) })
+}
+
 // leave answers what the node has taken, and returns once all of it is out.
 func (n *node) leave() {
 	slog.Info("leaving: serving on", "for", serveOn)
--- a/cmd/ospreybend/main_test.go
+++ b/cmd/ospreybend/main_test.go
@@ -8,7 +8,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"ospreybend/internal/config"
 	"ospreybend/internal/scenario"
@@ -50,6 +52,57 @@
 	}
 }
 
+// SIGHUP ends a program that does not catch it. The file is read anew with each;
+// one with a fault changes nothing.
+func TestReload(t *testing.T) {
+	caught := catch()
+	for range 3 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-caught.reload
+
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := start(exampleConfig(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.leave()
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string { return map[string]string{"BALANCER_CONFIG": path}[key] }
+	write := func(old, now string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), old, now, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n.reload(env)
+	}
+	next, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	n.loop.Call(func() { n.pool.Watch(true) })
+	write("127.0.0.1:8500", next.Addr().String())
+	write("127.0.0.1:8500", "nowhere") // stays at the address before
+	if err := next.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	watch, err := next.Accept()
+	if err != nil {
+		t.Fatal("the watch has not moved:", err)
+	}
+	watch.Close()
+	var address string
+	n.loop.Call(func() { address = n.pool.Address() })
+	if address != next.Addr().String() {
+		t.Errorf("discovery at %s, want %s", address, next.Addr())
+	}
+}
+
 func TestStartWithBatchFront(t *testing.T) {
 	sum := sha256.Sum256([]byte("chief"))
 	b := config.Batch{Enabled: true, Listen: scenario.Free(t), Sockets: 64, Store: "sqlite",
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,8 @@
 	ReportFields        []string
 	FrontSockets        int
 	DestinationsSockets int
+
+	tree map[string]string // the settings, flat
 }
 
 type file struct {
@@ -106,6 +109,29 @@
 	return n, nil
 }
 
+// NeedRestart names the keys in which another configuration differs and that
+// take effect at a start alone. What each start is given anew is none of them.
+func (n *Node) NeedRestart(other *Node) (keys []string) {
+	for _, c := range []struct {
+		key       string
+		old, read any
+	}{
+		{"name", n.Name, other.Name},
+		{"listen", n.Listen, other.Listen},
+		{"limits.memory_mb", n.MemoryMB, other.MemoryMB},
+		{"limits.sockets", n.Sockets, other.Sockets},
+		{"peer_listen", n.PeerListen, other.PeerListen},
+		{"peers", n.Peers, other.Peers},
+		{"peers_all", n.PeersAll, other.PeersAll},
+		{"settings", n.tree, other.tree},
+	} {
+		if !reflect.DeepEqual(c.old, c.read) {
+			keys = append(keys, c.key)
+		}
+	}
+	return keys
+}
+
 func or(a, b string) string {
 	if a != "" {
 		return a
@@ -182,6 +208,7 @@
 		return errors.New("settings: no object")
 	}
 	flatten(values, "", tree)
+	n.tree = values
 	s, err := wire.SettingsOf(values)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// What a new configuration changes beside discovery takes effect at a start
+// alone; the seed and the known list are new at each start.
+func TestNeedRestart(t *testing.T) {
+	old, err := Parse([]byte(example(t)), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][3]string{
+		{`"127.0.0.1:8500"`, `"127.0.0.1:8501"`, ""},
+		{`"8c1f30d27a5be964"`, `"1"`, ""},
+		{`"127.0.0.1:8080"`, `"127.0.0.1:8081"`, "listen"},
+		{`"sockets": 1024`, `"sockets": 512`, "limits.sockets"},
+		{`"maxAttempts": 4`, `"maxAttempts": 5`, "settings"},
+	} {
+		n, err := Parse([]byte(strings.Replace(example(t), c[0], c[1], 1)), none)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(old.NeedRestart(n), " "); got != c[2] {
+			t.Errorf("%s: %q needs a restart, want %q", c[1], got, c[2])
+		}
+	}
+}
+
 // On the platform the batch front is off, and nothing of it opens.
 func TestBatchFrontIsOff(t *testing.T) {
 	b, err := LoadBatch(func(string) string { return "../../deploy/batch.toml" })
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -90,10 +91,12 @@
 // Serve names a service of the node's that scenarios dial.
 func (s *Stage) Serve(name, address string) { s.services[name] = address }
 
-// Free returns a loopback address that nothing listens at.
+// Free returns a loopback address that nothing listens at. It is one of its
+// own, since on 127.0.0.1 the system gives a port just found free to the next
+// connection that any test dials.
 func Free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254)))
 	if err != nil {
 		t.Fatal(err)
 	}
