Turn away a second request of an open id; do not blame workers for bad requests

A probe that logged each 4xx showed copies of open Req-Ids and ids nobody sent, each tried at several prep workers.

At fault: front.go let any id through, so that a copy reached the core as an operation of its own; destinations.go, conclude, took a 4xx for Errored, which balance's learn judges against the worker and answers with another attempt.

Now the front turns away a Req-Id that is in work (409), the first is left alone; a 4xx of a worker ends the operation at once as rejected, tried nowhere else, and is to the module as a step called off. Req-* or framing fields that come twice, control bytes, bytes over 0x7e in a target, and Go's own number spellings are refused. Bad requests are answered and the connection closed, with one log line in 10 s and totals in counts.

--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -149,7 +149,8 @@
 func (n *node) count() {
 	c := n.core.Counts()
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
-		"gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes))
+		"rejected", c.Rejected, "gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
+		"turned_away", n.front.Counts().Rejected)
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
 
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -375,6 +375,8 @@
 			return
 		}
 		s.end(j, Failed, s.lateReason(j), j.MayHaveRun)
+	case routing.Rejected:
+		s.end(j, Failed, "the prep workers can make nothing of the job", j.MayHaveRun)
 	default:
 		reason := "the job failed"
 		if a.MayHaveRun {
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -532,6 +532,8 @@
 		if len(c.line) > 0 {
 			e.Report = c.report(c.line)
 		}
+	case c.status >= 400 && c.status < 500:
+		e.Rejected = true
 	case c.status == 200:
 		e.Outcome = balance.Reset // it took the job and never said how it ended
 	case (c.status == 503 || c.status == 504) && c.declined:
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -13,7 +13,10 @@
 	"ospreybend/internal/transport"
 )
 
-const maxDeadline = time.Hour // a client that names a longer one waits as long as this
+const (
+	maxDeadline = time.Hour // a client that names a longer one waits as long as this
+	maxID       = 256       // most bytes of a Req-Id
+)
 
 // FrontConfig is what the platform front is told.
 type FrontConfig struct {
@@ -31,12 +34,13 @@
 	config  FrontConfig
 	core    *routing.Core
 	calls   map[slot.Ref]*Call // by operation
+	open    map[string]bool    // the ids of the operations in work
 	leaving bool               // told to stop: not healthy any more
 }
 
 // NewFront makes the front; Start opens it.
 func NewFront(config FrontConfig, loop *transport.Loop, core *routing.Core) *Front {
-	f := &Front{config: config, core: core, calls: map[slot.Ref]*Call{}}
+	f := &Front{config: config, core: core, calls: map[slot.Ref]*Call{}, open: map[string]bool{}}
 	f.Server = NewServer(loop, config.Listen, config.Sockets, f.request)
 	return f
 }
@@ -49,7 +53,7 @@
 	if string(path) == "/healthz" {
 		switch {
 		case string(c.Method) != "GET":
-			c.Reply(405, "Allow: GET\r\n", nil)
+			c.Reject(405, "only GET is allowed")
 		case f.leaving || !f.core.Able():
 			c.Reply(503, "", nil)
 		default:
@@ -61,22 +65,32 @@
 	class, known := f.config.Classes[first]
 	switch {
 	case !known:
-		c.Reply(404, "", []byte("no such class\n"))
+		c.Reject(404, "no such class")
 		return
 	case string(c.Method) != "POST":
-		c.Reply(405, "Allow: POST\r\n", nil)
+		c.Reject(405, "only POST is allowed")
 		return
 	}
 	op, err := f.operation(&c.Message, class)
 	if err != nil {
-		c.Reply(err.Status, "", []byte(err.Text+"\n"))
+		c.Reject(err.Status, err.Text)
+		return
+	}
+	// A second one would be a second copy to the destinations, and what it brings
+	// about could end the first, which is another client's.
+	id := op.Work.ID
+	if f.open[id] {
+		c.Reject(409, "a request of this Req-Id is in work")
 		return
 	}
 	op.Owner = f
 	ref := f.core.Take(op)
 	f.calls[ref] = c // first, as the answer may come before Route returns
+	f.open[id] = true
+	c.id = id
 	c.Gone(func() {
 		delete(f.calls, ref)
+		delete(f.open, id)
 		f.core.Withdraw(ref)
 	})
 	f.core.Route(ref)
@@ -85,10 +99,16 @@
 // operation reads a request's header into an operation.
 func (f *Front) operation(m *Message, class int) (routing.Operation, *Fault) {
 	now := f.loop.Now()
+	if name := m.doubled("Req-"); name != "" {
+		return routing.Operation{}, bad(name + " comes twice")
+	}
 	op := routing.Operation{Class: class, Slots: 1, Deadline: now + f.config.GiveUp[class]}
 	op.Work = routing.Work{ID: string(m.Header("Req-Id")), Target: string(m.Target), Body: bytes.Clone(m.Body)}
-	if op.Work.ID == "" {
+	switch {
+	case op.Work.ID == "":
 		return op, bad("Req-Id is missing")
+	case len(op.Work.ID) > maxID || !token([]byte(op.Work.ID)):
+		return op, bad("Req-Id is malformed")
 	}
 	if v := m.Header("Req-Deadline"); v != nil {
 		seconds, ok := number(v)
@@ -128,8 +148,12 @@
 
 func micros(us float64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// number reads a decimal that is neither negative nor odd.
+// number reads a decimal that is neither negative nor odd. Go's other spellings
+// of numbers are none on the wire.
 func number(v []byte) (float64, bool) {
+	if bytes.ContainsFunc(v, func(r rune) bool { return !strings.ContainsRune("0123456789.eE+-", r) }) {
+		return 0, false
+	}
 	f, err := strconv.ParseFloat(string(v), 64)
 	return f, err == nil && f >= 0 && !math.IsInf(f, 0)
 }
@@ -158,11 +182,14 @@
 		return
 	}
 	delete(f.calls, op)
+	delete(f.open, c.id)
 	switch a.Verdict {
 	case routing.Served:
 		c.Reply(200, "Content-Type: text/plain\r\n", a.Result)
 	case routing.Refused:
 		c.Reply(503, f.retryAfter(a.RetryAfter), nil)
+	case routing.Rejected:
+		c.Reject(400, "the prep workers can make nothing of it")
 	default:
 		c.Reply(502, "", nil)
 	}
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -49,6 +49,22 @@
 	return nil
 }
 
+// doubled returns the name of a header field with a prefix that comes more than
+// once. Which of the two holds, one side may see otherwise than the next.
+func (m *Message) doubled(prefix string) string {
+	for i, f := range m.fields {
+		if len(f.name) < len(prefix) || !equalFold(f.name[:len(prefix)], prefix) {
+			continue
+		}
+		for _, g := range m.fields[:i] {
+			if bytes.EqualFold(f.name, g.name) {
+				return string(f.name)
+			}
+		}
+	}
+	return ""
+}
+
 // equalFold compares a field name without regard to case, in ASCII alone.
 func equalFold(b []byte, s string) bool {
 	if len(b) != len(s) {
@@ -131,7 +147,7 @@
 			return at, m.frame()
 		default:
 			name, value, ok := bytes.Cut(line, []byte{':'})
-			if !ok || !token(name) || bytes.IndexByte(value, 0) >= 0 || bytes.IndexByte(value, '\r') >= 0 {
+			if !ok || !token(name) || bytes.ContainsFunc(value, control) {
 				return 0, bad("a header line is malformed")
 			}
 			m.fields = append(m.fields, field{name, bytes.Trim(value, " \t")})
@@ -139,6 +155,8 @@
 	}
 }
 
+func control(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 func token(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
@@ -158,8 +176,8 @@
 		return bad("the target is no path")
 	}
 	for _, c := range m.Target {
-		if c <= ' ' || c == 0x7f {
-			return bad("the target has a control character")
+		if c <= ' ' || c >= 0x7f {
+			return bad("the target has a byte that no path has")
 		}
 	}
 	return m.version(parts[2])
@@ -198,7 +216,7 @@
 		switch {
 		case equalFold(f.name, "Content-Length"):
 			n, err := strconv.ParseUint(string(f.value), 10, 31)
-			if err != nil || m.length >= 0 && m.length != int(n) || m.length == -1 {
+			if err != nil || bytes.ContainsRune(f.value, '+') || m.length != -2 {
 				return bad("the length is malformed")
 			}
 			m.length = int(n)
@@ -206,7 +224,7 @@
 			if !equalFold(f.value, "chunked") {
 				return &Fault{501, "the transfer coding is unknown"}
 			}
-			if m.length >= 0 || m.old {
+			if m.length != -2 || m.old {
 				return bad("the body is framed twice")
 			}
 			m.length = -1
@@ -332,7 +350,7 @@
 
 // statusText is for the statuses that the node sends.
 var statusText = map[int]string{200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
-	400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+	400: "Bad Request", 408: "Request Timeout", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
 	409: "Conflict", 413: "Content Too Large", 422: "Unprocessable Content", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -62,6 +62,11 @@
 		"header":          {`POST /pruefen HTTP/1.1\r\nReq Id: a\r\n\r\n`, "400"},
 		"length":          {head + `Content-Length: -1\r\n\r\n`, "400"},
 		"two lengths":     {head + `Content-Length: 1\r\nContent-Length: 2\r\n\r\n`, "400"},
+		"length twice":    {head + `Content-Length: 1\r\nContent-Length: 1\r\n\r\n`, "400"},
+		"signed length":   {head + `Content-Length: +1\r\n\r\n`, "400"},
+		"coded twice":     {head + `Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n`, "400"},
+		"framed again":    {head + `Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n`, "400"},
+		"high byte":       {"POST /pruefen\x80 HTTP/1.1" + `\r\nReq-Id: a\r\n\r\n`, "400"},
 		"framed twice":    {head + `Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n`, "400"},
 		"coding":          {head + `Transfer-Encoding: gzip\r\n\r\n`, "501"},
 		"chunk":           {head + `Transfer-Encoding: chunked\r\n\r\nxyz\r\n`, "400"},
@@ -73,7 +78,7 @@
 		t.Log(name)
 		w.Play(lines("c dial front", "c send "+c[0], "c expect HTTP/1.1 "+c[1], "c expect Connection: close", "c closed"))
 	}
-	// What can be read but not served is answered on the connection.
+	// So does what can be read but makes no sense.
 	for _, c := range [][2]string{
 		{`POST /nichts HTTP/1.1\r\nReq-Id: a\r\n\r\n`, "404"},
 		{`GET /pruefen HTTP/1.1\r\nReq-Id: a\r\n\r\n`, "405"},
@@ -81,12 +86,69 @@
 		{head + `Req-Deadline: soon\r\n\r\n`, "400"},
 		{head + `Req-Cost: NaN\r\n\r\n`, "400"},
 		{head + `Req-Extra: width=-2\r\n\r\n`, "400"},
-		{`GET /healthz HTTP/1.1\r\n\r\n`, "200"},
+		{head + `Req-Deadline: 0x1p3\r\n\r\n`, "400"},
+		{head + `req-id: b\r\n\r\n`, "400"},
+		{head + `Req-Deadline: 1\r\nReq-Deadline: 2\r\n\r\n`, "400"},
+		{`POST /pruefen HTTP/1.1\r\nReq-Id: a b\r\n\r\n`, "400"},
 	} {
-		w.Play(lines("c dial front", "c send "+c[0], "c expect HTTP/1.1 "+c[1],
-			`c send GET /healthz HTTP/1.1\r\n\r\n`, "c expect HTTP/1.1 200"))
+		t.Log(c[0])
+		w.Play(lines("c dial front", "c send "+c[0], "c expect HTTP/1.1 "+c[1], "c expect Connection: close", "c closed"))
+	}
+	w.Loop.Call(func() {
+		if n := w.front.Counts().Rejected; n != 28 {
+			t.Errorf("%d requests counted as rejected", n)
+		}
+	})
+	w.balanced(t)
+}
+
+// The id of a request in work may not come a second time: as a second copy it
+// could end the first, which is another client's. Afterwards it may.
+func TestSecondRequestOfAnOpenID(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play(`
+		c dial front
+		c send {ask}
+		s accept workers
+		s expect hi
+		d dial front
+		d send {ask}
+		d expect HTTP/1.1 409
+		d closed
+		s send {stream}{done}
+		c expect fine
+		c send {ask}
+		s expect hi
+		c close
+		s closed
+		e dial front
+		e send {ask}
+		r accept workers
+		r expect hi
+		r send {stream}{done}
+		e expect fine
+	`)
+	w.balanced(t)
+	if n := w.outcomes(); n[balance.Served] != 2 || n[balance.Cancelled] != 1 {
+		t.Errorf("outcomes %v", n)
+	}
+}
+
+// What a destination can make nothing of is the client's fault: it is not tried
+// elsewhere, and the module does not hold it against the destination.
+func TestDestinationRejects(t *testing.T) {
+	w := newWorld(t, nil)
+	for range 3 {
+		w.Play(lines("c dial front", "c send {ask}", "s accept workers", "s expect hi",
+			`s send HTTP/1.1 400 X\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno`, "c expect HTTP/1.1 400", "c closed"))
 	}
 	w.balanced(t)
+	w.Loop.Call(func() {
+		c := w.core.Counts()
+		if c.Steps != 3 || c.Rejected != 3 || c.Outcomes[balance.Errored]+c.Outcomes[balance.Reset] != 0 {
+			t.Errorf("%+v", c)
+		}
+	})
 }
 
 // A body of just 64 KiB is in order.
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -11,6 +11,7 @@
 const (
 	socketSpare  = 16                  // front sockets kept free: past that, idle ones are closed
 	socketInput  = maxHead + maxBody*2 // most bytes kept of what a client sends ahead
+	tellEvery    = 10 * time.Second
 	continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
@@ -25,6 +26,8 @@
 	sockets  slot.Table[*frontSocket]
 	stopping bool
 	drained  func()
+	counts   ServerCounts
+	tellAt   time.Duration // when to log of rejected requests again
 }
 
 // Call is one request and the way to answer it.
@@ -33,6 +36,7 @@
 	socket  *frontSocket
 	last    bool
 	gone    func()
+	id      string // what the front knows it by
 }
 
 // frontSocket is the client's side of a connection.
@@ -138,7 +142,7 @@
 	for f.call == nil && conn.Open() && used < len(in) {
 		m, n, err := ParseRequest(in[used:])
 		if err != nil {
-			slog.Info("request refused", "reason", err.Text)
+			f.server.rejected(err.Text)
 			f.reply(err.Status, "", []byte(err.Text+"\n"), true)
 			return len(in)
 		}
@@ -166,6 +170,36 @@
 	return used
 }
 
+// Reject answers a call that the client had no business to make, and closes the
+// connection: who errs again has to come again.
+func (c *Call) Reject(status int, text string) {
+	if c.socket.call == c {
+		c.socket.server.rejected(text)
+		c.last = true
+	}
+	c.Reply(status, "", []byte(text+"\n"))
+}
+
+// rejected counts a request turned away. One line in a while tells of all since
+// the last: bad clients come by thousands.
+func (s *Server) rejected(reason string) {
+	s.counts.Rejected++
+	now := s.loop.Now()
+	if s.counts.Rejected > 1 && now < s.tellAt {
+		return
+	}
+	slog.Info("requests rejected", "listen", s.listen, "in_all", s.counts.Rejected, "last", reason)
+	s.tellAt = now + tellEvery
+}
+
+// ServerCounts are a server's totals since its start.
+type ServerCounts struct {
+	Rejected uint64 // requests that could not be read or made no sense
+}
+
+// Counts returns the totals.
+func (s *Server) Counts() ServerCounts { return s.counts }
+
 // reply answers on the connection.
 func (f *frontSocket) reply(status int, extra string, body []byte, last bool) {
 	f.idleAt = f.server.loop.Now()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -60,8 +60,8 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Operations, Served, Refused, Failed, Gone, Steps uint64
-	Outcomes                                         [balance.NotSent + 1]uint64
+	Operations, Served, Refused, Failed, Rejected, Gone, Steps uint64
+	Outcomes                                                   [balance.NotSent + 1]uint64
 }
 
 // New makes a core. Connect must follow before anything else.
@@ -167,6 +167,8 @@
 		c.counts.Refused++
 	case Failed:
 		c.counts.Failed++
+	case Rejected:
+		c.counts.Rejected++
 	}
 	c.finish(op)
 	op.Owner.Answered(ref, a)
@@ -228,11 +230,20 @@
 	}
 	c.steps.Drop(ref)
 	c.due.Drop(s.deadline)
+	if end.Rejected {
+		// No fault of the destination's, and another would say the same: one bad
+		// client could else make all of them look sick. To the module it is as if
+		// the step had been called off.
+		end.Outcome = balance.Cancelled
+	}
 	c.counts.Outcomes[end.Outcome]++
 	op := c.ops.Get(s.op)
 	op.out--
 	op.mayHaveRun = op.mayHaveRun || !end.Outcome.NeverRan()
-	if end.Outcome == balance.Served {
+	switch {
+	case end.Rejected:
+		c.answer(s.op, op, Answer{Verdict: Rejected})
+	case end.Outcome == balance.Served:
 		c.answer(s.op, op, Answer{Verdict: Served, Result: end.Result})
 	}
 	c.tell(balance.AttemptDone{Request: balance.RequestID(s.op), Attempt: s.number, Worker: s.to,
--- a/internal/routing/ports.go
+++ b/internal/routing/ports.go
@@ -41,6 +41,7 @@
 	Served Verdict = iota
 	Refused
 	Failed
+	Rejected // a destination could make nothing of it: the client's fault
 )
 
 // Answer is an operation's one final answer.
@@ -64,9 +65,10 @@
 
 // StepEnd is how a route step ended.
 type StepEnd struct {
-	Outcome balance.Outcome
-	Result  []byte
-	Report  []float32
+	Outcome  balance.Outcome
+	Rejected bool // the destination could make nothing of the operation
+	Result   []byte
+	Report   []float32
 }
 
 // Destinations carries route steps to destinations. For each Send it calls
