Bound what a client takes up without bringing a request: time, sockets, memory

Accepting stopped at the limit of sockets, input was kept up to 144 KiB a socket with no total, a chunked request's framing had no bound at all, and each arrival was parsed from the start again.

Now a request has 2 s to come whole (408, or a close where nothing came). Near the limit sockets are shed in the order of the README, and who comes when all are at work is told 503 at once. Input held has one budget, an eighth of the memory limit; past it the largest unfinished request is answered 503. What is sent ahead of an answer is kept up to 16 KiB. requestReader goes on where it stopped; a head is parsed once when it is whole and once more when the body is. A dial given up counts as open until its socket is closed.

Checked: Linger at full speed (a test writes 13 MB past the error: it arrives, and the descriptor is back after 1 s). Ruled out: CPU (1.1 s in 40 s) and the log (now one line in 10 s).

--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -45,10 +45,10 @@
 		f.service = batch.NewService(batch.Config{Classes: n.cfg.Classes, Settings: n.cfg.Settings}, n.core, f.keeper,
 			n.loop, &n.loop.Due)
 		f.service.Load(tenants, sessions, unfinished)
-		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, f.service.Serve))
+		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, n.cfg.FrontMemory, f.service.Serve))
 		if cfg.AdminListen != "" {
 			admin := batch.NewAdmin(f.service, cfg.AdminToken)
-			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, admin.Serve))
+			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, n.cfg.FrontMemory, admin.Serve))
 		}
 		for _, s := range f.servers {
 			if err = s.Start(); err != nil {
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -136,7 +136,8 @@
 	for i, c := range s.Classes {
 		giveUp[i] = c.GiveUp
 	}
-	n.front = protocol.NewFront(protocol.FrontConfig{Listen: cfg.Listen, Sockets: cfg.FrontSockets, Classes: cfg.Classes,
+	n.front = protocol.NewFront(protocol.FrontConfig{Listen: cfg.Listen, Sockets: cfg.FrontSockets, Memory: cfg.FrontMemory,
+		Classes: cfg.Classes,
 		Tenants: cfg.Tenants, GiveUp: giveUp, Retry: s.Limits.RetryAfter}, n.loop, core)
 	if err := n.front.Start(); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -147,10 +148,10 @@
 
 // count writes the totals to the log, now and then.
 func (n *node) count() {
-	c := n.core.Counts()
+	c, f := n.core.Counts(), n.front.Counts()
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
 		"rejected", c.Rejected, "gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
-		"turned_away", n.front.Counts().Rejected)
+		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed)
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
 
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -75,8 +75,8 @@
 		w.service = NewService(Config{Classes: map[string]int{"pruefen": 0, "buchen": 1}, Settings: s}, w.core, w.keeper,
 			w.Loop, &w.Loop.Due)
 		w.service.Load(tenants, sessions, unfinished)
-		must(t, protocol.NewServer(w.Loop, batch, 40, w.service.Serve).Start())
-		must(t, protocol.NewServer(w.Loop, admin, 40, NewAdmin(w.service, hashOf(adminToken)).Serve).Start())
+		must(t, protocol.NewServer(w.Loop, batch, 40, 1<<20, w.service.Serve).Start())
+		must(t, protocol.NewServer(w.Loop, admin, 40, 1<<20, NewAdmin(w.service, hashOf(adminToken)).Serve).Start())
 	})
 	t.Cleanup(w.die)
 	return w
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	defaultSockets  = 1024
 	leastSockets    = 4 * ownSockets
 	leastMemoryMB   = 32
+	inputShare      = 8 // the part of the memory limit that a front's input may take is one in so many
 )
 
 // Node is all that the node is told.
@@ -52,6 +53,7 @@
 	Zones, Kinds        []string
 	ReportFields        []string
 	FrontSockets        int
+	FrontMemory         int // bytes of input that a front holds at most
 	DestinationsSockets int
 
 	tree map[string]string // the settings, flat
@@ -173,6 +175,7 @@
 	if n.MemoryMB < leastMemoryMB {
 		return fmt.Errorf("limits.memory_mb: %d, at least %d are needed", n.MemoryMB, leastMemoryMB)
 	}
+	n.FrontMemory = n.MemoryMB << 20 / inputShare
 	if n.Sockets == 0 {
 		n.Sockets = defaultSockets
 	}
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -207,7 +207,6 @@
 	t.abandon = d.loop.Dial(t.to.address, d.config.ConnectTimeout, c, func(conn *transport.Conn, err error) {
 		t.abandon = nil
 		if err != nil {
-			d.open--
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				slog.Warn("out of descriptors", "open", d.open)
 			}
@@ -224,7 +223,7 @@
 			return
 		}
 		d.put(t, c)
-	})
+	}, func() { d.open-- })
 }
 
 // put writes a trip's request on a connection.
@@ -269,9 +268,8 @@
 // drop ends a trip's part on the network without a word to the core.
 func (d *Destinations) drop(t *trip) {
 	if t.abandon != nil {
-		t.abandon()
+		t.abandon() // it counts as open until its socket is closed
 		t.abandon = nil
-		d.open--
 	}
 	if c := t.conn; c != nil && c.trip == t {
 		c.trip = nil
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -180,7 +180,7 @@
 			c.conn = nil
 			c.fail("connection lost")
 		}
-	})
+	}, func() {})
 }
 
 // close ends the call's part on the network.
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -22,6 +22,7 @@
 type FrontConfig struct {
 	Listen  string
 	Sockets int            // front sockets at most
+	Memory  int            // bytes of input held at most
 	Classes map[string]int // by name
 	Tenants map[string]int
 	GiveUp  []time.Duration // by class: the deadline where a client names none
@@ -41,7 +42,7 @@
 // NewFront makes the front; Start opens it.
 func NewFront(config FrontConfig, loop *transport.Loop, core *routing.Core) *Front {
 	f := &Front{config: config, core: core, calls: map[slot.Ref]*Call{}, open: map[string]bool{}}
-	f.Server = NewServer(loop, config.Listen, config.Sockets, f.request)
+	f.Server = NewServer(loop, config.Listen, config.Sockets, config.Memory, f.request)
 	return f
 }
 
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -12,6 +12,8 @@
 const (
 	maxHead = 16 << 10 // most bytes of a start line and its header
 	maxBody = 64 << 10 // most bytes of a body, as the protocol has it
+
+	mostChunked = 2*maxBody + maxHead // most bytes of a chunked body with its framing
 )
 
 // Fault is why a message cannot be read, with the status that says so.
@@ -85,37 +87,113 @@
 	return true
 }
 
+// requestReader reads one request as it comes in. Each time it is given all that
+// has come of the request, and goes on from where it stopped, so that no client
+// can have the same bytes read over and over.
+type requestReader struct {
+	at      int  // how far the request has been read
+	start   int  // where the request line begins, empty lines passed over
+	lined   bool // the request line has been read
+	head    int  // where the head ends; 0: not all there yet
+	length  int  // of the body; -1: chunked
+	expects bool // the client waits for word before it sends the body
+	body    []byte
+}
+
 // ParseRequest reads a request. used is 0 where more bytes are needed.
 func ParseRequest(in []byte) (m Message, used int, err *Fault) {
-	// Empty lines before a request are to be passed over.
-	skip := 0
-	for skip < len(in) && (in[skip] == '\r' || in[skip] == '\n') {
-		skip++
+	var r requestReader
+	return r.read(in)
+}
+
+// read goes on with what has come. used is 0 where more bytes are needed.
+func (r *requestReader) read(in []byte) (m Message, used int, err *Fault) {
+	if r.head == 0 {
+		if err := r.readHead(in); err != nil || r.head == 0 {
+			return m, 0, err
+		}
 	}
-	head, err := parseHead(in[skip:], &m, requestLine)
-	if err != nil || head == 0 {
+	if r.length >= 0 {
+		used = r.head + r.length
+		if len(in) < used {
+			return m, 0, nil
+		}
+		r.body = in[r.head:used]
+	} else if used, err = r.readChunks(in); err != nil || used == 0 {
 		return m, 0, err
 	}
-	if m.length == -2 {
-		m.length = 0 // a request without framing has no body
+	// Slices of the head would have gone stale since it was first read.
+	if _, err := parseHead(in[r.start:], &m, requestLine); err != nil {
+		return m, 0, err
 	}
-	if m.length > maxBody {
-		return m, 0, &Fault{413, "the body is over 64 KiB"}
+	m.Body = r.body
+	return m, used, nil
+}
+
+// readHead looks for the end of the head, line by line, and reads it then. A
+// request line that makes no sense shows at once.
+func (r *requestReader) readHead(in []byte) *Fault {
+	for !r.lined && r.at < len(in) && (in[r.at] == '\r' || in[r.at] == '\n') {
+		r.at++ // empty lines before a request are to be passed over
+		r.start = r.at
 	}
-	rest := in[skip+head:]
-	if m.length == -1 {
-		body, n, err := wholeChunked(rest)
-		if err != nil || n == 0 {
-			return m, 0, err
+	for {
+		end := bytes.IndexByte(in[r.at:], '\n')
+		if end < 0 && len(in) > maxHead || r.at+end >= maxHead {
+			return &Fault{431, "the header is too long"}
 		}
-		m.Body = body
-		return m, skip + head + n, nil
+		if end < 0 {
+			return nil
+		}
+		line := bytes.TrimSuffix(in[r.at:r.at+end], []byte{'\r'})
+		r.at += end + 1
+		if !r.lined {
+			r.lined = true
+			if err := requestLine(line, &Message{}); err != nil {
+				return err
+			}
+		} else if len(line) == 0 {
+			break
+		}
+	}
+	var m Message
+	n, err := parseHead(in[r.start:], &m, requestLine)
+	if err != nil {
+		return err
 	}
-	if len(rest) < m.length {
-		return m, 0, nil
+	if m.length > maxBody {
+		return &Fault{413, "the body is over 64 KiB"}
+	}
+	if m.length == -2 {
+		m.length = 0 // a request without framing has no body
+	}
+	r.head, r.at, r.length, r.expects = r.start+n, r.start+n, m.length, m.Expects()
+	return nil
+}
+
+// readChunks goes on with a chunked body, and returns where it ends.
+func (r *requestReader) readChunks(in []byte) (int, *Fault) {
+	for {
+		data, n, last, err := chunk(in[r.at:])
+		if err != nil {
+			return 0, err
+		}
+		r.at += n
+		r.body = append(r.body, data...)
+		// Chunks may hold more framing than body.
+		seen := r.at
+		if n == 0 {
+			seen = len(in)
+		}
+		switch {
+		case len(r.body) > maxBody || seen-r.head > mostChunked:
+			return 0, &Fault{413, "the body is over 64 KiB"}
+		case last:
+			return r.at, nil
+		case n == 0:
+			return 0, nil
+		}
 	}
-	m.Body = rest[:m.length]
-	return m, skip + head + m.length, nil
 }
 
 // Expects tells whether a client waits for word before it sends the body.
@@ -292,23 +370,6 @@
 	}
 }
 
-// wholeChunked reads a chunked body that must be there whole.
-func wholeChunked(in []byte) (body []byte, used int, err *Fault) {
-	for {
-		data, n, last, err := chunk(in[used:])
-		if err != nil || n == 0 {
-			return nil, 0, err
-		}
-		used += n
-		if last {
-			return body, used, nil
-		}
-		if body = append(body, data...); len(body) > maxBody {
-			return nil, 0, &Fault{413, "the body is over 64 KiB"}
-		}
-	}
-}
-
 // Body takes a response's body in piece by piece, as it comes.
 type bodyReader struct {
 	left    int // of a body of known length
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -4,9 +4,12 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"ospreybend/balance"
+	"ospreybend/internal/routing"
 	"ospreybend/internal/scenario"
+	"ospreybend/internal/slot"
 )
 
 func TestServedOverOneWarmConnection(t *testing.T) {
@@ -420,6 +423,138 @@
 	}
 }
 
+// Who brings no whole request within two seconds is told so, or closed where
+// nothing has come; a request that comes piece by piece has as long, no more.
+func TestUnfinishedRequests(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("silent dial front")
+	w.Until(func() bool { return w.front.sockets.Len() == 1 })
+	w.Play(`
+		head dial front
+		head send POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\n
+		body dial front
+		body send {book}POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\nContent-Length: 9\r\n\r\nhi
+		s accept workers
+		s expect Req-Id: b1
+		wait 1s
+		head send Cookie: x\r\n
+		s send {stream}{done}
+		body expect fine
+		wait 1100ms
+		silent closed
+		head expect HTTP/1.1 408
+		head closed
+		# The second request of this one began to be read with the first's answer.
+		body send x
+		wait 1s
+		body expect HTTP/1.1 408
+		body closed
+		# A usual client's connection may stand idle.
+		c dial front
+		c send GET /healthz HTTP/1.1\r\n\r\n
+		c expect 200
+		wait 30s
+		c send GET /healthz HTTP/1.1\r\n\r\n
+		c expect 200
+	`)
+	w.Loop.Call(func() {
+		if w.front.held != 0 || w.front.counts.Silent != 1 {
+			t.Errorf("%d bytes held, %+v", w.front.held, w.front.counts)
+		}
+	})
+}
+
+// Near the limit those that have brought nothing go first, for a usual client's
+// idle connection may bring its next request any time.
+func TestSilentAreShedFirst(t *testing.T) {
+	w := newWorld(t, func(_ *balance.Settings, f *FrontConfig) { f.Sockets = socketSpare + 3 })
+	health := `send GET /healthz HTTP/1.1\r\n\r\n`
+	w.Play(lines("a dial front", "a "+health, "a expect 200", "wait 1s", "silent dial front",
+		"half dial front", `half send POST /pruefen HTTP/1.1\r\n`))
+	w.Until(func() bool { return w.front.sockets.Len() == 3 && w.front.held > 0 })
+	w.Play(lines("wait 300ms", "b dial front", "b "+health, "b expect 200", "silent closed", "c dial front", "c "+health, "c expect 200", "half closed",
+		"a "+health, "a expect 200"))
+}
+
+// Where every socket has a request in work who comes is told so at once, in
+// place of waiting unheard in the system's queue.
+func TestAllSocketsAtWork(t *testing.T) {
+	w := newWorld(t, func(s *balance.Settings, f *FrontConfig) { f.Sockets, s.Limits.MaxAttempts = socketLast+1, 1 })
+	w.Play(`
+		c dial front
+		c send {ask}
+		s accept workers
+		s expect hi
+		d dial front
+		d expect HTTP/1.1 503
+		d expect Retry-After: 1.000
+		d closed
+		s send {stream}{done}
+		c expect fine
+	`)
+}
+
+// Unfinished requests share one budget of memory; past it the largest goes.
+func TestInputBudget(t *testing.T) {
+	w := newWorld(t, func(_ *balance.Settings, f *FrontConfig) { f.Memory = 100 << 10 })
+	part := func(name string, bytes int) string {
+		return lines(name+" dial front", name+` send POST /pruefen HTTP/1.1\r\nReq-Id: `+name+`\r\nContent-Length: 65536\r\n\r\n`+
+			strings.Repeat("x", bytes))
+	}
+	held := func(bytes int) func() bool { return func() bool { return w.front.held > bytes } }
+	w.Play(part("one", 30<<10))
+	w.Until(held(30 << 10))
+	w.Play(part("two", 60<<10))
+	w.Until(held(90 << 10))
+	w.Play(lines(part("three", 25<<10), "two expect HTTP/1.1 503", "two closed"))
+	w.Play(lines("one send "+strings.Repeat("x", 34<<10), "s accept workers", "s expect xxx", "s send {stream}{done}", "one expect fine"))
+}
+
+// A client that writes on at full speed still gets the error, and its
+// descriptor comes back.
+func TestErrorArrivesAtFullSpeed(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play(`
+		c dial front
+		c send POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\nContent-Length: 60000000\r\n\r\n
+	`)
+	piece := strings.Repeat("x", 64<<10)
+	for range 200 {
+		w.Play("c send " + piece)
+	}
+	w.Play(lines("c expect HTTP/1.1 413", "c closed", "wait 1100ms"))
+	w.Until(func() bool { return w.front.listener.Open() == 0 })
+}
+
+// Whatever the cuts, a request is read as if it had come at once, and a line
+// once gone over is not read again.
+func TestReaderGoesOn(t *testing.T) {
+	for _, text := range []string{
+		"\r\nPOST /a HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 2\r\n\r\nhi",
+		"POST /a HTTP/1.1\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\nh\r\n1\r\ni\r\n0\r\nT: x\r\n\r\n",
+	} {
+		var r requestReader
+		at := 0
+		for n := 1; n < len(text); n++ {
+			if _, used, err := r.read([]byte(text[:n])); used != 0 || err != nil || r.at < at {
+				t.Fatalf("%q: used %d, read to %d after %d, %v", text[:n], used, r.at, at, err)
+			}
+			at = r.at
+		}
+		m, used, err := r.read([]byte(text))
+		if used != len(text) || err != nil || string(m.Body) != "hi" || string(m.Target) != "/a" {
+			t.Errorf("%q: used %d, body %q, %v", text, used, m.Body, err)
+		}
+		if at == 0 {
+			t.Errorf("%q: nothing was noted before its end", text)
+		}
+	}
+	framing := strings.Repeat("1;"+strings.Repeat("x", 1<<10)+"\r\nx\r\n", 200)
+	if _, _, err := ParseRequest([]byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + framing)); err == nil || err.Status != 413 {
+		t.Errorf("a body that is all framing: %v", err)
+	}
+}
+
 // At the limit of front sockets the one idle longest makes room.
 func TestFrontSocketsAtTheLimit(t *testing.T) {
 	w := newWorld(t, func(_ *balance.Settings, f *FrontConfig) { f.Sockets = socketSpare + 2 })
@@ -428,6 +563,24 @@
 		"wait 1s", "c dial front", "c "+health, "c expect 200", "a closed", "b "+health, "b expect 200"))
 }
 
+// A connection given up while it is being made counts until its socket is
+// closed: descriptors would else be given out twice.
+func TestGivenUpDialKeepsItsPlace(t *testing.T) {
+	w := newWorld(t, nil)
+	step := slot.Ref(99)
+	w.Loop.Call(func() {
+		for id := range w.to.byID {
+			w.to.Send(step, id, &routing.Work{ID: "a1", Target: "/pruefen"}, w.Loop.Now()+time.Second)
+			break
+		}
+		w.to.Abort(step)
+		if w.to.open != 1 {
+			t.Errorf("%d connections count while one is still being given up", w.to.open)
+		}
+	})
+	w.Until(func() bool { return w.to.open == 0 })
+}
+
 // At the limit of connections to destinations a step fails as not connected,
 // which never ran, and the node goes on.
 func TestDestinationsAtTheLimit(t *testing.T) {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -2,32 +2,48 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"ospreybend/internal/due"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
 )
 
 const (
-	socketSpare  = 16                  // front sockets kept free: past that, idle ones are closed
-	socketInput  = maxHead + maxBody*2 // most bytes kept of what a client sends ahead
-	tellEvery    = 10 * time.Second
-	continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
+	socketSpare   = 8                      // front sockets kept free: past that, some are shed
+	socketLast    = 2                      // the last of these turn who comes away at once
+	requestWithin = 2 * time.Second        // from the connection's start, or a later request's first byte, to its last
+	freshFor      = 250 * time.Millisecond // a connection younger than this may yet bring a usual client's request
+	mostAhead     = maxHead                // most bytes kept of what a client sends while its call is in work
+	tellEvery     = 10 * time.Second
+	continueLine  = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
 // Server is the side towards clients of a front: HTTP/1.1 requests in, one
-// answer to each out, in order.
+// answer to each out, in order. It bounds what a client can take up without
+// bringing a request: time, sockets and memory.
 type Server struct {
-	loop     *transport.Loop
-	listen   string
-	most     int // front sockets
-	serve    func(*Call)
-	listener *transport.Listener
-	sockets  slot.Table[*frontSocket]
-	stopping bool
-	drained  func()
-	counts   ServerCounts
-	tellAt   time.Duration // when to log of rejected requests again
+	loop      *transport.Loop
+	listen    string
+	most      int // front sockets
+	memory    int // bytes of input held at most
+	serve     func(*Call)
+	listener  *transport.Listener
+	sockets   slot.Table[*frontSocket]
+	lingering []*transport.Conn // answered for the last time, oldest first
+	held      int               // bytes of input held
+	stopping  bool
+	drained   func()
+	counts    ServerCounts
+	tellAt    time.Duration // when to log of rejected requests again
+}
+
+// ServerCounts are a server's totals since its start.
+type ServerCounts struct {
+	Rejected uint64 // requests that could not be read, made no sense or did not come whole
+	Silent   uint64 // connections closed as nothing came on them
+	Shed     uint64 // connections closed to make room for others
 }
 
 // Call is one request and the way to answer it.
@@ -37,6 +53,7 @@
 	last    bool
 	gone    func()
 	id      string // what the front knows it by
+	size    int    // of the body
 }
 
 // frontSocket is the client's side of a connection.
@@ -44,15 +61,21 @@
 	server  *Server
 	conn    *transport.Conn
 	ref     slot.Ref
-	call    *Call // whose answer is owed; nil: none
-	idleAt  time.Duration
+	call    *Call         // whose answer is owed; nil: none
+	reader  requestReader // of the request that is coming
+	began   time.Duration // when it began to come, or the connection
+	limit   *due.Deadline // by which it must be whole
+	held    int           // bytes of input held for it
+	asked   bool          // has brought a whole request
+	since   time.Duration // the last answer
 	told100 bool
 }
 
-// NewServer makes a server; Start opens it. serve must see to it that each call
-// is answered once, then or later.
-func NewServer(loop *transport.Loop, listen string, most int, serve func(*Call)) *Server {
-	return &Server{loop: loop, listen: listen, most: most, serve: serve}
+// NewServer makes a server; Start opens it. It keeps at most most front sockets
+// and holds at most memory bytes of what has come in on them. serve must see to
+// it that each call is answered once, then or later.
+func NewServer(loop *transport.Loop, listen string, most, memory int, serve func(*Call)) *Server {
+	return &Server{loop: loop, listen: listen, most: most, memory: memory, serve: serve}
 }
 
 // Start listens.
@@ -90,30 +113,98 @@
 	}
 }
 
+// Counts returns the totals.
+func (s *Server) Counts() ServerCounts { return s.counts }
+
 func (s *Server) accept(c *transport.Conn) transport.Handler {
-	f := &frontSocket{server: s, conn: c, idleAt: s.loop.Now()}
+	f := &frontSocket{server: s, conn: c}
 	f.ref = s.sockets.Add(f)
-	if s.sockets.Len() > s.most-socketSpare {
-		s.closeIdlest()
+	f.await()
+	for s.listener.Open() > s.most-socketSpare && s.shed() {
+	}
+	if s.listener.Open() > s.most-socketLast {
+		// All have a request in work. Who waits in the system's queue would wait
+		// without a word; this way each is told.
+		s.counts.Shed++
+		f.reply(503, RetryAfter(time.Second), nil, true)
 	}
 	return f
 }
 
-// closeIdlest makes room for connections to come, at the cost of the one that
-// has stood idle longest. A new one, which may carry a request already, is the
-// last to be chosen.
-func (s *Server) closeIdlest() {
-	var idlest *frontSocket
+// shed closes one connection to make room for those to come: first one that has
+// brought no whole request in its time, then one that has had its last answer,
+// then the one that has stood idle longest. A connection with a request in work
+// is never chosen, nor is a fresh one, which may have a request on its way.
+func (s *Server) shed() bool {
+	now := s.loop.Now()
+	var unfinished, idle *frontSocket
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
-		if f.call == nil && f.conn.Open() && (idlest == nil || f.idleAt < idlest.idleAt) {
-			idlest = f
+		switch {
+		case f.call != nil || !f.conn.Open():
+		case f.asked && f.held == 0:
+			if idle == nil || f.since < idle.since {
+				idle = f
+			}
+		case now-f.began >= freshFor && (unfinished == nil || f.began < unfinished.began):
+			unfinished = f
 		}
 	})
-	if idlest != nil {
-		idlest.close()
+	// What the other side has closed since is out of the way already.
+	s.lingering = slices.DeleteFunc(s.lingering, func(c *transport.Conn) bool { return !c.Lingering() })
+	switch {
+	case unfinished != nil:
+		unfinished.close()
+	case len(s.lingering) > 0:
+		s.lingering[0].Close()
+	case idle != nil:
+		idle.close()
+	default:
+		return false
+	}
+	s.counts.Shed++
+	return true
+}
+
+// hold notes how much input the socket holds. Past the server's budget the
+// unfinished request that holds most is given up.
+func (f *frontSocket) hold(bytes int) {
+	s := f.server
+	s.held += bytes - f.held
+	f.held = bytes
+	for s.held > s.memory {
+		var largest *frontSocket
+		s.sockets.All(func(_ slot.Ref, g *frontSocket) {
+			if g.call == nil && g.held > 0 && (largest == nil || g.held > largest.held) {
+				largest = g
+			}
+		})
+		if largest == nil {
+			return
+		}
+		s.counts.Shed++
+		largest.reply(503, RetryAfter(time.Second), nil, true)
 	}
 }
 
+// await sets the time limit for the request that is to come or is coming.
+func (f *frontSocket) await() {
+	if f.limit == nil {
+		f.began = f.server.loop.Now()
+		f.limit = f.server.loop.Due.Add(f.began+requestWithin, f.late)
+	}
+}
+
+// late ends a connection whose request has not come whole in time.
+func (f *frontSocket) late() {
+	f.limit = nil
+	if f.held == 0 {
+		f.server.counts.Silent++
+		f.close()
+		return
+	}
+	f.refuse(&Fault{408, "the request did not come in time"})
+}
+
 func (f *frontSocket) close() {
 	f.conn.Close()
 	f.forget()
@@ -124,8 +215,10 @@
 	if !f.server.sockets.Drop(f.ref) {
 		return
 	}
+	f.release()
 	if c := f.call; c != nil {
 		f.call = nil
+		f.server.held -= c.size
 		if c.gone != nil {
 			c.gone()
 		}
@@ -133,6 +226,14 @@
 	f.server.check()
 }
 
+// release gives back what the request that was coming took up.
+func (f *frontSocket) release() {
+	f.server.loop.Due.Drop(f.limit)
+	f.limit = nil
+	f.server.held -= f.held
+	f.held = 0
+}
+
 // Closed is the client's going away.
 func (f *frontSocket) Closed(*transport.Conn) { f.forget() }
 
@@ -140,44 +241,55 @@
 func (f *frontSocket) Data(conn *transport.Conn, in []byte) int {
 	used := 0
 	for f.call == nil && conn.Open() && used < len(in) {
-		m, n, err := ParseRequest(in[used:])
+		m, n, err := f.reader.read(in[used:])
 		if err != nil {
-			f.server.rejected(err.Text)
-			f.reply(err.Status, "", []byte(err.Text+"\n"), true)
-			return len(in)
+			f.refuse(err)
+			break
 		}
 		if n == 0 {
-			if m.Expects() && !f.told100 {
+			if f.reader.expects && !f.told100 {
 				f.told100 = true
 				conn.Send([]byte(continueLine))
 			}
 			break
 		}
 		used += n
-		f.told100 = false
-		f.call = &Call{Message: m, socket: f, last: m.Close || f.server.stopping}
-		f.server.serve(f.call)
+		f.take(m)
 	}
-	if !conn.Open() {
+	switch {
+	case !conn.Open():
 		return len(in)
-	}
-	if len(in)-used > socketInput && f.call != nil {
+	case f.call != nil && (f.call.last || len(in)-used > mostAhead):
 		// Nobody sends so far ahead in good faith. What is in work is answered,
 		// and the connection ends with that.
 		f.call.last = true
-		return len(in)
+		used = len(in)
+	case f.call == nil && used < len(in):
+		f.await()
 	}
+	f.hold(len(in) - used)
 	return used
 }
 
-// Reject answers a call that the client had no business to make, and closes the
-// connection: who errs again has to come again.
-func (c *Call) Reject(status int, text string) {
-	if c.socket.call == c {
-		c.socket.server.rejected(text)
-		c.last = true
+// take has a whole request served.
+func (f *frontSocket) take(m Message) {
+	s := f.server
+	f.release()
+	f.reader, f.told100, f.asked = requestReader{}, false, true
+	if s.held+len(m.Body) > s.memory {
+		s.counts.Shed++
+		f.reply(503, RetryAfter(time.Second), nil, true)
+		return
 	}
-	c.Reply(status, "", []byte(text+"\n"))
+	f.call = &Call{Message: m, socket: f, last: m.Close || s.stopping, size: len(m.Body)}
+	s.held += f.call.size
+	s.serve(f.call)
+}
+
+// refuse answers what cannot be read, and ends the connection.
+func (f *frontSocket) refuse(why *Fault) {
+	f.server.rejected(why.Text)
+	f.reply(why.Status, "", []byte(why.Text+"\n"), true)
 }
 
 // rejected counts a request turned away. One line in a while tells of all since
@@ -192,28 +304,31 @@
 	s.tellAt = now + tellEvery
 }
 
-// ServerCounts are a server's totals since its start.
-type ServerCounts struct {
-	Rejected uint64 // requests that could not be read or made no sense
-}
-
-// Counts returns the totals.
-func (s *Server) Counts() ServerCounts { return s.counts }
-
 // reply answers on the connection.
 func (f *frontSocket) reply(status int, extra string, body []byte, last bool) {
-	f.idleAt = f.server.loop.Now()
+	f.since = f.server.loop.Now()
 	if !f.conn.Send(AppendResponse(nil, status, extra, body, last)) {
 		f.forget()
 		return
 	}
 	if last {
+		f.release()
 		f.server.sockets.Drop(f.ref)
-		f.conn.Linger()
+		f.server.linger(f.conn)
 		f.server.check()
 	}
 }
 
+// linger ends a connection after its last answer, and remembers it for as long
+// as it stays open.
+func (s *Server) linger(c *transport.Conn) {
+	for len(s.lingering) > 0 && !s.lingering[0].Lingering() {
+		s.lingering = s.lingering[1:]
+	}
+	c.Linger()
+	s.lingering = append(s.lingering, c)
+}
+
 // Gone sets what is called if the client goes away before the answer.
 func (c *Call) Gone(f func()) { c.gone = f }
 
@@ -225,6 +340,17 @@
 		return
 	}
 	f.call = nil
+	f.server.held -= c.size
 	f.reply(status, extra, body, c.last || f.server.stopping)
 	f.conn.Pump()
 }
+
+// Reject answers a call that the client had no business to make, and closes the
+// connection: who errs again has to come again.
+func (c *Call) Reject(status int, text string) {
+	if c.socket.call == c {
+		c.socket.server.rejected(text)
+		c.last = true
+	}
+	c.Reply(status, "", []byte(text+"\n"))
+}
--- a/internal/protocol/stage_test.go
+++ b/internal/protocol/stage_test.go
@@ -35,7 +35,7 @@
 		Limits: balance.Limits{Cancel: true, Probes: true, MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
 			ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute},
 		Rules: balance.Rules{ColdFrom: 1, AskWithin: 10 * time.Second}}
-	f := FrontConfig{Listen: scenario.Free(t), Sockets: 40, Classes: map[string]int{"pruefen": 0, "buchen": 1},
+	f := FrontConfig{Listen: scenario.Free(t), Sockets: 40, Memory: 1 << 20, Classes: map[string]int{"pruefen": 0, "buchen": 1},
 		GiveUp: []time.Duration{4 * time.Second, 4 * time.Second}, Retry: true}
 	if change != nil {
 		change(&s, &f)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -110,6 +110,10 @@
 // Open tells whether the connection is usable.
 func (c *Conn) Open() bool { return !c.closed && !c.lingering }
 
+// Lingering tells whether the node has sent its last here and waits for the
+// other side to end the connection.
+func (c *Conn) Lingering() bool { return c.lingering && !c.closed }
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	if c.closed {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -172,8 +173,9 @@
 
 // Dial opens a connection without holding up the loop. done gets the
 // connection or the error, on the loop, unless cancel was called before: what
-// comes up after that is closed.
-func (l *Loop) Dial(address string, timeout time.Duration, h Handler, done func(*Conn, error)) (cancel func()) {
+// comes up after that is closed. Where no connection comes of it, freed is
+// called before done, or in its place, once the dial holds no descriptor any more.
+func (l *Loop) Dial(address string, timeout time.Duration, h Handler, done func(*Conn, error), freed func()) (cancel func()) {
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	cancelled := false
 	c := &Conn{loop: l, handler: h}
@@ -181,6 +183,7 @@
 		stop()
 		if cancelled {
 			c.Close()
+			freed()
 			return
 		}
 		done(c, nil)
@@ -194,6 +197,7 @@
 		if err != nil {
 			l.Post(func() {
 				stop()
+				freed()
 				if !cancelled {
 					done(nil, err)
 				}
@@ -210,8 +214,13 @@
 type Listener struct {
 	net.Listener
 	room chan struct{}
+	open atomic.Int32
 }
 
+// Open returns the number of connections open, those just being taken over by
+// the loop included.
+func (in *Listener) Open() int { return int(in.open.Load()) }
+
 // Listen accepts connections, at most most of them open at once; further ones
 // wait in the system's queue. accept is called on the loop with each.
 func (l *Loop) Listen(address string, most int, accept func(*Conn) Handler) (*Listener, error) {
@@ -236,10 +245,15 @@
 			time.Sleep(acceptPause) // out of descriptors, perhaps: they come back
 			continue
 		}
-		c := &Conn{loop: l, leave: func() { <-in.room }}
+		in.open.Add(1)
+		leave := func() {
+			in.open.Add(-1)
+			<-in.room
+		}
+		c := &Conn{loop: l, leave: leave}
 		c.opened = func() { c.handler = accept(c) }
 		if _, err := l.client.EnrollContext(raw, c); err != nil {
-			<-in.room
+			leave()
 		}
 	}
 }
