Look at attempts whose start is overdue: blame silent workers, copy safe requests

Nothing in balance looked at an attempt between its send and its deadline (balance.go, place, returns while one is out).

Now each send sets a look, 400 ms past twice the predicted queue wait, where workers tell of starts. A worker that has said nothing since the send is blamed, its kept connections are closed, so that the next send shows by its connect whether the machine is there, and a request that may be repeated is sent a second time where a slot is free.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	holdStep    = 20 * time.Millisecond // a held request looks for a worker this often
-	holdLooks   = 8.                    // looks in the time a job runs, where that is longer
-	holdTop     = 3                     // doublings of that at most
-	answerTicks = 3                     // event rounds kept between the final answer and the deadline
-	nearTie     = 0.01                  // totals within this part of the least are tied
-	ownWait     = 0.1                   // part of its time left that any job may wait in a queue
-	fullOdds    = 0.5                   // hold a job that is turned away more likely than this
-	lateCredit  = 0.25                  // part of the time past the aim that full late worth would buy
+	startLate   = 400 * time.Millisecond // past the predicted queue wait, a start is overdue
+	startWaits  = 2.                     // times the predicted wait, that is
+	holdStep    = 20 * time.Millisecond  // a held request looks for a worker this often
+	holdLooks   = 8.                     // looks in the time a job runs, where that is longer
+	holdTop     = 3                      // doublings of that at most
+	answerTicks = 3                      // event rounds kept between the final answer and the deadline
+	nearTie     = 0.01                   // totals within this part of the least are tied
+	ownWait     = 0.1                    // part of its time left that any job may wait in a queue
+	fullOdds    = 0.5                    // hold a job that is turned away more likely than this
+	lateCredit  = 0.25                   // part of the time past the aim that full late worth would buy
 )
 
 // attempt is one send of a request.
@@ -357,26 +359,16 @@
 
 // firstThatMayHaveRun returns the earliest attempt not proved to be without effect.
 func (r *request) firstThatMayHaveRun() *attempt {
-	for i := range r.attempts {
-		if r.attempts[i].mayHave {
-			return &r.attempts[i]
-		}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayHave }); i >= 0 {
+		return &r.attempts[i]
 	}
 	return nil
 }
 
 // inGroup tells whether a worker drops the repeats of what ran at the first.
 func inGroup(c *Class, first, w *worker) bool {
-	if c.Effect != Keyed {
-		return true
-	}
-	switch c.Group {
-	case GroupZone:
-		return first.zone == w.zone
-	case GroupCell:
-		return first.cell == w.cell
-	}
-	return true
+	return c.Effect != Keyed || c.Group == GroupAll ||
+		c.Group == GroupZone && first.zone == w.zone || c.Group == GroupCell && first.cell == w.cell
 }
 
 // permission is what the rules allow a request.
@@ -413,6 +405,30 @@
 	b.out++
 	w.hold(now, r.Slots)
 	b.do(Send{Request: r.ID, Worker: w.id})
+	if at := len(r.attempts) - 1; b.settings.TellsStart {
+		b.after(startLate+time.Duration(startWaits*max(0, f.delay-f.run)*float64(time.Second)),
+			func(now time.Duration) { b.look(now, r, at) })
+	}
+}
+
+// look checks on an attempt whose start is overdue. A worker that has said
+// nothing since the send may hang or be cut off: it is blamed, what is sent to
+// it next takes a new connection, which shows whether it can be reached, and
+// what may be repeated is also sent where a slot is free.
+func (b *Balancer) look(now time.Duration, r *request, at int) {
+	a := r.attempts[at]
+	if r.over || !a.out || a.runningAt > 0 {
+		return
+	}
+	if heard := a.worker.heardAt; heard > a.sentAt {
+		b.after(max(startLate-(now-heard), holdStep), func(now time.Duration) { b.look(now, r, at) })
+		return
+	}
+	b.fleet.judge(now, a.worker, true)
+	b.do(CloseIdle{Worker: a.worker.id})
+	if f, ok := b.choose(now, r); ok && f.free >= r.Slots && f.full <= fullOdds {
+		b.send(now, r, f)
+	}
 }
 
 // giveUp is the one gate of rule 1: the final answer, once, as harmless as
@@ -453,6 +469,7 @@
 	if r == nil || ev.Attempt >= len(r.attempts) || !ev.Started {
 		return
 	}
+	r.attempts[ev.Attempt].worker.heardAt = now
 	if a := &r.attempts[ev.Attempt]; a.runningAt == 0 {
 		a.runningAt = now
 		b.est.learnStart(a.worker.zone, (now - a.sentAt).Seconds())
@@ -490,6 +507,9 @@
 	if w.started != a.started || b.fleet.byID[w.id] != w {
 		return // another process answers by that name now
 	}
+	if ev.Outcome == Served || ev.Outcome == Full {
+		w.heardAt = now
+	}
 	if ev.Report != nil {
 		b.fleet.report(now, w, ev.Report)
 	}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -265,7 +265,9 @@
 		m.add(min(run/pace, oddRatio*m.or(run/pace, 0)), poolSamples)
 	}
 	if j.size > 0 {
-		e.learnWorth(j, run/e.paceOf(now, p, kind))
+		// Rough hints are too low among the small and too high among the large.
+		worth := run / e.paceOf(now, p, kind) / j.size
+		of(e.worth, windowKey{j.class, j.bucket}).add(min(max(worth, 1/oddRatio), oddRatio), poolSamples)
 		e.size[j.class].add(e.sizeOf(j), poolSamples)
 	}
 	size := e.sizeOf(j)
@@ -285,12 +287,6 @@
 	of(p.process, windowKey{j.class, j.bucket}).add(now, free, (wait+run)/size)
 }
 
-// learnWorth takes in what a hint was worth. Rough hints are too low among the
-// small and too high among the large.
-func (e *estimator) learnWorth(j job, size float64) {
-	of(e.worth, windowKey{j.class, j.bucket}).add(min(max(size/j.size, 1/oddRatio), oddRatio), poolSamples)
-}
-
 // learnTransfer takes in a round trip to a worker.
 func (e *estimator) learnTransfer(now time.Duration, p *profile, zone int, j job, seconds float64) {
 	p.transfer.add(now, e.sizeOf(j), seconds)
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -52,8 +53,9 @@
 	failures   float64 // decayed counts
 	successes  float64
 	judgedAt   time.Duration
-	others     float64 // slots that peers say their jobs hold here
-	tokens     float64 // cold budget left, slot-seconds; negative: overdrawn
+	heardAt    time.Duration // when it last started or answered a job of this dispatcher's
+	others     float64       // slots that peers say their jobs hold here
+	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
 	tokensAt   time.Duration
 }
 
@@ -98,42 +100,23 @@
 		f.subscribed, f.asking, f.askTries = f.subscribed || f.asking, false, 0
 	}
 	if up.Kind != ListChanges {
-		f.markAbsent(up.Workers)
+		for _, w := range f.list {
+			w.state = Gone // unless the list names it
+		}
 	}
 	for _, l := range up.Workers {
 		f.note(now, l)
 	}
-	kept := f.list[:0]
-	for _, w := range f.list {
-		if w.state == Gone {
-			delete(f.byID, w.id)
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(f.list[len(kept):])
-	f.list = kept
+	maps.DeleteFunc(f.byID, func(_ WorkerID, w *worker) bool { return w.state == Gone })
+	f.list = slices.DeleteFunc(f.list, func(w *worker) bool { return w.state == Gone })
 	f.changes++
-	f.byTag = make(map[uint16]*worker, len(kept))
-	for i, w := range kept {
+	f.byTag = make(map[uint16]*worker, len(f.list))
+	for i, w := range f.list {
 		w.place = i
 		f.byTag[tagOf(w.id)] = w
 	}
 }
 
-// markAbsent takes all workers that a full list does not name for gone.
-func (f *fleet) markAbsent(listed []Listing) {
-	named := make(map[WorkerID]bool, len(listed))
-	for _, l := range listed {
-		named[l.Worker] = true
-	}
-	for _, w := range f.list {
-		if !named[w.id] {
-			w.state = Gone
-		}
-	}
-}
-
 func (f *fleet) note(now time.Duration, l Listing) {
 	w := f.byID[l.Worker]
 	if w == nil {
@@ -329,11 +312,7 @@
 	f.keyTotal = f.keyTotal*decay(now-f.keysAt) + 1
 	f.keysAt = now
 	if len(f.keys) >= keysKept {
-		for k, u := range f.keys {
-			if u.count*decay(now-u.at) < 1 {
-				delete(f.keys, k)
-			}
-		}
+		maps.DeleteFunc(f.keys, func(_ uint64, u *keyUse) bool { return u.count*decay(now-u.at) < 1 })
 	}
 	u := f.keys[key]
 	if u == nil {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -695,3 +696,49 @@
 	}
 	t.Error("no refusal that tells when to come back")
 }
+
+// A worker that takes a job and says nothing may hang. It is blamed, its kept
+// connections are closed, and what may be repeated is also sent elsewhere; what
+// may not is left alone, and so is a job that has started.
+func TestOverdueStartIsLookedAt(t *testing.T) {
+	for name, c := range map[string]struct {
+		class, blamed, copies int
+		started               bool
+	}{
+		"safe":    {class: 0, blamed: 1, copies: 1},
+		"unsafe":  {class: 4, blamed: 1},
+		"started": {class: 0, started: true},
+	} {
+		s := ruleSettings(0)
+		s.Limits.SecondCopies = true
+		b := balancer(t, s, 1)
+		now := time.Hour
+		b.Handle(now, listOf(ListFull, 3))
+		first := slices.Clone(b.Handle(now, Request{ID: 1, Class: c.class, Deadline: now + 4*time.Second}))
+		if countOf[Send](first) != 1 {
+			t.Fatalf("%s: not sent", name)
+		}
+		if c.started {
+			b.Handle(now, AttemptNews{Request: 1, Attempt: 0, Started: true})
+		}
+		var then []Action
+		for _, a := range first {
+			if timer, ok := a.(SetTimer); ok && timer.After < 2*time.Second {
+				then = append(then, b.Handle(now+timer.After, TimerFired{Token: timer.Token})...)
+			}
+		}
+		if got := countOf[CloseIdle](then); got != c.blamed {
+			t.Errorf("%s: idle connections closed %d times", name, got)
+		}
+		if got := countOf[Send](then); got != c.copies {
+			t.Errorf("%s: %d copies sent", name, got)
+		}
+		chance := 0.
+		for _, w := range b.fleet.list {
+			chance = max(chance, b.fleet.failChance(now+time.Second, w))
+		}
+		if (chance > 0.1) != (c.blamed > 0) {
+			t.Errorf("%s: a worker is expected to fail with chance %.2f", name, chance)
+		}
+	}
+}
