Send bookings over new connections for a minute after a kept one failed

Seen: on wide+reset+stale a probe that logged how connections to prep workers end showed 25 of 35 breaking 0.1 to 0.3 ms after a request on a connection used before, with no byte of an answer, after any idle time (18 to 650 ms). For a booking that is a reset after the last byte: it may have run and is lost (destinations.go, start, took the newest kept connection for everything).

Now such an end, and the module's CloseIdle, make the node mistrust kept connections for a minute: what must not run twice goes over a new one, where a failure to come up proves that nothing ran. What may be repeated still takes what is there.

--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -21,6 +21,7 @@
 	idleMargin   = time.Second            // a connection closes this long before the destination would
 	probeTimeout = 500 * time.Millisecond // a probe that takes longer says nothing more
 	maxLine      = maxBody + 4<<10        // most bytes of one line of an answer
+	waryFor      = time.Minute            // how long kept connections are mistrusted after one has failed
 )
 
 // DestinationConfig is what the destinations' side is told.
@@ -40,6 +41,7 @@
 	byID   map[balance.WorkerID]*destination
 	trips  map[slot.Ref]*trip // by route step
 	open   int                // connections, those being made included
+	wary   time.Duration      // until when kept connections are mistrusted
 	load   map[string]int     // a report field's place, by each name it may have
 }
 
@@ -54,6 +56,7 @@
 // trip is one exchange with a destination: a route step or a probe.
 type trip struct {
 	step    slot.Ref // 0: a probe
+	once    bool     // must not run twice
 	to      *destination
 	request []byte
 	conn    *destinationConn // nil: still being made
@@ -77,6 +80,7 @@
 	last     bool   // no further exchange on this connection
 	line     []byte // the part of a line that is in
 	deadline *due.Deadline
+	kept     bool  // has served an exchange before
 	told     bool  // the outcome is known
 	done     *trip // whose outcome is known and not told yet
 	outcome  routing.StepEnd
@@ -110,13 +114,13 @@
 	}
 	if to.address != address {
 		to.address = address
-		d.CloseIdle(id)
+		d.closeIdle(id)
 	}
 }
 
 // Remove forgets a destination. Steps that are out end as they end.
 func (d *Destinations) Remove(id balance.WorkerID) {
-	d.CloseIdle(id)
+	d.closeIdle(id)
 	delete(d.byID, id)
 }
 
@@ -129,8 +133,18 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a destination.
+// CloseIdle closes the idle connections to a destination at the module's wish:
+// it hears nothing from there, and other machines may be cut off with it.
 func (d *Destinations) CloseIdle(id balance.WorkerID) {
+	d.mistrust()
+	d.closeIdle(id)
+}
+
+// mistrust notes that a kept connection has failed its next request. What broke
+// it may have broken others.
+func (d *Destinations) mistrust() { d.wary = d.loop.Now() + waryFor }
+
+func (d *Destinations) closeIdle(id balance.WorkerID) {
 	to := d.byID[id]
 	if to == nil {
 		return
@@ -147,7 +161,7 @@
 		d.core.StepEnded(step, routing.StepEnd{Outcome: balance.NotSent})
 		return
 	}
-	t := &trip{step: step, to: to, request: d.request(w, until), sentAt: d.loop.Now()}
+	t := &trip{step: step, once: w.Once, to: to, request: d.request(w, until), sentAt: d.loop.Now()}
 	d.trips[step] = t
 	d.start(t)
 }
@@ -184,9 +198,13 @@
 	d.start(t)
 }
 
-// start puts a trip on the newest idle connection, or on a new one.
+// start puts a trip on the newest idle connection, or on a new one. While kept
+// connections are mistrusted, what must not run twice gets a new one: where that
+// does not come up the request never ran, but a kept one that turns out dead
+// when the request is out leaves that open.
 func (d *Destinations) start(t *trip) {
-	if n := len(t.to.idle); n > 0 {
+	fresh := t.once && d.loop.Now() < d.wary
+	if n := len(t.to.idle); n > 0 && !fresh {
 		c := t.to.idle[n-1]
 		t.to.idle = t.to.idle[:n-1]
 		d.loop.Due.Drop(c.deadline)
@@ -301,6 +319,7 @@
 		return
 	}
 	c.trip = nil
+	c.kept = true
 	c.to.idle = append(c.to.idle, c)
 	keep := max(d.config.ConnIdle-idleMargin, d.config.ConnIdle/2)
 	if d.config.ConnIdle == 0 {
@@ -336,6 +355,9 @@
 		c.conclude(t) // the body ended with the connection
 		return
 	}
+	if c.kept && !c.head {
+		c.owner.mistrust()
+	}
 	outcome := balance.Reset // the last byte was written: it may have run
 	if !conn.Sent() {
 		outcome = balance.ConnectFailed
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -233,6 +233,29 @@
 	}
 }
 
+// A kept connection that breaks at its next request leaves open whether that
+// ran. Once one has, a booking gets a new connection, for a while; what may be
+// repeated still takes what is there.
+func TestBookingsShunKeptConnectionsAfterOneBroke(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Loop.Call(func() { // one destination, so that it is clear which connection is meant
+		up := balance.ListUpdate{Kind: balance.ListChanges}
+		for id, to := range w.to.byID {
+			if to.name == "s-2" {
+				up.Workers = append(up.Workers, balance.Listing{Worker: id, State: balance.Draining, Scale: 1})
+			}
+		}
+		w.core.PoolChanged(up)
+	})
+	serve := func(conn string) string {
+		return lines(conn+" expect HTTP/1.1\r\n", conn+" send {stream}{done}", "c expect fine")
+	}
+	w.Play(lines("c dial front", "c send {ask}", "s accept workers", serve("s"), "c send {book}", serve("s")))
+	w.Play(lines("c send {book}", "s expect Req-Id: b1", "s close", "c expect HTTP/1.1 502"))
+	w.Play(lines("c send {ask}", "t accept workers", serve("t"), "c send {book}", "u accept workers", serve("u")))
+	w.Play(lines("c send {ask}", serve("u"), "wait 1m", "c send {ask}", "v accept workers", serve("v"), "c send {book}", serve("v")))
+}
+
 // A refused connection proves that nothing ran: after the last attempt the
 // booking is refused, which is harmless.
 func TestConnectRefused(t *testing.T) {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -101,6 +101,7 @@
 // Take takes an operation in. Nothing becomes of it before Route, so that its
 // owner can note the Ref first.
 func (c *Core) Take(in Operation) slot.Ref {
+	in.Work.Once = in.Class < len(c.settings.Classes) && c.settings.Classes[in.Class].Effect == balance.Unsafe
 	op := &operation{Operation: in}
 	ref := c.ops.Add(op)
 	c.open++
--- a/internal/routing/ports.go
+++ b/internal/routing/ports.go
@@ -16,6 +16,7 @@
 	ID     string // unique, as the client gave it
 	Target string // path and query
 	Body   []byte
+	Once   bool // must not run twice; set by the core
 }
 
 // Operation is a request as a front hands it in.
