Judge a worker's health by class as well as over all

Now outcomes count over all classes and for the class; the worse of the two chances of failure holds, each with the fleet's own rate as its prior.

Tried and taken out again: a probe to the worker before each booking.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -332,7 +332,7 @@
 		f.run += f.miss * b.est.missDelay(r.job)
 	}
 	aim := b.aim(r)
-	f.total += b.fleet.failChance(now, w) * r.class.GiveUp.Seconds()
+	f.total += b.fleet.failChance(now, w, r.Class) * r.class.GiveUp.Seconds()
 	// Each 'full' uses up one of the attempts and its round trip.
 	f.total += f.full * aim / float64(b.settings.Limits.MaxAttempts-len(r.attempts))
 	if w.zone != b.settings.Zone {
@@ -424,7 +424,7 @@
 		b.after(max(startLate-(now-heard), holdStep), func(now time.Duration) { b.look(now, r, at) })
 		return
 	}
-	b.fleet.judge(now, a.worker, true)
+	b.fleet.judge(now, a.worker, r.Class, true)
 	b.do(CloseIdle{Worker: a.worker.id})
 	if f, ok := b.choose(now, r); ok && f.free >= r.Slots && f.full <= fullOdds {
 		b.send(now, r, f)
@@ -516,21 +516,21 @@
 	switch ev.Outcome {
 	case Served:
 		b.learnServed(now, r, a, ev.Elapsed.Seconds())
-		b.fleet.judge(now, w, false)
+		b.fleet.judge(now, w, r.Class, false)
 	case Full:
 		b.est.full.add(a.free-r.Slots, 1, poolSamples)
 		if a.free >= r.Slots {
 			// A worker that turns jobs away though it seems free has something
 			// else wrong, and with nothing in work would draw ever more of them.
-			b.fleet.judge(now, w, true)
+			b.fleet.judge(now, w, r.Class, true)
 		}
 		b.fleet.sawFull(now, w, b.est.run.or(0, 0))
 		b.est.learnTransfer(now, &w.profile, w.zone, r.job, ev.Elapsed.Seconds())
 	case Errored, ConnectFailed, Reset:
-		b.fleet.judge(now, w, true)
+		b.fleet.judge(now, w, r.Class, true)
 	case TimedOut:
 		if a.runningAt == 0 {
-			b.fleet.judge(now, w, true)
+			b.fleet.judge(now, w, r.Class, true)
 		}
 	}
 }
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -50,9 +50,7 @@
 	unfinished float64 // slots of own jobs out
 	ownMean    float64 // their mean over the time a report may be old
 	ownAt      time.Duration
-	failures   float64 // decayed counts
-	successes  float64
-	judgedAt   time.Duration
+	health     []health      // over all classes, then of each
 	heardAt    time.Duration // when it last started or answered a job of this dispatcher's
 	others     float64       // slots that peers say their jobs hold here
 	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
@@ -75,9 +73,7 @@
 	peers    map[int]*peerView
 	fresh    int // peers heard of lately
 	byTag    map[uint16]*worker
-	failures float64 // decayed, over the fleet
-	outcomes float64
-	judgedAt time.Duration
+	health   []health // the same over the fleet
 
 	subscribed bool
 	asking     bool
@@ -86,7 +82,7 @@
 
 func newFleet(s *Settings, rng *rand.Rand) fleet {
 	return fleet{settings: s, rng: rng, byID: map[WorkerID]*worker{}, kindFree: map[int]float64{},
-		meanFree: map[int]*mean{}, keys: map[uint64]*keyUse{},
+		meanFree: map[int]*mean{}, keys: map[uint64]*keyUse{}, health: make([]health, 1+len(s.Classes)),
 		peers: map[int]*peerView{}}
 }
 
@@ -120,7 +116,7 @@
 func (f *fleet) note(now time.Duration, l Listing) {
 	w := f.byID[l.Worker]
 	if w == nil {
-		w = &worker{id: l.Worker, tokensAt: now}
+		w = &worker{id: l.Worker, tokensAt: now, health: make([]health, len(f.health))}
 		w.profile.life = f.spread(sampleLife)
 		w.profile.forget()
 		f.byID[l.Worker] = w
@@ -128,7 +124,8 @@
 	} else if w.started != l.Started {
 		// A restart under the same name is cold, and its old fits are void.
 		w.profile.forget()
-		w.reported, w.failures, w.successes, w.tokens = false, 0, 0, 0
+		w.reported, w.tokens = false, 0
+		clear(w.health)
 	}
 	w.zone, w.kind, w.cell, w.state, w.scale, w.started = l.Zone, l.Kind, l.Cell, l.State, l.Scale, l.Started
 	if w.tokens == 0 {
@@ -273,29 +270,39 @@
 
 func decay(span time.Duration) float64 { return math.Exp(-span.Seconds() / healthLife.Seconds()) }
 
-// judge books an outcome on a worker's health.
-func (f *fleet) judge(now time.Duration, w *worker, failed bool) {
-	k := decay(now - w.judgedAt)
-	w.failures, w.successes, w.judgedAt = w.failures*k, w.successes*k, now
-	k = decay(now - f.judgedAt)
-	f.failures, f.outcomes, f.judgedAt = f.failures*k, f.outcomes*k+1, now
+// health is decayed counts of outcomes.
+type health struct {
+	failures, outcomes float64
+	at                 time.Duration
+}
+
+func (h *health) add(now time.Duration, failed bool) {
+	k := decay(now - h.at)
+	h.failures, h.outcomes, h.at = h.failures*k, h.outcomes*k+1, now
 	if failed {
-		w.failures++
-		f.failures++
-	} else {
-		w.successes++
+		h.failures++
+	}
+}
+
+// judge books an outcome on a worker's health, over all and for the class: some
+// troubles strike the jobs of one class alone, which the others' success hides.
+func (f *fleet) judge(now time.Duration, w *worker, class int, failed bool) {
+	for _, of := range [][]health{w.health, f.health} {
+		of[0].add(now, failed)
+		of[1+class].add(now, failed)
 	}
 }
 
-// failChance estimates the chance that the worker fails a job. The prior is the
-// fleet's own rate, so a trouble of the whole fleet shuns nobody.
-func (f *fleet) failChance(now time.Duration, w *worker) float64 {
-	prior := max(leastFailure, f.failures/(f.outcomes+healthPrior))
-	if w.failures+w.successes == 0 {
-		return prior
+// failChance estimates the chance that the worker fails a job of a class. The
+// prior is the fleet's own rate, so a trouble of the whole fleet shuns nobody.
+func (f *fleet) failChance(now time.Duration, w *worker, class int) (chance float64) {
+	for _, at := range [2]int{0, 1 + class} {
+		of, all := &w.health[at], &f.health[at]
+		prior := max(leastFailure, all.failures/(all.outcomes+healthPrior))
+		k := decay(now - of.at)
+		chance = max(chance, (of.failures*k+prior*healthPrior)/(of.outcomes*k+healthPrior))
 	}
-	k := decay(now - w.judgedAt)
-	return (w.failures*k + prior*healthPrior) / ((w.failures+w.successes)*k + healthPrior)
+	return chance
 }
 
 // keyUse is what is known of the requests for one key.
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -553,15 +553,15 @@
 	b := busyBalancer(t, ruleSettings(0))
 	w := b.fleet.list[0]
 	for range 100 {
-		b.fleet.judge(0, b.fleet.list[1], false)
+		b.fleet.judge(0, b.fleet.list[1], 0, false)
 	}
-	before := b.fleet.failChance(0, w)
-	b.fleet.judge(0, w, true)
-	after := b.fleet.failChance(0, w)
+	before := b.fleet.failChance(0, w, 0)
+	b.fleet.judge(0, w, 0, true)
+	after := b.fleet.failChance(0, w, 0)
 	if after < 10*before {
 		t.Errorf("chance of failure %v after a failure, %v before", after, before)
 	}
-	if later := b.fleet.failChance(time.Minute, w); later > after/2 {
+	if later := b.fleet.failChance(time.Minute, w, 0); later > after/2 {
 		t.Errorf("chance of failure still %v after a minute", later)
 	}
 }
@@ -571,11 +571,11 @@
 	b := busyBalancer(t, ruleSettings(0))
 	for range 20 {
 		for _, w := range b.fleet.list {
-			b.fleet.judge(0, w, true)
+			b.fleet.judge(0, w, 0, true)
 		}
 	}
-	spared := &worker{}
-	if tried, other := b.fleet.failChance(0, b.fleet.list[0]), b.fleet.failChance(0, spared); tried > 1.5*other {
+	spared := &worker{health: make([]health, len(b.fleet.health))}
+	if tried, other := b.fleet.failChance(0, b.fleet.list[0], 0), b.fleet.failChance(0, spared, 0); tried > 1.5*other {
 		t.Errorf("chance of failure %v at a tried worker, %v at an untried one", tried, other)
 	}
 }
@@ -585,9 +585,9 @@
 	b := busyBalancer(t, ruleSettings(0))
 	a := &b.requests[1].attempts[0]
 	a.free = 4
-	before := b.fleet.failChance(0, a.worker)
+	before := b.fleet.failChance(0, a.worker, 0)
 	b.Handle(time.Millisecond, AttemptDone{Request: 1, Worker: a.worker.id, Outcome: Full})
-	if after := b.fleet.failChance(time.Millisecond, a.worker); after < 10*before {
+	if after := b.fleet.failChance(time.Millisecond, a.worker, 0); after < 10*before {
 		t.Errorf("chance of failure %v, was %v", after, before)
 	}
 }
@@ -735,10 +735,30 @@
 		}
 		chance := 0.
 		for _, w := range b.fleet.list {
-			chance = max(chance, b.fleet.failChance(now+time.Second, w))
+			chance = max(chance, b.fleet.failChance(now+time.Second, w, c.class))
 		}
 		if (chance > 0.1) != (c.blamed > 0) {
 			t.Errorf("%s: a worker is expected to fail with chance %.2f", name, chance)
 		}
 	}
 }
+
+// A worker that fails one class alone is shunned for it, though it serves the
+// others, and stays as good as any for those.
+func TestHealthIsByClass(t *testing.T) {
+	b := balancer(t, ruleSettings(0), 1)
+	b.Handle(0, listOf(ListFull, 3))
+	sick, well := b.fleet.list[0], b.fleet.list[1]
+	for range 8 {
+		b.fleet.judge(0, sick, 0, false)
+		b.fleet.judge(0, well, 0, false)
+		b.fleet.judge(0, well, 4, false)
+	}
+	b.fleet.judge(0, sick, 4, true)
+	if got, other := b.fleet.failChance(0, sick, 4), b.fleet.failChance(0, well, 4); got < 0.2 || got < 10*other {
+		t.Errorf("chance %.3f at the one that fails the class, %.3f at another", got, other)
+	}
+	if got := b.fleet.failChance(0, sick, 0); got > 0.15 {
+		t.Errorf("chance %.3f for a class that it serves", got)
+	}
+}
