--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	startLate   = 400 * time.Millisecond // past the predicted queue wait, a start is overdue
-	startWaits  = 2.                     // times the predicted wait, that is
+	startLate   = 400 * time.Millisecond // a start is overdue after this, a mean run
+	startWaits  = 2.                     // and so many times the predicted queue wait
 	holdStep    = 20 * time.Millisecond  // a held request looks for a worker this often
 	holdLooks   = 8.                     // looks in the time a job runs, where that is longer
 	holdTop     = 3                      // doublings of that at most
@@ -209,9 +209,10 @@
 	}
 }
 
-// bestCase is the time, in seconds, that a request runs for at the usual pace.
+// bestCase is the time, in seconds, that a request runs for at the usual pace if
+// its hint is too high: none is given up on a hint's word alone.
 func (b *Balancer) bestCase(r *request) float64 {
-	return b.est.sizeOf(r.job) * min(1, b.est.allPace.or(1, 1))
+	return b.est.sizeFor(r.job, leastWorth) * min(1, b.est.allPace.or(1, 1))
 }
 
 // patience is the queue wait, in seconds, that a job may be sent into: the slack
@@ -406,22 +407,23 @@
 	w.hold(now, r.Slots)
 	b.do(Send{Request: r.ID, Worker: w.id})
 	if at := len(r.attempts) - 1; b.settings.TellsStart {
-		b.after(startLate+time.Duration(startWaits*max(0, f.delay-f.run)*float64(time.Second)),
-			func(now time.Duration) { b.look(now, r, at) })
+		wait := startWaits*max(0, f.delay-f.run) + b.est.run.or(0, 0)
+		late := startLate + time.Duration(wait*float64(time.Second))
+		b.after(late, func(now time.Duration) { b.look(now, r, at, late) })
 	}
 }
 
 // look checks on an attempt whose start is overdue. A worker that has said
-// nothing since the send may hang or be cut off: it is blamed, what is sent to
-// it next takes a new connection, which shows whether it can be reached, and
-// what may be repeated is also sent where a slot is free.
-func (b *Balancer) look(now time.Duration, r *request, at int) {
+// nothing for so long may hang or be cut off: it is blamed, what is sent to it
+// next takes a new connection, which shows whether it can be reached, and what
+// may be repeated is also sent where a slot is free.
+func (b *Balancer) look(now time.Duration, r *request, at int, late time.Duration) {
 	a := r.attempts[at]
 	if r.over || !a.out || a.runningAt > 0 {
 		return
 	}
-	if heard := a.worker.heardAt; heard > a.sentAt {
-		b.after(max(startLate-(now-heard), holdStep), func(now time.Duration) { b.look(now, r, at) })
+	if left := max(a.sentAt, a.worker.heardAt) + late - now; left > 0 {
+		b.after(left, func(now time.Duration) { b.look(now, r, at, late) })
 		return
 	}
 	b.fleet.judge(now, a.worker, r.Class, true)
@@ -472,7 +474,10 @@
 	r.attempts[ev.Attempt].worker.heardAt = now
 	if a := &r.attempts[ev.Attempt]; a.runningAt == 0 {
 		a.runningAt = now
-		b.est.learnStart(a.worker.zone, (now - a.sentAt).Seconds())
+		took, zone := (now - a.sentAt).Seconds(), a.worker.zone
+		if least, ok := b.est.floor[zone]; !ok || took < least {
+			b.est.floor[zone] = took
+		}
 	}
 }
 
@@ -525,7 +530,8 @@
 			b.fleet.judge(now, w, r.Class, true)
 		}
 		b.fleet.sawFull(now, w, b.est.run.or(0, 0))
-		b.est.learnTransfer(now, &w.profile, w.zone, r.job, ev.Elapsed.Seconds())
+		w.profile.transfer.add(now, b.est.sizeOf(r.job), ev.Elapsed.Seconds())
+		of(b.est.transfer, w.zone).add(ev.Elapsed.Seconds(), poolSamples)
 	case Errored, ConnectFailed, Reset:
 		b.fleet.judge(now, w, r.Class, true)
 	case TimedOut:
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -14,6 +14,7 @@
 	missSamples  = 8.0  // samples that no difference counts for
 	oddRatio     = 4.   // a job this many times slower or faster than usual counts as just that
 	leastRun     = 1e-4 // seconds; below it a running time is a rounding of the clock
+	leastWorth   = 0.4  // what large hints may well be worth: the largest are mostly too high
 	worthSamples = 10.  // samples that taking hints at their word counts for
 	idleWeight   = 0.2  // weight, in each sample, of knowing that an idle worker has no queue
 	minSpread    = 0.05 // variance of load (slots squared) below which a slope means nothing
@@ -204,9 +205,12 @@
 
 // sizeOf gives the job's size in seconds: the hint, corrected by what hints of
 // its bucket have been worth, or its class's mean.
-func (e *estimator) sizeOf(j job) float64 {
+func (e *estimator) sizeOf(j job) float64 { return e.sizeFor(j, 1) }
+
+// sizeFor is sizeOf for hints that are worth so much until seen.
+func (e *estimator) sizeFor(j job, worth float64) float64 {
 	if j.size > 0 {
-		return j.size * of(e.worth, windowKey{j.class, j.bucket}).or(1, worthSamples)
+		return j.size * of(e.worth, windowKey{j.class, j.bucket}).or(worth, worthSamples)
 	}
 	if m := e.size[j.class]; m.n > 0 {
 		return m.sum / m.n
@@ -287,19 +291,6 @@
 	of(p.process, windowKey{j.class, j.bucket}).add(now, free, (wait+run)/size)
 }
 
-// learnTransfer takes in a round trip to a worker.
-func (e *estimator) learnTransfer(now time.Duration, p *profile, zone int, j job, seconds float64) {
-	p.transfer.add(now, e.sizeOf(j), seconds)
-	of(e.transfer, zone).add(seconds, poolSamples)
-}
-
-// learnStart takes in the time from a send to the note that the job started.
-func (e *estimator) learnStart(zone int, seconds float64) {
-	if least, ok := e.floor[zone]; !ok || seconds < least {
-		e.floor[zone] = seconds
-	}
-}
-
 // missDelay predicts the seconds that fetching a key's data adds to the job.
 func (e *estimator) missDelay(j job) float64 {
 	home := e.home.or(1, missSamples)
--- a/balance/estimate_test.go
+++ b/balance/estimate_test.go
@@ -86,7 +86,8 @@
 	slow, unseen := fresh(), fresh()
 	for range 40 {
 		e.learnProcess(0, slow, 3, j, 2, 4, 0, 0.2)
-		e.learnTransfer(0, slow, 1, j, 0.01)
+		slow.transfer.add(0, e.sizeOf(j), 0.01)
+		of(e.transfer, 1).add(0.01, poolSamples)
 	}
 	near(t, "processing of its kind", e.processAt(0, unseen, 3, j, 2), 0.2, 0.02)
 	near(t, "transfer of its zone", e.transferTo(0, unseen, 1, j), 0.01, 1e-9)
@@ -96,7 +97,7 @@
 	e, p := newEstimator(1), fresh()
 	for i := 1; i <= 6; i++ {
 		size := float64(i) / 10
-		e.learnTransfer(0, p, 0, job{size: size}, 0.001+0.01*size)
+		p.transfer.add(0, size, 0.001+0.01*size)
 	}
 	near(t, "transfer at 0.35", e.transferTo(0, p, 0, job{size: 0.35}), 0.0045, 1e-6)
 }
