--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -151,7 +151,7 @@
 	c, f := n.core.Counts(), n.front.Counts()
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
 		"rejected", c.Rejected, "gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
-		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed)
+		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed, "full", f.Full)
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
 
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -499,6 +500,17 @@
 		"a "+health, "a expect 200"))
 }
 
+// Silent connections come by hundreds at once; a usual client that comes right
+// behind them finds room.
+func TestUsualClientBehindABurst(t *testing.T) {
+	w := newWorld(t, func(_ *balance.Settings, f *FrontConfig) { f.Sockets = socketSpare + 3 })
+	for i := range 11 {
+		w.Play(fmt.Sprintf("silent%d dial front", i))
+	}
+	w.Until(func() bool { return w.front.sockets.Len()+len(w.front.lingering) >= 9 })
+	w.Play(lines("wait 30ms", "c dial front", `c send GET /healthz HTTP/1.1\r\n\r\n`, "c expect 200"))
+}
+
 // Where every socket has a request in work who comes is told so at once, in
 // place of waiting unheard in the system's queue.
 func TestAllSocketsAtWork(t *testing.T) {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -14,7 +14,8 @@
 	socketSpare   = 8                      // front sockets kept free: past that, some are shed
 	socketLast    = 2                      // the last of these turn who comes away at once
 	requestWithin = 2 * time.Second        // from the connection's start, or a later request's first byte, to its last
-	freshFor      = 250 * time.Millisecond // a connection younger than this may yet bring a usual client's request
+	freshFor      = 25 * time.Millisecond  // a connection younger than this may yet bring a usual client's request
+	slowFor       = 250 * time.Millisecond // and one that has brought a part of it, the rest
 	mostAhead     = maxHead                // most bytes kept of what a client sends while its call is in work
 	tellEvery     = 10 * time.Second
 	continueLine  = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -44,6 +45,7 @@
 	Rejected uint64 // requests that could not be read, made no sense or did not come whole
 	Silent   uint64 // connections closed as nothing came on them
 	Shed     uint64 // connections closed to make room for others
+	Full     uint64 // connections answered 503, as there was no room
 }
 
 // Call is one request and the way to answer it.
@@ -125,19 +127,21 @@
 	if s.listener.Open() > s.most-socketLast {
 		// All have a request in work. Who waits in the system's queue would wait
 		// without a word; this way each is told.
-		s.counts.Shed++
+		s.counts.Full++
 		f.reply(503, RetryAfter(time.Second), nil, true)
 	}
 	return f
 }
 
 // shed closes one connection to make room for those to come: first one that has
-// brought no whole request in its time, then one that has had its last answer,
-// then the one that has stood idle longest. A connection with a request in work
-// is never chosen, nor is a fresh one, which may have a request on its way.
+// brought nothing, then one that has not brought the whole of a request, each
+// after a time that a usual client does not need, then one that has had its last
+// answer, then the one that has stood idle longest. A connection with a request
+// in work is never chosen, nor is a fresh one, which may have a request on its
+// way. The time is short, as silent connections come by hundreds at once.
 func (s *Server) shed() bool {
 	now := s.loop.Now()
-	var unfinished, idle *frontSocket
+	var silent, unfinished, idle *frontSocket
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
 		switch {
 		case f.call != nil || !f.conn.Open():
@@ -145,13 +149,19 @@
 			if idle == nil || f.since < idle.since {
 				idle = f
 			}
-		case now-f.began >= freshFor && (unfinished == nil || f.began < unfinished.began):
+		case f.held == 0:
+			if now-f.began >= freshFor && (silent == nil || f.began < silent.began) {
+				silent = f
+			}
+		case now-f.began >= slowFor && (unfinished == nil || f.began < unfinished.began):
 			unfinished = f
 		}
 	})
 	// What the other side has closed since is out of the way already.
 	s.lingering = slices.DeleteFunc(s.lingering, func(c *transport.Conn) bool { return !c.Lingering() })
 	switch {
+	case silent != nil:
+		silent.close()
 	case unfinished != nil:
 		unfinished.close()
 	case len(s.lingering) > 0:
