--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	startLate   = 400 * time.Millisecond // a start is overdue after this, a mean run
-	startWaits  = 2.                     // and so many times the predicted queue wait
+	startLate   = 400 * time.Millisecond // a start is overdue after this, a mean run and twice the predicted wait
 	holdStep    = 20 * time.Millisecond  // a held request looks for a worker this often
 	holdLooks   = 8.                     // looks in the time a job runs, where that is longer
 	holdTop     = 3                      // doublings of that at most
@@ -209,10 +208,9 @@
 	}
 }
 
-// bestCase is the time, in seconds, that a request runs for at the usual pace if
-// its hint is too high: none is given up on a hint's word alone.
+// bestCase is the time, in seconds, that a request runs for at the usual pace.
 func (b *Balancer) bestCase(r *request) float64 {
-	return b.est.sizeFor(r.job, leastWorth) * min(1, b.est.allPace.or(1, 1))
+	return b.est.sizeOf(r.job) * min(1, b.est.allPace.or(1, 1))
 }
 
 // patience is the queue wait, in seconds, that a job may be sent into: the slack
@@ -407,16 +405,15 @@
 	w.hold(now, r.Slots)
 	b.do(Send{Request: r.ID, Worker: w.id})
 	if at := len(r.attempts) - 1; b.settings.TellsStart {
-		wait := startWaits*max(0, f.delay-f.run) + b.est.run.or(0, 0)
+		wait := 2*max(0, f.delay-f.run) + b.est.run.or(0, 0)
 		late := startLate + time.Duration(wait*float64(time.Second))
 		b.after(late, func(now time.Duration) { b.look(now, r, at, late) })
 	}
 }
 
-// look checks on an attempt whose start is overdue. A worker that has said
-// nothing for so long may hang or be cut off: it is blamed, what is sent to it
-// next takes a new connection, which shows whether it can be reached, and what
-// may be repeated is also sent where a slot is free.
+// look checks on an attempt whose start is overdue. A worker that has said nothing
+// for so long may hang: it is blamed, what is sent to it next takes a new
+// connection, and what may be repeated is also sent where a slot is free.
 func (b *Balancer) look(now time.Duration, r *request, at int, late time.Duration) {
 	a := r.attempts[at]
 	if r.over || !a.out || a.runningAt > 0 {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -14,7 +14,6 @@
 	missSamples  = 8.0  // samples that no difference counts for
 	oddRatio     = 4.   // a job this many times slower or faster than usual counts as just that
 	leastRun     = 1e-4 // seconds; below it a running time is a rounding of the clock
-	leastWorth   = 0.4  // what large hints may well be worth: the largest are mostly too high
 	worthSamples = 10.  // samples that taking hints at their word counts for
 	idleWeight   = 0.2  // weight, in each sample, of knowing that an idle worker has no queue
 	minSpread    = 0.05 // variance of load (slots squared) below which a slope means nothing
@@ -205,12 +204,9 @@
 
 // sizeOf gives the job's size in seconds: the hint, corrected by what hints of
 // its bucket have been worth, or its class's mean.
-func (e *estimator) sizeOf(j job) float64 { return e.sizeFor(j, 1) }
-
-// sizeFor is sizeOf for hints that are worth so much until seen.
-func (e *estimator) sizeFor(j job, worth float64) float64 {
+func (e *estimator) sizeOf(j job) float64 {
 	if j.size > 0 {
-		return j.size * of(e.worth, windowKey{j.class, j.bucket}).or(worth, worthSamples)
+		return j.size * of(e.worth, windowKey{j.class, j.bucket}).or(1, worthSamples)
 	}
 	if m := e.size[j.class]; m.n > 0 {
 		return m.sum / m.n
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -114,13 +114,13 @@
 	}
 	if to.address != address {
 		to.address = address
-		d.closeIdle(id)
+		d.CloseIdle(id)
 	}
 }
 
 // Remove forgets a destination. Steps that are out end as they end.
 func (d *Destinations) Remove(id balance.WorkerID) {
-	d.closeIdle(id)
+	d.CloseIdle(id)
 	delete(d.byID, id)
 }
 
@@ -133,18 +133,8 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a destination at the module's wish:
-// it hears nothing from there, and other machines may be cut off with it.
+// CloseIdle closes the idle connections to a destination.
 func (d *Destinations) CloseIdle(id balance.WorkerID) {
-	d.mistrust()
-	d.closeIdle(id)
-}
-
-// mistrust notes that a kept connection has failed its next request. What broke
-// it may have broken others.
-func (d *Destinations) mistrust() { d.wary = d.loop.Now() + waryFor }
-
-func (d *Destinations) closeIdle(id balance.WorkerID) {
 	to := d.byID[id]
 	if to == nil {
 		return
@@ -154,6 +144,10 @@
 	}
 }
 
+// mistrust notes that a kept connection has failed its next request. What broke
+// it may have broken others.
+func (d *Destinations) mistrust() { d.wary = d.loop.Now() + waryFor }
+
 // Send starts a route step.
 func (d *Destinations) Send(step slot.Ref, id balance.WorkerID, w *routing.Work, until time.Duration) {
 	to := d.byID[id]
