--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	startLate   = 400 * time.Millisecond // a start is overdue after this, a mean run and twice the predicted wait
+	startLate   = 400 * time.Millisecond // a start is overdue after this, a mean run and two waits
 	holdStep    = 20 * time.Millisecond  // a held request looks for a worker this often
 	holdLooks   = 8.                     // looks in the time a job runs, where that is longer
 	holdTop     = 3                      // doublings of that at most
