--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"time"
 
-	"ospreybend/internal/batch"
+	"ospreybend/internal/batch/binding"
+	"ospreybend/internal/batch/jobs"
+	"ospreybend/internal/batch/store"
 	"ospreybend/internal/config"
 	"ospreybend/internal/protocol"
 )
@@ -15,8 +17,8 @@
 
 // batchFront is the parts of the batch front, wired.
 type batchFront struct {
-	service *batch.Service
-	keeper  *batch.Keeper
+	jobs    *jobs.Manager
+	keeper  *store.Keeper
 	servers []*protocol.Server
 }
 
@@ -24,30 +26,33 @@
 func (n *node) startBatch(cfg config.Batch) (*batchFront, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadWithin)
 	defer cancel()
-	store, err := batch.OpenStore(ctx, cfg.Store, cfg.Source)
+	record, err := store.Open(ctx, cfg.Store, cfg.Source)
 	if err != nil {
 		return nil, err
 	}
-	tenants, err := store.Tenants(ctx)
+	tenants, err := record.Tenants(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	sessions, err := store.Sessions(ctx)
+	sessions, err := record.Sessions(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	unfinished, err := store.Unfinished(ctx)
+	unfinished, arrays, err := record.Unfinished(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	f := &batchFront{keeper: batch.NewKeeper(store, n.loop.Post)}
+	f := &batchFront{keeper: store.NewKeeper(record, n.loop.Post)}
 	n.loop.Call(func() {
-		f.service = batch.NewService(batch.Config{Classes: n.cfg.Classes, Settings: n.cfg.Settings}, n.core, f.keeper,
-			n.loop, &n.loop.Due)
-		f.service.Load(tenants, sessions, unfinished)
-		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, n.cfg.FrontMemory, f.service.Serve))
+		f.jobs = jobs.New(jobs.Config{Machine: n.cfg.Name, Classes: n.cfg.Classes, Settings: n.cfg.Settings, Name: n.to.Name,
+			MostSlots: float64(n.cfg.DestinationsSockets / 2), Target: jobs.DefaultTarget, LongestWait: jobs.DefaultLongestWait,
+			Events: jobs.DefaultEvents, Kept: jobs.DefaultKept}, n.core, f.keeper, n.loop, &n.loop.Due)
+		n.core.Show(f.jobs)
+		f.jobs.Load(tenants, sessions, unfinished, arrays)
+		front := binding.New(f.jobs, n.loop, &n.loop.Due, version)
+		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, n.cfg.FrontMemory, front.Serve))
 		if cfg.AdminListen != "" {
-			admin := batch.NewAdmin(f.service, cfg.AdminToken)
+			admin := binding.NewAdmin(front, f.keeper, cfg.AdminToken)
 			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, n.cfg.FrontMemory, admin.Serve))
 		}
 		for _, s := range f.servers {
@@ -67,12 +72,14 @@
 // the given time. What is then unfinished the store has.
 func (f *batchFront) stop(n *node, by time.Time) {
 	busy := func() (count int) {
-		n.loop.Call(func() { count = f.service.Busy() })
+		n.loop.Call(func() { count = f.jobs.Busy() })
 		return count
 	}
 	for time.Now().Before(by) && busy() > 0 {
 		time.Sleep(flushFor)
 	}
+	n.loop.Call(f.jobs.Farewell)
+	time.Sleep(flushFor)
 	n.loop.Call(func() {
 		for _, s := range f.servers {
 			s.Stop(func() {})
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -31,6 +31,9 @@
 	leaveAtLatest = time.Second // past the longest deadline
 )
 
+// version is the program's, as the batch front tells it.
+const version = "0.3.0"
+
 // signals are those that the program has caught and not acted on yet.
 type signals struct {
 	leave  chan os.Signal
@@ -93,6 +96,7 @@
 	cfg   *config.Node
 	loop  *transport.Loop
 	core  *routing.Core
+	to    *protocol.Destinations
 	pool  *protocol.Discovery
 	front *protocol.Front
 	batch *batchFront // nil: off
@@ -123,6 +127,7 @@
 	n.core = core
 	to := protocol.NewDestinations(protocol.DestinationConfig{Host: "app.svc", Sockets: cfg.DestinationsSockets,
 		ConnectTimeout: s.Limits.ConnectTimeout, ConnIdle: s.Limits.ConnIdle, Report: cfg.ReportFields}, n.loop, core)
+	n.to = to
 	n.pool = protocol.NewDiscovery(protocol.DiscoveryConfig{Address: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds,
 		ConnectTimeout: discoveryConnect, Known: cfg.Known}, n.loop, core, to)
 	peers, err := protocol.NewPeers(protocol.PeersConfig{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll,
@@ -152,6 +157,11 @@
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
 		"rejected", c.Rejected, "gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
 		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed, "full", f.Full)
+	if n.batch != nil {
+		b := n.batch.jobs.Counts()
+		slog.Info("batch counts", "unfinished", b.Unfinished, "queued", b.Lined, "in_core", b.InCore, "waits", b.Waits,
+			"window", b.Window.Size, "used", b.Window.Used, "queueing_s", b.Window.Delay, "halvings", b.Window.Halvings)
+	}
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
 
@@ -177,7 +187,7 @@
 	n.loop.Post(func() {
 		n.front.Leave()
 		if n.batch != nil {
-			n.batch.service.Stop()
+			n.batch.jobs.Stop()
 		}
 	})
 	time.Sleep(serveOn)
--- /dev/null
+++ b/drmaa/bulk.go
@@ -0,0 +1,67 @@
+package drmaa
+
+import (
+	"strconv"
+	"strings"
+)
+
+// MostBulk is the most jobs of one bulk.
+const MostBulk = 10_000
+
+// Bulk is the range of runBulkJobs, GFD.194 clause 7.2.
+type Bulk struct {
+	Template    *JobTemplate `json:"jobTemplate"`
+	Begin       int          `json:"beginIndex"`
+	End         int          `json:"endIndex"`
+	Step        int          `json:"step"`                  // 0: one
+	MaxParallel int          `json:"maxParallel,omitempty"` // that run at once; 0: no limit
+}
+
+// Check tells what is wrong with the range, or nil. It fills in the step.
+func (b *Bulk) Check() *Error {
+	if b.Step == 0 {
+		b.Step = 1
+	}
+	const far = 1 << 30
+	switch {
+	case b.Template == nil:
+		return Bad("jobTemplate", "missing")
+	case b.Begin < 1 || b.Begin > far:
+		return Bad("beginIndex", "not from 1 to %d", far)
+	case b.End < b.Begin || b.End > far:
+		return Bad("endIndex", "not from beginIndex to %d", far)
+	case b.Step < 1:
+		return Bad("step", "under 1")
+	case b.MaxParallel < 0:
+		return Bad("maxParallel", "under 0")
+	case b.Count() > MostBulk:
+		return Bad("endIndex", "%d jobs, over %d", b.Count(), MostBulk)
+	}
+	return nil
+}
+
+// Count is how many jobs the bulk has.
+func (b *Bulk) Count() int { return (b.End-b.Begin)/b.Step + 1 }
+
+// Digest is that of the template and the range.
+func (b *Bulk) Digest() string {
+	parts := []string{"bulk"}
+	for _, n := range []int{b.Begin, b.End, b.Step, b.MaxParallel} {
+		parts = append(parts, strconv.Itoa(n))
+	}
+	return b.Template.Digest(strings.Join(parts, " "))
+}
+
+// JobID is the id of an array's job. It names the array and the index.
+func JobID(array string, index int) string { return array + "." + strconv.Itoa(index) }
+
+// SplitJobID finds the array and the index in a job's id; the array is empty
+// for a single job.
+func SplitJobID(id string) (array string, index int) {
+	array, digits, ok := strings.Cut(id, ".")
+	n, err := strconv.Atoi(digits)
+	if !ok || err != nil {
+		return "", 0
+	}
+	return array, n
+}
--- /dev/null
+++ b/drmaa/info.go
@@ -0,0 +1,155 @@
+package drmaa
+
+import "time"
+
+// Step is one go at a job: the prep worker that it went to and what came of it.
+type Step struct {
+	Machine string `json:"machineName"`
+	Sent    string `json:"x_sentTime"`
+	Started string `json:"x_startTime,omitempty"`
+	Ended   string `json:"x_endTime,omitempty"`
+	Outcome string `json:"x_outcome,omitempty"` // as the platform's protocol has it; empty: still out
+}
+
+// Slots is the slots of one machine, GFD.194 clause 8.2 (SlotInfo).
+type Slots struct {
+	Machine string  `json:"machineName"`
+	Slots   float64 `json:"slots"`
+}
+
+// Job is a job as clients see it: JobInfo of GFD.194 clause 8.5 with the job's
+// own attributes. Times are RFC 3339, in UTC.
+type Job struct {
+	ID                string       `json:"jobId"`
+	Name              string       `json:"jobName,omitempty"`
+	Session           string       `json:"session"`
+	Owner             string       `json:"jobOwner,omitempty"`
+	State             State        `json:"jobState"`
+	SubState          string       `json:"jobSubState,omitempty"`
+	Template          *JobTemplate `json:"jobTemplate"` // without its input
+	ExitStatus        *int         `json:"exitStatus,omitempty"`
+	Annotation        string       `json:"annotation,omitempty"`
+	Machines          []Slots      `json:"allocatedMachines,omitempty"`
+	SubmissionMachine string       `json:"submissionMachine,omitempty"`
+	Slots             float64      `json:"slots"`
+	Queue             string       `json:"queueName"`
+	WallclockTime     float64      `json:"wallclockTime"` // seconds, from the last start on
+	Submitted         string       `json:"submissionTime"`
+	Dispatched        string       `json:"dispatchTime,omitempty"`
+	Finished          string       `json:"finishTime,omitempty"`
+	Result            *string      `json:"result,omitempty"`
+	MayHaveRun        bool         `json:"x_mayHaveRun"`
+	Steps             []Step       `json:"x_steps,omitempty"`
+	Array             string       `json:"x_arrayId,omitempty"`
+	Index             int          `json:"x_arrayIndex,omitempty"`
+}
+
+// Array is a job array, GFD.194 clause 8.8.
+type Array struct {
+	ID          string        `json:"jobArrayId"`
+	Session     string        `json:"session"`
+	Template    *JobTemplate  `json:"jobTemplate"`
+	Begin       int           `json:"beginIndex"`
+	End         int           `json:"endIndex"`
+	Step        int           `json:"step"`
+	MaxParallel int           `json:"maxParallel,omitempty"`
+	Submitted   string        `json:"submissionTime"`
+	Jobs        int           `json:"jobs"`
+	States      map[State]int `json:"x_states"`
+	Over        bool          `json:"x_over"` // all have ended
+}
+
+// Page is one page of a list. Next asks for the following one; empty: the end.
+type Page struct {
+	Jobs []*Job `json:"jobs"`
+	Next string `json:"x_next,omitempty"`
+}
+
+// Session is a job session.
+type Session struct {
+	Name       string `json:"session"`
+	State      string `json:"state"` // open, closed, destroying
+	Unfinished int    `json:"unfinishedJobs"`
+}
+
+// Affected is how many jobs of an array or session an operation applied to, and
+// how many were in a state that ruled it out.
+type Affected struct {
+	Applied int `json:"applied"`
+	Ruled   int `json:"x_ruledOut"`
+}
+
+// Event kinds, GFD.194 clause 8.7 (DrmaaEvent).
+const (
+	NewState = "NEW_STATE"
+	Migrated = "MIGRATED"
+)
+
+// Event is one notification. Sequence numbers rise by one within a stream of a
+// tenant's.
+type Event struct {
+	Seq      uint64 `json:"seq"`
+	Time     string `json:"time"`
+	Event    string `json:"event"`
+	Session  string `json:"session"`
+	Job      string `json:"jobId"`
+	State    State  `json:"jobState"`
+	SubState string `json:"jobSubState,omitempty"`
+	Machine  string `json:"machineName,omitempty"` // MIGRATED: where it went
+}
+
+// Events is an answer from an event stream. Missed tells how many events before
+// the first were dropped unread; -1: unknown, as the node has restarted since.
+type Events struct {
+	Events []Event `json:"events"`
+	Missed int64   `json:"missed"`
+	Cursor string  `json:"cursor"`
+}
+
+// Machine is a prep worker, GFD.194 clause 8.6 (MachineInfo).
+type Machine struct {
+	Name      string   `json:"name"`
+	Available bool     `json:"available"`
+	State     string   `json:"x_state"` // Ready, Draining
+	Doubt     float64  `json:"x_doubt"` // the chance that a job fails there, as the node sees it
+	FreeSlots *float64 `json:"x_freeSlots,omitempty"`
+	Batch     float64  `json:"x_batchSlots"` // that this front's jobs take there
+}
+
+// Queue is a class, GFD.194 clause 8.6 (QueueInfo).
+type Queue struct {
+	Name    string `json:"name"`
+	Once    bool   `json:"x_once"` // its jobs never run twice
+	Waiting int    `json:"x_waiting"`
+	Held    int    `json:"x_held"`
+	Running int    `json:"x_running"`
+}
+
+// Manager is the session manager's attributes, GFD.194 clause 7.1.
+type Manager struct {
+	DrmsName     string            `json:"drmsName"`
+	DrmsVersion  string            `json:"drmsVersion"`
+	DrmaaName    string            `json:"drmaaName"`
+	DrmaaVersion string            `json:"drmaaVersion"`
+	Categories   []string          `json:"jobCategories"`
+	Supports     map[string]bool   `json:"supports"`
+	Refused      map[string]string `json:"x_refusedAttributes"`
+	MostBulk     int               `json:"x_mostBulkJobs"`
+}
+
+// Supports answers supports() for each capability of GFD.194 clause 7.1.
+func Supports() map[string]bool {
+	return map[string]bool{
+		"ADVANCE_RESERVATION": false, "RESERVE_SLOTS": false, "CALLBACK": false, "BULK_JOBS_MAXPARALLEL": true,
+		"JT_EMAIL": false, "JT_STAGING": false, "JT_DEADLINE": true, "JT_MAXSLOTS": true, "JT_ACCOUNTINGID": true,
+		"RT_STARTNOW": false, "RT_DURATION": false, "RT_MACHINEOS": false, "RT_MACHINEARCH": false,
+	}
+}
+
+// Stamp writes a time of Unix microseconds; 0 is written as nothing.
+func Stamp(micros int64) string {
+	if micros == 0 {
+		return ""
+	}
+	return time.UnixMicro(micros).UTC().Format("2006-01-02T15:04:05.000000Z")
+}
--- a/internal/batch/admin.go
+++ b/internal/batch/binding/admin.go
@@ -1,41 +1,46 @@
-package batch
+package binding
 
 import (
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/hex"
-	"slices"
 
+	"ospreybend/drmaa"
+	"ospreybend/internal/batch/jobs"
 	"ospreybend/internal/protocol"
 )
 
 const (
-	adminPrefix = "/admin/v1/"
-	mostQuota   = 1_000_000
+	adminRoot = "/admin/v1"
+	mostQuota = 1_000_000
 )
 
 // Admin is the administration of the batch front: tenants, their quotas and
 // their jobs. It listens at an address of its own and has a token of its own.
 type Admin struct {
-	service   *Service
+	front     *Front
+	keeper    jobs.Keeper
 	tokenHash string
 	making    map[string]bool // tenants that the store does not have yet
 }
 
 // NewAdmin makes the administration; tokenHash is the SHA-256 of its token.
-func NewAdmin(s *Service, tokenHash string) *Admin {
-	return &Admin{service: s, tokenHash: tokenHash, making: map[string]bool{}}
+func NewAdmin(f *Front, keeper jobs.Keeper, tokenHash string) *Admin {
+	return &Admin{front: f, keeper: keeper, tokenHash: tokenHash, making: map[string]bool{}}
 }
 
+// SetToken has another token hold from now on.
+func (a *Admin) SetToken(hash string) { a.tokenHash = hash }
+
 // Serve answers one call.
 func (a *Admin) Serve(c *protocol.Call) {
 	token, ok := bearer(c)
-	if !ok || subtle.ConstantTimeCompare([]byte(hashOf(token)), []byte(a.tokenHash)) != 1 {
+	if !ok || subtle.ConstantTimeCompare([]byte(HashOf(token)), []byte(a.tokenHash)) != 1 {
 		refuse(c, denied)
 		return
 	}
-	parts, ok := pathOf(c, adminPrefix)
+	parts, query, ok := pathOf(c, adminRoot)
 	if !ok {
 		refuse(c, unknownPath)
 		return
@@ -53,11 +58,13 @@
 	case len(parts) == 3 && parts[0] == "tenants" && parts[2] == "token" && method == "POST":
 		a.rotate(c, parts[1])
 	case len(parts) == 3 && parts[0] == "tenants" && parts[2] == "jobs" && method == "GET":
-		a.jobs(c, parts[1])
+		a.list(c, parts[1], query)
 	case len(parts) == 1 && parts[0] == "jobs" && method == "GET":
-		a.jobs(c, "")
+		a.list(c, "", query)
+	case len(parts) == 1 && parts[0] == "queue" && method == "GET":
+		reply(c, 200, a.front.jobs.Counts())
 	case len(parts) == 3 && parts[0] == "jobs" && parts[2] == "terminate" && method == "POST":
-		a.terminate(c, parts[1])
+		a.front.show(c, 202)(a.front.jobs.TerminateID(parts[1]))
 	default:
 		refuse(c, unknownPath)
 	}
@@ -65,12 +72,12 @@
 
 // known is a tenant as the administration sees it.
 type known struct {
-	Tenant
+	jobs.Tenant
 	Unfinished int    `json:"unfinishedJobs"`
 	Token      string `json:"token,omitempty"` // shown once, when it is made
 }
 
-var unknownTenant = &Problem{Status: 404, Name: "InvalidArgumentException", Text: "no such tenant"}
+var unknownTenant = &drmaa.Error{Status: 404, Name: drmaa.InvalidArgument, Message: "no such tenant"}
 
 func newToken() string {
 	var b [24]byte
@@ -78,35 +85,39 @@
 	return hex.EncodeToString(b[:])
 }
 
-func sorted(names []string) []string {
-	slices.Sort(names)
-	return names
+// stored hands a call to the store and answers when it is done.
+func (a *Admin) stored(c *protocol.Call, do func(context.Context, jobs.Store) error, then, fail func()) {
+	if !a.keeper.Call(do, func(err error) {
+		if err != nil {
+			fail()
+			refuse(c, jobs.Broken)
+			return
+		}
+		then()
+	}) {
+		fail()
+		refuse(c, jobs.Behind)
+	}
 }
 
 func (a *Admin) tenants(c *protocol.Call) {
-	names := make([]string, 0, len(a.service.tenants))
-	for name := range a.service.tenants {
-		names = append(names, name)
-	}
 	out := []known{}
-	for _, name := range sorted(names) {
-		t := a.service.tenants[name]
-		out = append(out, known{Tenant: t.Tenant, Unfinished: t.unfinished})
+	for _, t := range a.front.jobs.Tenants() {
+		out = append(out, known{Tenant: t.Tenant, Unfinished: t.Unfinished()})
 	}
 	reply(c, 200, map[string]any{"tenants": out})
 }
 
 // put records a tenant, and then lets it in.
-func (a *Admin) put(c *protocol.Call, t Tenant, status int, token string) {
-	a.service.stored(c, func(ctx context.Context, store Store) error { return store.PutTenant(ctx, t) }, func() {
-		a.service.putTenant(t)
+func (a *Admin) put(c *protocol.Call, t jobs.Tenant, status int, token string) {
+	a.stored(c, func(ctx context.Context, store jobs.Store) error { return store.PutTenant(ctx, t) }, func() {
 		delete(a.making, t.Name)
-		reply(c, status, known{Tenant: t, Unfinished: a.service.tenants[t.Name].unfinished, Token: token})
-	})
+		reply(c, status, known{Tenant: t, Unfinished: a.front.jobs.PutTenant(t).Unfinished(), Token: token})
+	}, func() { delete(a.making, t.Name) })
 }
 
 func (a *Admin) create(c *protocol.Call) {
-	var in Tenant
+	var in jobs.Tenant
 	if p := read(c, &in); p != nil {
 		refuse(c, p)
 		return
@@ -115,22 +126,22 @@
 	switch {
 	case p != nil:
 	case in.Quota < 0 || in.Quota > mostQuota:
-		p = invalid("maxUnfinishedJobs: not from 0 to %d", mostQuota)
-	case a.service.tenants[in.Name] != nil || a.making[in.Name]:
-		p = &Problem{Status: 409, Name: "InvalidStateException", Text: "the tenant is there already"}
+		p = drmaa.Bad("maxUnfinishedJobs", "not from 0 to %d", mostQuota)
+	case a.front.jobs.Tenant(in.Name) != nil || a.making[in.Name]:
+		p = drmaa.WrongState("the tenant is there already")
 	}
 	if p != nil {
 		refuse(c, p)
 		return
 	}
 	token := newToken()
-	in.TokenHash = hashOf(token)
+	in.TokenHash = HashOf(token)
 	a.making[in.Name] = true
 	a.put(c, in, 201, token)
 }
 
 func (a *Admin) change(c *protocol.Call, name string) {
-	t := a.service.tenants[name]
+	t := a.front.jobs.Tenant(name)
 	if t == nil {
 		refuse(c, unknownTenant)
 		return
@@ -141,7 +152,7 @@
 		return
 	}
 	if in.Name != name || in.Quota < 0 || in.Quota > mostQuota {
-		refuse(c, invalid("wants the tenant's own name, and maxUnfinishedJobs from 0 to %d", mostQuota))
+		refuse(c, drmaa.Bad("maxUnfinishedJobs", "wants 0 to %d, and the tenant's own name", mostQuota))
 		return
 	}
 	a.put(c, in, 200, "")
@@ -149,57 +160,47 @@
 
 // rotate gives a tenant a new token; the old one is void.
 func (a *Admin) rotate(c *protocol.Call, name string) {
-	t := a.service.tenants[name]
+	t := a.front.jobs.Tenant(name)
 	if t == nil {
 		refuse(c, unknownTenant)
 		return
 	}
 	token, in := newToken(), t.Tenant
-	in.TokenHash = hashOf(token)
+	in.TokenHash = HashOf(token)
 	a.put(c, in, 200, token)
 }
 
 // remove locks a tenant out. What it has submitted runs to its end. Its name is
 // not free again: a newcomer of that name would see the old one's jobs.
 func (a *Admin) remove(c *protocol.Call, name string) {
-	t := a.service.tenants[name]
+	t := a.front.jobs.Tenant(name)
 	if t == nil {
 		refuse(c, unknownTenant)
 		return
 	}
 	in := t.Tenant
 	in.TokenHash, in.Quota = "none: "+name, 0
-	a.service.stored(c, func(ctx context.Context, store Store) error { return store.PutTenant(ctx, in) }, func() {
-		a.service.putTenant(in)
+	a.stored(c, func(ctx context.Context, store jobs.Store) error { return store.PutTenant(ctx, in) }, func() {
+		a.front.jobs.PutTenant(in)
 		c.Reply(204, "", nil)
-	})
+	}, func() {})
 }
 
-func (a *Admin) jobs(c *protocol.Call, tenant string) {
-	if tenant != "" && a.service.tenants[tenant] == nil {
+func (a *Admin) list(c *protocol.Call, tenant, query string) {
+	if tenant != "" && a.front.jobs.Tenant(tenant) == nil {
 		refuse(c, unknownTenant)
 		return
 	}
-	var records []*Record
-	a.service.stored(c, func(ctx context.Context, store Store) (err error) {
-		records, err = store.Jobs(ctx, tenant, mostListed)
-		return err
-	}, func() {
-		views := []*View{}
-		for _, r := range records {
-			v := a.service.current(r)
-			v.Tenant = r.Tenant
-			views = append(views, v)
-		}
-		reply(c, 200, map[string]any{"jobs": views})
-	})
-}
-
-func (a *Admin) terminate(c *protocol.Call, id string) {
-	j := a.service.jobs[id]
-	if j == nil {
-		refuse(c, unknownJob)
+	filter, e := drmaa.ReadFilter(query)
+	if e != nil {
+		refuse(c, e)
 		return
 	}
-	a.service.show(c, 202)(j, a.service.Terminate(j))
+	a.front.jobs.List(tenant, "", filter, func(p *drmaa.Page, e *drmaa.Error) {
+		if e != nil {
+			refuse(c, e)
+			return
+		}
+		reply(c, 200, p)
+	})
 }
--- /dev/null
+++ b/internal/batch/jobs/find.go
@@ -0,0 +1,156 @@
+package jobs
+
+import (
+	"context"
+
+	"ospreybend/drmaa"
+)
+
+const mostScans = 16 // reads of the store for one page
+
+// Session returns a tenant's session that is open.
+func (m *Manager) Session(t *TenantState, name string) (*Session, *drmaa.Error) {
+	if s := t.sessions[name]; s != nil && s.State == SessionOpen {
+		return s, nil
+	}
+	return nil, UnknownSession
+}
+
+// Find gives a tenant's job to got, from what is at hand or from the store. A
+// job of another tenant, or a reaped one, looks unknown.
+func (m *Manager) Find(t *TenantState, session, id string, got func(*Job, *drmaa.Error)) {
+	if _, e := m.Session(t, session); e != nil {
+		got(nil, e)
+		return
+	}
+	check := func(j *Job) {
+		if j == nil || j.Tenant != t.Name || j.Session != session || !j.recorded {
+			got(nil, UnknownJob)
+			return
+		}
+		got(j, nil)
+	}
+	if j := m.jobs[id]; j != nil {
+		check(j)
+		return
+	}
+	var r *Record
+	name := t.Name
+	if !m.keeper.Call(func(ctx context.Context, store Store) (err error) {
+		r, err = store.Job(ctx, name, id)
+		return err
+	}, func(err error) {
+		switch {
+		case err != nil:
+			got(nil, Broken)
+		case r == nil:
+			check(nil)
+		default:
+			check(m.looseJob(r))
+		}
+	}) {
+		got(nil, Behind)
+	}
+}
+
+// FindAll is Find for several jobs; one that is unknown fails the call.
+func (m *Manager) FindAll(t *TenantState, session string, ids []string, got func([]*Job, *drmaa.Error)) {
+	out := make([]*Job, len(ids))
+	left := len(ids)
+	var fault *drmaa.Error
+	for i, id := range ids {
+		m.Find(t, session, id, func(j *Job, e *drmaa.Error) {
+			out[i] = j
+			if e != nil && fault == nil {
+				fault = e
+			}
+			if left--; left == 0 {
+				got(out, fault)
+			}
+		})
+	}
+}
+
+// FindArray is Find for a job array.
+func (m *Manager) FindArray(t *TenantState, session, id string, got func(*Array, *drmaa.Error)) {
+	if _, e := m.Session(t, session); e != nil {
+		got(nil, e)
+		return
+	}
+	check := func(a *Array) {
+		if a == nil || a.Tenant != t.Name || a.Session != session || !a.recorded {
+			got(nil, UnknownArray)
+			return
+		}
+		got(a, nil)
+	}
+	if a := m.arrays[id]; a != nil {
+		check(a)
+		return
+	}
+	var r *ArrayRecord
+	name := t.Name
+	if !m.keeper.Call(func(ctx context.Context, store Store) (err error) {
+		r, err = store.Array(ctx, name, id)
+		return err
+	}, func(err error) {
+		switch {
+		case err != nil:
+			got(nil, Broken)
+		case r == nil:
+			check(nil)
+		default:
+			check(m.looseArray(r))
+		}
+	}) {
+		got(nil, Behind)
+	}
+}
+
+// List gives one page of a tenant's jobs, newest first; an empty session means
+// all sessions, an empty tenant all tenants'. The store selects by what does not
+// change, and the states as they are now are looked at here.
+func (m *Manager) List(tenant, session string, f drmaa.Filter, got func(*drmaa.Page, *drmaa.Error)) {
+	page := &drmaa.Page{Jobs: []*drmaa.Job{}}
+	m.scan(tenant, session, f, page, mostScans, got)
+}
+
+func (m *Manager) scan(tenant, session string, f drmaa.Filter, page *drmaa.Page, scans int, got func(*drmaa.Page, *drmaa.Error)) {
+	most := drmaa.MostListed + 1
+	var rows []*Record
+	if !m.keeper.Call(func(ctx context.Context, store Store) (err error) {
+		rows, err = store.Jobs(ctx, tenant, session, f, most)
+		return err
+	}, func(err error) {
+		if err != nil {
+			got(nil, Broken)
+			return
+		}
+		for _, r := range rows {
+			if len(page.Jobs) == f.Limit {
+				page.Next = f.Before.String()
+				got(page, nil)
+				return
+			}
+			f.Before = drmaa.Cursor{Seq: r.Seq, ID: r.ID}
+			v := r.view()
+			if j := m.jobs[r.ID]; j != nil {
+				v = m.View(j)
+			}
+			if f.Matches(v.State) {
+				page.Jobs = append(page.Jobs, v)
+			}
+		}
+		switch {
+		case len(rows) < most:
+			got(page, nil)
+		case scans <= 1:
+			page.Next = f.Before.String() // a short page, with more to come
+			got(page, nil)
+		default:
+			m.scan(tenant, session, f, page, scans-1, got)
+		}
+	}) {
+		got(nil, Behind)
+	}
+}
--- /dev/null
+++ b/internal/batch/jobs/manager.go
@@ -0,0 +1,333 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"ospreybend/balance"
+	"ospreybend/drmaa"
+	"ospreybend/internal/batch/queue"
+	"ospreybend/internal/batch/window"
+	"ospreybend/internal/due"
+	"ospreybend/internal/routing"
+	"ospreybend/internal/slot"
+)
+
+const (
+	keptArrays  = 200                    // ended arrays, likewise
+	storeAgain  = time.Second            // a failed write is tried again after this
+	busyReturn  = time.Second            // advice where nothing better is known
+	leastReturn = 100 * time.Millisecond // a refused job returns to the core no sooner
+	mostReturn  = 10 * time.Second       // and, by this front's own waits, no later
+	ableAgain   = 100 * time.Millisecond // without a ready destination, looked at again after this
+)
+
+// Manager is the jobs, arrays, sessions and tenants of the batch front.
+type Manager struct {
+	config  Config
+	classes map[string]drmaa.Class
+	core    Core
+	keeper  Keeper
+	clock   routing.Clock
+	due     *due.Line
+
+	tenants map[string]*TenantState // by name
+	byToken map[string]*TenantState // by the token's hash
+	jobs    map[string]*Job
+	arrays  map[string]*Array
+	byKey   map[string]keyed // by tenant and client key
+	byOp    map[slot.Ref]*Job
+	ended   []string // jobs at hand that have ended, oldest first
+	past    []string // arrays at hand that have ended, oldest first
+	lastSeq int64
+
+	line     *queue.Queue[*Job]
+	window   *window.Window
+	inserts  pen[*entry]
+	marks    pen[*change]
+	finals   pen[*Job]
+	waits    int
+	looking  bool // for a ready destination
+	stopping bool
+	epoch    string
+	streams  map[string]*stream // by tenant
+	machines map[balance.WorkerID]*machine
+	freeAt   int // where reports have the free slots; below 0: nowhere
+}
+
+type keyed struct {
+	job   *Job
+	array *Array
+}
+
+// TenantState is a tenant and its sessions.
+type TenantState struct {
+	Tenant
+	sessions   map[string]*Session
+	unfinished int
+}
+
+// Unfinished returns the number of the tenant's unfinished jobs.
+func (t *TenantState) Unfinished() int { return t.unfinished }
+
+// Session is a job session.
+type Session struct {
+	SessionRecord
+	jobs    map[*Job]bool // unfinished ones
+	waiters waiters
+	closing []func(*drmaa.Error) // that wait for its end
+}
+
+// New makes a manager. Load must follow.
+func New(config Config, core Core, keeper Keeper, clock routing.Clock, line *due.Line) *Manager {
+	m := &Manager{config: config, classes: map[string]drmaa.Class{}, core: core, keeper: keeper, clock: clock, due: line,
+		tenants: map[string]*TenantState{}, byToken: map[string]*TenantState{}, jobs: map[string]*Job{},
+		arrays: map[string]*Array{}, byKey: map[string]keyed{}, byOp: map[slot.Ref]*Job{}, line: queue.New[*Job](),
+		epoch: newID()[:8], streams: map[string]*stream{}, machines: map[balance.WorkerID]*machine{},
+		freeAt: slices.Index(config.Settings.Report, balance.FieldFreeSlots)}
+	if config.Name == nil {
+		m.config.Name = func(balance.WorkerID) string { return "" }
+	}
+	m.window = window.New(window.Config{Most: config.MostSlots, Target: config.Target})
+	for name, number := range config.Classes {
+		m.classes[name] = drmaa.Class{Number: number,
+			Once: config.Settings.Classes[number].Effect == balance.Unsafe}
+	}
+	m.inserts = pen[*entry]{manager: m, most: 256, write: m.insert, done: m.inserted}
+	m.marks = pen[*change]{manager: m, most: 1024, write: m.writeMarks, done: m.marked}
+	m.finals = pen[*Job]{manager: m, most: 1024, write: m.writeFinals, done: m.finished}
+	return m
+}
+
+// Classes returns the classes that jobs may be of.
+func (m *Manager) Classes() map[string]drmaa.Class { return m.classes }
+
+// Now is the loop's clock, which counts from the Unix epoch.
+func (m *Manager) Now() time.Time { return time.UnixMicro(m.unixNow()) }
+
+func (m *Manager) unixNow() int64 { return m.clock.Now().Microseconds() }
+
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails, as of Go 1.24
+	return hex.EncodeToString(b[:])
+}
+
+// Load takes up where the last run of the program ended: what may have run and
+// must not run twice has failed, the rest waits in its old order while its
+// deadline lasts, held jobs held.
+func (m *Manager) Load(tenants []Tenant, sessions []SessionRecord, records []*Record, arrays []*ArrayRecord) {
+	for _, t := range tenants {
+		m.PutTenant(t)
+	}
+	var destroying []*Session
+	for _, r := range sessions {
+		t := m.tenants[r.Tenant]
+		if t == nil {
+			continue
+		}
+		s := t.session(r.Name)
+		s.State = r.State
+		if s.State == SessionDestroying {
+			destroying = append(destroying, s)
+		}
+	}
+	for _, r := range arrays {
+		a := newArray(*r, true)
+		for s, n := range r.States {
+			if s.Final() { // the others are counted as they are taken up
+				a.states[s] += n
+			}
+		}
+		m.arrays[a.ID] = a
+		m.keep(keyed{array: a}, a.Tenant, a.ClientKey)
+	}
+	for _, r := range records {
+		owner := m.tenants[r.Tenant]
+		if owner == nil {
+			slog.Error("batch job of no tenant", "id", r.ID, "tenant", r.Tenant)
+			continue
+		}
+		j := &Job{Record: *r, owner: owner, session: owner.session(r.Session), array: m.arrays[r.Array], recorded: true}
+		m.lastSeq = max(m.lastSeq, r.Seq)
+		j.State = drmaa.Queued
+		if r.Sent {
+			j.State = drmaa.Requeued
+		}
+		if r.Held {
+			j.State = j.State.Hold()
+		}
+		m.hold(j)
+		class, known := m.classes[r.Template.RemoteCommand]
+		switch {
+		case !known:
+			m.end(j, drmaa.Failed, "the class is gone", r.Sent)
+		case r.Sent && class.Once:
+			m.end(j, drmaa.Failed, "the node restarted; the job may have run and is not run again", true)
+		default:
+			m.watch(j)
+			m.settle(j)
+		}
+	}
+	for _, s := range destroying {
+		m.destroy(s)
+	}
+	if len(tenants) > 0 {
+		slog.Info("batch jobs taken up", "tenants", len(tenants), "jobs", len(records), "arrays", len(arrays))
+	}
+}
+
+// PutTenant lets a tenant in, or changes one.
+func (m *Manager) PutTenant(in Tenant) *TenantState {
+	t := m.tenants[in.Name]
+	if t == nil {
+		t = &TenantState{sessions: map[string]*Session{}}
+		m.tenants[in.Name] = t
+	}
+	delete(m.byToken, t.TokenHash)
+	t.Tenant = in
+	m.byToken[in.TokenHash] = t
+	return t
+}
+
+// Tenant returns the tenant of a name, or nil.
+func (m *Manager) Tenant(name string) *TenantState { return m.tenants[name] }
+
+// Tenants returns all tenants by name.
+func (m *Manager) Tenants() []*TenantState {
+	out := make([]*TenantState, 0, len(m.tenants))
+	for _, name := range slices.Sorted(maps.Keys(m.tenants)) {
+		out = append(out, m.tenants[name])
+	}
+	return out
+}
+
+// ByToken returns the tenant whose token has the hash, or nil.
+func (m *Manager) ByToken(hash string) *TenantState { return m.byToken[hash] }
+
+func (t *TenantState) session(name string) *Session {
+	s := t.sessions[name]
+	if s == nil {
+		s = &Session{SessionRecord: SessionRecord{t.Name, name, SessionClosed}, jobs: map[*Job]bool{}}
+		t.sessions[name] = s
+	}
+	return s
+}
+
+// Stop has no new jobs taken in, and none begun.
+func (m *Manager) Stop() { m.stopping = true }
+
+// Stopping tells whether Stop was called.
+func (m *Manager) Stopping() bool { return m.stopping }
+
+// Farewell ends all waits: their clients may wait again elsewhere, or later.
+func (m *Manager) Farewell() {
+	m.stopping = true
+	e := drmaa.Later(busyReturn, "the node is stopping")
+	end := func(set waiters) {
+		for w := range set {
+			m.finish(w, nil, e)
+		}
+	}
+	for _, j := range m.jobs {
+		end(j.waiters)
+	}
+	for _, a := range m.arrays {
+		end(a.waiters)
+		end(a.finishers)
+	}
+	for _, t := range m.tenants {
+		for _, s := range t.sessions {
+			end(s.waiters)
+		}
+	}
+	for _, s := range m.streams {
+		for f := range s.followers {
+			f.wake()
+		}
+	}
+}
+
+// Busy returns the number of operations and writes still on their way.
+func (m *Manager) Busy() int {
+	return len(m.byOp) + m.inserts.pending() + m.marks.pending() + m.finals.pending()
+}
+
+// IDs returns the ids of the jobs at hand, the newest submission's last.
+func (m *Manager) IDs() []string {
+	all := slices.SortedFunc(maps.Values(m.jobs), func(a, b *Job) int { return cmp.Compare(a.Seq, b.Seq) })
+	out := make([]string, len(all))
+	for i, j := range all {
+		out[i] = j.ID
+	}
+	return out
+}
+
+// Counts is the batch front as it stands.
+type Counts struct {
+	Unfinished int          `json:"unfinished"` // jobs
+	Lined      int          `json:"queued"`     // whose turn has not come
+	InCore     int          `json:"inCore"`
+	Waits      int          `json:"waits"` // of clients
+	Window     window.State `json:"window"`
+}
+
+// Counts returns how the batch front stands.
+func (m *Manager) Counts() Counts {
+	c := Counts{Lined: m.line.Len(), InCore: len(m.byOp), Waits: m.waits, Window: m.window.State()}
+	for _, t := range m.tenants {
+		c.Unfinished += t.unfinished
+	}
+	return c
+}
+
+// pen gathers the writes of one kind: while one call of the store is under way,
+// what comes goes with the next. Its items are handed to write off the loop, so
+// that what write reads of them must not change.
+type pen[T any] struct {
+	manager *Manager
+	most    int // items of one call
+	write   func(context.Context, Store, []T) error
+	done    func([]T, error)
+	waiting []T
+	out     int
+	paused  bool
+}
+
+func (p *pen[T]) pending() int { return len(p.waiting) + p.out }
+
+func (p *pen[T]) add(items ...T) {
+	p.waiting = append(p.waiting, items...)
+	p.flush()
+}
+
+func (p *pen[T]) flush() {
+	if p.out > 0 || p.paused || len(p.waiting) == 0 {
+		return
+	}
+	n := min(len(p.waiting), p.most)
+	batch := slices.Clone(p.waiting[:n])
+	if !p.manager.keeper.Call(func(ctx context.Context, store Store) error { return p.write(ctx, store, batch) },
+		func(err error) {
+			p.out = 0
+			p.done(batch, err)
+			p.flush()
+		}) {
+		p.paused = true
+		p.manager.due.Add(p.manager.clock.Now()+storeAgain, func() {
+			p.paused = false
+			p.flush()
+		})
+		return
+	}
+	p.out = n
+	if p.waiting = p.waiting[n:]; len(p.waiting) == 0 {
+		p.waiting = nil
+	}
+}
--- /dev/null
+++ b/internal/batch/store/jobs.go
@@ -0,0 +1,394 @@
+package store
+
+import (
+	"context"
+	"database/sql"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"ospreybend/drmaa"
+	"ospreybend/internal/batch/jobs"
+)
+
+const columns = `j.id, j.tenant, j.session, COALESCE(j.client_key, ''), j.digest, j.template, j.submitted_at, j.deadline_at,
+	j.sent, j.state, j.reason, j.result, j.may_have_run, j.ended_at, j.array_id, j.array_index, j.seq, j.held, j.exit_status,
+	j.dispatched_at, j.started_at, j.steps`
+
+const arrayColumns = `id, tenant, session, COALESCE(client_key, ''), digest, template, begin_index, end_index, step,
+	max_parallel, submitted_at`
+
+func number(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// nullable keeps keys that are not given from colliding.
+func nullable(key string) any {
+	if key == "" {
+		return nil
+	}
+	return key
+}
+
+// Insert records submissions, each whole or not at all. One whose client key is
+// taken is left out, and what has the key is returned in its place.
+func (s *Store) Insert(ctx context.Context, subs []*jobs.Submission) ([]jobs.Stored, error) {
+	out := make([]jobs.Stored, len(subs))
+	err := s.together(ctx, func(tx *sql.Tx) error {
+		job, err := tx.PrepareContext(ctx, s.words(`INSERT INTO jobs (id, tenant, session, client_key, digest, template,
+			submitted_at, deadline_at, sent, state, reason, result, may_have_run, ended_at, array_id, array_index, seq, held,
+			category, job_name, accounting_id)
+			VALUES (?, ?, ?, ?, ?, ?, ?, ?, 0, ?, '', '', 0, 0, ?, ?, ?, ?, ?, ?, ?)`))
+		if err != nil {
+			return err
+		}
+		defer job.Close()
+		for i, sub := range subs {
+			if out[i], err = s.taken(ctx, tx, sub); err != nil {
+				return err
+			}
+			if out[i] != (jobs.Stored{}) {
+				continue
+			}
+			if err := s.insert(ctx, tx, job, sub); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return out, err
+}
+
+// taken finds what has a submission's client key.
+func (s *Store) taken(ctx context.Context, tx *sql.Tx, sub *jobs.Submission) (out jobs.Stored, err error) {
+	tenant, key := sub.Jobs[0].Tenant, sub.Jobs[0].ClientKey
+	if sub.Array != nil {
+		key = sub.Array.ClientKey
+	}
+	if key == "" {
+		return out, nil
+	}
+	if out.Job, err = s.one(ctx, tx, `SELECT `+columns+` FROM jobs j WHERE j.tenant = ? AND j.client_key = ?`, tenant, key); err != nil {
+		return out, err
+	}
+	if out.Job == nil {
+		out.Array, err = s.array(ctx, tx, `tenant = ? AND client_key = ?`, tenant, key)
+	}
+	return out, err
+}
+
+func (s *Store) insert(ctx context.Context, tx *sql.Tx, job *sql.Stmt, sub *jobs.Submission) error {
+	text := ""
+	if a := sub.Array; a != nil {
+		template, err := json.Marshal(a.Template)
+		if err != nil {
+			return err
+		}
+		if _, err := tx.ExecContext(ctx, s.words(`INSERT INTO arrays (id, tenant, session, client_key, digest, template, begin_index,
+			end_index, step, max_parallel, submitted_at, reaped) VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, 0)`), a.ID, a.Tenant, a.Session,
+			nullable(a.ClientKey), a.Digest, string(template), a.Begin, a.End, a.Step, a.MaxParallel, a.SubmittedAt); err != nil {
+			return err
+		}
+	}
+	for _, r := range sub.Jobs {
+		if r.Array == "" {
+			template, err := json.Marshal(r.Template)
+			if err != nil {
+				return err
+			}
+			text = string(template)
+		}
+		t := r.Template
+		if _, err := job.ExecContext(ctx, r.ID, r.Tenant, r.Session, nullable(r.ClientKey), r.Digest, text, r.SubmittedAt, r.DeadlineAt,
+			string(drmaa.Queued), r.Array, r.Index, r.Seq, number(r.Held), t.RemoteCommand, t.JobName, t.AccountingID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Mark changes what unfinished jobs' records say of them.
+func (s *Store) Mark(ctx context.Context, marks []jobs.Mark) error {
+	return s.together(ctx, func(tx *sql.Tx) error {
+		row, err := tx.PrepareContext(ctx, s.words(`UPDATE jobs SET sent = ?, held = ? WHERE id = ? AND ended_at = 0`))
+		if err != nil {
+			return err
+		}
+		defer row.Close()
+		for _, m := range marks {
+			if _, err := row.ExecContext(ctx, number(m.Sent), number(m.Held), m.ID); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Finish records final states. A job's first one stands.
+func (s *Store) Finish(ctx context.Context, records []*jobs.Record) error {
+	return s.together(ctx, func(tx *sql.Tx) error {
+		row, err := tx.PrepareContext(ctx, s.words(`UPDATE jobs SET state = ?, reason = ?, result = ?, may_have_run = ?, ended_at = ?,
+			exit_status = ?, dispatched_at = ?, started_at = ?, steps = ? WHERE id = ? AND ended_at = 0`))
+		if err != nil {
+			return err
+		}
+		defer row.Close()
+		for _, r := range records {
+			// As JSON, since PostgreSQL's text holds no NUL.
+			result, err := json.Marshal(string(r.Result))
+			if err != nil {
+				return err
+			}
+			steps, err := json.Marshal(r.Steps)
+			if err != nil {
+				return err
+			}
+			if _, err := row.ExecContext(ctx, string(r.State), r.Reason, string(result), number(r.MayHaveRun), r.EndedAt, r.ExitStatus,
+				r.DispatchedAt, r.StartedAt, string(steps), r.ID); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Reap hides ended jobs from their owner.
+func (s *Store) Reap(ctx context.Context, what jobs.Reaping) (n int, err error) {
+	err = s.together(ctx, func(tx *sql.Tx) error {
+		const reap = `UPDATE jobs SET reaped = 1 WHERE tenant = ? AND session = ? AND ended_at > 0 AND reaped = 0`
+		count := func(statement string, args ...any) error {
+			done, err := tx.ExecContext(ctx, s.words(statement), args...)
+			if err != nil {
+				return err
+			}
+			rows, err := done.RowsAffected()
+			n += int(rows)
+			return err
+		}
+		if what.Array != "" {
+			if _, err := tx.ExecContext(ctx, s.words(`UPDATE arrays SET reaped = 1 WHERE tenant = ? AND id = ?`), what.Tenant, what.Array); err != nil {
+				return err
+			}
+			return count(reap+` AND array_id = ?`, what.Tenant, what.Session, what.Array)
+		}
+		for _, id := range what.IDs {
+			if err := count(reap+` AND id = ?`, what.Tenant, what.Session, id); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return n, err
+}
+
+// Job returns a job that is not reaped, or nil.
+func (s *Store) Job(ctx context.Context, tenant, id string) (*jobs.Record, error) {
+	return s.one(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE j.tenant = ? AND j.id = ? AND j.reaped = 0`, tenant, id)
+}
+
+// Array returns an array that is not reaped, or nil.
+func (s *Store) Array(ctx context.Context, tenant, id string) (*jobs.ArrayRecord, error) {
+	return s.array(ctx, s.db, `tenant = ? AND id = ? AND reaped = 0`, tenant, id)
+}
+
+// Jobs lists jobs that are not reaped, newest first.
+func (s *Store) Jobs(ctx context.Context, tenant, session string, f drmaa.Filter, most int) ([]*jobs.Record, error) {
+	where, args := []string{"j.reaped = 0"}, []any{}
+	add := func(given bool, condition string, values ...any) {
+		if given {
+			where, args = append(where, condition), append(args, values...)
+		}
+	}
+	add(tenant != "", "j.tenant = ?", tenant)
+	add(session != "", "j.session = ?", session)
+	add(f.Category != "", "j.category = ?", f.Category)
+	add(f.Name != "", "j.job_name = ?", f.Name)
+	add(f.AccountingID != "", "j.accounting_id = ?", f.AccountingID)
+	add(f.Array != "", "j.array_id = ?", f.Array)
+	add(f.SubmittedFrom > 0, "j.submitted_at >= ?", f.SubmittedFrom)
+	add(f.SubmittedTo > 0, "j.submitted_at < ?", f.SubmittedTo)
+	add(f.FinishedFrom > 0, "j.ended_at >= ?", f.FinishedFrom)
+	add(f.FinishedTo > 0, "j.ended_at < ?", f.FinishedTo)
+	add(!f.Unfinished(), "j.ended_at > 0")
+	add(!f.Unfinished() && len(f.States) == 1, "j.state = ?", firstState(f))
+	add(!f.Ended(), "j.ended_at = 0")
+	before := f.Before
+	add(before != drmaa.Cursor{}, "(j.seq < ? OR j.seq = ? AND j.id > ?)", before.Seq, before.Seq, before.ID)
+	args = append(args, most)
+	return s.many(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE `+strings.Join(where, " AND ")+` ORDER BY j.seq DESC, j.id LIMIT ?`, args...)
+}
+
+func firstState(f drmaa.Filter) string {
+	if len(f.States) == 0 {
+		return ""
+	}
+	return string(f.States[0])
+}
+
+// AnyEnded returns the job of a session, or of one of its arrays, that ended
+// last, or nil.
+func (s *Store) AnyEnded(ctx context.Context, tenant, session, array string) (*jobs.Record, error) {
+	where, args := `j.tenant = ? AND j.session = ? AND j.ended_at > 0 AND j.reaped = 0`, []any{tenant, session}
+	if array != "" {
+		where, args = where+` AND j.array_id = ?`, append(args, array)
+	}
+	return s.one(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE `+where+` ORDER BY j.ended_at DESC LIMIT 1`, args...)
+}
+
+// Unfinished returns the jobs that have not ended, in the order of their
+// submission, and the arrays that they are of.
+func (s *Store) Unfinished(ctx context.Context) ([]*jobs.Record, []*jobs.ArrayRecord, error) {
+	records, err := s.many(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE j.ended_at = 0 ORDER BY j.seq, j.id`)
+	if err != nil {
+		return nil, nil, err
+	}
+	var arrays []*jobs.ArrayRecord
+	seen := map[string]bool{}
+	for _, r := range records {
+		if r.Array == "" || seen[r.Array] {
+			continue
+		}
+		seen[r.Array] = true
+		a, err := s.array(ctx, s.db, `id = ?`, r.Array)
+		if err != nil {
+			return nil, nil, err
+		}
+		if a == nil {
+			return nil, nil, fmt.Errorf("job %s: its array is not there", r.ID)
+		}
+		arrays = append(arrays, a)
+	}
+	return records, arrays, nil
+}
+
+// queryer is a database or a transaction.
+type queryer interface {
+	QueryContext(ctx context.Context, query string, args ...any) (*sql.Rows, error)
+}
+
+func (s *Store) one(ctx context.Context, q queryer, query string, args ...any) (*jobs.Record, error) {
+	all, err := s.many(ctx, q, query, args...)
+	if err != nil || len(all) == 0 {
+		return nil, err
+	}
+	return all[0], nil
+}
+
+func (s *Store) many(ctx context.Context, q queryer, query string, args ...any) ([]*jobs.Record, error) {
+	out, err := s.read(ctx, q, query, args...)
+	if err != nil {
+		return nil, err
+	}
+	// An array's jobs have its template, one for all of them.
+	templates := map[string]*drmaa.JobTemplate{}
+	for _, r := range out {
+		if r.Array == "" {
+			continue
+		}
+		if templates[r.Array] == nil {
+			a, err := s.plainArray(ctx, q, `id = ?`, r.Array)
+			if err != nil {
+				return nil, err
+			}
+			if a == nil {
+				return nil, fmt.Errorf("job %s: its array is not there", r.ID)
+			}
+			templates[r.Array] = a.Template
+		}
+		r.Template = templates[r.Array]
+	}
+	return out, nil
+}
+
+func (s *Store) read(ctx context.Context, q queryer, query string, args ...any) (out []*jobs.Record, err error) {
+	rows, err := q.QueryContext(ctx, s.words(query), args...)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var r jobs.Record
+		var template, state, result, steps string
+		var sent, ran, held int
+		if err := rows.Scan(&r.ID, &r.Tenant, &r.Session, &r.ClientKey, &r.Digest, &template, &r.SubmittedAt,
+			&r.DeadlineAt, &sent, &state, &r.Reason, &result, &ran, &r.EndedAt, &r.Array, &r.Index, &r.Seq, &held,
+			&r.ExitStatus, &r.DispatchedAt, &r.StartedAt, &steps); err != nil {
+			return nil, err
+		}
+		if r.Array == "" {
+			if err := json.Unmarshal([]byte(template), &r.Template); err != nil {
+				return nil, fmt.Errorf("job %s: template: %w", r.ID, err)
+			}
+		}
+		if result != "" {
+			var text string
+			if err := json.Unmarshal([]byte(result), &text); err != nil {
+				return nil, fmt.Errorf("job %s: result: %w", r.ID, err)
+			}
+			r.Result = []byte(text)
+		}
+		if steps != "" {
+			if err := json.Unmarshal([]byte(steps), &r.Steps); err != nil {
+				return nil, fmt.Errorf("job %s: steps: %w", r.ID, err)
+			}
+		}
+		r.Sent, r.MayHaveRun, r.Held, r.State = sent != 0, ran != 0, held != 0, drmaa.State(state)
+		if r.Held {
+			r.State = r.State.Hold()
+		}
+		out = append(out, &r)
+	}
+	return out, rows.Err()
+}
+
+// array reads an array and counts its jobs by state.
+func (s *Store) array(ctx context.Context, q queryer, where string, args ...any) (*jobs.ArrayRecord, error) {
+	a, err := s.plainArray(ctx, q, where, args...)
+	if err != nil || a == nil {
+		return nil, err
+	}
+	a.States = map[drmaa.State]int{}
+	rows, err := q.QueryContext(ctx, s.words(`SELECT state, held, COUNT(*) FROM jobs WHERE array_id = ? GROUP BY state, held`), a.ID)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var state string
+		var held, n int
+		if err := rows.Scan(&state, &held, &n); err != nil {
+			return nil, err
+		}
+		at := drmaa.State(state)
+		if held != 0 {
+			at = at.Hold()
+		}
+		a.States[at] += n
+	}
+	return a, rows.Err()
+}
+
+func (s *Store) plainArray(ctx context.Context, q queryer, where string, args ...any) (*jobs.ArrayRecord, error) {
+	rows, err := q.QueryContext(ctx, s.words(`SELECT `+arrayColumns+` FROM arrays WHERE `+where), args...)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	if !rows.Next() {
+		return nil, rows.Err()
+	}
+	var a jobs.ArrayRecord
+	var template string
+	if err := rows.Scan(&a.ID, &a.Tenant, &a.Session, &a.ClientKey, &a.Digest, &template, &a.Begin, &a.End, &a.Step,
+		&a.MaxParallel, &a.SubmittedAt); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal([]byte(template), &a.Template); err != nil {
+		return nil, fmt.Errorf("array %s: template: %w", a.ID, err)
+	}
+	return &a, errors.Join(rows.Err(), rows.Close())
+}
--- a/internal/batch/keeper.go
+++ b/internal/batch/store/keeper.go
@@ -1,9 +1,11 @@
-package batch
+package store
 
 import (
 	"context"
 	"log/slog"
 	"time"
+
+	"ospreybend/internal/batch/jobs"
 )
 
 const (
@@ -13,13 +15,13 @@
 
 // task is one call of the store. then runs on the loop afterwards.
 type task struct {
-	do   func(context.Context, Store) error
+	do   func(context.Context, jobs.Store) error
 	then func(error)
 }
 
 // Keeper calls the store of record, one call after the other, off the loop.
 type Keeper struct {
-	store Store
+	store jobs.Store
 	post  func(func())
 	tasks chan task
 	done  chan struct{}
@@ -27,7 +29,7 @@
 }
 
 // NewKeeper starts a keeper. post brings results to the loop.
-func NewKeeper(store Store, post func(func())) *Keeper {
+func NewKeeper(store jobs.Store, post func(func())) *Keeper {
 	k := &Keeper{store: store, post: post, tasks: make(chan task, keeperRoom), done: make(chan struct{})}
 	go k.run()
 	return k
@@ -48,7 +50,7 @@
 
 // Call hands a call over, from the loop. It returns false, at once, where too
 // many wait.
-func (k *Keeper) Call(do func(context.Context, Store) error, then func(error)) bool {
+func (k *Keeper) Call(do func(context.Context, jobs.Store) error, then func(error)) bool {
 	if k.shut {
 		return false
 	}
--- /dev/null
+++ b/internal/batch/store/store.go
@@ -0,0 +1,189 @@
+// Package store is the batch front's store of record on SQLite or PostgreSQL.
+package store
+
+import (
+	"context"
+	"database/sql"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/url"
+	"strconv"
+	"strings"
+
+	_ "github.com/jackc/pgx/v5/stdlib" // PostgreSQL
+	"github.com/pressly/goose/v3"
+	_ "modernc.org/sqlite" // SQLite
+
+	"ospreybend/internal/batch/jobs"
+)
+
+//go:embed migrations/*.sql
+var migrations embed.FS
+
+// Store is the store of record in a database.
+type Store struct {
+	db       *sql.DB
+	numbered bool // placeholders are $1, $2, not ?
+}
+
+var _ jobs.Store = (*Store)(nil)
+
+// Open opens a store of record and brings its tables up to this program's
+// version. kind is "sqlite" or "postgres". A store whose tables are newer than
+// the program is refused.
+func Open(ctx context.Context, kind, source string) (*Store, error) {
+	var driver string
+	var dialect goose.Dialect
+	switch kind {
+	case "sqlite":
+		// Written through before an acknowledgement, and readable meanwhile.
+		driver, dialect = "sqlite", goose.DialectSQLite3
+		path, query, _ := strings.Cut(source, "?")
+		if !strings.HasPrefix(path, "file:") {
+			path = "file:" + (&url.URL{Path: path}).EscapedPath()
+		}
+		if query != "" {
+			query += "&"
+		}
+		source = path + "?" + query +
+			"_pragma=journal_mode(WAL)&_pragma=synchronous(FULL)&_pragma=busy_timeout(5000)&_txlock=immediate"
+	case "postgres":
+		driver, dialect = "pgx", goose.DialectPostgres
+	default:
+		return nil, fmt.Errorf("store: %q is neither sqlite nor postgres", kind)
+	}
+	db, err := sql.Open(driver, source)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	db.SetMaxOpenConns(1) // the keeper is the only user
+	if err := migrate(ctx, db, dialect); err != nil {
+		return nil, errors.Join(fmt.Errorf("store: %w", err), db.Close())
+	}
+	return &Store{db: db, numbered: kind == "postgres"}, nil
+}
+
+func migrate(ctx context.Context, db *sql.DB, dialect goose.Dialect) error {
+	files, err := fs.Sub(migrations, "migrations")
+	if err != nil {
+		return err
+	}
+	provider, err := goose.NewProvider(dialect, db, files)
+	if err != nil {
+		return err
+	}
+	have, err := provider.GetDBVersion(ctx)
+	if err != nil {
+		return err
+	}
+	sources := provider.ListSources()
+	if newest := sources[len(sources)-1].Version; have > newest {
+		return fmt.Errorf("its tables are of version %d, and this program knows %d at most: run the program that made them", have, newest)
+	}
+	_, err = provider.Up(ctx)
+	return err
+}
+
+// Close closes the database.
+func (s *Store) Close() error { return s.db.Close() }
+
+// words writes a statement's placeholders as the database wants them.
+func (s *Store) words(statement string) string {
+	if !s.numbered {
+		return statement
+	}
+	var b strings.Builder
+	n := 0
+	for _, c := range statement {
+		if c != '?' {
+			b.WriteRune(c)
+			continue
+		}
+		n++
+		b.WriteString("$" + strconv.Itoa(n))
+	}
+	return b.String()
+}
+
+func (s *Store) exec(ctx context.Context, statement string, args ...any) error {
+	_, err := s.db.ExecContext(ctx, s.words(statement), args...)
+	return err
+}
+
+// together does all of f or nothing.
+func (s *Store) together(ctx context.Context, f func(tx *sql.Tx) error) error {
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return err
+	}
+	if err := f(tx); err != nil {
+		return errors.Join(err, tx.Rollback())
+	}
+	return tx.Commit()
+}
+
+// rows calls f for each row of a query.
+func (s *Store) rows(ctx context.Context, f func(*sql.Rows) error, query string, args ...any) error {
+	rows, err := s.db.QueryContext(ctx, s.words(query), args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		if err := f(rows); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+// Tenants returns all tenants.
+func (s *Store) Tenants(ctx context.Context) (out []jobs.Tenant, err error) {
+	err = s.rows(ctx, func(r *sql.Rows) error {
+		var t jobs.Tenant
+		err := r.Scan(&t.Name, &t.TokenHash, &t.Quota)
+		out = append(out, t)
+		return err
+	}, `SELECT name, token_hash, quota FROM tenants ORDER BY name`)
+	return out, err
+}
+
+// PutTenant adds a tenant or changes it.
+func (s *Store) PutTenant(ctx context.Context, t jobs.Tenant) error {
+	return s.exec(ctx, `INSERT INTO tenants (name, token_hash, quota) VALUES (?, ?, ?)
+		ON CONFLICT (name) DO UPDATE SET token_hash = excluded.token_hash, quota = excluded.quota`,
+		t.Name, t.TokenHash, t.Quota)
+}
+
+// Sessions returns all sessions.
+func (s *Store) Sessions(ctx context.Context) (out []jobs.SessionRecord, err error) {
+	err = s.rows(ctx, func(r *sql.Rows) error {
+		var v jobs.SessionRecord
+		err := r.Scan(&v.Tenant, &v.Name, &v.State)
+		out = append(out, v)
+		return err
+	}, `SELECT tenant, name, state FROM sessions ORDER BY tenant, name`)
+	return out, err
+}
+
+// PutSession adds a session or changes its state.
+func (s *Store) PutSession(ctx context.Context, v jobs.SessionRecord) error {
+	return s.exec(ctx, `INSERT INTO sessions (tenant, name, state) VALUES (?, ?, ?)
+		ON CONFLICT (tenant, name) DO UPDATE SET state = excluded.state`, v.Tenant, v.Name, v.State)
+}
+
+// DropSession removes a session and hides its jobs from their owner.
+func (s *Store) DropSession(ctx context.Context, tenant, name string) error {
+	return s.together(ctx, func(tx *sql.Tx) error {
+		for _, statement := range []string{`DELETE FROM sessions WHERE tenant = ? AND name = ?`,
+			`UPDATE jobs SET reaped = 1 WHERE tenant = ? AND session = ?`,
+			`UPDATE arrays SET reaped = 1 WHERE tenant = ? AND session = ?`} {
+			if _, err := tx.ExecContext(ctx, s.words(statement), tenant, name); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// Name returns a destination's name; empty where it is not listed any more.
+func (d *Destinations) Name(id balance.WorkerID) string {
+	if to := d.byID[id]; to != nil {
+		return to.name
+	}
+	return ""
+}
+
 // Remove forgets a destination. Steps that are out end as they end.
 func (d *Destinations) Remove(id balance.WorkerID) {
 	d.CloseIdle(id)
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"ospreybend/balance"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
@@ -208,9 +209,12 @@
 	return "Retry-After: " + strconv.FormatFloat(after.Seconds(), 'f', 3, 64) + "\r\n"
 }
 
-// Started and Stepped concern other fronts: a client here hears of nothing but
-// the final answer.
-func (f *Front) Started(slot.Ref) {}
+// Started, Stepped and StepDone concern other fronts: a client here hears of
+// nothing but the final answer.
+func (f *Front) Started(slot.Ref, balance.WorkerID) {}
 
 // Stepped is of no concern here either.
-func (f *Front) Stepped(slot.Ref) {}
+func (f *Front) Stepped(slot.Ref, balance.WorkerID) {}
+
+// StepDone is of no concern here either.
+func (f *Front) StepDone(slot.Ref, balance.WorkerID, balance.Outcome) {}
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strconv"
 	"time"
 
 	"ospreybend/internal/due"
@@ -56,6 +57,7 @@
 	gone    func()
 	id      string // what the front knows it by
 	size    int    // of the body
+	parts   bool   // the answer goes out in parts
 }
 
 // frontSocket is the client's side of a connection.
@@ -322,13 +324,18 @@
 		return
 	}
 	if last {
-		f.release()
-		f.server.sockets.Drop(f.ref)
-		f.server.linger(f.conn)
-		f.server.check()
+		f.finish()
 	}
 }
 
+// finish ends a connection that has had its last answer.
+func (f *frontSocket) finish() {
+	f.release()
+	f.server.sockets.Drop(f.ref)
+	f.server.linger(f.conn)
+	f.server.check()
+}
+
 // linger ends a connection after its last answer, and remembers it for as long
 // as it stays open.
 func (s *Server) linger(c *transport.Conn) {
@@ -355,6 +362,60 @@
 	f.conn.Pump()
 }
 
+// Begin starts an answer that goes out in parts, as they come to be, until End.
+// It tells whether the client can read one: a client of HTTP/1.0 cannot.
+func (c *Call) Begin(status int, extra string) bool {
+	f := c.socket
+	if f.call != c || c.parts || c.old {
+		return false
+	}
+	c.parts = true
+	head := []byte("HTTP/1.1 " + strconv.Itoa(status) + " " + statusText[status] + "\r\nTransfer-Encoding: chunked\r\n" + extra)
+	if c.last {
+		head = append(head, "Connection: close\r\n"...)
+	}
+	c.put(append(head, "\r\n"...))
+	return true
+}
+
+// Write sends one part. Who looks at Flushed first keeps a slow client from
+// taking up memory.
+func (c *Call) Write(part []byte) {
+	if len(part) > 0 {
+		line := append(strconv.AppendInt(nil, int64(len(part)), 16), "\r\n"...)
+		c.put(append(append(line, part...), "\r\n"...))
+	}
+}
+
+func (c *Call) put(data []byte) {
+	if f := c.socket; f.call == c && !f.conn.Send(data) {
+		f.forget()
+	}
+}
+
+// Flushed tells whether the system has taken all that was written.
+func (c *Call) Flushed() bool { return c.socket.call == c && c.socket.conn.Sent() }
+
+// End ends an answer in parts.
+func (c *Call) End() {
+	f := c.socket
+	if f.call != c || !c.parts {
+		return
+	}
+	f.call = nil
+	f.server.held -= c.size
+	f.since = f.server.loop.Now()
+	if !f.conn.Send([]byte("0\r\n\r\n")) {
+		f.forget()
+		return
+	}
+	if c.last || f.server.stopping {
+		f.finish()
+		return
+	}
+	f.conn.Pump()
+}
+
 // Reject answers a call that the client had no business to make, and closes the
 // connection: who errs again has to come again.
 func (c *Call) Reject(status int, text string) {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -53,7 +53,8 @@
 	state    map[balance.WorkerID]balance.State
 	events   []balance.Event
 	busy     bool
-	idle     func() // called when the last open operation is answered
+	idle     func()  // called when the last open operation is answered
+	witness  Witness // nil: none
 
 	counts Counts
 }
@@ -79,6 +80,17 @@
 	c.to, c.pool, c.peers = to, pool, peers
 }
 
+// Show has a witness told of what happens from now on.
+func (c *Core) Show(w Witness) { c.witness = w }
+
+// Listed calls f for each destination of the pool config, with its state and the
+// chance that the module gives a failure there.
+func (c *Core) Listed(f func(id balance.WorkerID, state balance.State, doubt float64)) {
+	for id, state := range c.state {
+		f(id, state, c.decide.Doubt(c.clock.Now(), id))
+	}
+}
+
 // Able tells whether any destination is there to serve.
 func (c *Core) Able() bool {
 	for _, s := range c.state {
@@ -173,6 +185,9 @@
 	}
 	c.finish(op)
 	op.Owner.Answered(ref, a)
+	if c.witness != nil {
+		c.witness.Concluded(op.Owner, a.Verdict)
+	}
 }
 
 func (c *Core) finish(op *operation) {
@@ -210,7 +225,10 @@
 		return
 	}
 	if op := c.ops.Get(s.op); op != nil && !op.over {
-		op.Owner.Started(s.op)
+		op.Owner.Started(s.op, s.to)
+		if c.witness != nil {
+			c.witness.Waited(op.Owner, c.clock.Now()-s.sentAt)
+		}
 	}
 	c.tell(balance.AttemptNews{Request: balance.RequestID(s.op), Attempt: s.number, Worker: s.to, Started: true})
 }
@@ -241,6 +259,12 @@
 	op := c.ops.Get(s.op)
 	op.out--
 	op.mayHaveRun = op.mayHaveRun || !end.Outcome.NeverRan()
+	if c.witness != nil && end.Report != nil {
+		c.witness.Reported(s.to, end.Report)
+	}
+	if !op.over {
+		op.Owner.StepDone(s.op, s.to, end.Outcome)
+	}
 	switch {
 	case end.Rejected:
 		c.answer(s.op, op, Answer{Verdict: Rejected})
@@ -253,7 +277,12 @@
 }
 
 // ProbeEnded tells what a probe found.
-func (c *Core) ProbeEnded(ev balance.ProbeDone) { c.tell(ev) }
+func (c *Core) ProbeEnded(ev balance.ProbeDone) {
+	if c.witness != nil && ev.Report != nil {
+		c.witness.Reported(ev.Worker, ev.Report)
+	}
+	c.tell(ev)
+}
 
 // PoolChanged takes in news of the destinations.
 func (c *Core) PoolChanged(up balance.ListUpdate) {
@@ -367,7 +396,7 @@
 	}
 	c.counts.Steps++
 	s.deadline = c.due.Add(until, func() { c.stop(at, balance.TimedOut) })
-	op.Owner.Stepped(ref)
+	op.Owner.Stepped(ref, a.Worker)
 	c.to.Send(at, a.Worker, &op.Work, until)
 }
 
--- a/internal/routing/ports.go
+++ b/internal/routing/ports.go
@@ -59,9 +59,23 @@
 	// withdrawn before.
 	Answered(op slot.Ref, a Answer)
 	// Started tells that a destination has begun to run the operation.
-	Started(op slot.Ref)
-	// Stepped tells that a route step has gone out, before its first byte does.
-	Stepped(op slot.Ref)
+	Started(op slot.Ref, at balance.WorkerID)
+	// Stepped tells that a route step goes out, before its first byte does.
+	Stepped(op slot.Ref, to balance.WorkerID)
+	// StepDone tells how a route step ended, while the operation has no final
+	// answer yet.
+	StepDone(op slot.Ref, at balance.WorkerID, how balance.Outcome)
+}
+
+// Witness hears of the operations of all fronts, to learn how busy the
+// destinations are.
+type Witness interface {
+	// Waited tells of a route step's start, and how long after its sending it came.
+	Waited(owner Owner, wait time.Duration)
+	// Concluded tells of an operation's final answer.
+	Concluded(owner Owner, v Verdict)
+	// Reported tells of a destination's load report, ordered as Settings.Report.
+	Reported(from balance.WorkerID, report []float32)
 }
 
 // StepEnd is how a route step ended.
