--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -17,7 +17,9 @@
 
 // batchFront is the parts of the batch front, wired.
 type batchFront struct {
+	cfg     config.Batch
 	jobs    *jobs.Manager
+	admin   *binding.Admin // nil: none
 	keeper  *store.Keeper
 	servers []*protocol.Server
 }
@@ -42,18 +44,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	f := &batchFront{keeper: store.NewKeeper(record, n.loop.Post)}
+	f := &batchFront{cfg: cfg, keeper: store.NewKeeper(record, n.loop.Post)}
 	n.loop.Call(func() {
 		f.jobs = jobs.New(jobs.Config{Machine: n.cfg.Name, Classes: n.cfg.Classes, Settings: n.cfg.Settings, Name: n.to.Name,
-			MostSlots: float64(n.cfg.DestinationsSockets / 2), Target: jobs.DefaultTarget, LongestWait: jobs.DefaultLongestWait,
-			Events: jobs.DefaultEvents, Kept: jobs.DefaultKept}, n.core, f.keeper, n.loop, &n.loop.Due)
+			MostSlots: n.batchSlots(cfg), Target: time.Duration(cfg.Target) * time.Millisecond,
+			LongestWait: time.Duration(cfg.LongestWait) * time.Second, Events: cfg.Events, Kept: jobs.DefaultKept}, n.core, f.keeper, n.loop, &n.loop.Due)
 		n.core.Show(f.jobs)
 		f.jobs.Load(tenants, sessions, unfinished, arrays)
 		front := binding.New(f.jobs, n.loop, &n.loop.Due, version)
 		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, n.cfg.FrontMemory, front.Serve))
 		if cfg.AdminListen != "" {
-			admin := binding.NewAdmin(front, f.keeper, cfg.AdminToken)
-			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, n.cfg.FrontMemory, admin.Serve))
+			f.admin = binding.NewAdmin(front, f.keeper, cfg.AdminToken)
+			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, n.cfg.FrontMemory, f.admin.Serve))
 		}
 		for _, s := range f.servers {
 			if err = s.Start(); err != nil {
@@ -68,6 +70,41 @@
 	return f, nil
 }
 
+// batchSlots is how much of the batch front's work may be in the core at once:
+// the descriptors left are the platform's.
+func (n *node) batchSlots(cfg config.Batch) float64 {
+	most := n.cfg.DestinationsSockets / 2
+	if cfg.Slots > 0 {
+		most = min(most, cfg.Slots)
+	}
+	return float64(most)
+}
+
+// reload takes up the batch front's file read anew. What it cannot take up while
+// it runs it names. One with a fault changes nothing.
+func (f *batchFront) reload(n *node, env func(string) string) {
+	cfg, err := config.LoadBatch(env)
+	if err != nil {
+		slog.Error("reload: the batch front's old configuration stays", "fault", err)
+		return
+	}
+	if keys := f.cfg.NeedRestart(cfg); len(keys) > 0 {
+		slog.Warn("reload: some keys of the batch front take effect at the next start", "keys", keys)
+	}
+	if !cfg.Enabled {
+		return
+	}
+	n.loop.Call(func() {
+		f.jobs.Reconfigure(n.batchSlots(cfg), time.Duration(cfg.Target)*time.Millisecond,
+			time.Duration(cfg.LongestWait)*time.Second, cfg.Events)
+		if f.admin != nil && cfg.AdminToken != "" {
+			f.admin.SetToken(cfg.AdminToken)
+		}
+	})
+	slog.Info("reload: batch front", "slots", n.batchSlots(cfg), "target_ms", cfg.Target, "longest_wait_s", cfg.LongestWait,
+		"events", cfg.Events)
+}
+
 // stop ends the batch front once what its jobs have in work is answered, or by
 // the given time. What is then unfinished the store has.
 func (f *batchFront) stop(n *node, by time.Time) {
--- /dev/null
+++ b/cmd/ospreybend/cli.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"runtime"
+
+	"github.com/alecthomas/kong"
+
+	"ospreybend/internal/cli"
+	"ospreybend/internal/config"
+)
+
+// commands is the command line. Without a command it serves, as the platform's
+// run line wants.
+type commands struct {
+	JSON bool `help:"Write JSON." env:"OSPREYBEND_JSON"`
+
+	Serve   serveCmd    `cmd:"" default:"1" help:"Serve as a node (what a bare call does)."`
+	Job     cli.Job     `cmd:"" help:"Submit, list, wait for and control batch jobs."`
+	Session cli.Session `cmd:"" help:"Create, open, close and destroy job sessions."`
+	Tenant  cli.Tenant  `cmd:"" help:"Manage tenants by the administration."`
+	Config  configCmd   `cmd:"" help:"Check configuration files."`
+	Demo    demoCmd     `cmd:"" help:"Run a node with stand-ins on loopback and show some jobs."`
+	Conform conformCmd  `cmd:"" help:"Hold a server against the binding, clause by clause."`
+	Version versionCmd  `cmd:"" help:"Show the version."`
+}
+
+// command runs one call of the program and returns its exit code.
+func command(caught signals, args []string, out, complain io.Writer) int {
+	log, err := config.LoadLog(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(complain, "ospreybend:", err)
+		return cli.ExitError
+	}
+	slog.SetDefault(slog.New(log.Handler(complain)))
+	var c commands
+	exited := -1
+	parser, err := kong.New(&c, kong.Name("ospreybend"), kong.Description("A load balancer for job preparation, with a batch front after DRMAA."),
+		kong.UsageOnError(), kong.Writers(out, complain), kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		panic(err) // the structure above is wrong
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited // --help
+	}
+	if err != nil {
+		fmt.Fprintln(complain, "ospreybend:", err)
+		return cli.ExitUsage
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if parsed.Command() != "serve" {
+		go func() {
+			<-caught.leave
+			cancel()
+		}()
+	}
+	env := &cli.Env{Ctx: ctx, Out: out, Getenv: os.Getenv, JSON: c.JSON}
+	err = parsed.Run(env, caught)
+	if err != nil {
+		fmt.Fprintln(complain, "ospreybend:", err)
+	}
+	return cli.ExitCode(err)
+}
+
+type serveCmd struct{}
+
+// Run serves.
+func (serveCmd) Run(_ *cli.Env, caught signals) error { return serve(caught) }
+
+type versionCmd struct{}
+
+// Run shows the version.
+func (versionCmd) Run(e *cli.Env) error {
+	v := map[string]string{"version": version, "go": runtime.Version()}
+	return e.Show(v, func(w io.Writer) { fmt.Fprintf(w, "ospreybend %s, %s\n", version, runtime.Version()) })
+}
+
+type configCmd struct {
+	Check configCheck `cmd:"" help:"Read the files as a start would, and say what is wrong."`
+}
+
+// configCheck reads the files that a start would read, or those that are named.
+type configCheck struct {
+	Node  string `help:"The node's file; else BALANCER_CONFIG names it." type:"path"`
+	Batch string `help:"The batch front's file; else OSPREYBEND_BATCH names it, or it is deploy/batch.toml." type:"path"`
+	Log   string `help:"The log's file; else OSPREYBEND_LOG names it, or it is deploy/log.toml." type:"path"`
+}
+
+// Run checks.
+func (c *configCheck) Run(e *cli.Env) error {
+	env := func(key string) string {
+		if v := map[string]string{"BALANCER_CONFIG": c.Node, "OSPREYBEND_BATCH": c.Batch, "OSPREYBEND_LOG": c.Log}[key]; v != "" {
+			return v
+		}
+		return e.Getenv(key)
+	}
+	var faults []error
+	if _, err := config.LoadLog(env); err != nil {
+		faults = append(faults, err)
+	}
+	batch, err := config.LoadBatch(env)
+	if err != nil {
+		faults = append(faults, err)
+	}
+	checked := []string{"log", "batch"}
+	if env("BALANCER_CONFIG") != "" {
+		node, err := config.Load(env)
+		if err == nil {
+			err = node.Reserve(batch)
+		}
+		if err != nil {
+			faults = append(faults, err)
+		}
+		checked = append(checked, "node")
+	}
+	if len(faults) > 0 {
+		return errors.Join(faults...)
+	}
+	return e.Show(map[string]any{"checked": checked, "batch": batch.Enabled}, func(w io.Writer) {
+		fmt.Fprintf(w, "well: %v; the batch front is %s\n", checked, map[bool]string{true: "on", false: "off"}[batch.Enabled])
+	})
+}
--- /dev/null
+++ b/cmd/ospreybend/conform.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"ospreybend/internal/cli"
+	"ospreybend/internal/conform"
+)
+
+// conformCmd holds a server against the binding.
+type conformCmd struct {
+	cli.Server `embed:""`
+	Only       string        `help:"Only cases whose name contains this."`
+	Within     time.Duration `help:"The longest that a case may take." default:"30s"`
+}
+
+// Run runs the suite.
+func (c *conformCmd) Run(e *cli.Env) error {
+	token, err := e.Token(c.TokenFile, "OSPREYBEND_TOKEN")
+	if err != nil {
+		return err
+	}
+	report, err := conform.Run(e.Ctx, conform.Config{URL: c.URL, Token: token, Only: c.Only, Within: c.Within}, func(r conform.Result) {
+		if e.JSON {
+			return
+		}
+		mark := "passed"
+		if !r.Passed {
+			mark = "FAILED"
+		}
+		fmt.Fprintf(e.Out, "%s  %-32s %8.1f ms  %s (%s)\n", mark, r.Name, r.Millis, r.Demand, r.Source)
+		if !r.Passed {
+			fmt.Fprintf(e.Out, "        %s\n", r.Fault)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if err := e.Show(report, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: %d passed, %d failed\n", report.Server, report.Passed, report.Failed)
+	}); err != nil {
+		return err
+	}
+	if report.Failed > 0 {
+		return fmt.Errorf("%d cases failed", report.Failed)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/ospreybend/demo.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+	"ospreybend/internal/cli"
+	"ospreybend/internal/config"
+	"ospreybend/internal/standin"
+)
+
+const (
+	demoZone, demoKind = "demo", "demo"
+	demoAdmin          = "demo-admin"
+	demoReady          = 10 * time.Second
+	demoWithin         = time.Minute
+)
+
+// demoConfig is a node's configuration for demonstrations and measurements.
+func demoConfig(listen, discovery string) (*config.Node, error) {
+	class := func(name string, target, giveUp int, points float64, repeat string) map[string]any {
+		return map[string]any{"name": name, "targetUs": target, "giveUpUs": giveUp, "points": points, "repeat": repeat}
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "demo", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 1024},
+		"known":  map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
+		"settings": map[string]any{"balancers": 1, "ordinal": 0, "resolutionUs": 2000, "discovery": "ask", "countedBy": "work",
+			"failureDomains": []string{demoZone}, "machineTypes": []string{demoKind},
+			"domain": map[string]any{"tellsStart": true, "queueOrder": "fifo", "reportX0": "free_slots"},
+			"report": map[string]any{"how": "inline", "fields": []string{"backlog", "x0"}},
+			"bounds": map[string]any{"cancelling": true, "secondCopies": true, "probes": true, "retryAfter": true, "maxRetryAfterUs": 2000000,
+				"maxAttempts": 4, "connectTimeoutUs": 250000, "connIdleUs": 60000000, "streamsPerConn": 1},
+			"rules": map[string]any{"answerSlackUs": 8000, "askWithinUs": 10000000, "drainGraceUs": 300000, "coldFrom": 1.0},
+			"grades": []any{class("modell-pruefen", 400000, 5000000, 5, "read_like"), class("vorschau", 1000000, 20000000, 2, "read_like"),
+				class("auftrag-buchen", 800000, 25000000, 8, "non_idempotent")}}})
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(text, func(string) string { return "" })
+}
+
+// freeAddress finds a loopback address that nothing listens at.
+func freeAddress() (string, error) {
+	// One of its own: on 127.0.0.1 the system gives a port just found free to the
+	// next connection that anybody dials.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(63), rand.IntN(256), 1+rand.IntN(254)))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// rig is a node with a batch front, among stand-ins, in this process.
+type rig struct {
+	fleet *standin.Fleet
+	node  *node
+	batch config.Batch
+	admin *client.Admin
+}
+
+// newRig starts one. Its store is in dir.
+func newRig(dir string, fleet *standin.Fleet, change func(*config.Batch)) (*rig, error) {
+	var at [3]string
+	for i := range at {
+		var err error
+		if at[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	cfg, err := demoConfig(at[0], fleet.Discovery.Address())
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256([]byte(demoAdmin))
+	b, err := config.ParseBatch(fmt.Sprintf("enabled = true\nlisten = %q\nstore = \"sqlite\"\nsource = %q\nadmin_listen = %q\nadmin_token_sha256 = %q\n",
+		at[1], filepath.Join(dir, "batch.db"), at[2], hex.EncodeToString(sum[:])))
+	if err != nil {
+		return nil, err
+	}
+	if change != nil {
+		change(&b)
+	}
+	if err := cfg.Reserve(b); err != nil {
+		return nil, err
+	}
+	n, err := start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	if n.batch, err = n.startBatch(b); err != nil {
+		return nil, errors.Join(err, n.loop.Stop())
+	}
+	r := &rig{fleet: fleet, node: n, batch: b}
+	if r.admin, err = client.NewAdmin("http://"+b.AdminListen, demoAdmin); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// tenant makes a tenant with a session.
+func (r *rig) tenant(ctx context.Context, name string, quota int) (*client.Client, *client.Session, error) {
+	t, err := r.admin.Create(ctx, name, quota)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := client.New("http://"+r.batch.Listen, t.Token)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := c.CreateSession(ctx, "default")
+	return c, s, err
+}
+
+// ready waits until the node knows its workers.
+func (r *rig) ready(ctx context.Context) error {
+	return standin.Until(ctx, demoReady, func() bool {
+		able := false
+		r.node.loop.Call(func() { able = r.node.core.Able() })
+		return able
+	})
+}
+
+// demoCmd shows the program at work.
+type demoCmd struct {
+	Log bool `help:"Show the node's log too."`
+}
+
+// Run runs the demonstration.
+func (c *demoCmd) Run(e *cli.Env) (err error) {
+	say := func(format string, a ...any) { fmt.Fprintf(e.Out, format+"\n", a...) }
+	if !c.Log {
+		old := slog.Default()
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+		defer slog.SetDefault(old)
+	}
+	ctx, cancel := context.WithTimeout(e.Ctx, demoWithin)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "ospreybend-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := standin.NewFleet(demoZone, demoKind, 3, 2, func(j standin.Job) standin.Act {
+		if strings.HasSuffix(j.Path, "/fails") {
+			return standin.Act{Kind: standin.Fail, Run: 100 * time.Millisecond}
+		}
+		return standin.Act{Run: 200 * time.Millisecond}
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	r, err := newRig(dir, fleet, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { r.node.leave(); say("\nThe node has left; all that it took is answered.") }()
+	if err := r.ready(ctx); err != nil {
+		return err
+	}
+	say("Three stand-in prep workers of two slots each, discovery, and a node:")
+	say("  platform front   http://%s", r.node.cfg.Listen)
+	say("  batch front      http://%s/drmaa/v2   (store: SQLite in a temporary folder)", r.batch.Listen)
+	say("  administration   http://%s/admin/v1\n", r.batch.AdminListen)
+	if err := demoPlatform(ctx, r, say); err != nil {
+		return err
+	}
+	return demoBatch(ctx, r, e, say)
+}
+
+// demoPlatform sends a few requests as the platform's clients do.
+func demoPlatform(ctx context.Context, r *rig, say func(string, ...any)) error {
+	say("Through the platform front, three requests:")
+	for i, class := range []string{"modell-pruefen", "vorschau", "auftrag-buchen"} {
+		in, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.node.cfg.Listen+"/"+class+"/"+strconv.Itoa(i+1), strings.NewReader("model"))
+		if err != nil {
+			return err
+		}
+		in.Header.Set("Req-Id", "demo-"+strconv.Itoa(i+1))
+		in.Header.Set("Req-Deadline", "5")
+		started := time.Now()
+		out, err := http.DefaultClient.Do(in)
+		if err != nil {
+			return err
+		}
+		text, err := io.ReadAll(out.Body)
+		out.Body.Close()
+		if err != nil {
+			return err
+		}
+		say("  %-16s %d in %3d ms: %s", class, out.StatusCode, time.Since(started).Milliseconds(), strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// demoBatch hands in jobs as a batch client does, and tells of each.
+func demoBatch(ctx context.Context, r *rig, e *cli.Env, say func(string, ...any)) error {
+	_, s, err := r.tenant(ctx, "workshop", 100)
+	if err != nil {
+		return err
+	}
+	say("\nThrough the batch front, as tenant 'workshop': a booking, one that fails, a held")
+	say("one, one to terminate, and an array of eight with two at once:")
+	run := func(t drmaa.JobTemplate) *drmaa.Job {
+		if err != nil {
+			return &drmaa.Job{}
+		}
+		var j *drmaa.Job
+		j, err = s.Run(ctx, t)
+		return j
+	}
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan struct{})
+	listening := make(chan struct{})
+	names := map[string]string{}
+	booking := run(drmaa.JobTemplate{RemoteCommand: "auftrag-buchen", JobName: "booking", SubmitAsHold: true})
+	failing := run(drmaa.JobTemplate{RemoteCommand: "modell-pruefen", JobName: "failing", Args: []string{"fails"}, SubmitAsHold: true})
+	held := run(drmaa.JobTemplate{RemoteCommand: "vorschau", JobName: "held", SubmitAsHold: true})
+	doomed := run(drmaa.JobTemplate{RemoteCommand: "vorschau", JobName: "doomed", SubmitAsHold: true})
+	if err != nil {
+		return err
+	}
+	array, err := s.RunBulk(ctx, drmaa.Bulk{Begin: 1, End: 8, MaxParallel: 2,
+		Template: &drmaa.JobTemplate{RemoteCommand: "vorschau", JobName: "array", Args: []string{"part-" + drmaa.IndexPlaceholder}, SubmitAsHold: true}})
+	if err != nil {
+		return err
+	}
+	for _, j := range []*drmaa.Job{booking, failing, held, doomed} {
+		names[j.ID] = j.Name
+	}
+	go func() {
+		defer close(ended)
+		first := true
+		for got, err := range s.Events(watch, "oldest") {
+			if err != nil {
+				return
+			}
+			if first {
+				close(listening)
+				first = false
+			}
+			for _, v := range got.Events {
+				name := names[v.Job]
+				if id, index := drmaa.SplitJobID(v.Job); id == array.ID {
+					name = "array " + strconv.Itoa(index)
+				}
+				if v.State != drmaa.QueuedHeld && v.Event == drmaa.NewState {
+					say("  %s  %-9s %-9s %s", v.Time[11:23], name, v.State, v.SubState)
+				}
+			}
+		}
+	}()
+	select {
+	case <-listening:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for _, step := range []error{s.Act(ctx, booking.ID, "release"), s.Act(ctx, failing.ID, "release"), s.Act(ctx, doomed.ID, "terminate"),
+		func() error { _, err := s.ActOnArray(ctx, array.ID, "release"); return err }()} {
+		if step != nil {
+			return step
+		}
+	}
+	if array, err = s.WaitArray(ctx, array.ID); err != nil {
+		return err
+	}
+	if err := s.Act(ctx, held.ID, "release"); err != nil {
+		return err
+	}
+	for _, j := range []*drmaa.Job{booking, failing, held, doomed} {
+		if _, err := s.Wait(ctx, j.ID, client.Terminated); err != nil {
+			return err
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // the last events
+	stop()
+	<-ended
+	say("\nWhat became of each, as the store of record has it:")
+	type row struct {
+		Name    string `json:"name"`
+		ID      string `json:"jobId"`
+		State   string `json:"state"`
+		Told    string `json:"told"`
+		Machine string `json:"machine"`
+	}
+	var rows []row
+	for j, err := range s.Jobs(ctx, drmaa.Filter{}) {
+		if err != nil {
+			return err
+		}
+		v := row{Name: j.Name, ID: j.ID, State: string(j.State), Told: j.SubState}
+		if j.Result != nil {
+			v.Told = strings.TrimSpace(*j.Result)
+		}
+		if len(j.Steps) > 0 {
+			v.Machine = j.Steps[len(j.Steps)-1].Machine
+		}
+		rows = append(rows, v)
+	}
+	if err := e.Show(rows, func(w io.Writer) {
+		for _, v := range rows {
+			fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%s\n", v.Name, v.ID, v.State, v.Machine, v.Told)
+		}
+	}); err != nil {
+		return err
+	}
+	if len(rows) != 12 || array.States[drmaa.Done] != 8 {
+		return fmt.Errorf("%d jobs on record, %d of the array done", len(rows), array.States[drmaa.Done])
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/ospreybend/front_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/cli"
+	"ospreybend/internal/conform"
+	"ospreybend/internal/standin"
+)
+
+// newTestRig is a node with the batch front among stand-ins that serve at once.
+func newTestRig(t *testing.T, script standin.Script) *rig {
+	t.Helper()
+	fleet, err := standin.NewFleet(demoZone, demoKind, 2, 4, script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Stop)
+	r, err := newRig(t.TempDir(), fleet, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.node.leave)
+	if err := r.ready(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// The program's own server meets every clause of the conformance suite.
+func TestConforms(t *testing.T) {
+	r := newTestRig(t, standin.For(5*time.Millisecond))
+	tenant, err := r.admin.Create(t.Context(), "conform", 30_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := conform.Run(t.Context(), conform.Config{URL: "http://" + r.batch.Listen, Token: tenant.Token}, func(got conform.Result) {
+		if !got.Passed {
+			t.Errorf("%s: %s (%s)", got.Name, got.Fault, got.Demand)
+		}
+	})
+	if err != nil || report.Passed != conform.Cases() {
+		t.Errorf("%d of %d cases passed, %v", report.Passed, conform.Cases(), err)
+	}
+}
+
+// call runs the program's command line.
+func call(t *testing.T, env map[string]string, args ...string) (code int, out, complaint string) {
+	t.Helper()
+	for k, v := range env {
+		t.Setenv(k, v)
+	}
+	var o, c bytes.Buffer
+	code = command(signals{leave: make(chan os.Signal)}, args, &o, &c)
+	return code, o.String(), c.String()
+}
+
+func TestCommandLine(t *testing.T) {
+	r := newTestRig(t, func(j standin.Job) standin.Act {
+		if strings.HasSuffix(j.Path, "/bad") {
+			return standin.Act{Kind: standin.Reject}
+		}
+		return standin.Act{Run: time.Millisecond}
+	})
+	token := filepath.Join(t.TempDir(), "token")
+	env := map[string]string{"OSPREYBEND_URL": "http://" + r.batch.Listen, "OSPREYBEND_ADMIN_URL": "http://" + r.batch.AdminListen,
+		"OSPREYBEND_ADMIN_TOKEN": demoAdmin, "OSPREYBEND_TOKEN_FILE": token}
+	do := func(want int, args ...string) string {
+		t.Helper()
+		code, out, complaint := call(t, env, args...)
+		if code != want {
+			t.Fatalf("%v: code %d, not %d: %s%s", args, code, want, out, complaint)
+		}
+		return strings.TrimSpace(out)
+	}
+	do(cli.ExitError, "job", "list") // no token yet
+	var made []struct{ Token string }
+	if err := json.Unmarshal([]byte(do(cli.ExitOK, "--json", "tenant", "create", "anna", "--quota", "50")), &made); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(token, []byte(made[0].Token+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	do(cli.ExitUnknown, "job", "list") // no session yet
+	do(cli.ExitOK, "session", "create", "default")
+	do(cli.ExitUnknown, "session", "create", "default")
+	id := do(cli.ExitOK, "job", "submit", "vorschau", "--hold", "--name", "n1")
+	do(cli.ExitState, "job", "hold", id)
+	do(cli.ExitTimeout, "job", "wait", id, "--timeout", "50ms")
+	if out := do(cli.ExitOK, "job", "list"); !strings.Contains(out, "QUEUED_HELD") || !strings.Contains(out, "n1") {
+		t.Error(out)
+	}
+	do(cli.ExitOK, "job", "release", id)
+	if out := do(cli.ExitOK, "job", "wait", id); !strings.Contains(out, "DONE") {
+		t.Error(out)
+	}
+	do(cli.ExitOK, "job", "reap", id)
+	do(cli.ExitUnknown, "job", "info", id)
+	if out := do(cli.ExitFailed, "job", "submit", "vorschau", "bad", "--wait"); !strings.Contains(out, "can make nothing") {
+		t.Error(out)
+	}
+	do(cli.ExitUnknown, "job", "submit", "rm")
+	do(cli.ExitUsage, "job", "submit")
+	array := do(cli.ExitOK, "job", "bulk", "vorschau", "--end", "4", "--hold")
+	if out := do(cli.ExitOK, "job", "release", "-a", array); !strings.Contains(out, "4 jobs") {
+		t.Error(out)
+	}
+	if out := do(cli.ExitOK, "job", "wait", "-a", array); !strings.Contains(out, "DONE") {
+		t.Error(out)
+	}
+	if out := do(cli.ExitOK, "job", "queues"); !strings.Contains(out, "auftrag-buchen") || !strings.Contains(out, "w-2") {
+		t.Error(out)
+	}
+	if out := do(cli.ExitOK, "tenant", "queue"); !strings.Contains(out, "window") {
+		t.Error(out)
+	}
+	do(cli.ExitOK, "tenant", "quota", "anna", "0")
+	do(cli.ExitLater, "job", "submit", "vorschau")
+	do(cli.ExitOK, "tenant", "rotate", "anna")
+	do(cli.ExitDenied, "job", "list")
+	do(cli.ExitOK, "version")
+	do(cli.ExitOK, "--help")
+}
+
+func TestConfigCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("good.toml", "enabled = true\nlisten = \"127.0.0.1:1\"\nstore = \"sqlite\"\nsource = \"x\"\n")
+	if code, out, complaint := call(t, nil, "config", "check", "--batch", good, "--node", "../../examples/config.json"); code != 0 || !strings.Contains(out, "on") {
+		t.Errorf("%d %s%s", code, out, complaint)
+	}
+	for _, c := range [][3]string{{"--batch", "enabled = true\nlisten = \"127.0.0.1:1\"\nstore = \"sqlite\"\nsource = \"x\"\ntarget_ms = 0", "target_ms"},
+		{"--batch", "colour = 1", "colour"}, {"--log", "level = \"loud\"", "level"}, {"--log", "format = \"xml\"", "format"}, {"--node", "{", "JSON"}} {
+		code, _, complaint := call(t, nil, "config", "check", c[0], write("bad", c[1]))
+		if code != cli.ExitError || !strings.Contains(complaint, c[2]) {
+			t.Errorf("%v: %d %s", c, code, complaint)
+		}
+	}
+}
+
+// The demonstration runs to its end and leaves nothing behind.
+func TestDemo(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	code, out, complaint := call(t, nil, "demo")
+	if code != 0 || strings.Count(out, "DONE") < 10 || !strings.Contains(out, "has left") {
+		t.Errorf("%d %s%s", code, out, complaint)
+	}
+	left, err := os.ReadDir(os.Getenv("TMPDIR"))
+	if err != nil || len(left) != 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// SIGHUP has the batch front's file read anew: the window, the administration's
+// token. A file with a fault changes nothing.
+func TestReloadOfTheBatchFront(t *testing.T) {
+	r := newTestRig(t, standin.For(time.Millisecond))
+	path := filepath.Join(t.TempDir(), "batch.toml")
+	env := func(key string) string { return map[string]string{"OSPREYBEND_BATCH": path}[key] }
+	write := func(rest string) {
+		t.Helper()
+		text := "enabled = true\nlisten = \"" + r.batch.Listen + "\"\nstore = \"sqlite\"\nsource = \"" + r.batch.Source + "\"\nadmin_listen = \"" +
+			r.batch.AdminListen + "\"\n" + rest
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.node.batch.reload(r.node, env)
+	}
+	size := func() (out float64) {
+		r.node.loop.Call(func() { out = r.node.batch.jobs.Counts().Window.Size })
+		return out
+	}
+	admits := func() bool { _, err := r.admin.Tenants(context.Background()); return err == nil }
+	other := strings.Repeat("ab", 32)
+	write("slots = 1\nadmin_token_sha256 = \"" + other + "\"\n")
+	if size() != 1 || admits() {
+		t.Errorf("window %v, the old token holds: %v", size(), admits())
+	}
+	write("slots = -1\nadmin_token_sha256 = \"" + r.batch.AdminToken + "\"\n")
+	if size() != 1 || admits() {
+		t.Error("a file with a fault took effect")
+	}
+	write("slots = 9\nadmin_token_sha256 = \"" + r.batch.AdminToken + "\"\n")
+	if !admits() {
+		t.Error("the token does not hold again")
+	}
+}
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -1,5 +1,6 @@
 // Command ospreybend is one real node: it takes operations from clients,
-// decides by package balance where each goes, and answers them.
+// decides by package balance where each goes, and answers them. It also has the
+// commands that call such a node's batch front; see docs/CLI.md.
 package main
 
 import (
@@ -51,14 +52,11 @@
 
 func main() {
 	caught := catch()
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(caught); err != nil {
-		fmt.Fprintln(os.Stderr, "ospreybend:", err)
-		os.Exit(1)
-	}
+	os.Exit(command(caught, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(caught signals) error {
+// serve runs the node until it is told to leave.
+func serve(caught signals) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -179,6 +177,9 @@
 		slog.Warn("reload: some keys take effect at the next start", "keys", keys)
 	}
 	n.loop.Post(func() { n.pool.Move(cfg.Discovery) })
+	if n.batch != nil {
+		n.batch.reload(n, env)
+	}
 }
 
 // leave answers what the node has taken, and returns once all of it is out.
--- a/drmaa/client/admin.go
+++ b/drmaa/client/admin.go
@@ -33,7 +33,7 @@
 // Create makes a tenant, and its token.
 func (a *Admin) Create(ctx context.Context, name string, quota int) (*Tenant, error) {
 	var t Tenant
-	return &t, a.client.do(ctx, ask{method: "POST", path: tenants, in: Tenant{Name: name, Quota: quota}, out: &t})
+	return &t, a.client.do(ctx, ask{method: "POST", path: tenants, in: map[string]any{"name": name, "maxUnfinishedJobs": quota}, out: &t})
 }
 
 // SetQuota changes how many unfinished jobs a tenant may have.
--- a/internal/batch/jobs/job.go
+++ b/internal/batch/jobs/job.go
@@ -38,6 +38,8 @@
 	op        slot.Ref
 	tries     int // operations made of it
 	refusals  int // in a row
+	failures  int // operations in which prep workers ran it and it failed
+	failedNow bool
 	notBefore time.Duration
 	wake      *due.Deadline // when it may be put in the queue
 	deadline  *due.Deadline
--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -330,6 +330,42 @@
 	}
 }
 
+// What fails wherever it runs has failed; a rerunnable job is tried a few times
+// more. Refusals for want of room are another matter.
+func TestFailsEverywhere(t *testing.T) {
+	r := newRig(t)
+	yes := true
+	again := tpl(safe)
+	again.Rerunnable = &yes
+	for _, c := range []struct {
+		t    drmaa.JobTemplate
+		runs int
+	}{{tpl(safe), 1}, {again, 3}} {
+		j := r.submit(c.t)
+		runs := 0
+		for ; !j.State.Final() && runs < 10; runs++ {
+			r.core.step(j, 0)
+			r.core.begin(j, 0)
+			r.core.stepDone(j, 0, balance.Errored)
+			r.core.answer(j, routing.Answer{Verdict: routing.Refused})
+			r.advance(11 * time.Second)
+			r.settle()
+		}
+		if v := r.m.View(j); runs != c.runs || v.State != drmaa.Failed || v.ExitStatus == nil || *v.ExitStatus != 1 {
+			t.Errorf("%d runs, %+v", runs, v)
+		}
+	}
+	j := r.submit(tpl(safe))
+	for range 20 {
+		r.core.answer(j, routing.Answer{Verdict: routing.Refused})
+		r.advance(11 * time.Second)
+		r.settle()
+		if j.State.Final() {
+			t.Fatal("given up for want of room")
+		}
+	}
+}
+
 // The steps of a job, its times and what its view makes of them.
 func TestInfo(t *testing.T) {
 	r := newRig(t)
--- a/internal/batch/jobs/manager.go
+++ b/internal/batch/jobs/manager.go
@@ -106,6 +106,14 @@
 	return m
 }
 
+// Reconfigure changes what may change while the front runs: the window's bounds,
+// the longest wait of jobs to come, the events kept.
+func (m *Manager) Reconfigure(slots float64, target, longest time.Duration, events int) {
+	m.config.MostSlots, m.config.Target, m.config.LongestWait, m.config.Events = slots, target, longest, events
+	m.window.Reconfigure(window.Config{Most: slots, Target: target})
+	m.pump()
+}
+
 // Classes returns the classes that jobs may be of.
 func (m *Manager) Classes() map[string]drmaa.Class { return m.classes }
 
--- a/internal/batch/jobs/run.go
+++ b/internal/batch/jobs/run.go
@@ -13,7 +13,10 @@
 	"ospreybend/internal/slot"
 )
 
-const keptSteps = 16 // of one job; the oldest go first
+const (
+	keptSteps    = 16 // of one job; the oldest go first
+	mostFailures = 3  // operations in which a rerunnable job failed at prep workers
+)
 
 // pump sends on whose turn it is, as far as the window reaches. The store first
 // learns what may be sent: after a restart only what it does not have so never
@@ -94,6 +97,7 @@
 	}
 	j.Sent = true
 	j.tries++
+	j.failedNow = false
 	j.stage = inCore
 	t := j.Template
 	class := m.classes[t.RemoteCommand].Number
@@ -171,6 +175,7 @@
 	if j == nil {
 		return
 	}
+	j.failedNow = j.failedNow || how == balance.Errored
 	if s := m.out(j, to); s != nil {
 		s.EndedAt, s.Outcome = m.unixNow(), outcomes[how]
 	}
@@ -212,6 +217,15 @@
 // refused has a job wait anew. To try again is harmless, and a batch job has
 // until its deadline; where the time to come back lies past that, it has ended.
 func (m *Manager) refused(j *Job, advice time.Duration) {
+	if j.failedNow {
+		// Not for want of room: prep workers ran it and it failed there.
+		j.failures++
+		if again := j.Template.Rerunnable != nil && *j.Template.Rerunnable; !again || j.failures >= mostFailures {
+			j.ExitStatus = 1
+			m.end(j, drmaa.Failed, "the job failed at every prep worker that ran it", true)
+			return
+		}
+	}
 	own := min(leastReturn<<min(j.refusals, 10), mostReturn)
 	j.refusals++
 	j.after = max(advice, own)
@@ -273,7 +287,11 @@
 	j.Record, j.next = *j.next, nil
 	j.State = was
 	m.turn(j, state)
-	slog.Debug("batch job ended", "id", j.ID, "tenant", j.Tenant, "state", j.State, "reason", j.Reason,
+	level := slog.LevelDebug
+	if state == drmaa.Failed {
+		level = slog.LevelInfo
+	}
+	slog.Log(context.Background(), level, "batch job ended", "id", j.ID, "tenant", j.Tenant, "state", j.State, "reason", j.Reason,
 		"may_have_run", j.MayHaveRun)
 	m.release(j)
 	m.fire(j)
--- a/internal/batch/window/window.go
+++ b/internal/batch/window/window.go
@@ -62,6 +62,12 @@
 	return w
 }
 
+// Reconfigure changes the window's bounds while it is in use.
+func (w *Window) Reconfigure(c Config) {
+	w.config = c
+	w.bound()
+}
+
 // Take takes slots for a job, and tells whether there were any. Whatever its
 // size, a job may go while no other is in.
 func (w *Window) Take(now time.Duration, slots float64) bool {
--- a/internal/config/batch.go
+++ b/internal/config/batch.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -14,6 +15,10 @@
 	batchSockets = 64
 	adminSockets = 32
 	storeSockets = 16 // the store's files or connections
+
+	targetMS     = 20
+	longestWaitS = 7 * 24 * 3600
+	eventsKept   = 16384
 )
 
 // Batch is what the batch front is told. Where Enabled is false nothing of it
@@ -27,9 +32,29 @@
 	AdminListen string `toml:"admin_listen"`
 	AdminToken  string `toml:"admin_token_sha256"`
 
+	Slots       int `toml:"slots"`          // of its jobs in the core at once, at most; 0: half of the destinations' descriptors
+	Target      int `toml:"target_ms"`      // queueing delay that the window aims at
+	LongestWait int `toml:"longest_wait_s"` // of a job without a deadline
+	Events      int `toml:"events"`         // kept for each tenant
+
 	AdminSockets int `toml:"-"`
 }
 
+// NeedRestart returns the keys that differ from those of a later reading and
+// take effect at the next start alone.
+func (b Batch) NeedRestart(later Batch) (keys []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{{"enabled", b.Enabled == later.Enabled}, {"listen", b.Listen == later.Listen}, {"sockets", b.Sockets == later.Sockets},
+		{"store", b.Store == later.Store}, {"source", b.Source == later.Source}, {"admin_listen", b.AdminListen == later.AdminListen}} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 // LoadBatch reads the batch front's file: the one that OSPREYBEND_BATCH names,
 // else deploy/batch.toml. Without a file the front is off.
 func LoadBatch(env func(string) string) (Batch, error) {
@@ -50,7 +75,7 @@
 
 // ParseBatch reads and checks the file's text.
 func ParseBatch(text string) (Batch, error) {
-	b := Batch{Sockets: batchSockets, AdminSockets: adminSockets}
+	b := Batch{Sockets: batchSockets, AdminSockets: adminSockets, Target: targetMS, LongestWait: longestWaitS, Events: eventsKept}
 	meta, err := toml.Decode(text, &b)
 	if err != nil {
 		return Batch{}, err
@@ -71,6 +96,14 @@
 		return Batch{}, fmt.Errorf("store: %q is neither sqlite nor postgres", b.Store)
 	case b.Source == "":
 		return Batch{}, errors.New("source: missing")
+	case b.Slots < 0 || b.Slots > 4096:
+		return Batch{}, fmt.Errorf("slots: %d, not from 0 to 4096", b.Slots)
+	case b.Target < 1 || b.Target > 10_000:
+		return Batch{}, fmt.Errorf("target_ms: %d, not from 1 to 10000", b.Target)
+	case b.LongestWait < 1 || b.LongestWait > 366*24*3600:
+		return Batch{}, fmt.Errorf("longest_wait_s: %d, not from 1 to a year's", b.LongestWait)
+	case b.Events < 16 || b.Events > 1<<20:
+		return Batch{}, fmt.Errorf("events: %d, not from 16 to %d", b.Events, 1<<20)
 	}
 	if b.AdminListen == "" {
 		return b, nil
@@ -78,7 +111,7 @@
 	if err := address("admin_listen", b.AdminListen); err != nil {
 		return Batch{}, err
 	}
-	if len(b.AdminToken) != 64 {
+	if _, err := hex.DecodeString(b.AdminToken); err != nil || len(b.AdminToken) != 64 {
 		return Batch{}, errors.New("admin_token_sha256: wants the 64 hexadecimal digits of the token's SHA-256")
 	}
 	return b, nil
--- /dev/null
+++ b/internal/conform/conform.go
@@ -0,0 +1,245 @@
+// Package conform holds a server against the batch front's binding
+// (docs/BATCH.md), clause by clause. Each case is named and has the text of what
+// it demands, with its source: a clause of GFD.194 (DRMAA version 2) or of the
+// binding.
+package conform
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+)
+
+// Config is the server and who asks.
+type Config struct {
+	URL, Token string
+	Only       string        // cases whose name contains it; empty: all
+	Within     time.Duration // of one case
+}
+
+// Result is what came of a case.
+type Result struct {
+	Name   string  `json:"name"`
+	Source string  `json:"source"`
+	Demand string  `json:"demand"`
+	Passed bool    `json:"passed"`
+	Fault  string  `json:"fault,omitempty"`
+	Millis float64 `json:"ms"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Server  string   `json:"server"`
+	Passed  int      `json:"passed"`
+	Failed  int      `json:"failed"`
+	Results []Result `json:"results"`
+}
+
+type kase struct {
+	name, source, demand string
+	run                  func(*trial)
+}
+
+// trial is one case under way.
+type trial struct {
+	ctx     context.Context
+	config  Config
+	client  *client.Client
+	session *client.Session
+	class   string // one of the server's
+	once    string // one whose jobs must not run twice; empty: none
+}
+
+// fault is how a case ends early.
+type fault struct{ text string }
+
+func (t *trial) fail(format string, a ...any) { panic(fault{fmt.Sprintf(format, a...)}) }
+
+func (t *trial) must(err error) {
+	if err != nil {
+		t.fail("%v", err)
+	}
+}
+
+// Run plays the cases, each in a session of its own, which it destroys.
+func Run(ctx context.Context, c Config, each func(Result)) (*Report, error) {
+	if c.Within == 0 {
+		c.Within = 30 * time.Second
+	}
+	cl, err := client.New(c.URL, c.Token, client.WithTries(3))
+	if err != nil {
+		return nil, err
+	}
+	first := trial{config: c, client: cl}
+	m, err := cl.Manager(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("the server does not answer as this binding's: %w", err)
+	}
+	if len(m.Categories) == 0 {
+		return nil, errors.New("the server names no class (jobCategories)")
+	}
+	first.class = m.Categories[0]
+	queues, err := cl.Queues(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, q := range queues {
+		if q.Once {
+			first.once = q.Name
+		} else {
+			first.class = q.Name
+		}
+	}
+	report := &Report{Server: m.DrmsName + " " + m.DrmsVersion}
+	for _, k := range cases() {
+		if ctx.Err() != nil {
+			return report, ctx.Err()
+		}
+		if !strings.Contains(k.name, c.Only) {
+			continue
+		}
+		r := play(ctx, first, k)
+		if r.Passed {
+			report.Passed++
+		} else {
+			report.Failed++
+		}
+		report.Results = append(report.Results, r)
+		each(r)
+	}
+	return report, nil
+}
+
+func play(ctx context.Context, t trial, k kase) (r Result) {
+	r = Result{Name: k.name, Source: k.source, Demand: k.demand}
+	ctx, cancel := context.WithTimeout(ctx, t.config.Within)
+	defer cancel()
+	t.ctx = ctx
+	started := time.Now()
+	defer func() {
+		r.Millis = float64(time.Since(started).Microseconds()) / 1000
+		switch v := recover().(type) {
+		case nil:
+			r.Passed = true
+		case fault:
+			r.Fault = v.text
+		default:
+			panic(v)
+		}
+	}()
+	s, err := t.client.CreateSession(ctx, "conform-"+strings.ToLower(rand.Text()[:10]))
+	t.must(err)
+	t.session = s
+	defer func() {
+		away, cancel := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
+		defer cancel()
+		_ = s.Destroy(away) // a case may have done so itself
+	}()
+	k.run(&t)
+	return r
+}
+
+// answer is an answer as it came.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	fault  drmaa.Error
+}
+
+// call makes one call as it is, without the client's care.
+func (t *trial) call(method, path, body string) answer {
+	return t.callAs(t.config.Token, method, path, body)
+}
+
+func (t *trial) callAs(token, method, path, body string) answer {
+	r, err := http.NewRequestWithContext(t.ctx, method, t.config.URL+"/drmaa/v2"+path, bytes.NewReader([]byte(body)))
+	t.must(err)
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	got, err := http.DefaultClient.Do(r)
+	t.must(err)
+	defer got.Body.Close()
+	text, err := io.ReadAll(got.Body)
+	t.must(err)
+	a := answer{status: got.StatusCode, header: got.Header, body: text}
+	if a.status >= 400 {
+		if err := json.Unmarshal(text, &a.fault); err != nil || a.fault.Name == "" || a.fault.Message == "" {
+			t.fail("%s %s: status %d without an error of the binding's: %q", method, path, a.status, text)
+		}
+	}
+	return a
+}
+
+// refused demands an error; attribute may be empty.
+func (t *trial) refused(a answer, status int, name drmaa.Name, attribute string) {
+	switch {
+	case a.status != status || a.fault.Name != name:
+		t.fail("status %d %s, not %d %s: %s", a.status, a.fault.Name, status, name, a.body)
+	case attribute != "" && a.fault.Attribute != attribute:
+		t.fail("the error names the attribute %q, not %q", a.fault.Attribute, attribute)
+	}
+}
+
+// ruledOut demands an error from the client.
+func (t *trial) ruledOut(err error, name drmaa.Name) {
+	if !errors.Is(err, &drmaa.Error{Name: name}) {
+		t.fail("%v, not %s", err, name)
+	}
+}
+
+// path is of the case's session.
+func (t *trial) path(rest string) string { return "/sessions/" + t.session.Name + rest }
+
+// held submits a job that waits for its release.
+func (t *trial) held() *drmaa.Job { return t.run(drmaa.JobTemplate{SubmitAsHold: true}) }
+
+func (t *trial) run(template drmaa.JobTemplate) *drmaa.Job {
+	if template.RemoteCommand == "" {
+		template.RemoteCommand = t.class
+	}
+	j, err := t.session.Run(t.ctx, template)
+	t.must(err)
+	return j
+}
+
+func (t *trial) bulk(n, parallel int) *drmaa.Array {
+	a, err := t.session.RunBulk(t.ctx, drmaa.Bulk{Template: &drmaa.JobTemplate{RemoteCommand: t.class, SubmitAsHold: true},
+		Begin: 1, End: n, MaxParallel: parallel})
+	t.must(err)
+	return a
+}
+
+func (t *trial) state(id string, want ...drmaa.State) *drmaa.Job {
+	j, err := t.session.Job(t.ctx, id)
+	t.must(err)
+	if !slices.Contains(want, j.State) {
+		t.fail("job %s is %s (%s), not %v", id, j.State, j.SubState, want)
+	}
+	return j
+}
+
+// template writes a template with one attribute more.
+func (t *trial) template(attribute, value string) string {
+	return fmt.Sprintf(`{"remoteCommand":%q,"submitAsHold":true,%q:%s}`, t.class, attribute, value)
+}
+
+// read reads an answer that must be no error.
+func (t *trial) read(a answer, into any) {
+	if a.status >= 300 {
+		t.fail("status %d: %s", a.status, a.body)
+	}
+	t.must(json.Unmarshal(a.body, into))
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Endpoint is a worker as discovery lists it.
+type Endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"type"`
+	Cell    int     `json:"group"`
+	State   string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS float64 `json:"since_ms"`
+}
+
+// Discovery is the pool config: a list that nodes ask for and watch.
+type Discovery struct {
+	mu      sync.Mutex
+	list    []Endpoint
+	index   uint64
+	changed chan struct{}
+	away    bool
+	server  *http.Server
+	address string
+}
+
+// NewDiscovery starts discovery with an empty list.
+func NewDiscovery() (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Discovery{changed: make(chan struct{}), address: l.Addr().String()}
+	d.server = &http.Server{Handler: http.HandlerFunc(d.serve)}
+	go func() { _ = d.server.Serve(l) }()
+	return d, nil
+}
+
+// Address is where discovery listens.
+func (d *Discovery) Address() string { return d.address }
+
+// Set gives the list another content. Who watches it is told.
+func (d *Discovery) Set(list []Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = list
+	d.index++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Away has discovery answer nothing but 503 from now on, or as usual again.
+func (d *Discovery) Away(away bool) { d.mu.Lock(); d.away = away; d.mu.Unlock() }
+
+// Stop ends discovery.
+func (d *Discovery) Stop() { _ = d.server.Close() }
+
+func (d *Discovery) serve(out http.ResponseWriter, in *http.Request) {
+	from, _ := strconv.ParseUint(in.FormValue("from"), 10, 64)
+	hold, _ := strconv.Atoi(in.FormValue("hold_ms"))
+	d.mu.Lock()
+	index, changed, away := d.index, d.changed, d.away
+	d.mu.Unlock()
+	if away {
+		http.Error(out, "away", http.StatusServiceUnavailable)
+		return
+	}
+	if from == index && hold > 0 {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(hold) * time.Millisecond):
+		case <-in.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if from == d.index && hold > 0 {
+		_ = json.NewEncoder(out).Encode(map[string]any{"index": d.index, "snapshot": false, "endpoints": []Endpoint{}})
+		return
+	}
+	_ = json.NewEncoder(out).Encode(map[string]any{"index": d.index, "snapshot": true, "endpoints": d.list})
+}
+
+// Fleet is some workers and discovery that lists them.
+type Fleet struct {
+	Discovery *Discovery
+	Workers   []*Worker
+	Zone      string
+	Kind      string
+	draining  map[string]bool
+}
+
+// NewFleet starts n workers of some slots, named w-1 and so on, and discovery.
+func NewFleet(zone, kind string, n, slots int, script Script) (*Fleet, error) {
+	d, err := NewDiscovery()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Discovery: d, Zone: zone, Kind: kind, draining: map[string]bool{}}
+	for i := range n {
+		w := NewWorker("w-"+strconv.Itoa(i+1), slots, script)
+		if err := w.Start(); err != nil {
+			f.Stop()
+			return nil, err
+		}
+		f.Workers = append(f.Workers, w)
+	}
+	f.List()
+	return f, nil
+}
+
+// List has discovery tell the workers as they are.
+func (f *Fleet) List() {
+	var list []Endpoint
+	for _, w := range f.Workers {
+		state := "Ready"
+		if f.draining[w.Name] {
+			state = "Draining"
+		}
+		list = append(list, Endpoint{Name: w.Name, Address: w.Address(), Zone: f.Zone, Kind: f.Kind, State: state, Weight: 1})
+	}
+	f.Discovery.Set(list)
+}
+
+// Drain has discovery list a worker as draining, or as ready again.
+func (f *Fleet) Drain(w *Worker, on bool) {
+	f.draining[w.Name] = on
+	f.List()
+}
+
+// Begun returns how often each job was begun, over all workers.
+func (f *Fleet) Begun() map[string]int {
+	out := map[string]int{}
+	for _, w := range f.Workers {
+		for id, n := range w.Begun() {
+			out[id] += n
+		}
+	}
+	return out
+}
+
+// Stop ends all of it.
+func (f *Fleet) Stop() {
+	for _, w := range f.Workers {
+		w.Vanish()
+	}
+	f.Discovery.Stop()
+}
+
+// Until waits until something is so, for at most the given time.
+func Until(ctx context.Context, within time.Duration, f func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			return errors.New("what was waited for has not come in time")
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return nil
+}
