--- /dev/null
+++ b/cmd/ospreybend/child.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"ospreybend/drmaa/client"
+	"ospreybend/internal/standin"
+)
+
+// child is a node in a process of its own, for measurements and kills.
+type child struct {
+	cmd      *exec.Cmd
+	dir      string
+	platform string
+	batch    string
+	admin    *client.Admin
+}
+
+// files writes a node's files into dir. extra is further lines of the batch
+// front's.
+func childFiles(dir, discovery, extra string) (*child, error) {
+	var at [3]string
+	for i := range at {
+		var err error
+		if at[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	text, err := demoText(at[0], discovery)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256([]byte(demoAdmin))
+	batch := fmt.Sprintf("enabled = true\nlisten = %q\nstore = \"sqlite\"\nsource = %q\nadmin_listen = %q\nadmin_token_sha256 = %q\n%s",
+		at[1], filepath.Join(dir, "batch.db"), at[2], hex.EncodeToString(sum[:]), extra)
+	c := &child{dir: dir, platform: "http://" + at[0], batch: "http://" + at[1]}
+	if c.admin, err = client.NewAdmin("http://"+at[2], demoAdmin); err != nil {
+		return nil, err
+	}
+	return c, errors.Join(os.WriteFile(filepath.Join(dir, "node.json"), text, 0o600),
+		os.WriteFile(filepath.Join(dir, "batch.toml"), []byte(batch), 0o600))
+}
+
+// start starts the process and waits until it serves.
+func (c *child) start(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	c.cmd = exec.Command(self, "serve")
+	c.cmd.Env = append(os.Environ(), childMark+"=1", "BALANCER_CONFIG="+filepath.Join(c.dir, "node.json"),
+		"OSPREYBEND_BATCH="+filepath.Join(c.dir, "batch.toml"))
+	log, err := os.OpenFile(filepath.Join(c.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c.cmd.Stderr = log
+	if err := c.cmd.Start(); err != nil {
+		return err
+	}
+	return standin.Until(ctx, demoReady, func() bool {
+		answer, err := http.Get(c.platform + "/healthz")
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	})
+}
+
+// childMark tells a test binary that it is to be the program.
+const childMark = "OSPREYBEND_CHILD"
+
+// kill ends the process without a word.
+func (c *child) kill() error {
+	if c.cmd == nil {
+		return nil
+	}
+	err := c.cmd.Process.Kill()
+	_ = c.cmd.Wait()
+	c.cmd = nil
+	return err
+}
+
+// leave ends the process in good order.
+func (c *child) leave() error {
+	if c.cmd == nil {
+		return nil
+	}
+	if err := c.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	err := c.cmd.Wait()
+	c.cmd = nil
+	return err
+}
+
+const ticks = 100 // of /proc's clock in a second, on all of Linux's architectures that Go has
+
+// cpu is the processor time that the process has used.
+func (c *child) cpu() time.Duration {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(c.cmd.Process.Pid) + "/stat")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / ticks
+}
+
+// memory is the most memory that the process has had, in KiB, since its start.
+func (c *child) memory() (now, most int) {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(c.cmd.Process.Pid) + "/status")
+	if err != nil {
+		return 0, 0
+	}
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		switch f[0] {
+		case "VmHWM:":
+			most, _ = strconv.Atoi(f[1])
+		case "VmRSS:":
+			now, _ = strconv.Atoi(f[1])
+		}
+	}
+	return now, most
+}
+
+// tenant makes a tenant with a session.
+func (c *child) tenant(ctx context.Context, name string, quota int) (*client.Session, error) {
+	t, err := c.admin.Create(ctx, name, quota)
+	if err != nil {
+		return nil, err
+	}
+	cl, err := client.New(c.batch, t.Token)
+	if err != nil {
+		return nil, err
+	}
+	return cl.CreateSession(ctx, "default")
+}
--- a/cmd/ospreybend/cli.go
+++ b/cmd/ospreybend/cli.go
@@ -27,6 +27,7 @@
 	Config  configCmd   `cmd:"" help:"Check configuration files."`
 	Demo    demoCmd     `cmd:"" help:"Run a node with stand-ins on loopback and show some jobs."`
 	Conform conformCmd  `cmd:"" help:"Hold a server against the binding, clause by clause."`
+	Measure measureCmd  `cmd:"" help:"Measure a node among stand-ins on loopback."`
 	Version versionCmd  `cmd:"" help:"Show the version."`
 }
 
--- a/cmd/ospreybend/demo.go
+++ b/cmd/ospreybend/demo.go
@@ -32,12 +32,12 @@
 	demoWithin         = time.Minute
 )
 
-// demoConfig is a node's configuration for demonstrations and measurements.
-func demoConfig(listen, discovery string) (*config.Node, error) {
+// demoText is a node's configuration for demonstrations and measurements.
+func demoText(listen, discovery string) ([]byte, error) {
 	class := func(name string, target, giveUp int, points float64, repeat string) map[string]any {
 		return map[string]any{"name": name, "targetUs": target, "giveUpUs": giveUp, "points": points, "repeat": repeat}
 	}
-	text, err := json.Marshal(map[string]any{
+	return json.Marshal(map[string]any{
 		"name": "demo", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 512, "sockets": 1024},
 		"known":  map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
@@ -50,10 +50,6 @@
 			"rules": map[string]any{"answerSlackUs": 8000, "askWithinUs": 10000000, "drainGraceUs": 300000, "coldFrom": 1.0},
 			"grades": []any{class("modell-pruefen", 400000, 5000000, 5, "read_like"), class("vorschau", 1000000, 20000000, 2, "read_like"),
 				class("auftrag-buchen", 800000, 25000000, 8, "non_idempotent")}}})
-	if err != nil {
-		return nil, err
-	}
-	return config.Parse(text, func(string) string { return "" })
 }
 
 // freeAddress finds a loopback address that nothing listens at.
@@ -85,7 +81,11 @@
 			return nil, err
 		}
 	}
-	cfg, err := demoConfig(at[0], fleet.Discovery.Address())
+	text, err := demoText(at[0], fleet.Discovery.Address())
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := config.Parse(text, func(string) string { return "" })
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/cmd/ospreybend/kill_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+	"ospreybend/internal/standin"
+)
+
+// TestMain makes the test binary the program itself, for tests that kill one.
+func TestMain(m *testing.M) {
+	if os.Getenv(childMark) != "" {
+		os.Exit(command(catch(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// A node killed in the middle of a bulk has all of it on record or nothing, and
+// the same submission, made again, is one array whose bookings begin once.
+func TestKilledInABulk(t *testing.T) {
+	fleet, err := standin.NewFleet(demoZone, demoKind, 2, 16, standin.For(time.Millisecond))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Stop)
+	n, err := childFiles(t.TempDir(), fleet.Discovery.Address(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.kill() })
+	if err := n.start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	made, err := n.admin.Create(t.Context(), "anna", 100_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := client.New(n.batch, made.Token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := c.CreateSession(t.Context(), "default")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const jobs = 3000
+	recorded := 0
+	for round := range 6 {
+		b := drmaa.Bulk{Begin: 1, End: jobs, Template: &drmaa.JobTemplate{RemoteCommand: "auftrag-buchen", SubmitAsHold: true,
+			ClientKey: "bulk " + string(rune('a'+round))}}
+		ctx, stop := context.WithCancel(t.Context())
+		answered := make(chan error, 1)
+		go func() { _, err := s.RunBulk(ctx, b); answered <- err }()
+		time.Sleep(time.Duration(5+round*12) * time.Millisecond)
+		if err := n.kill(); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		<-answered
+		if err := n.start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		got := 0
+		for _, err := range s.Jobs(t.Context(), drmaa.Filter{States: []drmaa.State{drmaa.QueuedHeld}}) {
+			if err != nil {
+				t.Fatal(err)
+			}
+			got++
+		}
+		if got != recorded && got != recorded+jobs {
+			t.Fatalf("round %d: %d jobs of a bulk of %d are on record", round, got-recorded, jobs)
+		}
+		t.Logf("round %d: killed with %d of the bulk on record", round, got-recorded)
+		a, err := s.RunBulk(t.Context(), b)
+		if err != nil || a.Jobs != jobs {
+			t.Fatal(a, err)
+		}
+		recorded += jobs
+	}
+	// One booking of the last bulk, released, begins once.
+	if err := s.Act(t.Context(), firstID(t, s), "release"); err != nil {
+		t.Fatal(err)
+	}
+	j, err := s.WaitAny(t.Context(), client.Terminated, "")
+	if err != nil || j.State != drmaa.Done || fleet.Begun()[j.ID] != 1 {
+		t.Errorf("%+v, begun %d times, %v", j, fleet.Begun()[j.ID], err)
+	}
+}
+
+func firstID(t *testing.T, s *client.Session) string {
+	for j, err := range s.Jobs(t.Context(), drmaa.Filter{}) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		return j.ID
+	}
+	t.Fatal("no job")
+	return ""
+}
--- /dev/null
+++ b/cmd/ospreybend/measure.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	_ "modernc.org/sqlite"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+	"ospreybend/internal/cli"
+	"ospreybend/internal/load"
+	"ospreybend/internal/standin"
+)
+
+// measureCmd is the measurements: a node in a process of its own among stand-ins
+// in this one, on loopback.
+type measureCmd struct {
+	Backlog measureBacklog `cmd:"" help:"What a backlog of batch jobs costs the platform's requests."`
+	Submit  measureSubmit  `cmd:"" help:"Submissions a second beside a bare loop of SQLite commits, and a bulk."`
+}
+
+// measureBacklog plays phases without and with a backlog in turn.
+type measureBacklog struct {
+	Jobs    int           `help:"Jobs of the backlog." default:"10000"`
+	Workers int           `default:"8"`
+	Slots   int           `help:"Of a worker." default:"4"`
+	Request time.Duration `help:"What a platform request takes." default:"100ms"`
+	JobRun  time.Duration `help:"Of a batch job." default:"200ms"`
+	Load    float64       `help:"Of the platform's requests on the slots." default:"0.5"`
+	For     time.Duration `help:"Of a phase." default:"15s"`
+	Pairs   int           `default:"3"`
+	Extra   string        `help:"Further lines of the batch front's file."`
+}
+
+// phase is what one phase showed.
+type phase struct {
+	Backlog bool    `json:"backlog"`
+	Sent    int     `json:"sent"`
+	Service float64 `json:"service"`
+	Refused int     `json:"refused"`
+	Other   int     `json:"failedOrBroken"`
+	P50     float64 `json:"p50ms"`
+	P99     float64 `json:"p99ms"`
+	P999    float64 `json:"p999ms"`
+	CPU     float64 `json:"cpuMicrosPerRequest"` // of the whole node, batch jobs included
+	Jobs    int     `json:"jobsDone"`
+	Busy    float64 `json:"slotsInUse"`
+	Window  float64 `json:"window"`
+
+	cpu time.Duration
+}
+
+// Run measures.
+func (c *measureBacklog) Run(e *cli.Env) error {
+	dir, err := os.MkdirTemp("", "ospreybend-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := standin.NewFleet(demoZone, demoKind, c.Workers, c.Slots, func(j standin.Job) standin.Act {
+		if j.Class == "vorschau" {
+			return standin.Act{Run: c.JobRun}
+		}
+		return standin.Act{Run: c.Request}
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	n, err := childFiles(dir, fleet.Discovery.Address(), c.Extra)
+	if err != nil {
+		return err
+	}
+	if err := n.start(e.Ctx); err != nil {
+		return err
+	}
+	defer func() { _ = n.leave() }()
+	s, err := n.tenant(e.Ctx, "backlog", 4*c.Jobs)
+	if err != nil {
+		return err
+	}
+	if _, err := c.phase(e.Ctx, n, fleet, s, 0, false); err != nil { // the module learns the classes first
+		return err
+	}
+	var all []phase
+	for i := range 2 * c.Pairs {
+		// Without and with, then with and without, so that a drift favours neither.
+		p, err := c.phase(e.Ctx, n, fleet, s, uint64(1+i/2), (i%2 == 1) != (i/2%2 == 1))
+		if err != nil {
+			return err
+		}
+		all = append(all, p)
+	}
+	return e.Show(all, func(w io.Writer) {
+		fmt.Fprintln(w, "BACKLOG\tSENT\tSERVICE\tREFUSED\tOTHER\tP50\tP99\tP99.9\tCPU us/REQUEST\tJOBS DONE\tSLOTS IN USE\tWINDOW")
+		for _, p := range all {
+			fmt.Fprintf(w, "%v\t%d\t%.4f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.0f\t%d\t%.2f\t%.1f\n", p.Backlog, p.Sent, p.Service, p.Refused, p.Other, p.P50,
+				p.P99, p.P999, p.CPU, p.Jobs, p.Busy, p.Window)
+		}
+		mean := func(backlog bool, f func(phase) float64) (sum float64) {
+			for _, p := range all {
+				if p.Backlog == backlog {
+					sum += f(p) / float64(c.Pairs)
+				}
+			}
+			return sum
+		}
+		service := func(p phase) float64 { return p.Service }
+		fmt.Fprintf(w, "\nservice without %.4f, with %.4f: ratio %.4f\n", mean(false, service), mean(true, service), mean(true, service)/mean(false, service))
+		cpu := func(p phase) float64 { return float64(p.cpu.Microseconds()) }
+		jobs := mean(true, func(p phase) float64 { return float64(p.Jobs) })
+		fmt.Fprintf(w, "node's CPU for a batch job: %.0f us\n", (mean(true, cpu)-mean(false, cpu))/max(jobs, 1))
+	})
+}
+
+func (c *measureBacklog) phase(ctx context.Context, n *child, fleet *standin.Fleet, s *client.Session, seed uint64, backlog bool) (p phase, err error) {
+	var array *drmaa.Array
+	if backlog {
+		array, err = s.RunBulk(ctx, drmaa.Bulk{Begin: 1, End: c.Jobs, Template: &drmaa.JobTemplate{RemoteCommand: "vorschau", Input: "preview"}})
+		if err != nil {
+			return p, err
+		}
+	}
+	busy := func() (sum time.Duration, served int) {
+		for _, w := range fleet.Workers {
+			_, k, b := w.Totals()
+			sum, served = sum+b, served+k
+		}
+		return sum, served
+	}
+	slots := float64(c.Workers * c.Slots)
+	cpu, busyBefore, servedBefore, began := n.cpu(), time.Duration(0), 0, time.Now()
+	busyBefore, servedBefore = busy()
+	got := load.Run(ctx, load.Config{URL: n.platform, Rate: c.Load * slots / c.Request.Seconds(), For: c.For, Seed: seed,
+		Prefix: strconv.FormatUint(seed, 10) + strconv.FormatBool(backlog) + "-",
+		Classes: []load.Class{{Name: "modell-pruefen", Share: 0.8, Target: 400 * time.Millisecond, Within: 5 * time.Second},
+			{Name: "auftrag-buchen", Share: 0.2, Target: 800 * time.Millisecond, Within: 25 * time.Second}}})
+	took := time.Since(began)
+	p = phase{Backlog: backlog, Sent: got.Sent, Service: got.Service(), Refused: got.Refused, Other: got.Failed + got.Broken, cpu: n.cpu() - cpu}
+	p.P50, p.P99, p.P999 = ms(got.Percentile(50)), ms(got.Percentile(99)), ms(got.Percentile(99.9))
+	p.CPU = float64(p.cpu.Microseconds()) / float64(max(got.Sent, 1))
+	busyAfter, served := busy()
+	p.Busy = (busyAfter - busyBefore).Seconds() / took.Seconds() / slots
+	p.Jobs = served - servedBefore - got.Served
+	if q, err := n.admin.Queue(ctx); err == nil {
+		p.Window = q.Window.Slots
+	}
+	if array != nil {
+		if _, err := s.ActOnArray(ctx, array.ID, "terminate"); err != nil {
+			return p, err
+		}
+		if _, err := s.WaitArray(ctx, array.ID); err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// measureSubmit measures submissions.
+type measureSubmit struct {
+	Clients int           `help:"That submit at once." default:"32"`
+	For     time.Duration `default:"5s"`
+	Bulk    int           `help:"Jobs of the bulk." default:"10000"`
+}
+
+type rate struct {
+	Name   string  `json:"name"`
+	Second float64 `json:"perSecond"`
+	P50    float64 `json:"p50ms"`
+	P99    float64 `json:"p99ms"`
+}
+
+// repeat calls f from some goroutines for a while.
+func repeat(name string, clients int, span time.Duration, f func(i int) error) (rate, error) {
+	h := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var fault error
+	began := time.Now()
+	for k := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := k; time.Since(began) < span; i += clients {
+				at := time.Now()
+				err := f(i)
+				mu.Lock()
+				fault = errors.Join(fault, err)
+				_ = h.RecordValue(time.Since(at).Microseconds())
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+	all.Wait()
+	took := time.Since(began).Seconds()
+	return rate{name, float64(h.TotalCount()) / took, float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(99)) / 1000}, fault
+}
+
+// Run measures.
+func (c *measureSubmit) Run(e *cli.Env) error {
+	dir, err := os.MkdirTemp("", "ospreybend-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := standin.NewFleet(demoZone, demoKind, 2, 4, standin.For(time.Millisecond))
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	n, err := childFiles(dir, fleet.Discovery.Address(), "sockets = 128\n")
+	if err != nil {
+		return err
+	}
+	if err := n.start(e.Ctx); err != nil {
+		return err
+	}
+	defer func() { _ = n.leave() }()
+	s, err := n.tenant(e.Ctx, "submit", 1_000_000)
+	if err != nil {
+		return err
+	}
+	db, err := sql.Open("sqlite", "file:"+filepath.Join(dir, "bare.db")+"?_pragma=journal_mode(WAL)&_pragma=synchronous(FULL)")
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	db.SetMaxOpenConns(1)
+	if _, err := db.Exec(`CREATE TABLE t (id INTEGER PRIMARY KEY, body TEXT)`); err != nil {
+		return err
+	}
+	body := string(slices.Repeat([]byte("x"), 600)) // about what a job's row takes
+	bare := func(int) error { _, err := db.Exec(`INSERT INTO t (body) VALUES (?)`, body); return err }
+	submit := func(int) error {
+		_, err := s.Run(e.Ctx, drmaa.JobTemplate{RemoteCommand: "vorschau", SubmitAsHold: true})
+		return err
+	}
+	var rates []rate
+	for _, m := range []struct {
+		name    string
+		clients int
+		f       func(int) error
+	}{{"bare commits, one after the other", 1, bare}, {"submissions, 1 client", 1, submit},
+		{"submissions, " + strconv.Itoa(c.Clients) + " clients", c.Clients, submit}, {"bare commits again", 1, bare}} {
+		r, err := repeat(m.name, m.clients, c.For, m.f)
+		if err != nil {
+			return err
+		}
+		rates = append(rates, r)
+	}
+	before, _ := n.memory()
+	began := time.Now()
+	a, err := s.RunBulk(e.Ctx, drmaa.Bulk{Begin: 1, End: c.Bulk, Template: &drmaa.JobTemplate{RemoteCommand: "vorschau", SubmitAsHold: true}})
+	if err != nil {
+		return err
+	}
+	took := time.Since(began)
+	after, most := n.memory()
+	out := map[string]any{"rates": rates, "bulkJobs": a.Jobs, "bulkSeconds": took.Seconds(), "memoryKiBBefore": before, "memoryKiBAfter": after, "memoryKiBMost": most}
+	return e.Show(out, func(w io.Writer) {
+		fmt.Fprintln(w, "WHAT\tA SECOND\tP50 ms\tP99 ms")
+		for _, r := range rates {
+			fmt.Fprintf(w, "%s\t%.0f\t%.2f\t%.2f\n", r.Name, r.Second, r.P50, r.P99)
+		}
+		bare := (rates[0].Second + rates[3].Second) / 2
+		fmt.Fprintf(w, "\nsubmissions to bare commits: 1 client %.2f, %d clients %.2f\n", rates[1].Second/bare, c.Clients, rates[2].Second/bare)
+		fmt.Fprintf(w, "bulk of %d: %.0f ms; the node's memory %d MiB before, %d after, %d at most\n", a.Jobs, ms(took), before>>10, after>>10, most>>10)
+	})
+}
--- a/internal/batch/binding/binding_test.go
+++ b/internal/batch/binding/binding_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -241,3 +243,101 @@
 		}
 	}
 }
+
+const (
+	arraysPath = "/drmaa/v2/sessions/s/arrays"
+	bulk       = `{"jobTemplate":{"remoteCommand":"buchen","args":["teil-$DRMAA_INDEX$"],"x_clientKey":"b1"},"beginIndex":1,"endIndex":2}`
+)
+
+// The same bulk sent at once over two connections is one array, and each of its
+// jobs runs once.
+func TestSameBulkTwiceAtOnce(t *testing.T) {
+	w := newWorld(t, "")
+	w.Play(join("a dial batch", "b dial batch", "a "+request("anna", "POST", arraysPath, bulk), "b "+request("anna", "POST", arraysPath, bulk),
+		"a expect HTTP/1.1 202", `a keep id "jobArrayId":"`, "b expect HTTP/1.1 202", `b expect "jobArrayId":"{id}"`,
+		"w accept workers", "v accept workers", "w expect POST /buchen/teil-", "v expect POST /buchen/teil-", `w expect \r\n\r\n`, `v expect \r\n\r\n`,
+		"w send {stream}{done}", "v send {stream}{done}",
+		"a "+request("anna", "POST", arraysPath+"/{id}/wait", `{"for":"allTerminated","timeout":30}`), `a expect "x_states":{"DONE":2}`,
+		"b "+request("anna", "GET", jobsPath+"/{id}.2", ""), `b expect "x_arrayIndex":2`))
+	if n := w.steps(); n != 2 {
+		t.Errorf("%d route steps", n)
+	}
+}
+
+// A client that vanishes in a wait leaves nothing behind, and finds the job when
+// it is back.
+func TestVanishesInAWait(t *testing.T) {
+	w := newWorld(t, "")
+	w.Play(join(sendBooking, "d dial batch", "d "+ended))
+	w.Until(func() bool { return w.service.Counts().Waits == 1 })
+	w.Play("d close")
+	w.Until(func() bool { return w.service.Counts().Waits == 0 })
+	w.Play(join("w send {stream}{started}{done}", "e dial batch", "e "+ended, `e expect "jobState":"DONE"`, `e expect "result":"fine"`))
+}
+
+// A held job's whole way over the wire, with its events on a stream.
+func TestHeldAndStreamed(t *testing.T) {
+	w := newWorld(t, "")
+	control := func(action string) string {
+		return "c " + request("anna", "POST", jobsPath+"/{id}/control", `{"action":"`+action+`"}`)
+	}
+	w.Play(join("e dial batch", "e "+request("anna", "GET", "/drmaa/v2/sessions/s/events?stream=1", ""), "e expect Transfer-Encoding: chunked",
+		`e expect "events":[]`, "c dial batch", "c "+submit("anna", `{"remoteCommand":"buchen","submitAsHold":true}`),
+		`c keep id "jobId":"`, `c expect "jobState":"QUEUED_HELD"`, "wait 5ms", `e expect "jobId":"{id}","jobState":"QUEUED_HELD"`,
+		control("hold"), "c expect InvalidStateException", control("release"), "c expect HTTP/1.1 202", "wait 5ms", `e expect "jobState":"QUEUED"`,
+		"w accept workers", `w expect \r\n\r\n`, "w send {stream}{started}", "c "+begun, "c expect RUNNING",
+		"wait 5ms", `e expect "jobState":"RUNNING"`, control("hold"), "c expect HTTP/1.1 409", "w send {done}", "c "+ended, "c expect DONE",
+		"wait 5ms", `e expect "jobState":"DONE"`, "wait 11s", `e expect "events":[]`,
+		control("reap"), "c expect HTTP/1.1 204", "c "+status, "c expect HTTP/1.1 404"))
+}
+
+// A reader that takes nothing from its connection costs no more than that: the
+// stream goes on, and what it missed is told once it reads again.
+func TestSlowReaderIsTold(t *testing.T) {
+	w := worldOf(t, "", 10_000, 10)
+	w.Play(join("e dial batch", "e "+request("anna", "GET", "/drmaa/v2/sessions/s/events?stream=1", ""), `e expect "events":[]`))
+	held := `{"jobTemplate":{"remoteCommand":"buchen","submitAsHold":true},"beginIndex":1,"endIndex":400}`
+	w.Play(join("c dial batch", "c "+request("anna", "POST", arraysPath, held), "c expect HTTP/1.1 202", "wait 5ms",
+		`e expect "missed":`, `e expect "cursor":"`))
+	if got := w.Unread("e"); strings.Contains(got, `"missed":0`) {
+		t.Errorf("400 events, of which 50 are kept, came without a gap: %.200s", got)
+	}
+}
+
+// A stream ends when the tenant's token does.
+func TestStreamEndsWithTheToken(t *testing.T) {
+	w := newWorld(t, "")
+	w.Play(join("e dial batch", "e "+request("anna", "GET", "/drmaa/v2/sessions/s/events?stream=1", ""), `e expect "events":[]`,
+		"a dial admin", "a "+request(adminToken, "DELETE", "/admin/v1/tenants/anna", ""), "a expect HTTP/1.1 204",
+		"wait 11s", `e expect 0\r\n\r\n`))
+}
+
+// What the documentation says of each attribute and method is there.
+func TestDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/BATCH.md")
+	must(t, err)
+	var names []string
+	for name := range drmaa.Refused {
+		names = append(names, name)
+	}
+	for name := range drmaa.Supports() {
+		names = append(names, name)
+	}
+	for _, v := range []any{drmaa.JobTemplate{}, drmaa.Bulk{}, drmaa.Job{}, drmaa.Error{}, drmaa.Events{}} {
+		for i := range reflect.TypeOf(v).NumField() {
+			if name, _, _ := strings.Cut(reflect.TypeOf(v).Field(i).Tag.Get("json"), ","); name != "" && name != "-" {
+				names = append(names, name)
+			}
+		}
+	}
+	for _, s := range drmaa.States() {
+		if s != drmaa.Undetermined && s != drmaa.Suspended {
+			names = append(names, string(s))
+		}
+	}
+	for _, name := range names {
+		if !strings.Contains(string(page), name) {
+			t.Errorf("docs/BATCH.md says nothing of %s", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,140 @@
+// Package load sends requests to a platform front as its clients do, open-loop:
+// each is sent at its intended time, whatever became of those before, and its
+// latency counts from that time, so that a stalled server cannot hide the
+// requests that it held up (coordinated omission).
+package load
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Class is one kind of request in a mix.
+type Class struct {
+	Name   string
+	Share  float64       // of the requests
+	Target time.Duration // an answer within it is good service
+	Within time.Duration // Req-Deadline
+}
+
+// Config is a load.
+type Config struct {
+	URL     string // of the platform front
+	Rate    float64
+	For     time.Duration
+	Seed    uint64
+	Classes []Class
+	Prefix  string // of the Req-Ids
+}
+
+// Result is what became of a load.
+type Result struct {
+	Sent, Served, InTime, Refused, Failed, Broken int
+	Latency                                       *hdrhistogram.Histogram // microseconds, of served ones
+}
+
+// Service is the share of the requests that were served within their target.
+func (r *Result) Service() float64 { return float64(r.InTime) / float64(max(r.Sent, 1)) }
+
+// Percentile returns a latency.
+func (r *Result) Percentile(p float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(p)) * time.Microsecond
+}
+
+// shot is one request with its intended time.
+type shot struct {
+	at    time.Duration
+	class *Class
+	id    string
+}
+
+// plan draws the arrivals: a Poisson stream, the same for a seed.
+func (c *Config) plan() (out []shot) {
+	rng := rand.New(rand.NewPCG(c.Seed, 7))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / c.Rate * float64(time.Second))
+		if at >= c.For {
+			return out
+		}
+		pick := rng.Float64()
+		class := &c.Classes[len(c.Classes)-1]
+		for i := range c.Classes {
+			if pick -= c.Classes[i].Share; pick < 0 {
+				class = &c.Classes[i]
+				break
+			}
+		}
+		out = append(out, shot{at, class, c.Prefix + strconv.Itoa(len(out))})
+	}
+}
+
+// Run sends the load and waits for all answers.
+func Run(ctx context.Context, c Config) *Result {
+	out := &Result{Latency: hdrhistogram.New(1, 120_000_000, 3)}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	start := time.Now()
+	for _, s := range c.plan() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(start.Add(s.at))):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			status := send(ctx, client, c.URL, s)
+			took := time.Since(start.Add(s.at))
+			mu.Lock()
+			defer mu.Unlock()
+			out.Sent++
+			switch {
+			case status == 200:
+				out.Served++
+				if took <= s.class.Target {
+					out.InTime++
+				}
+				_ = out.Latency.RecordValue(took.Microseconds())
+			case status == 503 || status == 429:
+				out.Refused++
+			case status == 0:
+				out.Broken++
+			default:
+				out.Failed++
+			}
+		}()
+	}
+	all.Wait()
+	return out
+}
+
+// send returns the answer's status, or 0 where there was none.
+func send(ctx context.Context, client *http.Client, url string, s shot) int {
+	in, err := http.NewRequestWithContext(ctx, "POST", url+"/"+s.class.Name, strings.NewReader("model"))
+	if err != nil {
+		return 0
+	}
+	in.Header.Set("Req-Id", s.id)
+	in.Header.Set("Req-Deadline", strconv.FormatFloat(s.class.Within.Seconds(), 'f', 3, 64))
+	answer, err := client.Do(in)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode
+}
