Give batch jobs classes without aims in the module; shut the window on refusals

Change: where the batch front is on, each class has a second one in the module's settings, with no aim short of its end and no worth; so jobs wait rather than be refused, and none is sent into a queue that a platform's request would mind. A refusal shuts the window for all that wait, from 50 ms doubling to 1.6 s until something starts, or as long as advised.

The platform, where the front is off, has its settings unchanged.

--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -24,7 +24,8 @@
 	servers []*protocol.Server
 }
 
-// startBatch opens the batch front beside the platform's, on the same core.
+// startBatch opens the batch front beside the platform's, on the same core. The
+// node's configuration has made room for it (Reserve).
 func (n *node) startBatch(cfg config.Batch) (*batchFront, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadWithin)
 	defer cancel()
@@ -46,7 +47,7 @@
 	}
 	f := &batchFront{cfg: cfg, keeper: store.NewKeeper(record, n.loop.Post)}
 	n.loop.Call(func() {
-		f.jobs = jobs.New(jobs.Config{Machine: n.cfg.Name, Classes: n.cfg.Classes, Settings: n.cfg.Settings, Name: n.to.Name,
+		f.jobs = jobs.New(jobs.Config{Machine: n.cfg.Name, Classes: n.cfg.BatchClasses, Settings: n.cfg.Settings, Name: n.to.Name,
 			MostSlots: n.batchSlots(cfg), Target: time.Duration(cfg.Target) * time.Millisecond,
 			LongestWait: time.Duration(cfg.LongestWait) * time.Second, Events: cfg.Events, Kept: jobs.DefaultKept}, n.core, f.keeper, n.loop, &n.loop.Due)
 		n.core.Show(f.jobs)
--- a/cmd/ospreybend/cli.go
+++ b/cmd/ospreybend/cli.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"runtime"
+	"runtime/pprof"
 
 	"github.com/alecthomas/kong"
 
@@ -70,10 +71,26 @@
 	return cli.ExitCode(err)
 }
 
-type serveCmd struct{}
+type serveCmd struct {
+	CPUProfile string `help:"Write a profile of the processor's time into this file." type:"path" env:"OSPREYBEND_CPU_PROFILE"`
+}
 
 // Run serves.
-func (serveCmd) Run(_ *cli.Env, caught signals) error { return serve(caught) }
+func (c *serveCmd) Run(_ *cli.Env, caught signals) error {
+	if c.CPUProfile == "" {
+		return serve(caught)
+	}
+	f, err := os.Create(c.CPUProfile)
+	if err != nil {
+		return err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	err = serve(caught)
+	pprof.StopCPUProfile()
+	return errors.Join(err, f.Close())
+}
 
 type versionCmd struct{}
 
--- a/cmd/ospreybend/main_test.go
+++ b/cmd/ospreybend/main_test.go
@@ -108,7 +108,11 @@
 	b := config.Batch{Enabled: true, Listen: scenario.Free(t), Sockets: 64, Store: "sqlite",
 		Source: filepath.Join(t.TempDir(), "x.db"), AdminListen: scenario.Free(t), AdminSockets: 32,
 		AdminToken: hex.EncodeToString(sum[:])}
-	n, err := start(exampleConfig(t))
+	cfg := exampleConfig(t)
+	if err := cfg.Reserve(b); err != nil {
+		t.Fatal(err)
+	}
+	n, err := start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/jobs/manager.go
+++ b/internal/batch/jobs/manager.go
@@ -54,7 +54,7 @@
 	finals   pen[*Job]
 	waits    int
 	faults   int  // of the program's own
-	looking  bool // for a ready destination
+	looking  bool // at the queue again at a time that is set
 	stopping bool
 	epoch    string
 	streams  map[string]*stream // by tenant
--- a/internal/batch/jobs/run.go
+++ b/internal/batch/jobs/run.go
@@ -25,9 +25,14 @@
 	if m.stopping || m.line.Len() == 0 || m.looking {
 		return
 	}
-	if !m.core.Able() {
+	now := m.clock.Now()
+	again, shut := m.window.Shut(now)
+	if !shut && !m.core.Able() {
+		again, shut = now+ableAgain, true
+	}
+	if shut {
 		m.looking = true
-		m.due.Add(m.within(ableAgain), func() {
+		m.due.Add(again, func() {
 			m.looking = false
 			m.pump()
 		})
@@ -35,7 +40,7 @@
 	}
 	for {
 		j, ok := m.line.First()
-		if !ok || !m.window.Take(m.clock.Now(), j.slots()) {
+		if !ok || !m.window.Take(now, j.slots()) {
 			return
 		}
 		m.line.Drop(j.place())
@@ -226,6 +231,7 @@
 			return
 		}
 	}
+	m.window.Refused(m.clock.Now(), advice)
 	own := min(leastReturn<<min(j.refusals, 10), mostReturn)
 	j.refusals++
 	j.after = max(advice, own)
--- a/internal/batch/window/window.go
+++ b/internal/batch/window/window.go
@@ -25,31 +25,36 @@
 }
 
 const (
-	initial   = 2.0
-	least     = 1.0
-	gain      = 1.0                    // slots that a window's worth of starts adds at most (RFC 6817: GAIN)
-	smooth    = 0.125                  // weight of the newest wait
-	baseSpan  = time.Minute            // one minimum is kept for each (RFC 6817: BASE_HISTORY)
-	baseKept  = 10                     // of these
-	calmAfter = 500 * time.Millisecond // between two halvings at least
-	staleFor  = 2 * time.Second        // a wait as old as this says nothing any more
-	idleFor   = 5 * time.Second        // a window unused for as long starts anew
+	initial     = 2.0
+	least       = 1.0
+	gain        = 1.0                    // slots that a window's worth of starts adds at most (RFC 6817: GAIN)
+	smooth      = 0.125                  // weight of the newest wait
+	baseSpan    = time.Minute            // one minimum is kept for each (RFC 6817: BASE_HISTORY)
+	baseKept    = 10                     // of these
+	calmAfter   = 500 * time.Millisecond // between two halvings at least
+	staleFor    = 2 * time.Second        // a wait as old as this says nothing any more
+	leastShut   = 50 * time.Millisecond
+	mostDoubled = 5
+	mostShut    = 2 * time.Second
+	idleFor     = 5 * time.Second // a window unused for as long starts anew
 )
 
 // Window is a number of slots. It is for one goroutine.
 type Window struct {
-	config   Config
-	size     float64
-	used     float64
-	opening  bool // growing with each start, until the first delay or loss
-	mean     float64
-	heardAt  time.Duration
-	halvedAt time.Duration
-	usedAt   time.Duration
-	base     [baseKept]time.Duration
-	baseAt   time.Duration // the span of base[0]
-	halvings uint64
-	limited  bool // something has been turned away since the last start
+	config    Config
+	size      float64
+	used      float64
+	opening   bool // growing with each start, until the first delay or loss
+	mean      float64
+	heardAt   time.Duration
+	halvedAt  time.Duration
+	usedAt    time.Duration
+	base      [baseKept]time.Duration
+	baseAt    time.Duration // the span of base[0]
+	halvings  uint64
+	refusals  int           // of ours since something of ours started
+	shutUntil time.Duration // nothing is let through before
+	limited   bool          // something has been turned away since the last start
 }
 
 // New makes a window.
@@ -76,6 +81,9 @@
 		w.size, w.opening = min(w.size, initial), true
 		w.bound()
 	}
+	if now < w.shutUntil {
+		return false
+	}
 	if w.used > 0 && w.used+slots > w.size {
 		w.limited = true
 		return false
@@ -118,7 +126,7 @@
 		w.size += gain * off / w.size
 	}
 	if ours {
-		w.limited = false
+		w.limited, w.refusals = false, 0
 	}
 	w.bound()
 }
@@ -144,6 +152,21 @@
 	return low
 }
 
+// Refused tells that the core refused an operation of ours, with its advice when
+// to return. The advice holds for all that wait: were it heeded by that job alone,
+// the next would knock in its place, and so through the whole backlog. It doubles
+// with each refusal until something of ours starts again.
+func (w *Window) Refused(now, advice time.Duration) {
+	pause := max(advice, leastShut<<min(w.refusals, mostDoubled))
+	w.refusals++
+	w.shutUntil = max(w.shutUntil, now+min(pause, mostShut))
+}
+
+// Shut tells until when nothing is let through, whatever room there is.
+func (w *Window) Shut(now time.Duration) (until time.Duration, shut bool) {
+	return w.shutUntil, now < w.shutUntil
+}
+
 // Lost tells that the core refused or failed an operation of either front.
 func (w *Window) Lost(now time.Duration) {
 	w.opening = false
--- a/internal/batch/window/window_test.go
+++ b/internal/batch/window/window_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// A refusal shuts the window for the whole backlog, longer with each, until
+// something of ours starts.
+func TestRefusalsShutIt(t *testing.T) {
+	w := New(Config{Most: 32, Target: 20 * time.Millisecond})
+	now := time.Hour
+	tries := 0
+	for end := now + time.Minute; now < end; now += time.Millisecond {
+		if w.Take(now, 1) {
+			tries++
+			w.Give(now, 1)
+			w.Refused(now, 0)
+		}
+	}
+	if tries > 45 {
+		t.Errorf("%d tries in a minute of refusals", tries)
+	}
+	now += mostShut
+	w.Take(now, 1)
+	w.Started(now, time.Millisecond, true)
+	w.Refused(now, 0)
+	if until, shut := w.Shut(now); !shut || until > now+leastShut {
+		t.Errorf("shut until %v from %v", until, now)
+	}
+	w.Refused(now, 300*time.Millisecond)
+	if until, _ := w.Shut(now); until != now+300*time.Millisecond {
+		t.Errorf("the advice is not heeded: %v", until-now)
+	}
+}
+
 // A base delay that has risen for good is taken for the base after the minutes
 // that it is kept.
 func TestBaseIsForgotten(t *testing.T) {
--- a/internal/config/batch.go
+++ b/internal/config/batch.go
@@ -117,7 +117,11 @@
 	return b, nil
 }
 
-// Reserve takes the batch front's descriptors out of the node's budget.
+// Reserve makes room for the batch front: its descriptors come out of the node's
+// budget, and each class gets a second one for batch jobs. That has no aim short
+// of its end, since no client stands waiting, and no worth, so that the module
+// sends no batch job into a queue wait that a platform's request would mind. All
+// else, above all what may be repeated, is the class's own.
 func (n *Node) Reserve(b Batch) error {
 	if !b.Enabled {
 		return nil
@@ -128,5 +132,12 @@
 	if min(n.FrontSockets, n.DestinationsSockets) < adminSockets {
 		return fmt.Errorf("limits.sockets: %d are too few with the batch front's %d", n.Sockets, 2*each)
 	}
+	n.BatchClasses = map[string]int{}
+	for _, name := range n.ClassNames {
+		c := n.Settings.Classes[n.Classes[name]]
+		c.Aim, c.Worth, c.LateWorth = c.GiveUp, 0, 0
+		n.BatchClasses[name] = len(n.Settings.Classes)
+		n.Settings.Classes = append(n.Settings.Classes, c)
+	}
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,7 @@
 
 	Classes, Tenants    map[string]int // numbers by name
 	ClassNames          []string
+	BatchClasses        map[string]int // the batch front's, by name; see Reserve
 	Zones, Kinds        []string
 	ReportFields        []string
 	FrontSockets        int
