--- a/internal/batch/jobs/model.go
+++ b/internal/batch/jobs/model.go
@@ -164,7 +164,7 @@
 
 // Defaults of Config.
 const (
-	DefaultTarget      = 20 * time.Millisecond
+	DefaultTarget      = 5 * time.Millisecond
 	DefaultLongestWait = 7 * 24 * time.Hour
 	DefaultEvents      = 16384
 	DefaultKept        = 1000
--- a/internal/config/batch.go
+++ b/internal/config/batch.go
@@ -16,7 +16,7 @@
 	adminSockets = 32
 	storeSockets = 16 // the store's files or connections
 
-	targetMS     = 20
+	targetMS     = 5
 	longestWaitS = 7 * 24 * 3600
 	eventsKept   = 16384
 )
