End a job at its third failed run instead of holding it in the core to its end

Cause: the demonstration's failing job held a slot of the window for the class's 5 s, as the module waited for a prep worker that it had not tried. Change: without rerunnable the third run that a prep worker calls failed ends the job, with false the first, with true three rounds. A test of the platform's read what the request before had left unread, and failed once in three runs of everything; mended.

--- a/cmd/ospreybend/demo.go
+++ b/cmd/ospreybend/demo.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"ospreybend/drmaa"
@@ -70,8 +71,12 @@
 	node  *node
 	batch config.Batch
 	admin *client.Admin
+	left  sync.Once
 }
 
+// leave has the node leave, once.
+func (r *rig) leave() { r.left.Do(r.node.leave) }
+
 // newRig starts one. Its store is in dir.
 func newRig(dir string, fleet *standin.Fleet, change func(*config.Batch)) (*rig, error) {
 	var at [3]string
@@ -172,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { r.node.leave(); say("\nThe node has left; all that it took is answered.") }()
+	defer func() { r.leave(); say("\nThe node has left; all that it took is answered.") }()
 	if err := r.ready(ctx); err != nil {
 		return err
 	}
--- a/cmd/ospreybend/faults_test.go
+++ b/cmd/ospreybend/faults_test.go
@@ -81,7 +81,7 @@
 	gone := r.fleet.Workers[0]
 	for range 3 {
 		came, _, _ := gone.Totals()
-		if err := standin.Until(t.Context(), demoReady, func() bool { now, _, _ := gone.Totals(); return now > came }); err != nil {
+		if err := standin.Until(t.Context(), time.Second, func() bool { now, _, _ := gone.Totals(); return now > came }); err != nil {
 			break // the arrays have ended
 		}
 		gone.Vanish()
@@ -125,7 +125,7 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
-	r.node.leave()
+	r.leave()
 	if err := <-got; !errors.Is(err, &drmaa.Error{Name: drmaa.TryLater}) {
 		t.Errorf("the wait was answered %v", err)
 	}
--- a/cmd/ospreybend/front_test.go
+++ b/cmd/ospreybend/front_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(r.node.leave)
+	t.Cleanup(r.leave)
 	if err := r.ready(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/jobs/job.go
+++ b/internal/batch/jobs/job.go
@@ -26,27 +26,28 @@
 // Job is a job at hand.
 type Job struct {
 	Record
-	owner     *TenantState
-	session   *Session
-	array     *Array
-	stage     stage
-	recorded  bool // in the store
-	ending    bool // its final state is decided, and being recorded
-	terminate bool // asked for before it was recorded
-	counted   bool // among its array's active jobs
-	loose     bool // read from the store for one call
-	op        slot.Ref
-	tries     int // operations made of it
-	refusals  int // in a row
-	failures  int // operations in which prep workers ran it and it failed
-	failedNow bool
-	notBefore time.Duration
-	wake      *due.Deadline // when it may be put in the queue
-	deadline  *due.Deadline
-	after     time.Duration // the last refusal's advice
-	entry     *entry        // while it is being recorded
-	waiters   waiters
-	next      *Record // the final state, until it is recorded
+	owner       *TenantState
+	session     *Session
+	array       *Array
+	stage       stage
+	recorded    bool // in the store
+	ending      bool // its final state is decided, and being recorded
+	terminate   bool // asked for before it was recorded
+	counted     bool // among its array's active jobs
+	loose       bool // read from the store for one call
+	op          slot.Ref
+	tries       int // operations made of it
+	refusals    int // in a row
+	failures    int // operations in which prep workers ran it and it failed
+	failedNow   bool
+	failedSteps int // of this operation
+	notBefore   time.Duration
+	wake        *due.Deadline // when it may be put in the queue
+	deadline    *due.Deadline
+	after       time.Duration // the last refusal's advice
+	entry       *entry        // while it is being recorded
+	waiters     waiters
+	next        *Record // the final state, until it is recorded
 }
 
 func (j *Job) slots() float64 { return j.Template.Slots() }
--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -386,6 +386,28 @@
 			t.Errorf("%d runs, %+v", runs, v)
 		}
 	}
+	// While the core goes on trying, the third failure ends a job, the first one
+	// that is not to be run again.
+	no := false
+	single := tpl(safe)
+	single.Rerunnable = &no
+	for _, c := range []struct {
+		t    drmaa.JobTemplate
+		runs int
+	}{{tpl(safe), 3}, {single, 1}} {
+		j := r.submit(c.t)
+		runs := 0
+		for ; !j.State.Final() && runs < 10; runs++ {
+			r.core.step(j, balance.WorkerID(runs))
+			r.core.begin(j, balance.WorkerID(runs))
+			r.core.stepDone(j, balance.WorkerID(runs), balance.Errored)
+			r.due.Run(r.now)
+			r.settle()
+		}
+		if v := r.m.View(j); runs != c.runs || v.State != drmaa.Failed || *v.ExitStatus != 1 || len(r.core.ops) != 0 {
+			t.Errorf("%d runs, %+v", runs, v)
+		}
+	}
 	j := r.submit(tpl(safe))
 	for range 20 {
 		r.core.answer(j, routing.Answer{Verdict: routing.Refused})
--- a/internal/batch/jobs/run.go
+++ b/internal/batch/jobs/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -15,7 +16,7 @@
 
 const (
 	keptSteps    = 16 // of one job; the oldest go first
-	mostFailures = 3  // operations in which a rerunnable job failed at prep workers
+	mostFailures = 3  // runs that failed of a job; of a rerunnable one, operations in which all did
 )
 
 // pump sends on whose turn it is, as far as the window reaches. The store first
@@ -102,7 +103,7 @@
 	}
 	j.Sent = true
 	j.tries++
-	j.failedNow = false
+	j.failedNow, j.failedSteps = false, 0
 	j.stage = inCore
 	t := j.Template
 	class := m.classes[t.RemoteCommand].Number
@@ -180,10 +181,39 @@
 	if j == nil {
 		return
 	}
-	j.failedNow = j.failedNow || how == balance.Errored
 	if s := m.out(j, to); s != nil {
 		s.EndedAt, s.Outcome = m.unixNow(), outcomes[how]
 	}
+	if how != balance.Errored {
+		return
+	}
+	j.failedNow = true
+	j.failedSteps++
+	if j.failedSteps < j.mostFailedSteps() {
+		return
+	}
+	// After the core's turn, which has more to tell of the step.
+	m.due.Add(m.clock.Now(), func() {
+		if j.op == op && !j.ending {
+			m.leave(j)
+			m.core.Withdraw(op)
+			j.ExitStatus = 1
+			m.end(j, drmaa.Failed, "the job failed at "+strconv.Itoa(j.failedSteps)+" prep workers that ran it", true)
+			m.pump()
+		}
+	})
+}
+
+// mostFailedSteps is how often prep workers may run the job and say that it
+// failed, while the core tries it anew, before it has FAILED.
+func (j *Job) mostFailedSteps() int {
+	switch again := j.Template.Rerunnable; {
+	case again == nil:
+		return mostFailures
+	case *again:
+		return math.MaxInt
+	}
+	return 1
 }
 
 // outcomes is the steps' outcomes in words for clients.
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -249,7 +249,7 @@
 		w.core.PoolChanged(up)
 	})
 	serve := func(conn string) string {
-		return lines(conn+" expect HTTP/1.1\r\n", conn+" send {stream}{done}", "c expect fine")
+		return lines(conn+" expect Req-Id", conn+` expect \r\n\r\n`, conn+" send {stream}{done}", "c expect fine")
 	}
 	w.Play(lines("c dial front", "c send {ask}", "s accept workers", serve("s"), "c send {book}", serve("s")))
 	w.Play(lines("c send {book}", "s expect Req-Id: b1", "s close", "c expect HTTP/1.1 502"))
