Turn new jobs away at once while the store stalls; lock a SQLite file to one node

Need: with a stalled store submissions waited up to 10 s for an answer, and two nodes started on one SQLite file would each have run its jobs.

Change: internal/batch/circuit watches the store's calls: no progress for 0.5 s, or a failure, and submissions are answered 503 with Retry-After at once; any call that succeeds closes it, one submission a second tries a store that fails and has nothing else to do. Its state shows in the log, the counts and the administration. A lock beside a SQLite file has a second node refused with the file's name.

--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -55,7 +55,7 @@
 		front := binding.New(f.jobs, n.loop, &n.loop.Due, version)
 		f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.Listen, cfg.Sockets, n.cfg.FrontMemory, front.Serve))
 		if cfg.AdminListen != "" {
-			f.admin = binding.NewAdmin(front, f.keeper, cfg.AdminToken)
+			f.admin = binding.NewAdmin(front, f.jobs.Keeper(), cfg.AdminToken)
 			f.servers = append(f.servers, protocol.NewServer(n.loop, cfg.AdminListen, cfg.AdminSockets, n.cfg.FrontMemory, f.admin.Serve))
 		}
 		for _, s := range f.servers {
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -158,7 +158,8 @@
 	if n.batch != nil {
 		b := n.batch.jobs.Counts()
 		slog.Info("batch counts", "unfinished", b.Unfinished, "queued", b.Lined, "in_core", b.InCore, "waits", b.Waits,
-			"window", b.Window.Size, "used", b.Window.Used, "queueing_s", b.Window.Delay, "halvings", b.Window.Halvings)
+			"window", b.Window.Size, "used", b.Window.Used, "queueing_s", b.Window.Delay, "halvings", b.Window.Halvings,
+			"store", b.Store, "turned_away", b.Turned)
 	}
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 }
--- a/drmaa/client/admin.go
+++ b/drmaa/client/admin.go
@@ -56,10 +56,12 @@
 
 // Queue is the batch front as it stands.
 type Queue struct {
-	Unfinished int `json:"unfinished"`
-	Queued     int `json:"queued"`
-	InCore     int `json:"inCore"`
-	Waits      int `json:"waits"`
+	Unfinished int    `json:"unfinished"`
+	Queued     int    `json:"queued"`
+	InCore     int    `json:"inCore"`
+	Waits      int    `json:"waits"`
+	Store      string `json:"store"` // well, stalled, failing
+	Turned     uint64 `json:"turnedAway"`
 	Window     struct {
 		Slots         float64 `json:"slots"`
 		Used          float64 `json:"used"`
--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -218,6 +218,7 @@
 	if got != Broken || len(r.m.jobs) != 0 || len(r.m.arrays) != 0 || r.anna().unfinished != 0 || len(r.core.ops) != 0 {
 		t.Fatalf("%v; %d jobs left", got, len(r.m.jobs))
 	}
+	r.advance(2 * time.Second) // while the store is failing new work is turned away
 	// Killed after the store has it and before it said so: all of it is there.
 	r.m.SubmitBulk(r.anna(), "s", &drmaa.Bulk{Template: &one, Begin: 1, End: 3, Step: 1}, func(_ *Array, e *drmaa.Error) {})
 	_ = r.calls[0].do(t.Context(), r.store)
@@ -277,6 +278,7 @@
 	if r.anna().sessions["y"] != nil || got[2] != Broken {
 		t.Errorf("%v", got[2])
 	}
+	r.advance(2 * time.Second) // while the store is failing new work is turned away
 	j := r.submit(tpl(once))
 	ended := 0
 	r.m.DestroySession(r.anna(), "s", func(*drmaa.Error) { ended++ })
@@ -599,6 +601,43 @@
 	}
 }
 
+// While the store stalls or fails, new work is turned away at once and told when
+// to come back; what is in work ends, and its end shows once the store is back.
+func TestNewWorkWhileTheStoreStalls(t *testing.T) {
+	r := newRig(t)
+	j := r.submit(tpl(once))
+	r.core.sent(j, 0)
+	r.core.begin(j, 0)
+	turned := func() (got *drmaa.Error) {
+		tp := tpl(once)
+		r.m.Submit(r.anna(), "s", &tp, func(_ *Job, e *drmaa.Error) { got = e })
+		return got
+	}
+	r.core.stepDone(j, 0, balance.Served)
+	r.core.answer(j, routing.Answer{Verdict: routing.Served})
+	if e := turned(); e != nil {
+		t.Fatal("turned away before anything is known:", e)
+	}
+	for range 50 {
+		r.advance(100 * time.Millisecond)
+		if e := turned(); r.now > 1000*time.Hour+storeSlow && (e == nil || e.Name != drmaa.TryLater || e.Return == 0) {
+			t.Fatalf("after %v of silence: %v", r.now-1000*time.Hour, e)
+		}
+	}
+	if c := r.m.Counts(); c.Store != "stalled" || c.Turned < 40 {
+		t.Errorf("%+v", c)
+	}
+	r.settle()
+	r.state(j, drmaa.Done)
+	if e := turned(); e != nil || r.m.Counts().Store != "well" {
+		t.Errorf("once it is back: %v", e)
+	}
+	r.settleOne(refuses)
+	if e := turned(); e == nil || e.Return == 0 || r.m.Counts().Store != "failing" {
+		t.Errorf("after a failure: %v", e)
+	}
+}
+
 // The store stalls while a thousand clients wait: each gets its answer once it
 // is back, none before the end is on record.
 func TestStoreStallsWhileManyWait(t *testing.T) {
--- a/internal/batch/jobs/manager.go
+++ b/internal/batch/jobs/manager.go
@@ -12,6 +12,7 @@
 
 	"ospreybend/balance"
 	"ospreybend/drmaa"
+	"ospreybend/internal/batch/circuit"
 	"ospreybend/internal/batch/queue"
 	"ospreybend/internal/batch/window"
 	"ospreybend/internal/due"
@@ -22,6 +23,7 @@
 const (
 	keptArrays  = 200                    // ended arrays, likewise
 	storeAgain  = time.Second            // a failed write is tried again after this
+	storeSlow   = 500 * time.Millisecond // without progress for longer the store is stalled
 	busyReturn  = time.Second            // advice where nothing better is known
 	leastReturn = 100 * time.Millisecond // a refused job returns to the core no sooner
 	mostReturn  = 10 * time.Second       // and, by this front's own waits, no later
@@ -34,6 +36,7 @@
 	classes map[string]drmaa.Class
 	core    Core
 	keeper  Keeper
+	circuit *circuit.Circuit
 	clock   routing.Clock
 	due     *due.Line
 
@@ -97,6 +100,8 @@
 		arrays: map[string]*Array{}, byKey: map[string]keyed{}, byOp: map[slot.Ref]*Job{}, line: queue.New[*Job](),
 		epoch: newID()[:8], streams: map[string]*stream{}, machines: map[balance.WorkerID]*machine{},
 		freeAt: slices.Index(config.Settings.Report, balance.FieldFreeSlots)}
+	m.circuit = circuit.New(circuit.Config{Slow: storeSlow, Again: storeAgain})
+	m.keeper = &watched{keeper, m}
 	if config.Name == nil {
 		m.config.Name = func(balance.WorkerID) string { return "" }
 	}
@@ -285,22 +290,49 @@
 
 // Counts is the batch front as it stands.
 type Counts struct {
-	Unfinished int          `json:"unfinished"` // jobs
-	Lined      int          `json:"queued"`     // whose turn has not come
-	InCore     int          `json:"inCore"`
-	Waits      int          `json:"waits"` // of clients
-	Window     window.State `json:"window"`
+	Unfinished int           `json:"unfinished"` // jobs
+	Lined      int           `json:"queued"`     // whose turn has not come
+	InCore     int           `json:"inCore"`
+	Store      circuit.State `json:"store"`
+	Turned     uint64        `json:"turnedAway"` // as the store did not answer
+	Waits      int           `json:"waits"`      // of clients
+	Window     window.State  `json:"window"`
 }
 
 // Counts returns how the batch front stands.
 func (m *Manager) Counts() Counts {
-	c := Counts{Lined: m.line.Len(), InCore: len(m.byOp), Waits: m.waits, Window: m.window.State()}
+	c := Counts{Store: m.circuit.State(m.clock.Now()), Turned: m.circuit.Turned(), Lined: m.line.Len(), InCore: len(m.byOp), Waits: m.waits, Window: m.window.State()}
 	for _, t := range m.tenants {
 		c.Unfinished += t.unfinished
 	}
 	return c
 }
 
+// watched is the keeper with the circuit that watches it.
+type watched struct {
+	Keeper
+	m *Manager
+}
+
+func (w *watched) Call(do func(context.Context, Store) error, then func(error)) bool {
+	m := w.m
+	taken := w.Keeper.Call(do, func(err error) {
+		before := m.circuit.State(m.clock.Now())
+		m.circuit.Ended(m.clock.Now(), err != nil)
+		if after := m.circuit.State(m.clock.Now()); after != before {
+			slog.Warn("store of record", "state", after, "was", before, "turned_away", m.circuit.Turned())
+		}
+		then(err)
+	})
+	if taken {
+		m.circuit.Began(m.clock.Now())
+	}
+	return taken
+}
+
+// Keeper returns the way to the store, for calls of the administration.
+func (m *Manager) Keeper() Keeper { return m.keeper }
+
 // pen gathers the writes of one kind: while one call of the store is under way,
 // what comes goes with the next. Its items are handed to write off the loop, so
 // that what write reads of them must not change.
--- a/internal/batch/jobs/submit.go
+++ b/internal/batch/jobs/submit.go
@@ -127,7 +127,10 @@
 			return nil, false
 		}
 	}
+	after, ok := m.circuit.Admit(m.clock.Now())
 	switch {
+	case !ok:
+		tell(keyed{}, drmaa.Later(after, "the store of record does not answer"))
 	case m.stopping:
 		tell(keyed{}, drmaa.Later(busyReturn, "the node is stopping"))
 	case t.unfinished+n > t.Quota:
--- /dev/null
+++ b/internal/batch/store/lock.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+)
+
+// errTaken is a store that another node has open.
+var errTaken = errors.New("another node has it open")
+
+// lock takes a SQLite file for this process alone, by a lock on a file beside it:
+// two nodes on one file would each run its jobs. The system gives it back when the
+// process ends, however it does. A database in memory needs none.
+func lock(path string) (*os.File, error) {
+	path = strings.TrimPrefix(path, "file:")
+	if path == "" || strings.Contains(path, ":memory:") {
+		return nil, nil
+	}
+	f, err := os.OpenFile(path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = errTaken
+		}
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), f.Close())
+	}
+	return f, nil
+}
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io/fs"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 
@@ -25,7 +26,8 @@
 // Store is the store of record in a database.
 type Store struct {
 	db       *sql.DB
-	numbered bool // placeholders are $1, $2, not ?
+	lock     *os.File // nil: none is needed
+	numbered bool     // placeholders are $1, $2, not ?
 
 	insertJob, keyTaken, mark, finish *sql.Stmt // what is done by the thousand
 }
@@ -38,11 +40,16 @@
 func Open(ctx context.Context, kind, source string) (*Store, error) {
 	var driver string
 	var dialect goose.Dialect
+	var held *os.File
 	switch kind {
 	case "sqlite":
 		// Written through before an acknowledgement, and readable meanwhile.
 		driver, dialect = "sqlite", goose.DialectSQLite3
 		path, query, _ := strings.Cut(source, "?")
+		var err error
+		if held, err = lock(path); err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
 		if !strings.HasPrefix(path, "file:") {
 			path = "file:" + (&url.URL{Path: path}).EscapedPath()
 		}
@@ -61,16 +68,16 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	db.SetMaxOpenConns(1) // the keeper is the only user
+	s := &Store{db: db, lock: held, numbered: kind == "postgres"}
 	if err := migrate(ctx, db, dialect); err != nil {
-		return nil, errors.Join(fmt.Errorf("store: %w", err), db.Close())
+		return nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
 	}
-	s := &Store{db: db, numbered: kind == "postgres"}
 	for _, p := range []struct {
 		into *(*sql.Stmt)
 		text string
 	}{{&s.insertJob, insertJob}, {&s.keyTaken, keyTaken}, {&s.mark, markJob}, {&s.finish, finishJob}} {
 		if *p.into, err = db.PrepareContext(ctx, s.words(p.text)); err != nil {
-			return nil, errors.Join(fmt.Errorf("store: %w", err), db.Close())
+			return nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
 		}
 	}
 	return s, nil
@@ -98,7 +105,14 @@
 }
 
 // Close closes the database.
-func (s *Store) Close() error { return s.db.Close() }
+func (s *Store) Close() error {
+	err := s.db.Close()
+	if s.lock != nil {
+		err = errors.Join(err, s.lock.Close())
+		s.lock = nil
+	}
+	return err
+}
 
 // words writes a statement's placeholders as the database wants them.
 func (s *Store) words(statement string) string {
--- a/internal/batch/store/store_test.go
+++ b/internal/batch/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"database/sql"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"strings"
@@ -203,6 +204,23 @@
 	}
 }
 
+// A second node is refused a SQLite file that a first has open.
+func TestOneNodeOnAFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x.db")
+	first, err := Open(t.Context(), "sqlite", file)
+	must(t, err)
+	if _, err := Open(t.Context(), "sqlite", file); !errors.Is(err, errTaken) || !strings.Contains(err.Error(), file) {
+		t.Errorf("a second node: %v", err)
+	}
+	must(t, first.Close())
+	again, err := Open(t.Context(), "sqlite", file)
+	must(t, err)
+	must(t, again.Close())
+	if _, err := Open(t.Context(), "sqlite", filepath.Join(file, "none", "x.db")); err == nil {
+		t.Error("a folder that is not there opens")
+	}
+}
+
 func TestPlaceholders(t *testing.T) {
 	postgres := &Store{numbered: true}
 	if got := postgres.words("a = ? AND b = ?"); got != "a = $1 AND b = $2" {
--- a/internal/cli/manage.go
+++ b/internal/cli/manage.go
@@ -219,7 +219,7 @@
 		return err
 	}
 	return e.Show(q, func(w io.Writer) {
-		fmt.Fprintf(w, "unfinished\t%d\nqueued\t%d\nin the core\t%d\nwaits\t%d\nwindow\t%.1f slots, %.1f used\nqueueing delay\t%.1f ms\nhalvings\t%d\n",
-			q.Unfinished, q.Queued, q.InCore, q.Waits, q.Window.Slots, q.Window.Used, q.Window.QueueingDelay*1000, q.Window.Halvings)
+		fmt.Fprintf(w, "unfinished\t%d\nqueued\t%d\nin the core\t%d\nwaits\t%d\nstore\t%s, %d submissions turned away\nwindow\t%.1f slots, %.1f used\nqueueing delay\t%.1f ms\nhalvings\t%d\n",
+			q.Unfinished, q.Queued, q.InCore, q.Waits, q.Store, q.Turned, q.Window.Slots, q.Window.Used, q.Window.QueueingDelay*1000, q.Window.Halvings)
 	})
 }
