List undecided bookings and have a person settle each, with a reason on record

Need: after a crash or a lost prep worker a booking may have run; operators had to read the log to find which. Jobs of the first version's tables also lacked what lists select by.

Change: /admin/v1/undecided and .../settle, 'store undecided' and 'store settle', on record once and shown to the owner; a migration, and a backfill of classes and names by small steps.

--- a/cmd/ospreybend/cli.go
+++ b/cmd/ospreybend/cli.go
@@ -25,6 +25,7 @@
 	Job     cli.Job     `cmd:"" help:"Submit, list, wait for and control batch jobs."`
 	Session cli.Session `cmd:"" help:"Create, open, close and destroy job sessions."`
 	Tenant  cli.Tenant  `cmd:"" help:"Manage tenants by the administration."`
+	Store   cli.Store   `cmd:"" help:"List and settle undecided bookings."`
 	Config  configCmd   `cmd:"" help:"Check configuration files."`
 	Demo    demoCmd     `cmd:"" help:"Run a node with stand-ins on loopback and show some jobs."`
 	Conform conformCmd  `cmd:"" help:"Hold a server against the binding, clause by clause."`
--- a/drmaa/client/admin.go
+++ b/drmaa/client/admin.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"iter"
 	"net/url"
+
+	"ospreybend/drmaa"
 )
 
 // Admin is a way to the batch front's administration.
@@ -75,3 +78,15 @@
 	var q Queue
 	return &q, a.client.do(ctx, get("/admin/v1/queue", &q))
 }
+
+// Undecided lists the bookings that have FAILED, may have run, and that nobody has
+// settled, the oldest first.
+func (a *Admin) Undecided(ctx context.Context) iter.Seq2[*drmaa.Job, error] {
+	return a.client.pages(ctx, "/admin/v1/undecided", drmaa.Filter{})
+}
+
+// Settle records what was found out of an undecided booking, once.
+func (a *Admin) Settle(ctx context.Context, id string, ran bool, reason string) error {
+	return a.client.do(ctx, ask{method: "POST", path: "/admin/v1/jobs/" + url.PathEscape(id) + "/settle",
+		in: map[string]any{"ran": ran, "reason": reason}})
+}
--- a/drmaa/info.go
+++ b/drmaa/info.go
@@ -11,6 +11,13 @@
 	Outcome string `json:"x_outcome,omitempty"` // as the platform's protocol has it; empty: still out
 }
 
+// Settlement is what a person has found out of a job that may have run.
+type Settlement struct {
+	Ran    bool   `json:"ran"`
+	Reason string `json:"reason"`
+	Time   string `json:"time,omitempty"`
+}
+
 // Slots is the slots of one machine, GFD.194 clause 8.2 (SlotInfo).
 type Slots struct {
 	Machine string  `json:"machineName"`
@@ -42,6 +49,7 @@
 	Steps             []Step       `json:"x_steps,omitempty"`
 	Array             string       `json:"x_arrayId,omitempty"`
 	Index             int          `json:"x_arrayIndex,omitempty"`
+	Settled           *Settlement  `json:"x_settled,omitempty"`
 }
 
 // Array is a job array, GFD.194 clause 8.8.
--- a/internal/batch/binding/admin.go
+++ b/internal/batch/binding/admin.go
@@ -63,6 +63,10 @@
 		a.list(c, "", query)
 	case len(parts) == 1 && parts[0] == "queue" && method == "GET":
 		reply(c, 200, a.front.jobs.Counts())
+	case len(parts) == 1 && parts[0] == "undecided" && method == "GET":
+		a.undecided(c, query)
+	case len(parts) == 3 && parts[0] == "jobs" && parts[2] == "settle" && method == "POST":
+		a.settle(c, parts[1])
 	case len(parts) == 3 && parts[0] == "jobs" && parts[2] == "terminate" && method == "POST":
 		a.front.show(c, 202)(a.front.jobs.TerminateID(parts[1]))
 	default:
@@ -204,3 +208,50 @@
 		reply(c, 200, p)
 	})
 }
+
+// undecided lists the bookings that a person must look into.
+func (a *Admin) undecided(c *protocol.Call, query string) {
+	f, e := drmaa.ReadFilter(query)
+	if e == nil && f.Query() != (drmaa.Filter{Limit: f.Limit, Before: f.Before}).Query() {
+		e = drmaa.Bad("query", "knows limit and next alone")
+	}
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	a.front.jobs.Undecided(f.Before, f.Limit, func(p *drmaa.Page, e *drmaa.Error) {
+		if e != nil {
+			refuse(c, e)
+			return
+		}
+		reply(c, 200, p)
+	})
+}
+
+const mostReason = 1000
+
+func (a *Admin) settle(c *protocol.Call, id string) {
+	var in struct {
+		Ran    *bool  `json:"ran"`
+		Reason string `json:"reason"`
+	}
+	e := read(c, &in)
+	switch {
+	case e != nil:
+	case in.Ran == nil:
+		e = drmaa.Bad("ran", "missing: true or false")
+	case in.Reason == "" || len(in.Reason) > mostReason:
+		e = drmaa.Bad("reason", "wants 1 to %d bytes", mostReason)
+	}
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	a.front.jobs.Settle(id, *in.Ran, in.Reason, func(e *drmaa.Error) {
+		if e != nil {
+			refuse(c, e)
+			return
+		}
+		c.Reply(204, "", nil)
+	})
+}
--- a/internal/batch/binding/binding_test.go
+++ b/internal/batch/binding/binding_test.go
@@ -275,6 +275,22 @@
 	w.Play(join("w send {stream}{started}{done}", "e dial batch", "e "+ended, `e expect "jobState":"DONE"`, `e expect "result":"fine"`))
 }
 
+// A booking that is lost is listed for the administration, settled once, and its
+// owner sees that.
+func TestUndecidedIsSettled(t *testing.T) {
+	w := newWorld(t, "")
+	admin := func(method, path, body string) string {
+		return "a " + request(adminToken, method, "/admin/v1/"+path, body)
+	}
+	w.Play(join(sendBooking, "c "+ended, "w send {stream}{started}", "w close", `c expect "jobState":"FAILED"`,
+		"a dial admin", admin("GET", "undecided", ""), `a expect "jobId":"{id}"`,
+		admin("POST", "jobs/{id}/settle", `{"reason":"x"}`), `a expect "attribute":"ran"`,
+		admin("POST", "jobs/{id}/settle", `{"ran":false}`), `a expect "attribute":"reason"`,
+		admin("POST", "jobs/{id}/settle", `{"ran":false,"reason":"not in the books"}`), "a expect HTTP/1.1 204",
+		admin("POST", "jobs/{id}/settle", `{"ran":true,"reason":"x"}`), "a expect HTTP/1.1 409",
+		admin("GET", "undecided", ""), `a expect "jobs":[]`, "c "+status, `c expect "x_settled":{"ran":false,"reason":"not in the books"`))
+}
+
 // A held job's whole way over the wire, with its events on a stream.
 func TestHeldAndStreamed(t *testing.T) {
 	w := newWorld(t, "")
--- a/internal/batch/jobs/job.go
+++ b/internal/batch/jobs/job.go
@@ -278,6 +278,9 @@
 	if r.StartedAt > 0 {
 		v.WallclockTime = float64(r.EndedAt-r.StartedAt) / 1e6
 	}
+	if r.Settled.At > 0 {
+		v.Settled = &drmaa.Settlement{Ran: r.Settled.Ran, Reason: r.Settled.Reason, Time: drmaa.Stamp(r.Settled.At)}
+	}
 	if r.ExitStatus >= 0 {
 		status := r.ExitStatus
 		v.ExitStatus = &status
--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -447,6 +447,47 @@
 	r.state(j, drmaa.Done)
 }
 
+// Bookings that may have run are listed until a person settles them, once.
+func TestUndecided(t *testing.T) {
+	r := newRig(t)
+	var lost []*Job
+	for _, class := range []string{once, once, safe, once} {
+		j := r.submit(tpl(class))
+		r.core.sent(j, 0)
+		r.core.begin(j, 0)
+		r.core.stepDone(j, 0, balance.Reset)
+		r.core.answer(j, routing.Answer{Verdict: routing.Failed})
+		r.settle()
+		lost = append(lost, j)
+	}
+	list := func(after drmaa.Cursor) (page *drmaa.Page) {
+		r.m.Undecided(after, 2, func(p *drmaa.Page, e *drmaa.Error) { page = p })
+		r.settle()
+		return page
+	}
+	first := list(drmaa.Cursor{})
+	if len(first.Jobs) != 2 || first.Jobs[0].ID != lost[0].ID || first.Next == "" {
+		t.Fatalf("%+v", first)
+	}
+	settle := func(j *Job) (e *drmaa.Error) {
+		r.m.Settle(j.ID, true, "asked the worker", func(got *drmaa.Error) { e = got })
+		r.settle()
+		return e
+	}
+	if e := settle(lost[0]); e != nil {
+		t.Fatal(e)
+	}
+	if e := settle(lost[0]); e == nil || e.Name != drmaa.InvalidState {
+		t.Errorf("settled twice: %v", e)
+	}
+	if v := r.m.View(lost[0]); v.Settled == nil || !v.Settled.Ran || v.Settled.Reason != "asked the worker" || v.State != drmaa.Failed {
+		t.Errorf("%+v", v)
+	}
+	if left := list(drmaa.Cursor{}); len(left.Jobs) != 2 || left.Jobs[1].ID != lost[3].ID || left.Next != "" {
+		t.Errorf("%+v", left)
+	}
+}
+
 // The steps of a job, its times and what its view makes of them.
 func TestInfo(t *testing.T) {
 	r := newRig(t)
--- a/internal/batch/jobs/model.go
+++ b/internal/batch/jobs/model.go
@@ -36,6 +36,15 @@
 	StartedAt           int64
 	EndedAt             int64
 	Steps               []Step
+	Settled             Settlement
+}
+
+// Settlement is what a person has found out of an undecided job: one that has
+// FAILED, may have run and must not run twice. It is final, as the end is.
+type Settlement struct {
+	At     int64 // 0: none
+	Ran    bool
+	Reason string
 }
 
 // Step is one go at a job.
@@ -130,6 +139,12 @@
 	// AnyEnded returns an ended job of a session or of one of its arrays, or nil.
 	AnyEnded(ctx context.Context, tenant, session, array string) (*Record, error)
 	Unfinished(context.Context) ([]*Record, []*ArrayRecord, error)
+
+	// Undecided lists undecided jobs of some classes that nobody has settled, the
+	// oldest first, from a place on.
+	Undecided(ctx context.Context, classes []string, after drmaa.Cursor, most int) ([]*Record, error)
+	// Settle settles one, and tells whether there was one to settle.
+	Settle(ctx context.Context, id string, s Settlement) (bool, error)
 	Close() error
 }
 
--- a/internal/batch/jobs/rig_test.go
+++ b/internal/batch/jobs/rig_test.go
@@ -419,6 +419,24 @@
 	return all[0], nil
 }
 
+func (s *memory) Undecided(_ context.Context, classes []string, after drmaa.Cursor, most int) ([]*Record, error) {
+	all := s.all(func(r *Record) bool {
+		return r.State == drmaa.Failed && r.MayHaveRun && r.Settled.At == 0 && r.ExitStatus < 0 && slices.Contains(classes, r.Template.RemoteCommand) &&
+			(r.Seq > after.Seq || r.Seq == after.Seq && r.ID > after.ID)
+	})
+	slices.Reverse(all)
+	return all[:min(len(all), most)], nil
+}
+
+func (s *memory) Settle(_ context.Context, id string, v Settlement) (bool, error) {
+	r := s.jobs[id]
+	if r == nil || r.State != drmaa.Failed || !r.MayHaveRun || r.Settled.At > 0 {
+		return false, nil
+	}
+	r.Settled = v
+	return true, nil
+}
+
 func (s *memory) Unfinished(ctx context.Context) ([]*Record, []*ArrayRecord, error) {
 	all := s.all(func(r *Record) bool { return r.EndedAt == 0 })
 	slices.Reverse(all)
--- /dev/null
+++ b/internal/batch/jobs/settle.go
@@ -0,0 +1,74 @@
+package jobs
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"ospreybend/drmaa"
+)
+
+// once returns the names of the classes whose jobs must not run twice.
+func (m *Manager) once() (names []string) {
+	for _, name := range slices.Sorted(maps.Keys(m.classes)) {
+		if m.classes[name].Once {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Undecided gives a page of the jobs that have FAILED, may have run, must not run
+// twice, and of which no prep worker said how they ended: the oldest first.
+func (m *Manager) Undecided(after drmaa.Cursor, limit int, got func(*drmaa.Page, *drmaa.Error)) {
+	var rows []*Record
+	classes := m.once()
+	if !m.keeper.Call(func(ctx context.Context, store Store) (err error) {
+		rows, err = store.Undecided(ctx, classes, after, limit+1)
+		return err
+	}, func(err error) {
+		if err != nil {
+			got(nil, Broken)
+			return
+		}
+		page := &drmaa.Page{Jobs: []*drmaa.Job{}}
+		for _, r := range rows[:min(len(rows), limit)] {
+			page.Jobs = append(page.Jobs, r.view())
+		}
+		if len(rows) > limit {
+			last := rows[limit-1]
+			page.Next = drmaa.Cursor{Seq: last.Seq, ID: last.ID}.String()
+		}
+		got(page, nil)
+	}) {
+		got(nil, Behind)
+	}
+}
+
+var nothingToSettle = drmaa.WrongState("the job is not undecided, or has been settled")
+
+// Settle records what a person has found out of an undecided job, once.
+func (m *Manager) Settle(id string, ran bool, reason string, done func(*drmaa.Error)) {
+	s := Settlement{At: m.unixNow(), Ran: ran, Reason: reason}
+	settled := false
+	if !m.keeper.Call(func(ctx context.Context, store Store) (err error) {
+		settled, err = store.Settle(ctx, id, s)
+		return err
+	}, func(err error) {
+		switch {
+		case err != nil:
+			done(Broken)
+		case !settled:
+			done(nothingToSettle)
+		default:
+			if j := m.jobs[id]; j != nil {
+				j.Settled = s
+			}
+			slog.Info("batch job settled", "id", id, "ran", ran, "reason", reason)
+			done(nil)
+		}
+	}) {
+		done(Behind)
+	}
+}
--- a/internal/batch/store/jobs.go
+++ b/internal/batch/store/jobs.go
@@ -14,7 +14,7 @@
 
 const columns = `j.id, j.tenant, j.session, COALESCE(j.client_key, ''), j.digest, j.template, j.submitted_at, j.deadline_at,
 	j.sent, j.state, j.reason, j.result, j.may_have_run, j.ended_at, j.array_id, j.array_index, j.seq, j.held, j.exit_status,
-	j.dispatched_at, j.started_at, j.steps`
+	j.dispatched_at, j.started_at, j.steps, j.settled, j.settled_reason, j.settled_at`
 
 const arrayColumns = `id, tenant, session, COALESCE(client_key, ''), digest, template, begin_index, end_index, step,
 	max_parallel, submitted_at`
@@ -267,6 +267,40 @@
 	return records, arrays, nil
 }
 
+const (
+	settledRan   = "ran"
+	settledNever = "never ran"
+	undecided    = `state = 'FAILED' AND may_have_run = 1 AND settled = '' AND exit_status < 0`
+)
+
+// Undecided lists undecided jobs that nobody has settled, the oldest first.
+func (s *Store) Undecided(ctx context.Context, classes []string, after drmaa.Cursor, most int) ([]*jobs.Record, error) {
+	if len(classes) == 0 {
+		return nil, nil
+	}
+	args := []any{after.Seq, after.Seq, after.ID}
+	for _, c := range classes {
+		args = append(args, c)
+	}
+	return s.many(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE `+undecided+` AND (j.seq > ? OR j.seq = ? AND j.id > ?)
+		AND j.category IN (?`+strings.Repeat(", ?", len(classes)-1)+`) ORDER BY j.seq, j.id LIMIT ?`, append(args, most)...)
+}
+
+// Settle settles an undecided job.
+func (s *Store) Settle(ctx context.Context, id string, v jobs.Settlement) (bool, error) {
+	as := settledNever
+	if v.Ran {
+		as = settledRan
+	}
+	done, err := s.db.ExecContext(ctx, s.words(`UPDATE jobs SET settled = ?, settled_reason = ?, settled_at = ? WHERE id = ? AND `+undecided),
+		as, v.Reason, v.At, id)
+	if err != nil {
+		return false, err
+	}
+	n, err := done.RowsAffected()
+	return n == 1, err
+}
+
 // queryer is a database or a transaction.
 type queryer interface {
 	QueryContext(ctx context.Context, query string, args ...any) (*sql.Rows, error)
@@ -314,11 +348,11 @@
 	defer rows.Close()
 	for rows.Next() {
 		var r jobs.Record
-		var template, state, result, steps string
+		var template, state, result, steps, settled string
 		var sent, ran, held int
 		if err := rows.Scan(&r.ID, &r.Tenant, &r.Session, &r.ClientKey, &r.Digest, &template, &r.SubmittedAt,
 			&r.DeadlineAt, &sent, &state, &r.Reason, &result, &ran, &r.EndedAt, &r.Array, &r.Index, &r.Seq, &held,
-			&r.ExitStatus, &r.DispatchedAt, &r.StartedAt, &steps); err != nil {
+			&r.ExitStatus, &r.DispatchedAt, &r.StartedAt, &steps, &settled, &r.Settled.Reason, &r.Settled.At); err != nil {
 			return nil, err
 		}
 		if r.Array == "" {
@@ -338,6 +372,7 @@
 				return nil, fmt.Errorf("job %s: steps: %w", r.ID, err)
 			}
 		}
+		r.Settled.Ran = settled == settledRan
 		r.Sent, r.MayHaveRun, r.Held, r.State = sent != 0, ran != 0, held != 0, drmaa.State(state)
 		if r.Held {
 			r.State = r.State.Hold()
--- a/internal/batch/store/migrations/00002_arrays.sql
+++ b/internal/batch/store/migrations/00002_arrays.sql
@@ -20,6 +20,7 @@
 UPDATE jobs SET seq = submitted_at;
 DROP INDEX jobs_by_tenant;
 DROP INDEX jobs_by_state;
+CREATE INDEX jobs_no_category ON jobs (id) WHERE category = '' AND array_id = '';
 CREATE INDEX jobs_by_age ON jobs (tenant, session, seq, id);
 CREATE INDEX jobs_unfinished ON jobs (seq) WHERE ended_at = 0;
 CREATE INDEX jobs_by_array ON jobs (array_id, seq) WHERE array_id <> '';
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -72,6 +72,9 @@
 	if err := migrate(ctx, db, dialect); err != nil {
 		return nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
 	}
+	if err := s.backfill(ctx); err != nil {
+		return nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
+	}
 	for _, p := range []struct {
 		into *(*sql.Stmt)
 		text string
@@ -104,6 +107,32 @@
 	return err
 }
 
+// backfill gives the jobs of the first version's tables what is selected by, from
+// their templates. It goes by small steps, so that a kill within it loses nothing.
+func (s *Store) backfill(ctx context.Context) error {
+	for {
+		rows, err := s.many(ctx, s.db, `SELECT `+columns+` FROM jobs j WHERE j.category = '' AND j.array_id = '' LIMIT 500`)
+		if err != nil || len(rows) == 0 {
+			return err
+		}
+		if err := s.together(ctx, func(tx *sql.Tx) error {
+			for _, r := range rows {
+				t := r.Template
+				if _, err := tx.ExecContext(ctx, s.words(`UPDATE jobs SET category = ?, job_name = ?, accounting_id = ? WHERE id = ?`),
+					t.RemoteCommand, t.JobName, t.AccountingID, r.ID); err != nil {
+					return err
+				}
+				if t.RemoteCommand == "" {
+					return fmt.Errorf("job %s: its template names no class", r.ID)
+				}
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+}
+
 // Close closes the database.
 func (s *Store) Close() error {
 	err := s.db.Close()
--- a/internal/batch/store/store_test.go
+++ b/internal/batch/store/store_test.go
@@ -190,6 +190,9 @@
 		if r, err := s.Job(ctx, "anna", "j2"); err != nil || string(r.Result) != "fine" || r.ExitStatus != -1 {
 			t.Errorf("%+v, %v", r, err)
 		}
+		if all, err := s.Jobs(ctx, "anna", "", drmaa.Filter{Category: "buchen"}, 10); err != nil || len(all) != 2 {
+			t.Errorf("%d jobs by their class, %v", len(all), err)
+		}
 		if sessions, err := s.Sessions(ctx); err != nil || len(sessions) != 1 || sessions[0].State != jobs.SessionOpen {
 			t.Errorf("%+v, %v", sessions, err)
 		}
@@ -204,6 +207,38 @@
 	}
 }
 
+func TestUndecided(t *testing.T) {
+	s, ctx := open(t, filepath.Join(t.TempDir(), "x.db")), context.Background()
+	for i := range 6 {
+		_, err := s.Insert(ctx, one(job(fmt.Sprint(i), int64(i+1))))
+		must(t, err)
+		must(t, s.Finish(ctx, []*jobs.Record{{ID: fmt.Sprint(i), State: drmaa.Failed, MayHaveRun: i != 2, ExitStatus: -1 + i%2*i/5, EndedAt: 9}}))
+	}
+	ids := func(after drmaa.Cursor, classes ...string) (out string) {
+		all, err := s.Undecided(ctx, classes, after, 10)
+		must(t, err)
+		for _, r := range all {
+			out += r.ID
+		}
+		return out
+	}
+	if got := ids(drmaa.Cursor{}, "other", "buchen"); got != "0134" {
+		t.Errorf("undecided %s", got)
+	}
+	if got := ids(drmaa.Cursor{Seq: 2, ID: "1"}, "buchen") + ids(drmaa.Cursor{}, "other") + ids(drmaa.Cursor{}); got != "34" {
+		t.Errorf("undecided %s", got)
+	}
+	for _, want := range []bool{true, false} {
+		if ok, err := s.Settle(ctx, "1", jobs.Settlement{At: 7, Ran: true, Reason: "asked"}); err != nil || ok != want {
+			t.Errorf("%v, %v", ok, err)
+		}
+	}
+	r, err := s.Job(ctx, "anna", "1")
+	if err != nil || r.Settled != (jobs.Settlement{At: 7, Ran: true, Reason: "asked"}) || ids(drmaa.Cursor{}, "buchen") != "034" {
+		t.Errorf("%+v, %v", r.Settled, err)
+	}
+}
+
 // A second node is refused a SQLite file that a first has open.
 func TestOneNodeOnAFile(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "x.db")
