Kill a node between any two steps of a booking and audit each one

Change: internal/fault has eleven points from a booking's record to its end's showing; the node kills itself at the Nth passing of one.

--- a/cmd/ospreybend/child.go
+++ b/cmd/ospreybend/child.go
@@ -54,7 +54,10 @@
 }
 
 // start starts the process and waits until it serves.
-func (c *child) start(ctx context.Context) error {
+func (c *child) start(ctx context.Context) error { return c.startWith(ctx) }
+
+// startWith starts it with further variables in its environment.
+func (c *child) startWith(ctx context.Context, env ...string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -62,6 +65,7 @@
 	c.cmd = exec.Command(self, "serve")
 	c.cmd.Env = append(os.Environ(), childMark+"=1", "BALANCER_CONFIG="+filepath.Join(c.dir, "node.json"),
 		"OSPREYBEND_BATCH="+filepath.Join(c.dir, "batch.toml"))
+	c.cmd.Env = append(c.cmd.Env, env...)
 	log, err := os.OpenFile(filepath.Join(c.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -95,6 +99,14 @@
 	return err
 }
 
+// died waits until the process has ended by itself.
+func (c *child) died() {
+	if c.cmd != nil {
+		_ = c.cmd.Wait()
+		c.cmd = nil
+	}
+}
+
 // leave ends the process in good order.
 func (c *child) leave() error {
 	if c.cmd == nil {
--- a/cmd/ospreybend/cli.go
+++ b/cmd/ospreybend/cli.go
@@ -14,6 +14,7 @@
 
 	"ospreybend/internal/cli"
 	"ospreybend/internal/config"
+	"ospreybend/internal/fault"
 )
 
 // commands is the command line. Without a command it serves, as the platform's
@@ -78,6 +79,12 @@
 
 // Run serves.
 func (c *serveCmd) Run(_ *cli.Env, caught signals) error {
+	if text := os.Getenv("OSPREYBEND_FAULT"); text != "" {
+		if err := fault.Arm(text); err != nil {
+			return err
+		}
+		slog.Warn("the process will be killed at a fault point", "fault", text)
+	}
 	if c.CPUProfile == "" {
 		return serve(caught)
 	}
--- a/cmd/ospreybend/kill.go
+++ b/cmd/ospreybend/kill.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
 	"ospreybend/drmaa"
 	"ospreybend/drmaa/client"
 	"ospreybend/internal/cli"
+	"ospreybend/internal/fault"
 	"ospreybend/internal/standin"
 )
 
@@ -21,34 +23,43 @@
 	Clients int           `help:"That book at once." default:"32"`
 	For     time.Duration `help:"From the first booking to the kill." default:"800ms"`
 	JobRun  time.Duration `help:"Of a booking at a prep worker." default:"50ms"`
+	Points  bool          `help:"Have the node kill itself at each fault point in turn, instead of at a time."`
 }
 
 // audit is what became of the bookings of one round.
 type audit struct {
-	Acknowledged int `json:"acknowledged"`
-	Begun        int `json:"begunBeforeTheKill"` // at prep workers
-	Done         int `json:"done"`
-	Undecided    int `json:"undecided"` // FAILED, may have run
-	NeverBegun   int `json:"undecidedThatNeverBegan"`
-	Twice        int `json:"begunTwice"`
-	Forgotten    int `json:"forgotten"`
-	OtherFailed  int `json:"otherwiseFailed"`
+	Point        string `json:"point,omitempty"`
+	Passing      int    `json:"passing,omitempty"`
+	Acknowledged int    `json:"acknowledged"`
+	Begun        int    `json:"begunBeforeTheKill"` // at prep workers
+	Done         int    `json:"done"`
+	Undecided    int    `json:"undecided"` // FAILED, may have run
+	NeverBegun   int    `json:"undecidedThatNeverBegan"`
+	Twice        int    `json:"begunTwice"`
+	Forgotten    int    `json:"forgotten"`
+	OtherFailed  int    `json:"otherwiseFailed"`
 }
 
 // Run measures.
 func (c *measureKill) Run(e *cli.Env) error {
 	var all []audit
-	for range c.Rounds {
-		a, err := c.round(e.Ctx)
-		if err != nil {
-			return err
+	points := []string{""}
+	if c.Points {
+		points = fault.Points()
+	}
+	for i := range c.Rounds {
+		for _, point := range points {
+			a, err := c.round(e.Ctx, point, 1+7*i)
+			if err != nil {
+				return fmt.Errorf("%s:%d: %w", point, 1+7*i, err)
+			}
+			all = append(all, a)
 		}
-		all = append(all, a)
 	}
 	if err := e.Show(all, func(w io.Writer) {
-		fmt.Fprintln(w, "ACKNOWLEDGED\tBEGUN BEFORE\tDONE\tUNDECIDED\tOF THESE NEVER BEGUN\tBEGUN TWICE\tFORGOTTEN\tOTHERWISE FAILED")
+		fmt.Fprintln(w, "POINT\tACKNOWLEDGED\tBEGUN BEFORE\tDONE\tUNDECIDED\tOF THESE NEVER BEGUN\tBEGUN TWICE\tFORGOTTEN\tOTHERWISE FAILED")
 		for _, a := range all {
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Acknowledged, a.Begun, a.Done, a.Undecided, a.NeverBegun, a.Twice, a.Forgotten, a.OtherFailed)
+			fmt.Fprintf(w, "%s:%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Point, a.Passing, a.Acknowledged, a.Begun, a.Done, a.Undecided, a.NeverBegun, a.Twice, a.Forgotten, a.OtherFailed)
 		}
 	}); err != nil {
 		return err
@@ -61,7 +72,8 @@
 	return nil
 }
 
-func (c *measureKill) round(ctx context.Context) (out audit, err error) {
+func (c *measureKill) round(ctx context.Context, point string, passing int) (out audit, err error) {
+	out.Point, out.Passing = point, passing
 	dir, err := os.MkdirTemp("", "ospreybend-kill-")
 	if err != nil {
 		return out, err
@@ -76,7 +88,11 @@
 	if err != nil {
 		return out, err
 	}
-	if err := n.start(ctx); err != nil {
+	var env []string
+	if point != "" {
+		env = append(env, "OSPREYBEND_FAULT="+point+":"+strconv.Itoa(passing))
+	}
+	if err := n.startWith(ctx, env...); err != nil {
 		return out, err
 	}
 	defer func() { _ = n.kill() }()
@@ -84,7 +100,7 @@
 	if err != nil {
 		return out, err
 	}
-	taken, err := c.book(ctx, n, s)
+	taken, err := c.book(ctx, n, s, point != "")
 	if err != nil {
 		return out, err
 	}
@@ -122,7 +138,7 @@
 
 // book books from several clients, kills the node and returns the jobs that were
 // acknowledged.
-func (c *measureKill) book(ctx context.Context, n *child, s *client.Session) (taken []string, err error) {
+func (c *measureKill) book(ctx context.Context, n *child, s *client.Session, itself bool) (taken []string, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var mu sync.Mutex
@@ -142,8 +158,12 @@
 			}
 		}()
 	}
-	time.Sleep(c.For)
-	err = n.kill()
+	if itself {
+		n.died()
+	} else {
+		time.Sleep(c.For)
+		err = n.kill()
+	}
 	stop()
 	all.Wait()
 	return taken, err
--- a/cmd/ospreybend/kill_test.go
+++ b/cmd/ospreybend/kill_test.go
@@ -8,6 +8,7 @@
 
 	"ospreybend/drmaa"
 	"ospreybend/drmaa/client"
+	"ospreybend/internal/fault"
 	"ospreybend/internal/standin"
 )
 
@@ -106,7 +107,7 @@
 // twice, and few are undecided: those that were on their way to a prep worker.
 func TestKilledAmidBookings(t *testing.T) {
 	c := measureKill{Clients: 8, For: 300 * time.Millisecond, JobRun: 20 * time.Millisecond}
-	a, err := c.round(t.Context())
+	a, err := c.round(t.Context(), "", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,3 +116,19 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// A node that dies between any two steps of a booking's way: none is forgotten or
+// begins twice, and undecided are only such as had passed the gate.
+func TestKilledAtEachPoint(t *testing.T) {
+	c := measureKill{Clients: 4, JobRun: 10 * time.Millisecond}
+	for _, point := range fault.Points() {
+		a, err := c.round(t.Context(), point, 9)
+		if err != nil {
+			t.Fatal(point, err)
+		}
+		t.Logf("%+v", a)
+		if a.Twice+a.Forgotten+a.OtherFailed > 0 || a.Done+a.Undecided != a.Acknowledged {
+			t.Errorf("%+v", a)
+		}
+	}
+}
--- a/internal/batch/jobs/run.go
+++ b/internal/batch/jobs/run.go
@@ -10,6 +10,7 @@
 
 	"ospreybend/balance"
 	"ospreybend/drmaa"
+	"ospreybend/internal/fault"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 )
@@ -250,6 +251,7 @@
 	m.leave(j)
 	j.MayHaveRun = j.MayHaveRun || a.MayHaveRun
 	defer m.pump()
+	fault.Hit(fault.OutcomeHeard)
 	switch {
 	case a.Verdict == routing.Served:
 		j.Result, j.ExitStatus = a.Result, 0
@@ -345,6 +347,7 @@
 }
 
 func (m *Manager) show(j *Job) {
+	fault.Hit(fault.ShownBefore)
 	was := j.State
 	state := j.next.State
 	j.Record, j.next = *j.next, nil
--- a/internal/batch/jobs/submit.go
+++ b/internal/batch/jobs/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ospreybend/drmaa"
+	"ospreybend/internal/fault"
 )
 
 const mostInserts = 1024 // submissions that wait for the store at most
@@ -235,6 +236,7 @@
 		j.recorded, j.entry = true, nil
 		m.tell(j, drmaa.NewState, "")
 	}
+	fault.Hit(fault.AnswerBefore)
 	tell(e.kept(), nil)
 	for _, j := range e.jobs {
 		if j.terminate {
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -18,6 +18,7 @@
 	_ "modernc.org/sqlite" // SQLite
 
 	"ospreybend/internal/batch/jobs"
+	"ospreybend/internal/fault"
 )
 
 //go:embed migrations/*.sql
@@ -168,6 +169,11 @@
 
 // together does all of f or nothing.
 func (s *Store) together(ctx context.Context, f func(tx *sql.Tx) error) error {
+	return s.togetherAt(ctx, "", "", f)
+}
+
+// togetherAt is together between two fault points.
+func (s *Store) togetherAt(ctx context.Context, before, after string, f func(tx *sql.Tx) error) error {
 	tx, err := s.db.BeginTx(ctx, nil)
 	if err != nil {
 		return err
@@ -175,7 +181,10 @@
 	if err := f(tx); err != nil {
 		return errors.Join(err, tx.Rollback())
 	}
-	return tx.Commit()
+	fault.Hit(before)
+	err = tx.Commit()
+	fault.Hit(after)
+	return err
 }
 
 // rows calls f for each row of a query.
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -12,6 +12,7 @@
 
 	"ospreybend/balance"
 	"ospreybend/internal/due"
+	"ospreybend/internal/fault"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
@@ -252,7 +253,11 @@
 	c.head, c.status, c.declined, c.load, c.line, c.last, c.told = false, 0, false, nil, c.line[:0], false, false
 	request := t.request
 	t.request = nil
-	if !c.conn.Send(request) {
+	sent := c.conn.Send(request)
+	if t.step != 0 {
+		fault.Hit(fault.BytesWritten)
+	}
+	if !sent {
 		// The request's last byte was never written.
 		c.lost()
 		d.end(t, routing.StepEnd{Outcome: balance.ConnectFailed})
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -7,6 +7,7 @@
 
 	"ospreybend/balance"
 	"ospreybend/internal/due"
+	"ospreybend/internal/fault"
 	"ospreybend/internal/slot"
 )
 
@@ -423,6 +424,7 @@
 		c.StepEnded(at, StepEnd{Outcome: balance.NotSent})
 		return
 	}
+	fault.Hit(fault.GateOpen)
 	c.to.Send(at, s.to, &op.Work, s.until)
 }
 
