--- a/cmd/ospreybend/measure.go
+++ b/cmd/ospreybend/measure.go
@@ -28,6 +28,7 @@
 type measureCmd struct {
 	Backlog measureBacklog `cmd:"" help:"What a backlog of batch jobs costs the platform's requests."`
 	Kill    measureKill    `cmd:"" help:"Kill a node amid bookings and audit each."`
+	Stall   measureStall   `cmd:"" help:"Stall the store under load, and look at both fronts."`
 	Submit  measureSubmit  `cmd:"" help:"Submissions a second beside a bare loop of SQLite commits, and a bulk."`
 }
 
--- /dev/null
+++ b/cmd/ospreybend/stall.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+	"ospreybend/internal/cli"
+	"ospreybend/internal/load"
+	"ospreybend/internal/standin"
+)
+
+// measureStall has the store stall under load, and looks at both fronts.
+type measureStall struct {
+	For     time.Duration `help:"Of a phase." default:"12s"`
+	Stall   time.Duration `default:"5s"`
+	Clients int           `help:"That book at once." default:"8"`
+	Rate    float64       `help:"Platform requests a second." default:"100"`
+	Kill    bool          `help:"Kill the node amid the stall, and start it again."`
+}
+
+// stallPhase is what one phase showed.
+type stallPhase struct {
+	Stalled   bool    `json:"stalled"`
+	Sent      int     `json:"sent"`
+	Service   float64 `json:"service"`
+	Refused   int     `json:"refused"`
+	P99       float64 `json:"p99ms"`
+	Booked    int     `json:"bookingsAcknowledged"`
+	Turned    int     `json:"bookingsTurnedAway"`
+	Longest   float64 `json:"longestAnswerMs"` // that a booking client waited for
+	Done      int     `json:"done"`
+	Undecided int     `json:"undecided"`
+	Wrong     int     `json:"begunTwiceOrForgotten"`
+}
+
+// Run measures.
+func (c *measureStall) Run(e *cli.Env) error {
+	var all []stallPhase
+	for _, stalled := range []bool{false, true} {
+		p, err := c.phase(e.Ctx, stalled)
+		if err != nil {
+			return err
+		}
+		all = append(all, p)
+	}
+	if err := e.Show(all, func(w io.Writer) {
+		fmt.Fprintln(w, "STALL\tSENT\tSERVICE\tREFUSED\tP99\tBOOKED\tTURNED AWAY\tLONGEST ANSWER ms\tDONE\tUNDECIDED\tTWICE OR FORGOTTEN")
+		for _, p := range all {
+			fmt.Fprintf(w, "%v\t%d\t%.4f\t%d\t%.1f\t%d\t%d\t%.0f\t%d\t%d\t%d\n", p.Stalled, p.Sent, p.Service, p.Refused, p.P99, p.Booked, p.Turned,
+				p.Longest, p.Done, p.Undecided, p.Wrong)
+		}
+	}); err != nil {
+		return err
+	}
+	if all[0].Wrong+all[1].Wrong > 0 {
+		return errors.New("a booking was begun twice or forgotten")
+	}
+	return nil
+}
+
+func (c *measureStall) phase(ctx context.Context, stalled bool) (out stallPhase, err error) {
+	out.Stalled = stalled
+	dir, err := os.MkdirTemp("", "ospreybend-stall-")
+	if err != nil {
+		return out, err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := standin.NewFleet(demoZone, demoKind, 4, 8, standin.For(50*time.Millisecond))
+	if err != nil {
+		return out, err
+	}
+	defer fleet.Stop()
+	n, err := childFiles(dir, fleet.Discovery.Address(), "sockets = 128\n")
+	if err != nil {
+		return out, err
+	}
+	var env []string
+	if stalled {
+		env = append(env, "OSPREYBEND_FAULT=mark-before:100:"+c.Stall.String())
+	}
+	if err := n.startWith(ctx, env...); err != nil {
+		return out, err
+	}
+	defer func() { _ = n.kill() }()
+	s, err := n.tenant(ctx, "anna", 1_000_000)
+	if err != nil {
+		return out, err
+	}
+	var taken []string
+	var platform *load.Result
+	var both sync.WaitGroup
+	both.Add(1)
+	go func() {
+		defer both.Done()
+		platform = load.Run(ctx, load.Config{URL: n.platform, Rate: c.Rate, For: c.For, Seed: 1, Prefix: "p-",
+			Classes: []load.Class{{Name: "modell-pruefen", Share: 0.8, Target: 400 * time.Millisecond, Within: 5 * time.Second},
+				{Name: "auftrag-buchen", Share: 0.2, Target: 800 * time.Millisecond, Within: 25 * time.Second}}})
+	}()
+	if c.Kill && stalled {
+		time.AfterFunc(c.For/3, func() { _ = n.cmd.Process.Kill() })
+	}
+	taken = c.book(ctx, s, &out)
+	both.Wait()
+	if c.Kill && stalled {
+		n.died()
+		if err := n.start(ctx); err != nil {
+			return out, err
+		}
+	}
+	out.Sent, out.Service, out.Refused, out.P99 = platform.Sent, platform.Service(), platform.Refused, ms(platform.Percentile(99))
+	for _, id := range taken {
+		j, err := s.Wait(ctx, id, client.Terminated)
+		begun := fleet.Begun()[id]
+		switch {
+		case errors.Is(err, &drmaa.Error{Name: drmaa.InvalidArgument}) || begun > 1:
+			out.Wrong++
+		case err != nil:
+			return out, err
+		case j.State == drmaa.Done:
+			out.Done++
+		default:
+			out.Undecided++
+		}
+	}
+	return out, nil
+}
+
+// book books from several clients, ten times a second each at most, and returns
+// the jobs that were acknowledged.
+func (c *measureStall) book(ctx context.Context, s *client.Session, out *stallPhase) (taken []string) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	began := time.Now()
+	for range c.Clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for ; time.Since(began) < c.For; time.Sleep(100 * time.Millisecond) {
+				at := time.Now()
+				ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+				j, err := s.RunOnce(ctx, drmaa.JobTemplate{RemoteCommand: "auftrag-buchen"})
+				cancel()
+				mu.Lock()
+				out.Longest = max(out.Longest, ms(time.Since(at)))
+				switch {
+				case err == nil:
+					taken = append(taken, j.ID)
+					out.Booked++
+				case errors.Is(err, &drmaa.Error{Name: drmaa.TryLater}):
+					out.Turned++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	all.Wait()
+	return taken
+}
--- a/drmaa/client/session.go
+++ b/drmaa/client/session.go
@@ -43,6 +43,13 @@
 	return &j, s.client.do(ctx, ask{method: "POST", path: s.path + "/jobs", in: t, out: &j, again: true})
 }
 
+// RunOnce is Run without a second try: where it is turned away the caller learns it
+// at once.
+func (s *Session) RunOnce(ctx context.Context, t drmaa.JobTemplate) (*drmaa.Job, error) {
+	var j drmaa.Job
+	return &j, s.client.once(ctx, ask{method: "POST", path: s.path + "/jobs", in: t, out: &j})
+}
+
 // RunBulk is runBulkJobs, with a client key as for Run.
 func (s *Session) RunBulk(ctx context.Context, b drmaa.Bulk) (*drmaa.Array, error) {
 	if b.Template != nil && b.Template.ClientKey == "" {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -1,5 +1,5 @@
-// Package fault ends the process at named points, for tests that kill a node
-// between two steps. Unless Arm was called a point costs one look at a pointer.
+// Package fault ends the process at named points, or stalls the store of record at
+// them, for tests that kill a node between two steps. Unless Arm was called a point costs one look at a pointer.
 package fault
 
 import (
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // The points, in the order in which a booking meets them.
@@ -36,13 +37,26 @@
 type plan struct {
 	point string
 	left  atomic.Int64
+	stall time.Duration // 0: the process is killed
 }
 
 var armed atomic.Pointer[plan]
 
-// Arm has the process killed at a point, "POINT" or "POINT:N" at its Nth passing.
+// ofTheStore are the points off the loop, where a stall is the store's.
+var ofTheStore = []string{InsertBefore, InsertAfter, MarkBefore, MarkAfter, FinishBefore, FinishAfter}
+
+// Arm has the process killed at a point, "POINT" or "POINT:N" at its Nth passing,
+// or with "POINT:N:5s" the store stalled there for so long, once.
 func Arm(text string) error {
 	point, times, counted := strings.Cut(text, ":")
+	times, span, stalls := strings.Cut(times, ":")
+	var stall time.Duration
+	if stalls {
+		var err error
+		if stall, err = time.ParseDuration(span); err != nil || stall <= 0 || !slices.Contains(ofTheStore, point) {
+			return fmt.Errorf("fault %q: no stall of the store", text)
+		}
+	}
 	n := int64(1)
 	if counted {
 		var err error
@@ -53,7 +67,7 @@
 	if !slices.Contains(Points(), point) {
 		return fmt.Errorf("fault %q: no such point", text)
 	}
-	p := &plan{point: point}
+	p := &plan{point: point, stall: stall}
 	p.left.Store(n)
 	armed.Store(p)
 	return nil
@@ -65,6 +79,10 @@
 	if p == nil || p.point != point || p.left.Add(-1) != 0 {
 		return
 	}
+	if p.stall > 0 {
+		time.Sleep(p.stall)
+		return
+	}
 	_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 	select {} // nothing more is done
 }
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func TestArm(t *testing.T) {
-	for _, bad := range []string{"", "nowhere", "gate-open:", "gate-open:0", "gate-open:x", ":1"} {
+	for _, bad := range []string{"", "nowhere", "gate-open:", "gate-open:0", "gate-open:x", ":1", "gate-open:1:5s", "mark-after:1:", "mark-after:1:-5s"} {
 		if err := Arm(bad); err == nil {
 			t.Errorf("%q is taken", bad)
 		}
@@ -19,6 +19,12 @@
 			Hit(other) // not the one, or not yet
 		}
 	}
+	if err := Arm("mark-after:2:1ms"); err != nil {
+		t.Error(err)
+	}
+	for range 3 {
+		Hit(MarkAfter) // the second stalls, and all return
+	}
 	armed.Store(nil)
 }
 
