Turn away the submissions that a stalled store has not begun

Cause: measured, bookings caught in the first half second of a 5 s stall waited 4.9 s. Change: a word between the loop and the keeper's goroutine decides once for each submission whether the store has begun it; while the store stalls, the others are answered 503 with Retry-After, and nothing of them comes on record.

--- a/internal/batch/circuit/circuit.go
+++ b/internal/batch/circuit/circuit.go
@@ -85,5 +85,11 @@
 	return c.config.Again, false
 }
 
+// Turn counts work that had been admitted and was turned away after all.
+func (c *Circuit) Turn() { c.turned++ }
+
+// Out returns the number of calls that have not ended.
+func (c *Circuit) Out() int { return c.out }
+
 // Turned returns how much work was turned away.
 func (c *Circuit) Turned() uint64 { return c.turned }
--- a/internal/batch/jobs/jobs_test.go
+++ b/internal/batch/jobs/jobs_test.go
@@ -679,6 +679,44 @@
 	}
 }
 
+// Submissions that a stalled store has not begun are turned away too, nothing of
+// them comes on record, and their client keys are free. One that it has begun waits.
+func TestCaughtInAStall(t *testing.T) {
+	r := newRig(t)
+	answers := map[string]*drmaa.Error{}
+	submit := func(name string) {
+		tp := tpl(once)
+		tp.ClientKey = name
+		r.m.Submit(r.anna(), "s", &tp, func(_ *Job, e *drmaa.Error) { answers[name] = e })
+	}
+	submit("a")
+	submit("b") // behind a's call
+	one := tpl(once)
+	r.m.SubmitBulk(r.anna(), "s", &drmaa.Bulk{Template: &one, Begin: 1, End: 3, Step: 1}, func(_ *Array, e *drmaa.Error) { answers["bulk"] = e })
+	r.m.DestroySession(r.m.tenants["ben"], "s", func(*drmaa.Error) {}) // another call that waits
+	for e := range r.m.entries {
+		if e.jobs[0].ClientKey == "a" {
+			e.fate.Store(begun) // as the keeper's goroutine would
+		}
+	}
+	r.advance(2 * time.Second)
+	if len(answers) != 2 || answers["b"] == nil || answers["b"].Return == 0 || answers["bulk"] == nil || len(r.m.jobs) != 1 || r.anna().unfinished != 1 {
+		t.Fatalf("%v, %d jobs", answers, len(r.m.jobs))
+	}
+	for e := range r.m.entries {
+		e.fate.Store(waits)
+	}
+	r.settle()
+	if e, ok := answers["a"]; !ok || e != nil || len(r.store.jobs) != 1 || len(r.store.arrays) != 0 {
+		t.Fatalf("a: %v; %d jobs on record", e, len(r.store.jobs))
+	}
+	submit("b")
+	r.settle()
+	if answers["b"] != nil || len(r.store.jobs) != 2 {
+		t.Errorf("b again: %v", answers["b"])
+	}
+}
+
 // The store stalls while a thousand clients wait: each gets its answer once it
 // is back, none before the end is on record.
 func TestStoreStallsWhileManyWait(t *testing.T) {
--- a/internal/batch/jobs/manager.go
+++ b/internal/batch/jobs/manager.go
@@ -56,9 +56,11 @@
 	marks    pen[*change]
 	finals   pen[*Job]
 	waits    int
-	faults   int  // of the program's own
-	unshown  int  // final states that the store failed to write, and gets again
-	looking  bool // at the queue again at a time that is set
+	faults   int             // of the program's own
+	entries  map[*entry]bool // submissions that are being recorded
+	watching bool            // the store, for a stall
+	unshown  int             // final states that the store failed to write, and gets again
+	looking  bool            // at the queue again at a time that is set
 	pumping  bool
 	stopping bool
 	epoch    string
@@ -98,7 +100,7 @@
 	m := &Manager{config: config, classes: map[string]drmaa.Class{}, core: core, keeper: keeper, clock: clock, due: line,
 		tenants: map[string]*TenantState{}, byToken: map[string]*TenantState{}, jobs: map[string]*Job{},
 		arrays: map[string]*Array{}, byKey: map[string]keyed{}, byOp: map[slot.Ref]*Job{}, line: queue.New[*Job](),
-		epoch: newID()[:8], streams: map[string]*stream{}, machines: map[balance.WorkerID]*machine{},
+		epoch: newID()[:8], streams: map[string]*stream{}, machines: map[balance.WorkerID]*machine{}, entries: map[*entry]bool{},
 		freeAt: slices.Index(config.Settings.Report, balance.FieldFreeSlots)}
 	m.circuit = circuit.New(circuit.Config{Slow: storeSlow, Again: storeAgain})
 	m.keeper = &watched{keeper, m}
@@ -326,10 +328,26 @@
 	})
 	if taken {
 		m.circuit.Began(m.clock.Now())
+		m.watchStore()
 	}
 	return taken
 }
 
+// watchStore looks at the store as long as it has calls to serve.
+func (m *Manager) watchStore() {
+	if m.watching || m.circuit.Out() == 0 {
+		return
+	}
+	m.watching = true
+	m.due.Add(m.within(storeSlow/2), func() {
+		m.watching = false
+		if m.circuit.State(m.clock.Now()) == circuit.Stalled {
+			m.turnAway()
+		}
+		m.watchStore()
+	})
+}
+
 // Keeper returns the way to the store, for calls of the administration.
 func (m *Manager) Keeper() Keeper { return m.keeper }
 
--- a/internal/batch/jobs/submit.go
+++ b/internal/batch/jobs/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"ospreybend/drmaa"
@@ -30,8 +31,15 @@
 	array  *Array
 	askers []func(keyed, *drmaa.Error)
 	stored Stored
+	fate   atomic.Int32 // waits, begun or withdrawn: the keeper's and the loop's
 }
 
+const (
+	waits     = iota // neither the store has begun it nor the loop taken it back
+	begun            // the store may have it
+	withdrawn        // its clients have been turned away
+)
+
 func (e *entry) kept() keyed {
 	if e.array != nil {
 		return keyed{array: e.array}
@@ -70,6 +78,7 @@
 	e.askers = append(e.askers, tell)
 	j.entry = e
 	m.hold(j)
+	m.entries[e] = true
 	m.inserts.add(e)
 }
 
@@ -111,6 +120,7 @@
 	}
 	m.arrays[a.ID] = a
 	m.keep(keyed{array: a}, a.Tenant, a.ClientKey)
+	m.entries[e] = true
 	m.inserts.add(e)
 }
 
@@ -178,20 +188,59 @@
 }
 
 func (m *Manager) insert(ctx context.Context, store Store, entries []*entry) error {
-	subs := make([]*Submission, len(entries))
-	for i, e := range entries {
-		subs[i] = e.sub
+	var subs []*Submission
+	var whose []*entry
+	for _, e := range entries {
+		if e.fate.CompareAndSwap(waits, begun) {
+			subs, whose = append(subs, e.sub), append(whose, e)
+		}
+	}
+	if len(subs) == 0 {
+		return nil
 	}
 	stored, err := store.Insert(ctx, subs)
 	if err != nil {
 		return err
 	}
-	for i, e := range entries {
+	for i, e := range whose {
 		e.stored = stored[i]
 	}
 	return nil
 }
 
+// turnAway answers the submissions that the store has not begun, while it stalls:
+// nothing of them is on record, nor will be.
+func (m *Manager) turnAway() {
+	for e := range m.entries {
+		if e.fate.CompareAndSwap(waits, withdrawn) {
+			m.circuit.Turn()
+			m.undo(e)
+			e.answer(keyed{}, drmaa.Later(storeAgain, "the store of record does not answer"))
+		}
+	}
+}
+
+// undo forgets a submission that is not on record.
+func (m *Manager) undo(e *entry) {
+	delete(m.entries, e)
+	for _, j := range e.jobs {
+		j.stage = over
+		m.drop(j)
+		m.release(j)
+	}
+	if e.array != nil {
+		m.dropArray(e.array)
+	}
+}
+
+func (e *entry) answer(k keyed, p *drmaa.Error) {
+	askers := e.askers
+	e.askers = nil
+	for _, answer := range askers {
+		answer(k, p)
+	}
+}
+
 // inserted takes up submissions that the store has, or has refused.
 func (m *Manager) inserted(entries []*entry, err error) {
 	for _, e := range entries {
@@ -200,33 +249,24 @@
 }
 
 func (m *Manager) taken(e *entry, err error) {
-	askers := e.askers
-	e.askers, e.sub = nil, nil
-	tell := func(k keyed, p *drmaa.Error) {
-		for _, answer := range askers {
-			answer(k, p)
-		}
+	if e.fate.Load() == withdrawn {
+		return
 	}
+	delete(m.entries, e)
+	e.sub = nil
 	if err != nil || e.stored != (Stored{}) {
-		for _, j := range e.jobs {
-			j.stage = over
-			m.drop(j)
-			m.release(j)
-		}
-		if e.array != nil {
-			m.dropArray(e.array)
-		}
+		m.undo(e)
 		if err != nil {
-			tell(keyed{}, Broken)
+			e.answer(keyed{}, Broken)
 			return
 		}
 		// The key was taken by something that is no longer at hand.
 		k := m.loose(e.stored)
 		if k.digest() != e.kept().digest() {
-			tell(keyed{}, keyReused)
+			e.answer(keyed{}, keyReused)
 			return
 		}
-		tell(k, nil)
+		e.answer(k, nil)
 		return
 	}
 	if e.array != nil {
@@ -237,7 +277,7 @@
 		m.tell(j, drmaa.NewState, "")
 	}
 	fault.Hit(fault.AnswerBefore)
-	tell(e.kept(), nil)
+	e.answer(e.kept(), nil)
 	for _, j := range e.jobs {
 		if j.terminate {
 			m.end(j, drmaa.Failed, "terminated before it was sent", false)
