Mend races that the race detector found in the demonstration and in tests

Cause: the demo's events goroutine read a variable that the main one set anew; tests shared a log buffer without a lock; a child node counted as started before its administration listened, so that a test could call it too early. Result: go test -race passes over internal/batch, drmaa and the front's tests.

--- a/cmd/ospreybend/child.go
+++ b/cmd/ospreybend/child.go
@@ -46,7 +46,7 @@
 	batch := fmt.Sprintf("enabled = true\nlisten = %q\nstore = \"sqlite\"\nsource = %q\nadmin_listen = %q\nadmin_token_sha256 = %q\n%s",
 		at[1], filepath.Join(dir, "batch.db"), at[2], hex.EncodeToString(sum[:]), extra)
 	c := &child{dir: dir, platform: "http://" + at[0], batch: "http://" + at[1]}
-	if c.admin, err = client.NewAdmin("http://"+at[2], demoAdmin); err != nil {
+	if c.admin, err = client.NewAdmin("http://"+at[2], demoAdmin, client.WithTries(1)); err != nil {
 		return nil, err
 	}
 	return c, errors.Join(os.WriteFile(filepath.Join(dir, "node.json"), text, 0o600),
@@ -75,13 +75,18 @@
 	if err := c.cmd.Start(); err != nil {
 		return err
 	}
+	// The batch front's administration opens last.
 	return standin.Until(ctx, demoReady, func() bool {
 		answer, err := http.Get(c.platform + "/healthz")
 		if err != nil {
 			return false
 		}
 		answer.Body.Close()
-		return answer.StatusCode == http.StatusOK
+		if answer.StatusCode != http.StatusOK {
+			return false
+		}
+		_, err = c.admin.Queue(ctx)
+		return err == nil
 	})
 }
 
--- a/cmd/ospreybend/demo.go
+++ b/cmd/ospreybend/demo.go
@@ -252,6 +252,7 @@
 	for _, j := range []*drmaa.Job{booking, failing, held, doomed} {
 		names[j.ID] = j.Name
 	}
+	arrayID := array.ID
 	go func() {
 		defer close(ended)
 		first := true
@@ -265,7 +266,7 @@
 			}
 			for _, v := range got.Events {
 				name := names[v.Job]
-				if id, index := drmaa.SplitJobID(v.Job); id == array.ID {
+				if id, index := drmaa.SplitJobID(v.Job); id == arrayID {
 					name = "array " + strconv.Itoa(index)
 				}
 				if v.State != drmaa.QueuedHeld && v.Event == drmaa.NewState {
--- a/cmd/ospreybend/front_test.go
+++ b/cmd/ospreybend/front_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,11 +59,27 @@
 	for k, v := range env {
 		t.Setenv(k, v)
 	}
-	var o, c bytes.Buffer
+	// The node of the test logs to the same place from its own goroutines.
+	old := slog.Default()
+	defer slog.SetDefault(old)
+	var o, c shared
 	code = command(signals{leave: make(chan os.Signal)}, args, &o, &c)
-	return code, o.String(), c.String()
+	return code, o.text(), c.text()
 }
 
+// shared is a buffer that several goroutines write to.
+type shared struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (s *shared) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(b)
+}
+func (s *shared) text() string { s.mu.Lock(); defer s.mu.Unlock(); return s.buf.String() }
+
 func TestCommandLine(t *testing.T) {
 	r := newTestRig(t, func(j standin.Job) standin.Act {
 		if strings.HasSuffix(j.Path, "/bad") {
--- a/drmaa/client/client_test.go
+++ b/drmaa/client/client_test.go
@@ -39,6 +39,20 @@
 	return s
 }
 
+// seen returns the calls so far.
+func (s *server) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+// gap is the time between the first two calls.
+func (s *server) gap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at[1].Sub(s.at[0])
+}
+
 func (s *server) client(t *testing.T, options ...Option) *Client {
 	c, err := New(s.URL, "token", options...)
 	if err != nil {
@@ -79,7 +93,7 @@
 	if err != nil || j.ID != "j" {
 		t.Fatal(j, err)
 	}
-	if gap := s.at[1].Sub(s.at[0]); gap < 200*time.Millisecond {
+	if gap := s.gap(); gap < 200*time.Millisecond {
 		t.Errorf("came again after %v", gap)
 	}
 }
@@ -90,8 +104,8 @@
 	if _, err := s.client(t).Session("s").Run(t.Context(), drmaa.JobTemplate{RemoteCommand: "c"}); err != nil {
 		t.Fatal(err)
 	}
-	if len(s.calls) != 2 || s.calls[0] != s.calls[1] || !strings.Contains(s.calls[0], "x_clientKey") {
-		t.Errorf("%q", s.calls)
+	if len(s.seen()) != 2 || s.seen()[0] != s.seen()[1] || !strings.Contains(s.seen()[0], "x_clientKey") {
+		t.Errorf("%q", s.seen())
 	}
 	// A bulk too, and the caller's template is left as it was.
 	s = newServer(t, breaks, answers(202, drmaa.Array{ID: "a"}))
@@ -99,16 +113,16 @@
 	if _, err := s.client(t).Session("s").RunBulk(t.Context(), drmaa.Bulk{Template: template, Begin: 1, End: 2}); err != nil {
 		t.Fatal(err)
 	}
-	if len(s.calls) != 2 || s.calls[0] != s.calls[1] || template.ClientKey != "" {
-		t.Errorf("%q, key %q", s.calls, template.ClientKey)
+	if len(s.seen()) != 2 || s.seen()[0] != s.seen()[1] || template.ClientKey != "" {
+		t.Errorf("%q, key %q", s.seen(), template.ClientKey)
 	}
 }
 
 // What may have had effect and has no key is not made again.
 func TestActionsAreNotRepeated(t *testing.T) {
 	s := newServer(t, breaks, answers(202, drmaa.Job{}))
-	if err := s.client(t).Session("s").Act(t.Context(), "j", "terminate"); err == nil || len(s.calls) != 1 {
-		t.Errorf("%v after %d calls", err, len(s.calls))
+	if err := s.client(t).Session("s").Act(t.Context(), "j", "terminate"); err == nil || len(s.seen()) != 1 {
+		t.Errorf("%v after %d calls", err, len(s.seen()))
 	}
 }
 
@@ -124,8 +138,8 @@
 		t.Errorf("%v", err)
 	}
 	s = newServer(t, later("0.01"))
-	if _, err := s.client(t, WithTries(3)).Sessions(t.Context()); !errors.Is(err, &drmaa.Error{Name: drmaa.TryLater}) || len(s.calls) != 3 {
-		t.Errorf("%v after %d calls", err, len(s.calls))
+	if _, err := s.client(t, WithTries(3)).Sessions(t.Context()); !errors.Is(err, &drmaa.Error{Name: drmaa.TryLater}) || len(s.seen()) != 3 {
+		t.Errorf("%v after %d calls", err, len(s.seen()))
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
@@ -145,8 +159,8 @@
 	timeout := answers(504, drmaa.Error{Name: drmaa.Timeout, Message: "m"})
 	s := newServer(t, timeout, timeout, answers(200, drmaa.Job{State: drmaa.Done}))
 	j, err := s.client(t).Session("s").Wait(t.Context(), "j", Terminated)
-	if err != nil || j.State != drmaa.Done || len(s.calls) != 3 {
-		t.Errorf("%+v, %v, %d calls", j, err, len(s.calls))
+	if err != nil || j.State != drmaa.Done || len(s.seen()) != 3 {
+		t.Errorf("%+v, %v, %d calls", j, err, len(s.seen()))
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
@@ -165,8 +179,8 @@
 		}
 		ids = append(ids, j.ID)
 	}
-	if strings.Join(ids, "") != "abc" || !strings.Contains(s.calls[1], "next=x-b") || !strings.Contains(s.calls[1], "state=DONE") {
-		t.Errorf("%v, %q", ids, s.calls)
+	if strings.Join(ids, "") != "abc" || !strings.Contains(s.seen()[1], "next=x-b") || !strings.Contains(s.seen()[1], "state=DONE") {
+		t.Errorf("%v, %q", ids, s.seen())
 	}
 }
 
@@ -195,8 +209,8 @@
 		t.Errorf("%d events, %d missed, %v", seen, missed, last)
 	}
 	for i, want := range []string{"cursor=", "cursor=e-2", "cursor=e-2", "cursor=e-3"} {
-		if !strings.Contains(s.calls[i], want) {
-			t.Errorf("call %d: %s", i, s.calls[i])
+		if !strings.Contains(s.seen()[i], want) {
+			t.Errorf("call %d: %s", i, s.seen()[i])
 		}
 	}
 }
