Open the operators' address with figures and bans by hand; upgrade on an inherited socket

Change: GET /-/ready and /-/metrics, PUT /-/prep-workers/ID/disable and /enable on an address of its own with descriptors set aside; words by hand laid over the pool config and recorded in TMPDIR before the yes, the other process looks every 50 ms; the clients' socket is taken over from BALANCER_INHERITED_FD and accepted on once the list is known; on SIGTERM the old process closes its copy, lets go of peer_listen and spares cold prep workers; both processes halve their budgets while the other is alive. In the module a worker not heard of since its start counts half for one first job: a test of an upgrade showed that one called back got nothing for 5 s, since its pooled estimate never was the least beside idle known ones.

Ruled out: that the called-back worker was still seen as out (its state was ready) or cold (the test's are not).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,6 +15,7 @@
 	holdLooks   = 8.                     // looks in the time a job runs, where that is longer
 	holdTop     = 3                      // doublings of that at most
 	answerTicks = 3                      // event rounds kept between the final answer and the deadline
+	firstTry    = 0.5                    // part of its total that a worker not heard of counts for, once
 	nearTie     = 0.01                   // totals within this part of the least are tied
 	ownWait     = 0.1                    // part of its time left that any job may wait in a queue
 	fullOdds    = 0.5                    // hold a job that is turned away more likely than this
@@ -337,6 +338,9 @@
 	if w.zone != b.settings.Zone {
 		f.total += b.settings.Costs.CrossZone * aim
 	}
+	if w.heardAt == 0 && w.unfinished == 0 {
+		f.total *= firstTry // where the others are known, what is only pooled would never be the least
+	}
 	return f
 }
 
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -51,7 +51,7 @@
 	ownMean    float64 // their mean over the time a report may be old
 	ownAt      time.Duration
 	health     []health      // over all classes, then of each
-	heardAt    time.Duration // when it last started or answered a job of this dispatcher's
+	heardAt    time.Duration // when it last started or answered a job of this dispatcher's; 0: not since its start
 	others     float64       // slots that peers say their jobs hold here
 	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
 	tokensAt   time.Duration
@@ -124,7 +124,7 @@
 	} else if w.started != l.Started {
 		// A restart under the same name is cold, and its old fits are void.
 		w.profile.forget()
-		w.reported, w.tokens = false, 0
+		w.reported, w.tokens, w.heardAt = false, 0, 0
 		clear(w.health)
 	}
 	w.zone, w.kind, w.cell, w.state, w.scale, w.started = l.Zone, l.Kind, l.Cell, l.State, l.Scale, l.Started
--- a/cmd/ospreybend/batch.go
+++ b/cmd/ospreybend/batch.go
@@ -121,7 +121,7 @@
 	time.Sleep(flushFor)
 	n.loop.Call(func() {
 		for _, s := range f.servers {
-			s.Stop(func() {})
+			s.Stop(0, func() {})
 		}
 		f.keeper.Shut()
 	})
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -7,17 +7,19 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
+	"ospreybend/internal/byhand"
 	"ospreybend/internal/config"
 	"ospreybend/internal/protocol"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/transport"
+	"ospreybend/internal/upgrade"
 )
 
 const (
@@ -30,6 +32,10 @@
 	discoveryConnect = 500 * time.Millisecond
 
 	leaveAtLatest = time.Second // past the longest deadline
+
+	readyLook  = 5 * time.Millisecond // how often a start looks whether it may accept clients
+	askedFor   = 2 * time.Second      // after which it does so with the list as it last was
+	lookAround = 50 * time.Millisecond
 )
 
 // version is the program's, as the batch front tells it.
@@ -69,7 +75,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(threads)
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
 	n, err := start(cfg)
 	if err != nil {
 		return err
@@ -96,19 +101,41 @@
 	core  *routing.Core
 	to    *protocol.Destinations
 	pool  *protocol.Discovery
+	peers *protocol.Peers
 	front *protocol.Front
-	batch *batchFront // nil: off
+	admin *protocol.Admin // nil: off
+	batch *batchFront     // nil: off
+
+	inherited net.Listener  // the clients' socket, where the platform holds it; nil: the front opens its own
+	room      *upgrade.Room // nil: no folder to meet other processes of this node in
+	words     byhand.Words
+	stop      chan struct{} // closed when the node leaves
+	accepting bool          // clients are let in
+	leaving   bool
 }
 
 func start(cfg *config.Node) (*node, error) {
-	loop, err := transport.NewLoop(nil)
-	if err != nil {
+	n := &node{cfg: cfg, words: byhand.Words{}, stop: make(chan struct{})}
+	var err error
+	if cfg.Inherited != "" {
+		if n.inherited, err = transport.Inherit(cfg.Inherited); err != nil {
+			return nil, fmt.Errorf("BALANCER_INHERITED_FD: %w", err)
+		}
+	}
+	others := n.enter()
+	if n.loop, err = transport.NewLoop(nil); err != nil {
 		return nil, err
 	}
-	n := &node{cfg: cfg, loop: loop}
-	loop.Call(func() { err = n.wire() })
+	n.loop.Call(func() {
+		if err = n.wire(); err == nil {
+			n.share(others)
+		}
+	})
 	if err != nil {
-		return nil, errors.Join(err, loop.Stop())
+		return nil, errors.Join(err, n.loop.Stop())
+	}
+	if n.room != nil {
+		go n.room.Watch(lookAround, n.stop, n.noticed)
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "classes", len(cfg.ClassNames),
 		"known", len(cfg.Known.Entries), "fronts", cfg.FrontSockets, "destinations", cfg.DestinationsSockets)
@@ -127,12 +154,13 @@
 		ConnectTimeout: s.Limits.ConnectTimeout, ConnIdle: s.Limits.ConnIdle, Report: cfg.ReportFields}, n.loop, core)
 	n.to = to
 	n.pool = protocol.NewDiscovery(protocol.DiscoveryConfig{Address: cfg.Discovery, Zones: cfg.Zones, Kinds: cfg.Kinds,
-		ConnectTimeout: discoveryConnect, Known: cfg.Known}, n.loop, core, to)
+		ConnectTimeout: discoveryConnect, Known: cfg.Known, ByHand: n.words, ColdTime: s.Rules.ColdTime}, n.loop, core, to)
 	peers, err := protocol.NewPeers(protocol.PeersConfig{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll,
 		Ordinal: s.Ordinal}, n.loop, core)
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
+	n.peers = peers
 	core.Connect(to, n.pool, peers)
 	n.pool.Start()
 	giveUp := make([]time.Duration, len(s.Classes))
@@ -142,8 +170,18 @@
 	n.front = protocol.NewFront(protocol.FrontConfig{Listen: cfg.Listen, Sockets: cfg.FrontSockets, Memory: cfg.FrontMemory,
 		Classes: cfg.Classes,
 		Tenants: cfg.Tenants, GiveUp: giveUp, Retry: s.Limits.RetryAfter}, n.loop, core)
-	if err := n.front.Start(); err != nil {
+	if cfg.Admin != "" {
+		n.openAdmin()
+		if err := n.admin.Start(); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+	}
+	if n.inherited != nil {
+		n.acceptOnceReady(n.loop.Now() + askedFor)
+	} else if err := n.front.Start(); err != nil {
 		return fmt.Errorf("listen: %w", err)
+	} else {
+		n.accepting = true
 	}
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 	return nil
@@ -183,20 +221,33 @@
 	}
 }
 
-// leave answers what the node has taken, and returns once all of it is out.
+// leave answers what the node has taken, and returns once all of it is out. Where
+// the clients' socket is this process's own, new connections come for a while after
+// the signal. Where it is inherited they are the next process's, and only those open
+// are still of use.
 func (n *node) leave() {
-	slog.Info("leaving: serving on", "for", serveOn)
-	n.loop.Post(func() {
+	slog.Info("leaving", "serving_on", serveOn, "inherited", n.inherited != nil)
+	n.loop.Call(func() {
+		n.leaving = true
 		n.front.Leave()
+		if n.inherited != nil {
+			n.pool.SpareCold()
+			n.peers.Close()
+		}
 		if n.batch != nil {
 			n.batch.jobs.Stop()
 		}
 	})
-	time.Sleep(serveOn)
+	defer n.exit()
+	kept := serveOn
+	if n.inherited == nil {
+		time.Sleep(serveOn)
+		kept = 0
+	}
 	drained := make(chan struct{})
 	n.loop.Post(func() {
 		slog.Info("leaving: no new connections", "open", n.core.Open())
-		n.front.Stop(func() {
+		n.front.Stop(kept, func() {
 			select {
 			case <-drained:
 			default:
--- /dev/null
+++ b/internal/byhand/byhand.go
@@ -0,0 +1,80 @@
+// Package byhand keeps what operators have said of prep workers: out, or back. It
+// is laid over the pool config, so that core and module see a prep worker that is
+// out as one that drains, and one called back as just started. It does no I/O and
+// takes the clock as an argument.
+package byhand
+
+import (
+	"time"
+
+	"ospreybend/balance"
+)
+
+// Word is the last that was said of a prep worker. Times are the clock's.
+type Word struct {
+	Out  bool          `json:"out"`
+	At   time.Duration `json:"at"`
+	Back time.Duration `json:"back,omitempty"` // when it was last called back from being out; 0: never
+}
+
+// Words holds the last word on each prep worker, by name.
+type Words map[string]Word
+
+// Out tells whether a prep worker is out by hand.
+func (w Words) Out(name string) bool { return w[name].Out }
+
+// Say notes a call. One back undoes any number out; back for one that is not out
+// changes nothing but the time of the last word.
+func (w Words) Say(name string, out bool, now time.Duration) {
+	old := w[name]
+	next := Word{Out: out, At: max(now, old.At+time.Microsecond), Back: old.Back}
+	if old.Out && !out {
+		next.Back = next.At
+	}
+	w[name] = next
+}
+
+// Merge takes in the words that another process of this node knows. Of two words
+// on one prep worker the later holds; the order of merging does not matter. It
+// returns the names for which something else holds now.
+func (w Words) Merge(other Words) (changed []string) {
+	for name, theirs := range other {
+		old := w[name]
+		next := later(old, theirs)
+		if next == old {
+			continue
+		}
+		w[name] = next
+		if next.Out != old.Out || next.Back != old.Back {
+			changed = append(changed, name)
+		}
+	}
+	return changed
+}
+
+func later(a, b Word) Word {
+	if b.At > a.At || b.At == a.At && b.Out {
+		a, b = b, a // a is the one that holds; of two at once, out is the safe one
+	}
+	a.Back = max(a.Back, b.Back)
+	if !a.Out && b.Out {
+		a.Back = max(a.Back, a.At) // the two calls met different processes
+	}
+	return a
+}
+
+// Lay gives a prep worker's entry in the pool config as the core is to see it. One
+// that is out drains, whatever the list says of it. One called back has been
+// restarted meanwhile, and the list may not know yet: it counts as started no
+// earlier than the call.
+func (w Words) Lay(name string, l balance.Listing) balance.Listing {
+	word, ok := w[name]
+	if !ok || l.State == balance.Gone {
+		return l
+	}
+	if word.Out && l.State == balance.Ready {
+		l.State = balance.Draining
+	}
+	l.Started = max(l.Started, word.Back)
+	return l
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,8 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 4 * ownSockets
+	operatorSockets = 24 // of the operators' address, set aside
+	operatorMemory  = 256 << 10
 	leastMemoryMB   = 32
 	inputShare      = 8 // the part of the memory limit that a front's input may take is one in so many
 )
@@ -37,6 +39,9 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the operators' address; empty: none
+	Inherited string // the descriptor of the clients' listening socket; empty: this process listens itself
+	TmpDir    string // where the processes of one node meet; empty: nowhere
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
@@ -55,6 +60,8 @@
 	ReportFields        []string
 	FrontSockets        int
 	FrontMemory         int // bytes of input that a front holds at most
+	AdminSockets        int
+	AdminMemory         int
 	DestinationsSockets int
 
 	tree map[string]string // the settings, flat
@@ -64,6 +71,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB float64 `json:"memory_mb"`
@@ -102,6 +110,7 @@
 	}
 	n := &Node{Name: or(f.Name, env("BALANCER_NAME")), Listen: or(f.Listen, env("BALANCER_LISTEN")),
 		Discovery: or(f.Discovery, env("BALANCER_DISCOVERY")), MemoryMB: int(f.Limits.MemoryMB),
+		Admin: or(f.Admin, env("BALANCER_ADMIN")), Inherited: env("BALANCER_INHERITED_FD"), TmpDir: env("TMPDIR"),
 		Sockets: f.Limits.Sockets, PeerListen: f.PeerListen, Peers: f.Peers, PeersAll: f.PeersAll, Known: f.Known}
 	if err := n.check(f.Seed); err != nil {
 		return nil, err
@@ -121,6 +130,7 @@
 	}{
 		{"name", n.Name, other.Name},
 		{"listen", n.Listen, other.Listen},
+		{"admin", n.Admin, other.Admin},
 		{"limits.memory_mb", n.MemoryMB, other.MemoryMB},
 		{"limits.sockets", n.Sockets, other.Sockets},
 		{"peer_listen", n.PeerListen, other.PeerListen},
@@ -148,6 +158,15 @@
 			return err
 		}
 	}
+	if n.Admin != "" {
+		if err := address("admin", n.Admin); err != nil {
+			return err
+		}
+		if n.Admin == n.Listen {
+			return fmt.Errorf("admin: %q is the clients' address", n.Admin)
+		}
+		n.AdminSockets, n.AdminMemory = operatorSockets, operatorMemory
+	}
 	if n.PeerListen != "" {
 		if err := address("peer_listen", n.PeerListen); err != nil {
 			return err
@@ -185,8 +204,9 @@
 	}
 	// Clients keep their connections, one for each request in work; so do the
 	// destinations' sides. Neither needs more than the other for long.
-	n.FrontSockets = (n.Sockets - ownSockets) / 2
-	n.DestinationsSockets = n.Sockets - ownSockets - n.FrontSockets
+	rest := n.Sockets - ownSockets - n.AdminSockets
+	n.FrontSockets = rest / 2
+	n.DestinationsSockets = rest - n.FrontSockets
 	return nil
 }
 
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -44,6 +44,9 @@
 	open   int                // connections, those being made included
 	wary   time.Duration      // until when kept connections are mistrusted
 	load   map[string]int     // a report field's place, by each name it may have
+
+	attempts uint64                     // route steps whose last byte has been written
+	partly   map[*trip]*destinationConn // those whose last byte the system has not taken yet
 }
 
 // destination is one prep worker.
@@ -52,6 +55,7 @@
 	name    string
 	address string
 	idle    []*destinationConn // oldest first
+	process int                // counts what has been called back by hand: connections from before are void
 }
 
 // trip is one exchange with a destination: a route step or a probe.
@@ -72,6 +76,7 @@
 	owner    *Destinations
 	to       *destination
 	conn     *transport.Conn
+	process  int   // of the destination, when the connection was made
 	trip     *trip // in work; nil: idle, or the answer's rest is still to come
 	head     bool  // the answer's head has been read
 	status   int
@@ -90,7 +95,7 @@
 // NewDestinations makes the adapter.
 func NewDestinations(config DestinationConfig, loop *transport.Loop, core *routing.Core) *Destinations {
 	d := &Destinations{config: config, loop: loop, core: core, byID: map[balance.WorkerID]*destination{},
-		trips: map[slot.Ref]*trip{}, load: map[string]int{}}
+		trips: map[slot.Ref]*trip{}, load: map[string]int{}, partly: map[*trip]*destinationConn{}}
 	for i, name := range config.Report {
 		d.load[name] = i
 		// The settings name the fields as the simulator's wire does; on the
@@ -119,6 +124,55 @@
 	}
 }
 
+// Renew has nothing more go over the connections made so far to a destination:
+// another process is to answer there. What is in work on them ends as it ends.
+func (d *Destinations) Renew(id balance.WorkerID) {
+	if to := d.byID[id]; to != nil {
+		to.process++
+		d.CloseIdle(id)
+	}
+}
+
+// Limit changes how many connections there may be. Idle ones over it are closed.
+func (d *Destinations) Limit(sockets int) {
+	d.config.Sockets = sockets
+	for d.open > sockets && d.closeIdlest() {
+	}
+}
+
+// Attempts counts the route steps that have been written whole. One whose last
+// bytes wait for the system is looked at anew.
+func (d *Destinations) Attempts() uint64 {
+	for t, c := range d.partly {
+		if c.conn.Sent() {
+			delete(d.partly, t)
+			d.attempts++
+		}
+	}
+	return d.attempts
+}
+
+// written notes that a trip's request has been given to the system, or waits for it.
+func (d *Destinations) written(t *trip, c *destinationConn) {
+	switch {
+	case t.step == 0:
+	case c.conn.Sent():
+		d.attempts++
+	default:
+		d.partly[t] = c
+	}
+}
+
+// settle decides on a request that waited for the system, as its connection ends.
+func (d *Destinations) settle(t *trip, c *destinationConn) {
+	if _, waits := d.partly[t]; waits {
+		delete(d.partly, t)
+		if c.conn.Sent() {
+			d.attempts++
+		}
+	}
+}
+
 // Name returns a destination's name; empty where it is not listed any more.
 func (d *Destinations) Name(id balance.WorkerID) string {
 	if to := d.byID[id]; to != nil {
@@ -223,7 +277,7 @@
 }
 
 func (d *Destinations) dial(t *trip) {
-	c := &destinationConn{owner: d, to: t.to, trip: t}
+	c := &destinationConn{owner: d, to: t.to, process: t.to.process, trip: t}
 	d.open++
 	t.abandon = d.loop.Dial(t.to.address, d.config.ConnectTimeout, c, func(conn *transport.Conn, err error) {
 		t.abandon = nil
@@ -261,7 +315,9 @@
 		// The request's last byte was never written.
 		c.lost()
 		d.end(t, routing.StepEnd{Outcome: balance.ConnectFailed})
+		return
 	}
+	d.written(t, c)
 }
 
 // closeIdlest gives up the idle connection that has stood longest.
@@ -297,6 +353,7 @@
 		t.abandon = nil
 	}
 	if c := t.conn; c != nil && c.trip == t {
+		d.settle(t, c)
 		c.trip = nil
 		c.close()
 	}
@@ -308,6 +365,10 @@
 		return
 	}
 	t.over = true
+	if c := d.partly[t]; c != nil {
+		// It answers, so that it has all; or it could not read the rest.
+		d.settle(t, c)
+	}
 	d.loop.Due.Drop(t.timeout)
 	if t.step == 0 {
 		d.core.ProbeEnded(balance.ProbeDone{Worker: t.to.id, Outcome: e.Outcome,
@@ -321,7 +382,7 @@
 // rest makes the connection idle.
 func (c *destinationConn) rest() {
 	d := c.owner
-	if !c.conn.Open() || d.byID[c.to.id] != c.to {
+	if !c.conn.Open() || d.byID[c.to.id] != c.to || c.process != c.to.process {
 		c.close()
 		return
 	}
@@ -358,6 +419,7 @@
 		return
 	}
 	c.trip = nil
+	c.owner.settle(t, c)
 	if c.head && c.body.toEnd && !c.told && c.status != 200 {
 		c.conclude(t) // the body ended with the connection
 		return
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ospreybend/balance"
+	"ospreybend/internal/byhand"
 	"ospreybend/internal/due"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/transport"
@@ -47,6 +48,8 @@
 	Zones, Kinds   []string // their numbers are their places here
 	ConnectTimeout time.Duration
 	Known          List
+	ByHand         byhand.Words // laid over each list; nil: none
+	ColdTime       time.Duration
 }
 
 // Discovery asks the pool config for the list of destinations, and keeps the
@@ -58,7 +61,10 @@
 	to      *Destinations
 	version uint64
 	names   map[balance.WorkerID]string
-	watch   *call // the watch; nil: none
+	listed  map[balance.WorkerID]balance.Listing // as the list has them
+	asked   bool                                 // the pool config has answered since the start
+	spare   bool                                 // cold destinations are for another process of this node
+	watch   *call                                // the watch; nil: none
 	fetch   *call
 	wanted  bool // the module has asked for a watch, and not ended it
 	first   bool // the watch in work is the one that answers the module's wish
@@ -84,7 +90,46 @@
 // NewDiscovery makes the adapter.
 func NewDiscovery(config DiscoveryConfig, loop *transport.Loop, core *routing.Core, to *Destinations) *Discovery {
 	return &Discovery{config: config, loop: loop, core: core, to: to, version: config.Known.Version,
-		names: map[balance.WorkerID]string{}}
+		names: map[balance.WorkerID]string{}, listed: map[balance.WorkerID]balance.Listing{}}
+}
+
+// Asked tells whether the list is as the pool config had it since this start.
+func (d *Discovery) Asked() bool { return d.asked }
+
+// Listed returns the number of destinations in the list.
+func (d *Discovery) Listed() int { return len(d.listed) }
+
+// Find returns the number of a destination that the list has named at some time.
+func (d *Discovery) Find(name string) (balance.WorkerID, bool) {
+	id := numberOf(name)
+	return id, d.names[id] == name
+}
+
+// Relay tells the core anew of one destination, as when a word by hand on it has
+// changed.
+func (d *Discovery) Relay(id balance.WorkerID) {
+	if l, ok := d.listed[id]; ok {
+		d.core.PoolChanged(balance.ListUpdate{Kind: balance.ListChanges, Version: d.version,
+			Workers: []balance.Listing{d.lay(id, l)}})
+	}
+}
+
+// SpareCold has nothing new go to cold destinations from now on: another process
+// of this node has what may be sent there.
+func (d *Discovery) SpareCold() {
+	d.spare = true
+	for id := range d.listed {
+		d.Relay(id)
+	}
+}
+
+// lay gives a destination's entry as the core is to see it.
+func (d *Discovery) lay(id balance.WorkerID, l balance.Listing) balance.Listing {
+	l = d.config.ByHand.Lay(d.names[id], l)
+	if d.spare && l.State == balance.Ready && d.loop.Now()-l.Started < d.config.ColdTime {
+		l.State = balance.Draining
+	}
+	return l
 }
 
 // Start tells the core the list as this node last had it.
@@ -339,15 +384,23 @@
 		}
 		if l.State == balance.Gone {
 			d.to.Remove(id)
+			delete(d.listed, id)
 		} else {
 			listed[id] = true
+			d.listed[id] = l
 			d.to.Place(id, e.Name, e.Address)
 		}
-		up.Workers = append(up.Workers, l)
+		up.Workers = append(up.Workers, d.lay(id, l))
 	}
 	if kind != balance.ListChanges {
 		d.to.Keep(listed)
+		for id := range d.listed {
+			if !listed[id] {
+				delete(d.listed, id)
+			}
+		}
 	}
+	d.asked = d.asked || kind != balance.ListCached
 	slog.Info("pool config", "version", list.Version, "whole", kind != balance.ListChanges, "entries", len(list.Entries))
 	d.core.PoolChanged(up)
 }
@@ -355,7 +408,7 @@
 // identity numbers a destination by its name alone, the same at every node:
 // the module names destinations to its peers by that number.
 func (d *Discovery) identity(name string) balance.WorkerID {
-	id := balance.WorkerID(max(hash([]byte(name)), 1))
+	id := numberOf(name)
 	if known, ok := d.names[id]; ok && known != name {
 		slog.Error("two destinations of one number", "one", known, "other", name)
 	}
@@ -363,6 +416,8 @@
 	return id
 }
 
+func numberOf(name string) balance.WorkerID { return balance.WorkerID(max(hash([]byte(name)), 1)) }
+
 // place gives a word's number in a list. One not listed gets one of its own.
 func place(words []string, word string) int {
 	for i, w := range words {
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -1,15 +1,21 @@
 package protocol
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
+	"time"
 
 	"ospreybend/internal/routing"
 	"ospreybend/internal/transport"
 )
 
-const maxDatagram = 256 // a longer one is not to be sent
+const (
+	maxDatagram   = 256 // a longer one is not to be sent
+	askPeersEvery = 20 * time.Millisecond
+)
 
 // PeersConfig is what the nodes' side is told.
 type PeersConfig struct {
@@ -26,6 +32,7 @@
 	to     []*net.UDPAddr
 	all    *net.UDPAddr
 	from   map[netip.AddrPort]int
+	closed bool
 }
 
 // NewPeers makes the adapter. Without an address to listen at it sends nothing.
@@ -49,13 +56,46 @@
 		}
 		p.all = at
 	}
-	out, err := loop.ListenPackets(config.Listen, func(from netip.AddrPort, data []byte) {
-		if i, ok := p.from[plain(from)]; ok && i != config.Ordinal {
+	err := p.open(loop, core)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// The process that this one is to follow still has the address.
+		slog.Info("peer_listen is in use, and asked for again", "address", config.Listen)
+		p.later(loop, core)
+		err = nil
+	}
+	return p, err
+}
+
+func (p *Peers) open(loop *transport.Loop, core *routing.Core) error {
+	out, err := loop.ListenPackets(p.config.Listen, func(from netip.AddrPort, data []byte) {
+		if i, ok := p.from[plain(from)]; ok && i != p.config.Ordinal {
 			core.Heard(i, data)
 		}
 	})
-	p.out = out
-	return p, err
+	if err == nil {
+		p.out = out
+	}
+	return err
+}
+
+// later asks for the address until it is free. Until then peers are neither told
+// nor heard.
+func (p *Peers) later(loop *transport.Loop, core *routing.Core) {
+	loop.Due.Add(loop.Now()+askPeersEvery, func() {
+		if p.closed || p.open(loop, core) == nil {
+			return
+		}
+		p.later(loop, core)
+	})
+}
+
+// Close lets go of the address, for the process that follows.
+func (p *Peers) Close() {
+	p.closed = true
+	if p.out != nil {
+		p.out.Close()
+		p.out = nil
+	}
 }
 
 // plain writes an IPv4 address in its one short form.
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -122,9 +122,10 @@
 		s send {stream}{done}
 		c expect fine
 		c send {ask}
-		s expect hi
+		q accept workers
+		q expect hi
 		c close
-		s closed
+		q closed
 		e dial front
 		e send {ask}
 		r accept workers
@@ -431,7 +432,7 @@
 		late expect HTTP/1.1 503
 	`)
 	drained := make(chan struct{})
-	w.Loop.Call(func() { w.front.Stop(func() { close(drained) }) })
+	w.Loop.Call(func() { w.front.Stop(0, func() { close(drained) }) })
 	w.Play(`
 		idle closed
 		late closed
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -29,7 +30,8 @@
 type Server struct {
 	loop   *transport.Loop
 	listen string
-	most   int // front sockets
+	most   int // front sockets, at this time
+	all    int // and at most
 	memory int // bytes of input held at most
 	serve  func(*Call)
 
@@ -42,6 +44,7 @@
 	lingering []*transport.Conn // answered for the last time, oldest first
 	held      int               // bytes of input held
 	stopping  bool
+	ended     bool // nothing more is accepted
 	drained   func()
 	counts    ServerCounts
 	tellAt    time.Duration // when to log of rejected requests again
@@ -85,38 +88,77 @@
 // and holds at most memory bytes of what has come in on them. serve must see to
 // it that each call is answered once, then or later.
 func NewServer(loop *transport.Loop, listen string, most, memory int, serve func(*Call)) *Server {
-	return &Server{loop: loop, listen: listen, most: most, memory: memory, serve: serve}
+	return &Server{loop: loop, listen: listen, most: most, all: most, memory: memory, serve: serve}
 }
 
 // Start listens.
 func (s *Server) Start() error {
-	ln, err := s.loop.Listen(s.listen, s.most, s.accept)
-	s.listener = ln
-	return err
+	ln, err := transport.Listen(s.listen)
+	if err != nil {
+		return err
+	}
+	s.StartOn(ln)
+	return nil
+}
+
+// StartOn accepts clients on a socket that listens already.
+func (s *Server) StartOn(ln net.Listener) {
+	s.listener = s.loop.Accept(ln, s.all, s.accept, func() {
+		s.ended = true
+		s.check()
+	})
+}
+
+// Limit changes how many front sockets are kept and how many bytes of input held,
+// up to what the server was made with. What is over makes room where it may.
+func (s *Server) Limit(most, memory int) {
+	s.most, s.memory = min(most, s.all), memory
+	s.makeRoom()
+}
+
+func (s *Server) makeRoom() {
+	for s.listener != nil && s.listener.Open() > s.most-socketSpare && s.shed() {
+	}
 }
 
-// Stop stops listening, and closes each front socket once it owes nothing.
-// drained is called when none is left.
-func (s *Server) Stop(drained func()) {
+// Stop accepts nothing more. Each answer from now on is the last on its
+// connection, and after a while those that owe nothing are closed: until then
+// clients may use the ones that they have, and what they have sent is read. drained
+// is called when none is left.
+func (s *Server) Stop(after time.Duration, drained func()) {
 	if s.stopping {
 		return
 	}
 	s.stopping, s.drained = true, drained
 	if s.listener != nil {
 		_ = s.listener.Close()
+	} else {
+		s.ended = true
 	}
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
 		if f.call != nil {
 			f.call.last = true
-		} else {
-			f.close()
 		}
 	})
+	if after > 0 {
+		s.loop.Due.Add(s.loop.Now()+after, s.closeIdle)
+	} else {
+		s.closeIdle()
+	}
 	s.check()
 }
 
+// closeIdle closes the front sockets that have brought nothing that is unanswered.
+func (s *Server) closeIdle() {
+	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
+		if f.call == nil && f.held == 0 {
+			f.close()
+		}
+	})
+}
+
 func (s *Server) check() {
-	if s.stopping && s.drained != nil && s.sockets.Len() == 0 {
+	if s.stopping && s.ended && s.drained != nil && s.sockets.Len() == 0 {
 		drained := s.drained
 		s.drained = nil
 		drained()
@@ -130,8 +172,7 @@
 	f := &frontSocket{server: s, conn: c}
 	f.ref = s.sockets.Add(f)
 	f.await()
-	for s.listener.Open() > s.most-socketSpare && s.shed() {
-	}
+	s.makeRoom()
 	if s.listener.Open() > s.most-socketLast {
 		// All have a request in work. Who waits in the system's queue would wait
 		// without a word; this way each is told.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -66,8 +66,13 @@
 type Counts struct {
 	Operations, Served, Refused, Failed, Rejected, Gone, Steps uint64
 	Outcomes                                                   [balance.NotSent + 1]uint64
+	Classes                                                    []ClassCounts // by number
 }
 
+// ClassCounts are the final answers to the operations of one class. What a
+// destination could make nothing of has failed here.
+type ClassCounts struct{ Served, Refused, Failed uint64 }
+
 // New makes a core. Connect must follow before anything else.
 func New(s balance.Settings, seed uint64, clock Clock, line *due.Line) (*Core, error) {
 	decide, err := balance.New(s, seed)
@@ -75,7 +80,7 @@
 		return nil, err
 	}
 	return &Core{settings: s, decide: decide, clock: clock, due: line,
-		state: map[balance.WorkerID]balance.State{}, idle: func() {}}, nil
+		counts: Counts{Classes: make([]ClassCounts, len(s.Classes))}, state: map[balance.WorkerID]balance.State{}, idle: func() {}}, nil
 }
 
 // Connect names the adapters on the far side.
@@ -176,20 +181,33 @@
 		return
 	}
 	a.MayHaveRun = c.MayHaveRun(ref)
-	switch a.Verdict {
+	c.count(op.Class, a.Verdict)
+	c.finish(op)
+	op.Owner.Answered(ref, a)
+	if c.witness != nil {
+		c.witness.Concluded(op.Owner, a.Verdict)
+	}
+}
+
+// count books a final answer, in all and on its class.
+func (c *Core) count(class int, v Verdict) {
+	of := &ClassCounts{}
+	if class >= 0 && class < len(c.counts.Classes) {
+		of = &c.counts.Classes[class]
+	}
+	switch v {
 	case Served:
 		c.counts.Served++
+		of.Served++
 	case Refused:
 		c.counts.Refused++
+		of.Refused++
 	case Failed:
 		c.counts.Failed++
+		of.Failed++
 	case Rejected:
 		c.counts.Rejected++
-	}
-	c.finish(op)
-	op.Owner.Answered(ref, a)
-	if c.witness != nil {
-		c.witness.Concluded(op.Owner, a.Verdict)
+		of.Failed++
 	}
 }
 
@@ -339,7 +357,7 @@
 	case balance.SetTimer:
 		c.due.Add(c.clock.Now()+a.After, func() { c.tell(balance.TimerFired{Token: a.Token}) })
 	case balance.Probe:
-		if c.settings.Limits.Probes {
+		if state, listed := c.state[a.Worker]; c.settings.Limits.Probes && listed && state == balance.Ready {
 			c.to.Probe(a.Worker)
 		}
 	case balance.CloseIdle:
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -210,54 +209,6 @@
 	}
 }
 
-// Listener takes in connections until it is closed.
-type Listener struct {
-	net.Listener
-	room chan struct{}
-	open atomic.Int32
-}
-
-// Open returns the number of connections open, those just being taken over by
-// the loop included.
-func (in *Listener) Open() int { return int(in.open.Load()) }
-
-// Listen accepts connections, at most most of them open at once; further ones
-// wait in the system's queue. accept is called on the loop with each.
-func (l *Loop) Listen(address string, most int, accept func(*Conn) Handler) (*Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	in := &Listener{Listener: ln, room: make(chan struct{}, most)}
-	go in.serve(l, accept)
-	return in, nil
-}
-
-func (in *Listener) serve(l *Loop, accept func(*Conn) Handler) {
-	for {
-		in.room <- struct{}{}
-		raw, err := in.Accept()
-		if err != nil {
-			<-in.room
-			if isClosed(err) {
-				return
-			}
-			time.Sleep(acceptPause) // out of descriptors, perhaps: they come back
-			continue
-		}
-		in.open.Add(1)
-		leave := func() {
-			in.open.Add(-1)
-			<-in.room
-		}
-		c := &Conn{loop: l, leave: leave}
-		c.opened = func() { c.handler = accept(c) }
-		if _, err := l.client.EnrollContext(raw, c); err != nil {
-			leave()
-		}
-	}
-}
-
 // Packets is a UDP socket.
 type Packets struct{ conn *net.UDPConn }
 
@@ -293,6 +244,9 @@
 	_, _ = p.conn.WriteToUDP(data, to)
 }
 
+// Close closes the socket.
+func (p *Packets) Close() { _ = p.conn.Close() }
+
 // OnOpen, OnTraffic and OnClose are gnet's callbacks.
 
 // OnOpen is gnet's word of a connection that the loop has taken in.
