--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -51,7 +51,7 @@
 	ownMean    float64 // their mean over the time a report may be old
 	ownAt      time.Duration
 	health     []health      // over all classes, then of each
-	heardAt    time.Duration // when it last started or answered a job of this dispatcher's; 0: not since its start
+	heardAt    time.Duration // when it last started or answered an own job; 0: not since its start
 	others     float64       // slots that peers say their jobs hold here
 	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
 	tokensAt   time.Duration
--- a/internal/batch/binding/binding_test.go
+++ b/internal/batch/binding/binding_test.go
@@ -58,7 +58,7 @@
 		t.Errorf("%d route steps", n)
 	}
 	// The key is the tenant's own.
-	w.Play(join("c dial batch", "c "+submit("ben", booking), "c expect HTTP/1.1 202", "w expect order", "w send {stream}{done}"))
+	w.Play(join("c dial batch", "c "+submit("ben", booking), "c expect HTTP/1.1 202", "v accept workers", "v expect order", "v send {stream}{done}"))
 }
 
 // A key stays taken when its job is no longer at hand.
