Hand live jobs, connections and what the module has learned to the next process

Change: at SIGTERM the old process sends each client's connection, its request with all attempts, and the prep workers' connections at work on it to the next one, over a Unix socket in TMPDIR; the module's estimates go ahead. Parcels that are not taken are taken back.

--- a/balance/api.go
+++ b/balance/api.go
@@ -270,6 +270,23 @@
 // RequestGone says that a request is over without this dispatcher's doing.
 type RequestGone struct{ Request RequestID }
 
+// Try is an attempt as another process of this dispatcher made it.
+type Try struct {
+	Worker  WorkerID
+	SentAt  time.Duration
+	Running bool // its start was told
+	Out     bool
+	MayHave bool // it may have run
+}
+
+// Adopted is a request taken over from another process of this dispatcher, with
+// its attempts so far, in order.
+type Adopted struct {
+	Request
+	Arrived time.Duration
+	Tries   []Try
+}
+
 // TimerFired is a timer come due.
 type TimerFired struct{ Token uint32 }
 
@@ -293,6 +310,7 @@
 func (AttemptNews) event()   {}
 func (StreamStarted) event() {}
 func (RequestGone) event()   {}
+func (Adopted) event()       {}
 func (TimerFired) event()    {}
 func (ProbeDone) event()     {}
 func (PeerMessage) event()   {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,7 +92,9 @@
 	case ListUpdate:
 		b.listUpdate(now, ev)
 	case Request:
-		b.request(now, ev)
+		b.place(now, b.admit(now, ev))
+	case Adopted:
+		b.adopt(now, ev)
 	case AttemptDone:
 		b.attemptDone(now, ev)
 	case AttemptNews:
@@ -155,10 +157,10 @@
 	}
 }
 
-func (b *Balancer) request(now time.Duration, in Request) {
+func (b *Balancer) admit(now time.Duration, in Request) *request {
 	if in.Class < 0 || in.Class >= len(b.settings.Classes) {
 		b.do(Fail{Request: in.ID})
-		return
+		return nil
 	}
 	r := &request{Request: in, class: &b.settings.Classes[in.Class], arrived: now}
 	r.Slots = max(r.Slots, 1)
@@ -177,12 +179,12 @@
 	b.fleet.jobSlots.add(r.Slots, reportMemory)
 	last := r.Deadline - answerTicks*b.settings.Resolution
 	b.after(last-now, func(now time.Duration) { b.giveUp(now, r, 0) })
-	b.place(now, r)
+	return r
 }
 
 // place sends a request to the worker of least total, holds it or refuses it.
 func (b *Balancer) place(now time.Duration, r *request) {
-	if r.over || r.out > 0 {
+	if r == nil || r.over || r.out > 0 {
 		return
 	}
 	p := b.permit(now, r)
@@ -533,10 +535,8 @@
 		b.fleet.sawFull(now, w, b.est.run.or(0, 0))
 		w.profile.transfer.add(now, b.est.sizeOf(r.job), ev.Elapsed.Seconds())
 		of(b.est.transfer, w.zone).add(ev.Elapsed.Seconds(), poolSamples)
-	case Errored, ConnectFailed, Reset:
-		b.fleet.judge(now, w, r.Class, true)
-	case TimedOut:
-		if a.runningAt == 0 {
+	case Errored, ConnectFailed, Reset, TimedOut:
+		if ev.Outcome != TimedOut || a.runningAt == 0 {
 			b.fleet.judge(now, w, r.Class, true)
 		}
 	}
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -116,9 +116,7 @@
 func (f *fleet) note(now time.Duration, l Listing) {
 	w := f.byID[l.Worker]
 	if w == nil {
-		w = &worker{id: l.Worker, tokensAt: now, health: make([]health, len(f.health))}
-		w.profile.life = f.spread(sampleLife)
-		w.profile.forget()
+		w = f.newWorker(now, l.Worker)
 		f.byID[l.Worker] = w
 		f.list = append(f.list, w)
 	} else if w.started != l.Started {
@@ -135,6 +133,13 @@
 	}
 }
 
+func (f *fleet) newWorker(now time.Duration, id WorkerID) *worker {
+	w := &worker{id: id, tokensAt: now, health: make([]health, len(f.health))}
+	w.profile.life = f.spread(sampleLife)
+	w.profile.forget()
+	return w
+}
+
 // spread varies a span at random, so that instances do not act in step.
 func (f *fleet) spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + lifeSpread*(2*f.rng.Float64()-1)))
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -36,6 +36,7 @@
 	readyLook  = 5 * time.Millisecond // how often a start looks whether it may accept clients
 	askedFor   = 2 * time.Second      // after which it does so with the list as it last was
 	lookAround = 50 * time.Millisecond
+	handEvery  = 10 * time.Millisecond // how often what could not be handed over is looked at again
 )
 
 // version is the program's, as the batch front tells it.
@@ -112,6 +113,10 @@
 	stop      chan struct{} // closed when the node leaves
 	accepting bool          // clients are let in
 	leaving   bool
+
+	told    bool               // what the module has learned is among them, or gone
+	parcels []*protocol.Parcel // on their way to the next process, with their sockets
+	sockets [][]*os.File
 }
 
 func start(cfg *config.Node) (*node, error) {
@@ -134,6 +139,9 @@
 	if err != nil {
 		return nil, errors.Join(err, n.loop.Stop())
 	}
+	if n.inherited != nil && n.room != nil {
+		n.receive()
+	}
 	if n.room != nil {
 		go n.room.Watch(lookAround, n.stop, n.noticed)
 	}
@@ -191,7 +199,7 @@
 func (n *node) count() {
 	c, f := n.core.Counts(), n.front.Counts()
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
-		"rejected", c.Rejected, "gone", c.Gone, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
+		"rejected", c.Rejected, "gone", c.Gone, "moved", c.Moved, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
 		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed, "full", f.Full)
 	if n.batch != nil {
 		b := n.batch.jobs.Counts()
@@ -245,7 +253,9 @@
 		kept = 0
 	}
 	drained := make(chan struct{})
-	n.loop.Post(func() {
+	next := n.following()
+	n.loop.Call(func() {
+		n.collect(next)
 		slog.Info("leaving: no new connections", "open", n.core.Open())
 		n.front.Stop(kept, func() {
 			select {
@@ -260,6 +270,9 @@
 		longest = max(longest, c.GiveUp)
 	}
 	latest := time.Now().Add(longest + leaveAtLatest)
+	if next != nil {
+		n.handOver(next, drained, latest)
+	}
 	select {
 	case <-drained:
 	case <-time.After(time.Until(latest)):
--- a/cmd/ospreybend/upgrade.go
+++ b/cmd/ospreybend/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -86,3 +87,104 @@
 		n.room.Close()
 	}
 }
+
+// receive lets the process before this one hand over what it has in work.
+func (n *node) receive() {
+	stop, err := n.room.Receive(n.adopt)
+	if err != nil {
+		slog.Warn("the process before this one cannot hand over what it has in work", "fault", err)
+		return
+	}
+	go func() {
+		<-n.stop
+		stop()
+	}()
+}
+
+// adopt takes over one client's connection with what is in work on it.
+func (n *node) adopt(parcel upgrade.Parcel) {
+	p, err := protocol.DecodeParcel(parcel.Text, len(parcel.Sockets))
+	if err != nil {
+		slog.Error("a client's connection is lost", "fault", err)
+		parcel.Close()
+		return
+	}
+	if len(p.Learned) > 0 {
+		n.loop.Post(func() {
+			if err := n.core.Recall(p.Learned); err != nil {
+				slog.Warn("the module begins anew", "fault", err)
+			}
+		})
+		return
+	}
+	conns := n.loop.Adopt(parcel.Sockets, p.Rests())
+	n.loop.Post(func() { n.front.Adopt(n.to, p, conns) })
+}
+
+// following finds the process that takes over what this one has in work.
+func (n *node) following() *upgrade.Next {
+	if n.inherited == nil || n.room == nil {
+		return nil
+	}
+	return n.room.Next()
+}
+
+// collect takes what can be handed over out of this process, on the loop.
+func (n *node) collect(next *upgrade.Next) {
+	if next == nil {
+		return
+	}
+	if !n.told {
+		n.told = true
+		n.parcels, n.sockets = append(n.parcels, &protocol.Parcel{Learned: n.core.Learned()}), append(n.sockets, nil)
+	}
+	n.front.HandOver(n.to, func(p *protocol.Parcel, sockets []*os.File) {
+		n.parcels, n.sockets = append(n.parcels, p), append(n.sockets, sockets)
+	})
+}
+
+// handOver gives the next process what has been collected, and what may be moved
+// only later, until nothing is left here. What the next process does not take goes
+// on in this one.
+func (n *node) handOver(next *upgrade.Next, drained <-chan struct{}, by time.Time) {
+	defer next.Close()
+	moved := 0
+	for time.Now().Before(by) {
+		var parcels []*protocol.Parcel
+		var sockets [][]*os.File
+		n.loop.Call(func() {
+			n.collect(next)
+			parcels, sockets = n.parcels, n.sockets
+			n.parcels, n.sockets = nil, nil
+		})
+		for i, p := range parcels {
+			if !n.give(next, p, sockets[i]) {
+				next = nil
+			} else {
+				moved++
+			}
+		}
+		select {
+		case <-drained:
+			slog.Info("leaving: handed over", "connections", moved)
+			return
+		case <-time.After(handEvery):
+		}
+	}
+}
+
+// give hands one parcel over, or takes it back where that fails.
+func (n *node) give(next *upgrade.Next, p *protocol.Parcel, sockets []*os.File) bool {
+	text, err := p.Encode()
+	parcel := upgrade.Parcel{Text: text, Sockets: sockets}
+	if err == nil && next != nil {
+		if err = next.Send(parcel); err == nil {
+			return true
+		}
+	}
+	slog.Warn("leaving: a connection stays here", "fault", err)
+	if len(sockets) > 0 {
+		n.adopt(parcel)
+	}
+	return false
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,14 +21,19 @@
 
 // Descriptors that are not for fronts or destinations: the log, the listeners,
 // the loop's own, the pool config's, UDP, and a second one for each connection
-// just being taken over by the loop.
-const ownSockets = 64
+// just being taken over by the loop. A node of few has fewer of the last kind.
+const (
+	ownSockets   = 64
+	fewOwn       = 24
+	ownShare     = 16 // past the few, one in so many
+	adminShare   = 12 // part of all that is set aside for operators, one in so many
+	leastSockets = 128
+)
 
 const (
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
-	leastSockets    = 4 * ownSockets
-	operatorSockets = 24 // of the operators' address, set aside
+	operatorSockets = 24 // most of the operators' address, set aside
 	operatorMemory  = 256 << 10
 	leastMemoryMB   = 32
 	inputShare      = 8 // the part of the memory limit that a front's input may take is one in so many
@@ -165,7 +170,7 @@
 		if n.Admin == n.Listen {
 			return fmt.Errorf("admin: %q is the clients' address", n.Admin)
 		}
-		n.AdminSockets, n.AdminMemory = operatorSockets, operatorMemory
+		n.AdminMemory = operatorMemory
 	}
 	if n.PeerListen != "" {
 		if err := address("peer_listen", n.PeerListen); err != nil {
@@ -204,7 +209,10 @@
 	}
 	// Clients keep their connections, one for each request in work; so do the
 	// destinations' sides. Neither needs more than the other for long.
-	rest := n.Sockets - ownSockets - n.AdminSockets
+	if n.Admin != "" {
+		n.AdminSockets = min(operatorSockets, n.Sockets/adminShare)
+	}
+	rest := n.Sockets - min(ownSockets, fewOwn+n.Sockets/ownShare) - n.AdminSockets
 	n.FrontSockets = rest / 2
 	n.DestinationsSockets = rest - n.FrontSockets
 	return nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -31,8 +32,34 @@
 		s.Limits.ConnIdle != time.Minute || len(n.Kinds) != 2 || len(n.ReportFields) != 2 || s.Report[1] != balance.FieldFreeSlots {
 		t.Errorf("%+v", n)
 	}
-	if n.FrontSockets+n.DestinationsSockets+ownSockets > n.Sockets {
-		t.Error("more descriptors are given out than there are")
+}
+
+// The node starts within the smallest limits there are, and gives out no more
+// descriptors than it has; the operators' are set aside.
+func TestDescriptorsAreDividedUp(t *testing.T) {
+	for _, sockets := range []int{128, 192, 256, 384, 512, 1024} {
+		limits := strings.Replace(example(t), `"sockets": 1024`, `"sockets": `+strconv.Itoa(sockets), 1)
+		limits = strings.Replace(limits, `"memory_mb": 192`, `"memory_mb": 32`, 1)
+		for _, admin := range []string{"", "127.0.0.1:9900"} {
+			n, err := Parse([]byte(limits), func(key string) string { return map[string]string{"BALANCER_ADMIN": admin}[key] })
+			if err != nil {
+				t.Errorf("%d descriptors: %v", sockets, err)
+				continue
+			}
+			left := sockets - n.FrontSockets - n.DestinationsSockets - n.AdminSockets
+			if left < 24 || n.FrontSockets < sockets/4 || (n.AdminSockets >= 10) != (admin != "") {
+				t.Errorf("%d descriptors, admin %q: %+v", sockets, admin, n)
+			}
+		}
+	}
+}
+
+func TestAdminIsNamed(t *testing.T) {
+	for _, admin := range []string{"here", "127.0.0.1", "127.0.0.1:8080"} {
+		_, err := Parse([]byte(example(t)), func(key string) string { return map[string]string{"BALANCER_ADMIN": admin}[key] })
+		if err == nil || !strings.HasPrefix(err.Error(), "admin: ") {
+			t.Errorf("%s: %v", admin, err)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/carry.go
@@ -0,0 +1,245 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"ospreybend/balance"
+	"ospreybend/internal/routing"
+	"ospreybend/internal/slot"
+	"ospreybend/internal/transport"
+)
+
+// Parcel is what one process of a node hands to the next in one piece: a client's
+// connection, with the request in work on it, if any, and the connections to the
+// prep workers that are at it. The sockets go beside it: the client's first, then
+// one for each step that is out.
+type Parcel struct {
+	Learned []uint64 // by the module; with it goes no connection
+
+	Rest  []byte // what the client has sent and nobody has read
+	Asked bool
+	Began time.Duration
+	Since time.Duration
+	Call  *CallPart // nil: none in work
+	Size  int       // of the body, in work
+
+	rests [][]byte // of all sockets, in order
+}
+
+// CallPart is a request in work.
+type CallPart struct {
+	Last    bool
+	Old     bool
+	Carried routing.Carried
+	Steps   []StepPart // those that are out
+}
+
+// StepPart is a destination's connection at work on a step.
+type StepPart struct {
+	Try      int
+	Name     string // of the destination
+	Address  string
+	Rest     []byte
+	Head     bool
+	Status   int
+	Declined bool
+	Load     []byte
+	Line     []byte
+	Last     bool
+	Kept     bool
+	Left     int
+	Chunked  bool
+	ToEnd    bool
+	Over     bool
+}
+
+// Encode writes the parcel.
+func (p *Parcel) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(p)
+	return b.Bytes(), err
+}
+
+// DecodeParcel reads a parcel and checks that it has the sockets that it names.
+func DecodeParcel(text []byte, sockets int) (*Parcel, error) {
+	p := &Parcel{}
+	if err := gob.NewDecoder(bytes.NewReader(text)).Decode(p); err != nil {
+		return nil, fmt.Errorf("a parcel of another process: %w", err)
+	}
+	if len(p.Learned) > 0 {
+		if sockets > 0 || p.Call != nil {
+			return nil, fmt.Errorf("a parcel of another process: what was learned, with %d sockets", sockets)
+		}
+		return p, nil
+	}
+	p.rests = [][]byte{p.Rest}
+	if c := p.Call; c != nil {
+		if len(c.Carried.Until) != len(c.Carried.Tries) {
+			return nil, fmt.Errorf("a parcel of another process: %d tries with %d ends", len(c.Carried.Tries), len(c.Carried.Until))
+		}
+		for _, s := range c.Steps {
+			if s.Try < 0 || s.Try >= len(c.Carried.Tries) || !c.Carried.Tries[s.Try].Out {
+				return nil, fmt.Errorf("a parcel of another process: step %d is not out", s.Try)
+			}
+			p.rests = append(p.rests, s.Rest)
+		}
+	}
+	if len(p.rests) != sockets {
+		return nil, fmt.Errorf("a parcel of another process: %d sockets for %d connections", sockets, len(p.rests))
+	}
+	return p, nil
+}
+
+// Rests returns, by socket, what had come in on it and nobody has read.
+func (p *Parcel) Rests() [][]byte { return p.rests }
+
+// HandOver calls give with each client's connection that another process can take
+// over, and forgets it. What cannot be moved now, as its last bytes wait for the
+// system, stays.
+func (f *Front) HandOver(to *Destinations, give func(p *Parcel, sockets []*os.File)) {
+	byCall := make(map[*Call]slot.Ref, len(f.calls))
+	for ref, c := range f.calls {
+		byCall[c] = ref
+	}
+	f.sockets.All(func(_ slot.Ref, s *frontSocket) {
+		if !s.conn.CanHandOver() {
+			return
+		}
+		p := &Parcel{Asked: s.asked, Began: s.began, Since: s.since}
+		var sockets []*os.File
+		if s.call != nil {
+			ref, ok := byCall[s.call]
+			if !ok || !to.movable(f.core.Out(ref)) {
+				return
+			}
+			p.Size = s.call.size
+			p.Call, sockets = f.release(to, ref, s.call)
+		}
+		socket, rest, ok := s.conn.HandOver()
+		if !ok {
+			// Out of descriptors. What was in work cannot go on here any more.
+			slog.Error("a connection is lost on its way to the next process")
+			for _, c := range sockets {
+				c.Close()
+			}
+			s.close()
+			return
+		}
+		p.Rest = rest
+		s.forget()
+		give(p, append([]*os.File{socket}, sockets...))
+	})
+}
+
+// release takes a request in work out of the core and the destinations.
+func (f *Front) release(to *Destinations, ref slot.Ref, c *Call) (*CallPart, []*os.File) {
+	part := &CallPart{Last: c.last, Old: c.old}
+	var sockets []*os.File
+	out := f.core.Out(ref)
+	part.Carried = f.core.Release(ref, func(step slot.Ref) bool {
+		s, socket := to.release(step)
+		if socket == nil {
+			return true
+		}
+		for i, at := range out {
+			if at == step {
+				s.Try = i
+			}
+		}
+		part.Steps = append(part.Steps, s)
+		sockets = append(sockets, socket)
+		return false
+	})
+	delete(f.calls, ref)
+	delete(f.open, c.id)
+	c.gone = nil
+	return part, sockets
+}
+
+// Adopt takes over a client's connection, on the loop. conns are its own and those
+// of the steps, as the parcel names them.
+func (f *Front) Adopt(to *Destinations, p *Parcel, conns []*transport.Conn) {
+	s := &frontSocket{server: f.Server, conn: conns[0], asked: p.Asked, began: p.Began, since: p.Since}
+	s.ref = f.sockets.Add(s)
+	if f.listener != nil {
+		s.conn.Leaves(f.listener.Admit())
+	}
+	if part := p.Call; part == nil {
+		s.await()
+	} else {
+		f.resume(to, s, p, conns[1:])
+	}
+	s.conn.Settle(s)
+	f.makeRoom()
+}
+
+func (f *Front) resume(to *Destinations, s *frontSocket, p *Parcel, conns []*transport.Conn) {
+	part := p.Call
+	c := &Call{socket: s, last: part.Last || f.stopping, id: part.Carried.Operation.Work.ID, size: p.Size}
+	c.old = part.Old
+	s.call = c
+	f.held += c.size
+	ref, steps := f.core.Adopt(part.Carried, f)
+	f.register(ref, c)
+	handlers := make([]*destinationConn, len(part.Steps))
+	for i, at := range part.Steps {
+		handlers[i] = to.adopt(steps[at.Try], part.Carried.Tries[at.Try].Worker, at, part.Carried.Operation.Work.Once, conns[i])
+	}
+	f.core.Resume(ref)
+	for i, c := range handlers {
+		conns[i].Settle(c) // last, as an answer may be among what has come in
+	}
+}
+
+// movable tells whether all connections at work on some steps can be handed over.
+func (d *Destinations) movable(steps []slot.Ref) bool {
+	for _, at := range steps {
+		if t := d.trips[at]; t != nil && t.conn != nil && !t.conn.conn.CanHandOver() {
+			return false
+		}
+	}
+	return true
+}
+
+// release gives up the connection at work on a step. Without a socket not a byte
+// of the step has gone out.
+func (d *Destinations) release(step slot.Ref) (StepPart, *os.File) {
+	t := d.trips[step]
+	if t == nil || t.conn == nil {
+		return StepPart{}, nil
+	}
+	c := t.conn
+	d.settle(t, c)
+	socket, rest, ok := c.conn.HandOver()
+	if !ok {
+		return StepPart{}, nil
+	}
+	c.lost()
+	delete(d.trips, step)
+	return StepPart{Name: t.to.name, Address: t.to.address, Rest: rest, Head: c.head, Status: c.status, Declined: c.declined,
+		Load: c.load, Line: c.line, Last: c.last, Kept: c.kept, Left: c.body.left, Chunked: c.body.chunked, ToEnd: c.body.toEnd,
+		Over: c.body.over}, socket
+}
+
+// adopt takes over a connection at work on a step.
+func (d *Destinations) adopt(step slot.Ref, id balance.WorkerID, p StepPart, once bool,
+	conn *transport.Conn) *destinationConn {
+	to := d.byID[id]
+	if to == nil {
+		// It has left the list meanwhile. What it has in work ends as it ends.
+		to = &destination{id: id, name: p.Name, address: p.Address}
+	}
+	c := &destinationConn{owner: d, to: to, conn: conn, process: to.process, head: p.Head, status: p.Status, declined: p.Declined,
+		load: p.Load, line: p.Line, last: p.Last, kept: p.Kept,
+		body: bodyReader{left: p.Left, chunked: p.Chunked, toEnd: p.ToEnd, over: p.Over}}
+	t := &trip{step: step, once: once, to: to, conn: c, sentAt: d.loop.Now()}
+	c.trip = t
+	d.trips[step] = t
+	d.open++
+	return c
+}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -87,15 +87,19 @@
 	}
 	op.Owner = f
 	ref := f.core.Take(op)
-	f.calls[ref] = c // first, as the answer may come before Route returns
-	f.open[id] = true
 	c.id = id
+	f.register(ref, c) // first, as the answer may come before Route returns
+	f.core.Route(ref)
+}
+
+func (f *Front) register(ref slot.Ref, c *Call) {
+	f.calls[ref] = c
+	f.open[c.id] = true
 	c.Gone(func() {
 		delete(f.calls, ref)
-		delete(f.open, id)
+		delete(f.open, c.id)
 		f.core.Withdraw(ref)
 	})
-	f.core.Route(ref)
 }
 
 // operation reads a request's header into an operation.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -32,7 +32,9 @@
 // operation is one operation and its route steps.
 type operation struct {
 	Operation
-	steps      []slot.Ref // by number; a Ref goes stale when its step ends
+	steps      []slot.Ref    // by number; a Ref goes stale when its step ends
+	tries      []balance.Try // the same, as another process would have to know them
+	arrived    time.Duration
 	out        int
 	gated      int  // of those that are out: before the gate
 	over       bool // has its final answer, or nobody waits for one
@@ -64,9 +66,9 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Operations, Served, Refused, Failed, Rejected, Gone, Steps uint64
-	Outcomes                                                   [balance.NotSent + 1]uint64
-	Classes                                                    []ClassCounts // by number
+	Operations, Served, Refused, Failed, Rejected, Gone, Moved, Steps uint64
+	Outcomes                                                          [balance.NotSent + 1]uint64
+	Classes                                                           []ClassCounts // by number
 }
 
 // ClassCounts are the final answers to the operations of one class. What a
@@ -122,7 +124,7 @@
 // owner can note the Ref first.
 func (c *Core) Take(in Operation) slot.Ref {
 	in.Work.Once = in.Class < len(c.settings.Classes) && c.settings.Classes[in.Class].Effect == balance.Unsafe
-	op := &operation{Operation: in}
+	op := &operation{Operation: in, arrived: c.clock.Now()}
 	ref := c.ops.Add(op)
 	c.open++
 	c.counts.Operations++
@@ -139,9 +141,14 @@
 	if op == nil {
 		return
 	}
-	c.tell(balance.Request{ID: balance.RequestID(ref), Class: op.Class, Tenant: op.Tenant, Key: op.Key,
+	c.tell(c.request(ref, op))
+}
+
+// request is an operation as the module sees it.
+func (c *Core) request(ref slot.Ref, op *operation) balance.Request {
+	return balance.Request{ID: balance.RequestID(ref), Class: op.Class, Tenant: op.Tenant, Key: op.Key,
 		Cost: op.Cost, HasCost: op.HasCost, Repeat: op.Repeat, Slots: op.Slots, Memory: op.Memory,
-		Deadline: op.Deadline})
+		Deadline: op.Deadline}
 }
 
 // MayHaveRun tells whether a route step of the operation has had effect, or yet
@@ -246,6 +253,7 @@
 		return
 	}
 	if op := c.ops.Get(s.op); op != nil && !op.over {
+		op.tries[s.number].Running = true
 		op.Owner.Started(s.op, s.to)
 		if c.witness != nil {
 			c.witness.Waited(op.Owner, c.clock.Now()-s.sentAt)
@@ -279,6 +287,7 @@
 	c.counts.Outcomes[end.Outcome]++
 	op := c.ops.Get(s.op)
 	op.out--
+	op.tries[s.number].Out, op.tries[s.number].MayHave = false, !end.Outcome.NeverRan()
 	op.mayHaveRun = op.mayHaveRun || !end.Outcome.NeverRan()
 	if c.witness != nil && end.Report != nil {
 		c.witness.Reported(s.to, end.Report)
@@ -409,6 +418,7 @@
 	s := &step{op: ref, number: len(op.steps), to: a.Worker, sentAt: now, until: until}
 	at := c.steps.Add(s)
 	op.steps = append(op.steps, at)
+	op.tries = append(op.tries, balance.Try{Worker: a.Worker, SentAt: now, Out: true, MayHave: true})
 	op.out++
 	state, listed := c.state[a.Worker]
 	if op.over || !listed || state != balance.Ready || len(op.steps) > c.settings.Limits.MaxAttempts {
