Spare slow jobs in a crowd; answer all before a leaving node may be killed

Jobs still running 3.7 s after SIGTERM were killed unanswered.

Change: 2.8 s for a request; a connection is judged by its last byte, idle ones go before unfinished ones unless those fill a quarter of the room. After SIGTERM without a successor deadlines are cut to 3.55 s from it, and the module refuses or fails what is left; a leaving node is quiet to its peers and stays open for longer while it hears none.

--- a/balance/api.go
+++ b/balance/api.go
@@ -270,6 +270,12 @@
 // RequestGone says that a request is over without this dispatcher's doing.
 type RequestGone struct{ Request RequestID }
 
+// Shortened says that a request is to be answered earlier than it was to be.
+type Shortened struct {
+	Request  RequestID
+	Deadline time.Duration // clock time
+}
+
 // Try is an attempt as another process of this dispatcher made it.
 type Try struct {
 	Worker  WorkerID
@@ -311,6 +317,7 @@
 func (StreamStarted) event() {}
 func (RequestGone) event()   {}
 func (Adopted) event()       {}
+func (Shortened) event()     {}
 func (TimerFired) event()    {}
 func (ProbeDone) event()     {}
 func (PeerMessage) event()   {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -95,6 +95,11 @@
 		b.place(now, b.admit(now, ev))
 	case Adopted:
 		b.adopt(now, ev)
+	case Shortened:
+		if r := b.requests[ev.Request]; r != nil && ev.Deadline < r.Deadline {
+			r.Deadline = ev.Deadline
+			b.limit(now, r)
+		}
 	case AttemptDone:
 		b.attemptDone(now, ev)
 	case AttemptNews:
@@ -177,9 +182,14 @@
 	}
 	b.requests[in.ID] = r
 	b.fleet.jobSlots.add(r.Slots, reportMemory)
+	b.limit(now, r)
+	return r
+}
+
+// limit has the request given up shortly before its deadline.
+func (b *Balancer) limit(now time.Duration, r *request) {
 	last := r.Deadline - answerTicks*b.settings.Resolution
 	b.after(last-now, func(now time.Duration) { b.giveUp(now, r, 0) })
-	return r
 }
 
 // place sends a request to the worker of least total, holds it or refuses it.
@@ -195,7 +205,7 @@
 	f, ok := b.choose(now, r)
 	switch {
 	case !ok && b.bestCase(r) > b.timeLeft(now, r):
-		b.giveUp(now, r, b.est.run.or(0, 0)) // held past any use: some worker ends a job by then
+		b.giveUp(now, r, b.est.run.or(0, 0)) // held past any use
 	case !ok:
 		b.hold(now, r)
 	case b.out == 0:
@@ -216,9 +226,8 @@
 	return b.est.sizeOf(r.job) * min(1, b.est.allPace.or(1, 1))
 }
 
-// patience is the queue wait, in seconds, that a job may be sent into: the slack
-// of the tightest class worth as much or more. Jobs with time to spare would
-// else make the tight ones late everywhere; they wait here, to their own aims.
+// patience is the queue wait, in seconds, that a job may be sent into: the slack of the tightest
+// class worth as much or more. Jobs with time to spare, which wait here, would else make it late.
 func (b *Balancer) patience(r *request) float64 {
 	least := math.Inf(1)
 	for i := range b.settings.Classes {
@@ -256,8 +265,7 @@
 	}
 }
 
-// wake tries the held requests again, oldest first. Where a class's first try
-// finds no worker the rest of it waits on, so that a long line costs one look.
+// wake tries the held requests again, oldest first, and of a class that finds no worker only one.
 func (b *Balancer) wake(now time.Duration) {
 	b.waking = false
 	line := b.held
@@ -316,9 +324,8 @@
 	return b.ties[b.rng.IntN(len(b.ties))], true
 }
 
-// forecast predicts a request's delay at a worker: transfer and processing. The
-// total adds own unfinished work there, and as time what a failure, a fetch, a
-// 'full' or another zone would cost.
+// forecast predicts a request's delay at a worker. The total adds own unfinished work there, and
+// as time what a failure, a fetch, a 'full' or another zone would cost.
 func (b *Balancer) forecast(now time.Duration, r *request, w *worker, turnover float64) forecast {
 	f := forecast{worker: w, free: b.fleet.freeSlots(now, w, turnover)}
 	process := b.est.processAt(now, &w.profile, w.kind, r.job, f.free)
@@ -417,9 +424,8 @@
 	}
 }
 
-// look checks on an attempt whose start is overdue. A worker that has said nothing
-// for so long may hang: it is blamed, what is sent to it next takes a new
-// connection, and what may be repeated is also sent where a slot is free.
+// look checks on an attempt whose start is overdue. A worker silent for so long may hang: it is
+// blamed, next reached anew, and what may be repeated is also sent where a slot is free.
 func (b *Balancer) look(now time.Duration, r *request, at int, late time.Duration) {
 	a := r.attempts[at]
 	if r.over || !a.out || a.runningAt > 0 {
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -225,8 +225,7 @@
 	w.reported, w.reportedAt, w.free = true, now, free
 }
 
-// ownAverage is the mean of this dispatcher's slots out at the worker in the
-// time that a report has aged on arrival: the part of the report that is its own.
+// ownAverage is this dispatcher's part of a report, which has aged on arrival.
 func (w *worker) ownAverage(now time.Duration) float64 {
 	k := math.Exp(-(now - w.ownAt).Seconds() / reportAge.Seconds())
 	return w.ownMean*k + w.unfinished*(1-k)
@@ -238,8 +237,7 @@
 	w.unfinished += slots
 }
 
-// queued gives the slots that a worker's waiting jobs want: reported free slots
-// end at none, and only the queue tells a busy worker from a buried one.
+// queued gives the slots that a worker's waiting jobs want, as reported free slots end at none.
 func (f *fleet) queued(w *worker, free float64, seen map[Field]float64) float64 {
 	each := f.jobSlots.or(1, 1)
 	if waiting, ok := seen[FieldBacklog]; ok {
@@ -251,9 +249,8 @@
 	return 0
 }
 
-// freeSlots estimates the slots free now: the report ages towards the mean of
-// its kind in the time a job runs, since by then most of what it saw has ended.
-// Where peers tell what they have out, that is fresher than any report.
+// freeSlots estimates the slots free now: the report ages towards the mean of its kind in the
+// time a job runs. Where peers tell what they have out, that is fresher than any report.
 func (f *fleet) freeSlots(now time.Duration, w *worker, turnover float64) float64 {
 	if peers := f.settings.Balancers - 1; f.fresh*2 > peers && peers > 0 {
 		return f.slotsOf(w) - w.unfinished - w.others*float64(peers)/float64(f.fresh)
@@ -289,8 +286,7 @@
 	}
 }
 
-// judge books an outcome on a worker's health, over all and for the class: some
-// troubles strike the jobs of one class alone, which the others' success hides.
+// judge books an outcome on a worker's health, over all and for the class: some hit one alone.
 func (f *fleet) judge(now time.Duration, w *worker, class int, failed bool) {
 	for _, of := range [][]health{w.health, f.health} {
 		of[0].add(now, failed)
@@ -335,8 +331,7 @@
 	return u
 }
 
-// rankFor orders the workers for a key by weighted rendezvous hashing, so that
-// dispatchers with the same list agree on a key's homes without talking.
+// rankFor orders the workers for a key by weighted rendezvous hashing, alike at all dispatchers.
 func (f *fleet) rankFor(key uint64) []int {
 	order, score := make([]int, len(f.list)), make([]float64, len(f.list))
 	for i, w := range f.list {
@@ -351,9 +346,8 @@
 	return rank
 }
 
-// missChance is the chance that a worker lacks a key's data: none at its homes,
-// which are as many as its share of the traffic needs, then more by rank, so
-// that what overflows is also sent where others send it.
+// missChance is the chance that a worker lacks a key's data: none at its homes, which are as many
+// as its share of the traffic needs, then more by rank, as all dispatchers see it.
 func (f *fleet) missChance(u *keyUse, w *worker) float64 {
 	homes := max(1, int(math.Round(u.count/f.keyTotal*float64(len(f.list)))))
 	if u.made != f.changes || u.rank == nil {
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -33,6 +33,13 @@
 
 	leaveAtLatest = time.Second // past the longest deadline
 
+	// A leaving process may be killed so long after the signal: the longest deadline,
+	// which counts at most as much, and some more.
+	longestSpared = 3 * time.Second
+	spareTime     = 550 * time.Millisecond // of 0.7 s
+	lastComers    = 700 * time.Millisecond // before that nothing new is let in
+	peerAlive     = 500 * time.Millisecond // a node that serves tells its peers more often
+
 	readyLook  = 5 * time.Millisecond // how often a start looks whether it may accept clients
 	askedFor   = 2 * time.Second      // after which it does so with the list as it last was
 	lookAround = 50 * time.Millisecond
@@ -231,10 +238,12 @@
 
 // leave answers what the node has taken, and returns once all of it is out. Where
 // the clients' socket is this process's own, new connections come for a while after
-// the signal. Where it is inherited they are the next process's, and only those open
-// are still of use.
+// the signal. Where it is inherited they are the next process's, which also gets
+// what is open here. What nobody takes over is answered before the process may be
+// killed.
 func (n *node) leave() {
-	slog.Info("leaving", "serving_on", serveOn, "inherited", n.inherited != nil)
+	began := time.Now()
+	slog.Info("leaving", "inherited", n.inherited != nil)
 	n.loop.Call(func() {
 		n.leaving = true
 		n.front.Leave()
@@ -242,20 +251,30 @@
 			n.pool.SpareCold()
 			n.peers.Close()
 		}
+		n.peers.Hush()
 		if n.batch != nil {
 			n.batch.jobs.Stop()
 		}
 	})
 	defer n.exit()
+	longest := time.Duration(0)
+	for _, c := range n.cfg.Settings.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	killed := began.Add(min(longest, longestSpared) + spareTime)
+	next := n.following()
 	kept := serveOn
 	if n.inherited == nil {
-		time.Sleep(serveOn)
+		n.loop.Call(func() { n.endBy(killed) })
+		n.serveOn(began, killed)
 		kept = 0
 	}
 	drained := make(chan struct{})
-	next := n.following()
 	n.loop.Call(func() {
 		n.collect(next)
+		if n.inherited != nil {
+			n.endBy(killed)
+		}
 		slog.Info("leaving: no new connections", "open", n.core.Open())
 		n.front.Stop(kept, func() {
 			select {
@@ -265,10 +284,6 @@
 			}
 		})
 	})
-	longest := time.Duration(0)
-	for _, c := range n.cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
-	}
 	latest := time.Now().Add(longest + leaveAtLatest)
 	if next != nil {
 		n.handOver(next, drained, latest)
--- a/cmd/ospreybend/upgrade.go
+++ b/cmd/ospreybend/upgrade.go
@@ -188,3 +188,21 @@
 	}
 	return false
 }
+
+// endBy has all that clients wait for answered by a time.
+func (n *node) endBy(at time.Time) {
+	n.core.EndBy(n.front, n.loop.Now()+time.Until(at))
+}
+
+// serveOn lets clients in for as long as they still come, and after that until
+// another node tells that it serves: where all are restarted one after the other,
+// the next may go before the last is back, and clients would find nobody.
+func (n *node) serveOn(began, killed time.Time) {
+	time.Sleep(time.Until(began.Add(serveOn)))
+	for alone := true; time.Now().Before(killed.Add(-lastComers)); time.Sleep(lookAround) {
+		n.loop.Call(func() { alone = !n.core.HeardWithin(peerAlive) })
+		if !alone || n.cfg.PeerListen == "" || len(n.cfg.Peers) < 2 {
+			return
+		}
+	}
+}
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -33,6 +33,7 @@
 	all    *net.UDPAddr
 	from   map[netip.AddrPort]int
 	closed bool
+	hushed bool
 }
 
 // NewPeers makes the adapter. Without an address to listen at it sends nothing.
@@ -89,6 +90,9 @@
 	})
 }
 
+// Hush ends the telling: a node that leaves is not to count as one that serves.
+func (p *Peers) Hush() { p.hushed = true }
+
 // Close lets go of the address, for the process that follows.
 func (p *Peers) Close() {
 	p.closed = true
@@ -104,7 +108,7 @@
 // Tell sends a message to one node, or to all with to < 0.
 func (p *Peers) Tell(to int, payload []byte) {
 	switch {
-	case p.out == nil:
+	case p.out == nil || p.hushed:
 	case len(payload) > maxDatagram:
 		slog.Error("message to peers too long", "bytes", len(payload))
 	case to >= 0 && to < len(p.to):
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	socketSpare   = 8                      // front sockets kept free: past that, some are shed
-	socketLast    = 2                      // the last of these turn who comes away at once
-	requestWithin = 2 * time.Second        // from the connection's start, or a later request's first byte, to its last
-	freshFor      = 25 * time.Millisecond  // a connection younger than this may yet bring a usual client's request
-	slowFor       = 250 * time.Millisecond // and one that has brought a part of it, the rest
-	mostAhead     = maxHead                // most bytes kept of what a client sends while its call is in work
+	socketSpare   = 8                       // front sockets kept free: past that, some are shed
+	socketLast    = 2                       // the last of these turn who comes away at once
+	requestWithin = 2800 * time.Millisecond // from the connection's start, or a later request's first byte, to its last
+	freshFor      = 25 * time.Millisecond   // a connection younger than this may yet bring a usual client's request
+	slowFor       = 250 * time.Millisecond  // and one that has brought a part of it, the next
+	stalledFor    = time.Second             // one that has brought no more for so long will not
+	restedFor     = 500 * time.Millisecond  // an idle connection that a usual client hardly misses
+	slowShare     = 4                       // unfinished requests may fill one front socket in so many before they go first
+	mostAhead     = maxHead                 // most bytes kept of what a client sends while its call is in work
 	tellEvery     = 10 * time.Second
 	noRoom        = "there is no room for the request just now"
 	continueLine  = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -78,6 +81,7 @@
 	reader  requestReader // of the request that is coming
 	began   time.Duration // when it began to come, or the connection
 	limit   *due.Deadline // by which it must be whole
+	heard   time.Duration // when the last of it came
 	held    int           // bytes of input held for it
 	asked   bool          // has brought a whole request
 	since   time.Duration // the last answer
@@ -141,15 +145,15 @@
 		}
 	})
 	if after > 0 {
-		s.loop.Due.Add(s.loop.Now()+after, s.closeIdle)
+		s.loop.Due.Add(s.loop.Now()+after, s.CloseIdle)
 	} else {
-		s.closeIdle()
+		s.CloseIdle()
 	}
 	s.check()
 }
 
-// closeIdle closes the front sockets that have brought nothing that is unanswered.
-func (s *Server) closeIdle() {
+// CloseIdle closes the front sockets that have brought nothing that is unanswered.
+func (s *Server) CloseIdle() {
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
 		if f.call == nil && f.held == 0 {
 			f.close()
@@ -183,14 +187,17 @@
 }
 
 // shed closes one connection to make room for those to come: first one that has
-// brought nothing, then one that has not brought the whole of a request, each
-// after a time that a usual client does not need, then one that has had its last
-// answer, then the one that has stood idle longest. A connection with a request
-// in work is never chosen, nor is a fresh one, which may have a request on its
-// way. The time is short, as silent connections come by hundreds at once.
+// brought nothing in a time that a usual client does not need, then one whose
+// request has stood still for long, then one that has had its last answer, then one
+// that has stood idle. A request that comes piece by piece is judged by its last
+// piece: as long as only few are unfinished they go after the idle ones, since a
+// slow job would be lost and an idle connection is only opened anew. A connection
+// with a request in work is never chosen, nor is a fresh one, which may have a
+// request on its way. The times are short, as such connections come by hundreds.
 func (s *Server) shed() bool {
 	now := s.loop.Now()
 	var silent, unfinished, idle *frontSocket
+	slow := 0
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
 		switch {
 		case f.call != nil || !f.conn.Open():
@@ -202,8 +209,11 @@
 			if now-f.began >= freshFor && (silent == nil || f.began < silent.began) {
 				silent = f
 			}
-		case now-f.began >= slowFor && (unfinished == nil || f.began < unfinished.began):
-			unfinished = f
+		default:
+			slow++
+			if now-f.heard >= slowFor && (unfinished == nil || f.heard < unfinished.heard) {
+				unfinished = f
+			}
 		}
 	})
 	// What the other side has closed since is out of the way already.
@@ -211,10 +221,14 @@
 	switch {
 	case silent != nil:
 		silent.close()
-	case unfinished != nil:
+	case unfinished != nil && (now-unfinished.heard >= stalledFor || slow > s.most/slowShare):
 		unfinished.close()
 	case len(s.lingering) > 0:
 		s.lingering[0].Close()
+	case idle != nil && now-idle.since >= restedFor:
+		idle.close()
+	case unfinished != nil:
+		unfinished.close()
 	case idle != nil:
 		idle.close()
 	default:
@@ -298,6 +312,7 @@
 
 // Data takes in what a client sends: one request at a time.
 func (f *frontSocket) Data(conn *transport.Conn, in []byte) int {
+	f.heard = f.server.loop.Now()
 	used := 0
 	for f.call == nil && conn.Open() && used < len(in) {
 		m, n, err := f.reader.read(in[used:])
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -58,8 +58,11 @@
 	state    map[balance.WorkerID]balance.State
 	events   []balance.Event
 	busy     bool
-	idle     func()  // called when the last open operation is answered
-	witness  Witness // nil: none
+	idle     func()        // called when the last open operation is answered
+	witness  Witness       // nil: none
+	heardAt  time.Duration // the last message of another node; 0: none
+	endBy    time.Duration // what ending owns is to be answered by then
+	ending   Owner         // nil: none
 
 	counts Counts
 }
@@ -123,6 +126,9 @@
 // Take takes an operation in. Nothing becomes of it before Route, so that its
 // owner can note the Ref first.
 func (c *Core) Take(in Operation) slot.Ref {
+	if c.ending != nil && in.Owner == c.ending {
+		in.Deadline = min(in.Deadline, c.endBy)
+	}
 	in.Work.Once = in.Class < len(c.settings.Classes) && c.settings.Classes[in.Class].Effect == balance.Unsafe
 	op := &operation{Operation: in, arrived: c.clock.Now()}
 	ref := c.ops.Add(op)
@@ -134,6 +140,34 @@
 	return ref
 }
 
+// EndBy has all operations of an owner answered by a time, those still to come too:
+// the process may live no longer. The module refuses or fails what does not end by
+// then.
+func (c *Core) EndBy(owner Owner, at time.Duration) {
+	c.ending, c.endBy = owner, at
+	var refs []slot.Ref
+	c.ops.All(func(ref slot.Ref, op *operation) {
+		if !op.over && op.Owner == owner && op.Deadline > at {
+			refs = append(refs, ref)
+		}
+	})
+	for _, ref := range refs {
+		op := c.ops.Get(ref)
+		if op == nil || op.over {
+			continue
+		}
+		op.Deadline = at
+		c.due.Drop(op.deadline)
+		op.deadline = c.due.Add(at+graceAfterDeadline, func() { c.overdue(ref) })
+		c.tell(balance.Shortened{Request: balance.RequestID(ref), Deadline: at})
+	}
+}
+
+// HeardWithin tells whether a message of another node has come in the last span.
+func (c *Core) HeardWithin(span time.Duration) bool {
+	return c.heardAt > 0 && c.clock.Now()-c.heardAt <= span
+}
+
 // Route puts an operation to the module. Its final answer may come before Route
 // returns.
 func (c *Core) Route(ref slot.Ref) {
@@ -332,6 +366,7 @@
 
 // Heard takes in a message of another node.
 func (c *Core) Heard(from int, payload []byte) {
+	c.heardAt = c.clock.Now()
 	c.tell(balance.PeerMessage{From: from, Payload: payload})
 }
 
