--- a/cmd/ospreybend/main_test.go
+++ b/cmd/ospreybend/main_test.go
@@ -22,7 +22,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	moved := strings.NewReplacer("127.0.0.1:8080", scenario.Free(t), "127.0.0.1:8500", scenario.Free(t)).Replace(string(text))
+	moved := strings.NewReplacer("127.0.0.1:8080", scenario.Free(t), "127.0.0.1:8500", scenario.Free(t),
+		"127.0.0.1:9901", scenario.Free(t)).Replace(string(text))
 	cfg, err := config.Parse([]byte(moved), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/byhand/byhand.go
+++ b/internal/byhand/byhand.go
@@ -12,9 +12,10 @@
 
 // Word is the last that was said of a prep worker. Times are the clock's.
 type Word struct {
-	Out  bool          `json:"out"`
-	At   time.Duration `json:"at"`
-	Back time.Duration `json:"back,omitempty"` // when it was last called back from being out; 0: never
+	Out   bool          `json:"out"`
+	At    time.Duration `json:"at"`
+	Since time.Duration `json:"since,omitempty"` // when it was last taken out from being in; 0: never
+	Back  time.Duration `json:"back,omitempty"`  // when it was last called back from being out; 0: never
 }
 
 // Words holds the last word on each prep worker, by name.
@@ -27,9 +28,12 @@
 // changes nothing but the time of the last word.
 func (w Words) Say(name string, out bool, now time.Duration) {
 	old := w[name]
-	next := Word{Out: out, At: max(now, old.At+time.Microsecond), Back: old.Back}
-	if old.Out && !out {
+	next := Word{Out: out, At: max(now, old.At+time.Microsecond), Since: old.Since, Back: old.Back}
+	switch {
+	case old.Out && !out:
 		next.Back = next.At
+	case out && !old.Out:
+		next.Since = next.At
 	}
 	w[name] = next
 }
@@ -56,7 +60,7 @@
 	if b.At > a.At || b.At == a.At && b.Out {
 		a, b = b, a // a is the one that holds; of two at once, out is the safe one
 	}
-	a.Back = max(a.Back, b.Back)
+	a.Back, a.Since = max(a.Back, b.Back), max(a.Since, b.Since)
 	if !a.Out && b.Out {
 		a.Back = max(a.Back, a.At) // the two calls met different processes
 	}
@@ -65,8 +69,9 @@
 
 // Lay gives a prep worker's entry in the pool config as the core is to see it. One
 // that is out drains, whatever the list says of it. One called back has been
-// restarted meanwhile, and the list may not know yet: it counts as started no
-// earlier than the call.
+// restarted meanwhile. Where the list has that start, later than the word that took
+// it out, it holds; where it does not yet, the prep worker counts as started with
+// the call back, since the start that is listed is its old process's.
 func (w Words) Lay(name string, l balance.Listing) balance.Listing {
 	word, ok := w[name]
 	if !ok || l.State == balance.Gone {
@@ -75,6 +80,8 @@
 	if word.Out && l.State == balance.Ready {
 		l.State = balance.Draining
 	}
-	l.Started = max(l.Started, word.Back)
+	if l.Started <= word.Since {
+		l.Started = max(l.Started, word.Back)
+	}
 	return l
 }
--- a/internal/byhand/byhand_test.go
+++ b/internal/byhand/byhand_test.go
@@ -73,7 +73,15 @@
 	if l := w.Lay("a", balance.Listing{Started: time.Minute}); l.State != balance.Ready || l.Started != 4*time.Hour {
 		t.Errorf("back: %+v", l)
 	}
-	if l := w.Lay("a", balance.Listing{Started: 5 * time.Hour}); l.Started != 5*time.Hour {
-		t.Errorf("a later start: %+v", l)
+	for _, started := range []time.Duration{2*time.Hour + time.Minute, 5 * time.Hour} {
+		if l := w.Lay("a", balance.Listing{Started: started}); l.Started != started {
+			t.Errorf("a start since it was taken out, at %v: %+v", started, l)
+		}
+	}
+	// Taken out again, the start of then is an old one.
+	w.Say("a", true, 6*time.Hour)
+	w.Say("a", false, 7*time.Hour)
+	if l := w.Lay("a", balance.Listing{Started: 5 * time.Hour}); l.Started != 7*time.Hour {
+		t.Errorf("out for a second time: %+v", l)
 	}
 }
