Close half-written requests before those that come in pieces; name rooms by process

Cause: a test of a slow job in a crowd failed once in some runs: where more than a quarter of the room was unfinished, a job between two pieces could be the one that had been quiet longest. By review: a process that leaves could find the one before it, still leaving, and hand over backwards; two processes of one number, as in places with numbers of their own, shared one lock.

Change: of unfinished requests those that came in one piece go first; a leaving process takes nothing over any more; files in the room are named by number and start.

--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -118,6 +118,7 @@
 	room      *upgrade.Room // nil: no folder to meet other processes of this node in
 	words     byhand.Words
 	stop      chan struct{} // closed when the node leaves
+	deaf      func()        // ends the taking over from a process before this one; nil: none
 	accepting bool          // clients are let in
 	leaving   bool
 
@@ -244,6 +245,9 @@
 func (n *node) leave() {
 	began := time.Now()
 	slog.Info("leaving", "inherited", n.inherited != nil)
+	if n.deaf != nil {
+		n.deaf() // who leaves next is to find the one that stays
+	}
 	n.loop.Call(func() {
 		n.leaving = true
 		n.front.Leave()
--- a/cmd/ospreybend/upgrade.go
+++ b/cmd/ospreybend/upgrade.go
@@ -95,10 +95,7 @@
 		slog.Warn("the process before this one cannot hand over what it has in work", "fault", err)
 		return
 	}
-	go func() {
-		<-n.stop
-		stop()
-	}()
+	n.deaf = stop
 }
 
 // adopt takes over one client's connection with what is in work on it.
--- a/internal/protocol/admin_test.go
+++ b/internal/protocol/admin_test.go
@@ -208,9 +208,7 @@
 // What cannot be recorded gets a no. Out holds all the same; back does not.
 func TestUnrecorded(t *testing.T) {
 	w := newWorld(t, nil)
-	var fault error
-	a := w.withAdmin(t, func(name string, out bool, done func(byhand.Words, error)) { done(byhand.Words{}, fault) })
-	fault = errors.New("no room left")
+	a := w.withAdmin(t, func(_ string, _ bool, done func(byhand.Words, error)) { done(nil, errors.New("no room left")) })
 	if got := w.call("PUT /-/prep-workers/s-1/disable"); !strings.HasPrefix(got, "HTTP/1.1 500") {
 		t.Errorf("%q", got)
 	}
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -82,6 +82,7 @@
 	began   time.Duration // when it began to come, or the connection
 	limit   *due.Deadline // by which it must be whole
 	heard   time.Duration // when the last of it came
+	pieces  bool          // it has come in more than one
 	held    int           // bytes of input held for it
 	asked   bool          // has brought a whole request
 	since   time.Duration // the last answer
@@ -190,7 +191,7 @@
 // brought nothing in a time that a usual client does not need, then one whose
 // request has stood still for long, then one that has had its last answer, then one
 // that has stood idle. A request that comes piece by piece is judged by its last
-// piece: as long as only few are unfinished they go after the idle ones, since a
+// piece, and goes after those that came in one: as long as only few are unfinished they go after the idle ones, since a
 // slow job would be lost and an idle connection is only opened anew. A connection
 // with a request in work is never chosen, nor is a fresh one, which may have a
 // request on its way. The times are short, as such connections come by hundreds.
@@ -211,7 +212,7 @@
 			}
 		default:
 			slow++
-			if now-f.heard >= slowFor && (unfinished == nil || f.heard < unfinished.heard) {
+			if now-f.heard >= slowFor && (unfinished == nil || f.stiller(unfinished)) {
 				unfinished = f
 			}
 		}
@@ -238,6 +239,16 @@
 	return true
 }
 
+// stiller tells whether of two unfinished requests this one is less likely to come
+// whole: one that has come in pieces will go on, one that has brought all it ever
+// brought at once hardly will.
+func (f *frontSocket) stiller(than *frontSocket) bool {
+	if f.pieces != than.pieces {
+		return !f.pieces
+	}
+	return f.heard < than.heard
+}
+
 // hold notes how much input the socket holds. Past the server's budget the
 // unfinished request that holds most is given up.
 func (f *frontSocket) hold(bytes int) {
@@ -312,7 +323,7 @@
 
 // Data takes in what a client sends: one request at a time.
 func (f *frontSocket) Data(conn *transport.Conn, in []byte) int {
-	f.heard = f.server.loop.Now()
+	f.heard, f.pieces = f.server.loop.Now(), f.held > 0
 	used := 0
 	for f.call == nil && conn.Open() && used < len(in) {
 		m, n, err := f.reader.read(in[used:])
--- a/internal/protocol/stage_test.go
+++ b/internal/protocol/stage_test.go
@@ -79,7 +79,7 @@
 	t.Helper()
 	w.Loop.Call(func() {
 		c := w.core.Counts()
-		if c.Operations != c.Served+c.Refused+c.Failed+c.Rejected+c.Gone+uint64(w.core.Open()) {
+		if c.Operations != c.Served+c.Refused+c.Failed+c.Rejected+c.Gone+c.Moved+uint64(w.core.Open()) {
 			t.Errorf("operations and final answers do not add up: %+v, %d open", c, w.core.Open())
 		}
 	})
--- a/internal/upgrade/handover.go
+++ b/internal/upgrade/handover.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 )
@@ -35,8 +34,7 @@
 // Receive opens the place where the process before this one hands over what it has
 // in work, and calls got with each parcel, from a goroutine of its own.
 func (r *Room) Receive(got func(Parcel)) (stop func(), err error) {
-	name := filepath.Join(r.dir, socketName+strconv.Itoa(os.Getpid()))
-	_ = os.Remove(name)
+	name := filepath.Join(r.dir, socketName+r.name)
 	at, free, err := r.address(name)
 	if err != nil {
 		return nil, err
@@ -120,7 +118,7 @@
 	}
 	for _, e := range entries {
 		name := filepath.Join(r.dir, e.Name())
-		if !strings.HasPrefix(e.Name(), socketName) || e.Name() == socketName+strconv.Itoa(os.Getpid()) {
+		if !strings.HasPrefix(e.Name(), socketName) || e.Name() == socketName+r.name {
 			continue
 		}
 		at, free, err := r.address(name)
--- a/internal/upgrade/room.go
+++ b/internal/upgrade/room.go
@@ -31,6 +31,7 @@
 // Room is the folder.
 type Room struct {
 	dir  string
+	name string // this process's own, among all that were ever here
 	self string
 	own  *os.File // locked for as long as the process lives
 }
@@ -55,7 +56,9 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("TMPDIR: %w", err)
 	}
-	r := &Room{dir: dir, self: filepath.Join(dir, alive+strconv.Itoa(os.Getpid()))}
+	// By the number alone two processes might be one, where each has numbers of its own.
+	name := strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	r := &Room{dir: dir, name: name, self: filepath.Join(dir, alive+name)}
 	for range tries {
 		f, err := os.OpenFile(r.self, os.O_CREATE|os.O_RDWR, 0o600)
 		if err != nil {
--- a/internal/upgrade/room_test.go
+++ b/internal/upgrade/room_test.go
@@ -76,6 +76,73 @@
 	}
 }
 
+// Two processes see each other, and not one that has left.
+func TestOthers(t *testing.T) {
+	tmp := t.TempDir()
+	a, b := enter(t, tmp), enter(t, tmp)
+	if a.Others() != 1 || b.Others() != 1 {
+		t.Errorf("%d and %d others", a.Others(), b.Others())
+	}
+	b.Close()
+	if n := a.Others(); n != 0 {
+		t.Errorf("%d others after one has left", n)
+	}
+}
+
+// Parcels arrive whole, with their sockets, also where the folder's name is long;
+// without a process that follows there is none to hand over to.
+func TestParcels(t *testing.T) {
+	tmp := filepath.Join(t.TempDir(), strings.Repeat("long", 30))
+	if err := os.Mkdir(tmp, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	a, b := enter(t, tmp), enter(t, tmp)
+	if a.Next() != nil {
+		t.Fatal("handed over to nobody")
+	}
+	got := make(chan Parcel, 1)
+	stop, err := b.Receive(func(p Parcel) { got <- p })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.Next() != nil {
+		t.Error("a process follows itself")
+	}
+	next := a.Next()
+	if next == nil {
+		t.Fatal("the process that follows is not found")
+	}
+	defer next.Close()
+	in, out, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	text := strings.Repeat("x", 150<<10)
+	if err := next.Send(Parcel{Text: []byte(text), Sockets: []*os.File{out}}); err != nil {
+		t.Fatal(err)
+	}
+	p := <-got
+	if string(p.Text) != text || len(p.Sockets) != 1 {
+		t.Fatalf("%d bytes and %d sockets", len(p.Text), len(p.Sockets))
+	}
+	if _, err := p.Sockets[0].WriteString("hi"); err != nil {
+		t.Error(err)
+	}
+	buf := make([]byte, 2)
+	if _, err := in.Read(buf); err != nil || string(buf) != "hi" {
+		t.Errorf("through the socket came %q, %v", buf, err)
+	}
+	p.Close()
+	if err := next.Send(Parcel{Text: make([]byte, mostParcel+1)}); err == nil {
+		t.Error("a parcel that is too long was sent")
+	}
+	stop()
+	if a.Next() != nil {
+		t.Error("found a process that takes nothing more")
+	}
+}
+
 // What a process that is gone has left counts as nobody.
 func TestDeadProcess(t *testing.T) {
 	r := enter(t, t.TempDir())
