--- a/cmd/ospreybend/handed_test.go
+++ b/cmd/ospreybend/handed_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +119,67 @@
 	}
 	b.leave()
 }
+
+// descriptors is how many a process holds.
+func (p *process) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// In a crowd of idle connections two processes together hold no more descriptors
+// than one node may, and the operators of both are answered.
+func TestTwoProcessesShareTheLimits(t *testing.T) {
+	const limit = 192
+	_, dir, socket, address := upgradeWorld(t)
+	path := filepath.Join(dir, "node.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	few := strings.Replace(string(text), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, limit), 1)
+	if few == string(text) {
+		t.Fatal("the limit is not where it was")
+	}
+	if err := os.WriteFile(path, []byte(few), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a := startInherited(t, dir, "a", socket)
+	a.ready()
+	crowd := func(n int) {
+		for range n {
+			dialRaw(t, address).send("GET /healthz HTTP/1.1\r\n\r\n")
+		}
+	}
+	crowd(150)
+	if err := standin.Until(t.Context(), 5*time.Second, func() bool { return a.descriptors() > limit/3 }); err != nil {
+		t.Fatalf("%d descriptors: no crowd", a.descriptors())
+	}
+	b := startInherited(t, dir, "b", socket)
+	b.ready()
+	crowd(300)
+	// The old one has made room: it holds no more than its half.
+	if err := standin.Until(t.Context(), 5*time.Second, func() bool {
+		return a.descriptors() <= limit/3 && b.descriptors() > limit/6
+	}); err != nil {
+		t.Errorf("%d and %d descriptors", a.descriptors(), b.descriptors())
+	}
+	for range 20 {
+		if n, m := a.descriptors(), b.descriptors(); n+m > limit {
+			t.Errorf("%d and %d descriptors", n, m)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, p := range []*process{a, b} {
+		if s, text := p.call("GET", "/-/ready"); s != 200 {
+			t.Errorf("not answered in the crowd: %d %s", s, text)
+		}
+	}
+	a.leave()
+	if n := b.descriptors(); n > limit {
+		t.Errorf("%d descriptors at the one that stays", n)
+	}
+	b.leave()
+}
