Give unfinished requests half of the room in a crowd, and two seconds of silence

Change: unfinished requests go before idle connections only past half of the room, or after 2 s of silence.

--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -18,9 +18,9 @@
 	requestWithin = 2800 * time.Millisecond // from the connection's start, or a later request's first byte, to its last
 	freshFor      = 25 * time.Millisecond   // a connection younger than this may yet bring a usual client's request
 	slowFor       = 250 * time.Millisecond  // and one that has brought a part of it, the next
-	stalledFor    = time.Second             // one that has brought no more for so long will not
+	stalledFor    = 2 * time.Second         // one that has brought no more for so long will not
 	restedFor     = 500 * time.Millisecond  // an idle connection that a usual client hardly misses
-	slowShare     = 4                       // unfinished requests may fill one front socket in so many before they go first
+	slowShare     = 2                       // unfinished requests may fill one front socket in so many before they go first
 	mostAhead     = maxHead                 // most bytes kept of what a client sends while its call is in work
 	tellEvery     = 10 * time.Second
 	noRoom        = "there is no room for the request just now"
