Never call a written step unsent when its connection cannot be handed over

Cause, by review of the handing over: a step whose socket could not be copied (no descriptor left) was noted as never begun, though its request was out, so that a booking might have been sent again; where the client's own socket could not be copied, its taken request was dropped; an idle connection handed over was closed after 2.8 s as if it had never asked; a job that was running counted its queue wait as running time; a process without an operators' address took no words from one that has one.

Change: the client's socket is copied first, so that nothing has changed where that fails; a step that was begun and cannot be moved may have run; the rest as it should be. Whether an operation may have run is derived from its tries, whether clients are let in from the front.

--- a/balance/api.go
+++ b/balance/api.go
@@ -280,7 +280,7 @@
 type Try struct {
 	Worker  WorkerID
 	SentAt  time.Duration
-	Running bool // its start was told
+	Started time.Duration // when its start was told; 0: not yet
 	Out     bool
 	MayHave bool // it may have run
 }
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// What a dispatcher has learned and has in work goes to another process of the same dispatcher as a
-// row of numbers and as requests with their attempts. It decides nothing: the other one
-// goes on as this one would have.
+// What a dispatcher has learned and has in work goes to another process of the same
+// dispatcher as a row of numbers and as requests with their attempts. It decides
+// nothing: the other one goes on as this one would have.
 
 // adopt goes on with a request where another process of this dispatcher stopped.
 func (b *Balancer) adopt(now time.Duration, in Adopted) {
@@ -25,8 +25,8 @@
 		}
 		a := attempt{worker: w, started: w.started, sentAt: t.SentAt, out: t.Out, mayHave: t.MayHave}
 		a.free = b.fleet.freeSlots(now, w, b.est.run.or(0, 0))
-		if t.Running {
-			a.runningAt, w.heardAt = t.SentAt, now
+		if a.runningAt = t.Started; t.Started > 0 {
+			w.heardAt = now
 		}
 		if t.Out {
 			r.out++
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -118,7 +118,7 @@
 	now := time.Hour
 	b.Handle(now, twoWorkers)
 	in := Adopted{Request: Request{ID: 9, Class: 1, Deadline: now + 4*time.Second}, Arrived: now - time.Second,
-		Tries: []Try{{Worker: 1, SentAt: now - time.Second}, {Worker: 2, SentAt: now - time.Second, Running: true, Out: true, MayHave: true}}}
+		Tries: []Try{{Worker: 1, SentAt: now - time.Second}, {Worker: 2, SentAt: now - time.Second, Started: now, Out: true, MayHave: true}}}
 	if acts := b.Handle(now, in); len(acts) > 1 {
 		t.Errorf("more than a timer: %v", acts)
 	}
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -111,7 +111,7 @@
 	pool  *protocol.Discovery
 	peers *protocol.Peers
 	front *protocol.Front
-	admin *protocol.Admin // nil: off
+	admin *protocol.Admin // listens where it has an address
 	batch *batchFront     // nil: off
 
 	inherited net.Listener  // the clients' socket, where the platform holds it; nil: the front opens its own
@@ -119,7 +119,6 @@
 	words     byhand.Words
 	stop      chan struct{} // closed when the node leaves
 	deaf      func()        // ends the taking over from a process before this one; nil: none
-	accepting bool          // clients are let in
 	leaving   bool
 
 	told    bool               // what the module has learned is among them, or gone
@@ -186,8 +185,8 @@
 	n.front = protocol.NewFront(protocol.FrontConfig{Listen: cfg.Listen, Sockets: cfg.FrontSockets, Memory: cfg.FrontMemory,
 		Classes: cfg.Classes,
 		Tenants: cfg.Tenants, GiveUp: giveUp, Retry: s.Limits.RetryAfter}, n.loop, core)
+	n.openAdmin()
 	if cfg.Admin != "" {
-		n.openAdmin()
 		if err := n.admin.Start(); err != nil {
 			return fmt.Errorf("admin: %w", err)
 		}
@@ -196,8 +195,6 @@
 		n.acceptOnceReady(n.loop.Now() + askedFor)
 	} else if err := n.front.Start(); err != nil {
 		return fmt.Errorf("listen: %w", err)
-	} else {
-		n.accepting = true
 	}
 	n.loop.Due.Add(n.loop.Now()+countsEvery, n.count)
 	return nil
--- a/cmd/ospreybend/upgrade.go
+++ b/cmd/ospreybend/upgrade.go
@@ -31,9 +31,7 @@
 // noticed takes in, from beside the loop, what has changed in the room.
 func (n *node) noticed(words byhand.Words, others int) {
 	n.loop.Post(func() {
-		if n.admin != nil {
-			n.admin.Merge(words)
-		}
+		n.admin.Merge(words)
 		n.share(others)
 	})
 }
@@ -57,7 +55,6 @@
 	}
 	if n.pool.Asked() && n.core.Able() || n.loop.Now() >= by {
 		n.front.StartOn(n.inherited)
-		n.accepting = true
 		return
 	}
 	n.loop.Due.Add(n.loop.Now()+readyLook, func() { n.acceptOnceReady(by) })
@@ -67,7 +64,7 @@
 func (n *node) openAdmin() {
 	cfg := n.cfg
 	a := protocol.AdminConfig{Listen: cfg.Admin, Sockets: cfg.AdminSockets, Memory: cfg.AdminMemory, Classes: cfg.ClassNames,
-		Ready: func() bool { return n.accepting && !n.leaving && n.core.Able() }}
+		Ready: func() bool { return n.front.Accepting() && !n.leaving && n.core.Able() }}
 	if n.room != nil {
 		a.Record = func(name string, out bool, done func(byhand.Words, error)) {
 			at := n.loop.Now()
--- a/internal/protocol/carry.go
+++ b/internal/protocol/carry.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
-	"log/slog"
 	"os"
 	"time"
 
@@ -111,49 +110,40 @@
 			return
 		}
 		p := &Parcel{Asked: s.asked, Began: s.began, Since: s.since}
-		var sockets []*os.File
+		var work slot.Ref
 		if s.call != nil {
 			ref, ok := byCall[s.call]
 			if !ok || !to.movable(f.core.Out(ref)) {
 				return
 			}
 			p.Size = s.call.size
-			p.Call, sockets = f.release(to, ref, s.call)
+			work = ref
 		}
 		socket, rest, ok := s.conn.HandOver()
 		if !ok {
-			// Out of descriptors. What was in work cannot go on here any more.
-			slog.Error("a connection is lost on its way to the next process")
-			for _, c := range sockets {
-				c.Close()
-			}
-			s.close()
-			return
+			return // no descriptor for it just now: nothing has changed
 		}
 		p.Rest = rest
+		sockets := []*os.File{socket}
+		if s.call != nil {
+			p.Call, sockets = f.release(to, work, s.call, sockets)
+		}
 		s.forget()
-		give(p, append([]*os.File{socket}, sockets...))
+		give(p, sockets)
 	})
 }
 
 // release takes a request in work out of the core and the destinations.
-func (f *Front) release(to *Destinations, ref slot.Ref, c *Call) (*CallPart, []*os.File) {
+func (f *Front) release(to *Destinations, ref slot.Ref, c *Call, sockets []*os.File) (*CallPart, []*os.File) {
 	part := &CallPart{Last: c.last, Old: c.old}
-	var sockets []*os.File
-	out := f.core.Out(ref)
-	part.Carried = f.core.Release(ref, func(step slot.Ref) bool {
-		s, socket := to.release(step)
-		if socket == nil {
-			return true
-		}
-		for i, at := range out {
-			if at == step {
-				s.Try = i
-			}
+	part.Carried = f.core.Release(ref, func(try int, step slot.Ref) (moved, begun bool) {
+		s, socket, begun := to.release(step)
+		if socket != nil {
+			s.Try = try
+			part.Steps = append(part.Steps, s)
+			sockets = append(sockets, socket)
 		}
-		part.Steps = append(part.Steps, s)
-		sockets = append(sockets, socket)
-		return false
+		return socket != nil, begun
 	})
 	delete(f.calls, ref)
 	delete(f.open, c.id)
@@ -169,10 +159,11 @@
 	if f.listener != nil {
 		s.conn.Leaves(f.listener.Admit())
 	}
-	if part := p.Call; part == nil {
-		s.await()
-	} else {
+	switch {
+	case p.Call != nil:
 		f.resume(to, s, p, conns[1:])
+	case !p.Asked:
+		s.limit = f.loop.Due.Add(p.Began+requestWithin, s.late) // it may stand idle only once it has asked
 	}
 	s.conn.Settle(s)
 	f.makeRoom()
@@ -206,24 +197,24 @@
 	return true
 }
 
-// release gives up the connection at work on a step. Without a socket not a byte
-// of the step has gone out.
-func (d *Destinations) release(step slot.Ref) (StepPart, *os.File) {
+// release gives up the connection at work on a step, and tells whether a byte of
+// the step may have gone out. No socket: it cannot be moved.
+func (d *Destinations) release(step slot.Ref) (part StepPart, socket *os.File, begun bool) {
 	t := d.trips[step]
 	if t == nil || t.conn == nil {
-		return StepPart{}, nil
+		return part, nil, false
 	}
 	c := t.conn
 	d.settle(t, c)
 	socket, rest, ok := c.conn.HandOver()
 	if !ok {
-		return StepPart{}, nil
+		return part, nil, true
 	}
 	c.lost()
 	delete(d.trips, step)
 	return StepPart{Name: t.to.name, Address: t.to.address, Rest: rest, Head: c.head, Status: c.status, Declined: c.declined,
 		Load: c.load, Line: c.line, Last: c.last, Kept: c.kept, Left: c.body.left, Chunked: c.body.chunked, ToEnd: c.body.toEnd,
-		Over: c.body.over}, socket
+		Over: c.body.over}, socket, true
 }
 
 // adopt takes over a connection at work on a step.
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -98,7 +98,7 @@
 
 // Start listens.
 func (s *Server) Start() error {
-	ln, err := transport.Listen(s.listen)
+	ln, err := net.Listen("tcp", s.listen)
 	if err != nil {
 		return err
 	}
@@ -114,6 +114,9 @@
 	})
 }
 
+// Accepting tells whether clients are let in.
+func (s *Server) Accepting() bool { return s.listener != nil && !s.stopping }
+
 // Limit changes how many front sockets are kept and how many bytes of input held,
 // up to what the server was made with. What is over makes room where it may.
 func (s *Server) Limit(most, memory int) {
@@ -146,15 +149,15 @@
 		}
 	})
 	if after > 0 {
-		s.loop.Due.Add(s.loop.Now()+after, s.CloseIdle)
+		s.loop.Due.Add(s.loop.Now()+after, s.closeIdle)
 	} else {
-		s.CloseIdle()
+		s.closeIdle()
 	}
 	s.check()
 }
 
-// CloseIdle closes the front sockets that have brought nothing that is unanswered.
-func (s *Server) CloseIdle() {
+// closeIdle closes the front sockets that have brought nothing that is unanswered.
+func (s *Server) closeIdle() {
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
 		if f.call == nil && f.held == 0 {
 			f.close()
@@ -191,10 +194,11 @@
 // brought nothing in a time that a usual client does not need, then one whose
 // request has stood still for long, then one that has had its last answer, then one
 // that has stood idle. A request that comes piece by piece is judged by its last
-// piece, and goes after those that came in one: as long as only few are unfinished they go after the idle ones, since a
-// slow job would be lost and an idle connection is only opened anew. A connection
-// with a request in work is never chosen, nor is a fresh one, which may have a
-// request on its way. The times are short, as such connections come by hundreds.
+// piece, and goes after those that came in one: as long as only few are unfinished
+// they go after the idle ones, since a slow job would be lost and an idle connection
+// is only opened anew. A connection with a request in work is never chosen, nor is a
+// fresh one, which may have a request on its way. The times are short, as such
+// connections come by hundreds.
 func (s *Server) shed() bool {
 	now := s.loop.Now()
 	var silent, unfinished, idle *frontSocket
--- a/internal/routing/carry.go
+++ b/internal/routing/carry.go
@@ -39,9 +39,9 @@
 }
 
 // Release gives an operation up to another process, without a word to its owner.
-// Steps whose number is in unsent have never begun: they are called off here.
-// Nothing of it is left but what the destinations hold.
-func (c *Core) Release(ref slot.Ref, unsent func(step slot.Ref) bool) Carried {
+// move gives up the connection at work on a step, and tells whether a byte of the
+// step may have gone out; one that is not moved is called off here.
+func (c *Core) Release(ref slot.Ref, move func(try int, step slot.Ref) (moved, begun bool)) Carried {
 	op := c.ops.Get(ref)
 	carried := Carried{Operation: op.Operation, Arrived: op.arrived, Tries: op.tries, Until: make([]time.Duration, len(op.tries))}
 	carried.Operation.Owner = nil
@@ -51,8 +51,8 @@
 			continue
 		}
 		carried.Until[i] = s.until
-		if unsent(at) {
-			carried.Tries[i].Out, carried.Tries[i].MayHave = false, false
+		if moved, begun := move(i, at); !moved {
+			carried.Tries[i].Out, carried.Tries[i].MayHave = false, begun
 			c.to.Abort(at)
 		}
 		c.due.Drop(s.deadline)
@@ -75,7 +75,6 @@
 	op.arrived, op.tries = in.Arrived, in.Tries
 	op.steps = make([]slot.Ref, len(in.Tries))
 	for i, t := range in.Tries {
-		op.mayHaveRun = op.mayHaveRun || t.MayHave && !t.Out
 		if !t.Out {
 			continue
 		}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -32,14 +32,13 @@
 // operation is one operation and its route steps.
 type operation struct {
 	Operation
-	steps      []slot.Ref    // by number; a Ref goes stale when its step ends
-	tries      []balance.Try // the same, as another process would have to know them
-	arrived    time.Duration
-	out        int
-	gated      int  // of those that are out: before the gate
-	over       bool // has its final answer, or nobody waits for one
-	mayHaveRun bool
-	deadline   *due.Deadline
+	steps    []slot.Ref    // by number; a Ref goes stale when its step ends
+	tries    []balance.Try // the same, as another process would have to know them
+	arrived  time.Duration
+	out      int
+	gated    int  // of those that are out: before the gate
+	over     bool // has its final answer, or nobody waits for one
+	deadline *due.Deadline
 }
 
 // Core is the node's state of operations and route steps. It belongs to the
@@ -189,7 +188,8 @@
 // may.
 func (c *Core) MayHaveRun(ref slot.Ref) bool {
 	op := c.ops.Get(ref)
-	return op != nil && (op.mayHaveRun || op.out > op.gated)
+	return op != nil && (op.out > op.gated ||
+		slices.ContainsFunc(op.tries, func(t balance.Try) bool { return t.MayHave && !t.Out }))
 }
 
 // Withdraw tells that nobody waits for the operation any more. It gets no
@@ -287,7 +287,7 @@
 		return
 	}
 	if op := c.ops.Get(s.op); op != nil && !op.over {
-		op.tries[s.number].Running = true
+		op.tries[s.number].Started = c.clock.Now()
 		op.Owner.Started(s.op, s.to)
 		if c.witness != nil {
 			c.witness.Waited(op.Owner, c.clock.Now()-s.sentAt)
@@ -322,7 +322,6 @@
 	op := c.ops.Get(s.op)
 	op.out--
 	op.tries[s.number].Out, op.tries[s.number].MayHave = false, !end.Outcome.NeverRan()
-	op.mayHaveRun = op.mayHaveRun || !end.Outcome.NeverRan()
 	if c.witness != nil && end.Report != nil {
 		c.witness.Reported(s.to, end.Report)
 	}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -27,9 +27,6 @@
 // to the loop.
 func (in *Listener) Coming() int { return int(in.coming.Load()) }
 
-// Listen opens a listening socket.
-func Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-
 // Inherit takes over a listening socket that this process was started with. Other
 // processes hold the same socket: it may be closed here, but never shut down.
 func Inherit(descriptor string) (net.Listener, error) {
