Tell all peers only where its price lets it come often enough to count

Cause: fleet.tellEvery took a message without entries for free, so that it went 20 times a second, and kept up two in peerLife at any price. Ruled out: probes (none are made) and calls to the pool config (0.036 a second and node; its price 0). Change: the frame is counted, and a dispatcher that cannot afford two messages in peerLife tells nobody and reads reports instead. A leaving node of more than ten does not wait for another's word, which it will not hear. Test: 300, 60 and 3 real dispatchers on one clock; the sum paid for messages per request.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -138,13 +138,16 @@
 // tellPeers says what is out to all peers, as often as its price allows.
 func (b *Balancer) tellPeers(now time.Duration) {
 	b.fleet.dropSilent(now)
-	message := b.fleet.tell()
-	b.do(Tell{To: -1, Payload: message})
 	if span := now - b.toldAt; span > 0 {
 		b.rate.add(b.asked/span.Seconds(), tellMost)
 	}
 	b.asked, b.toldAt = 0, now
-	b.after(b.fleet.spread(b.fleet.tellEvery(len(message), b.rate.or(0, 0))), b.tellPeers)
+	message := b.fleet.tell()
+	every, worth := b.fleet.tellEvery(len(message), b.rate.or(0, 0))
+	b.after(b.fleet.spread(every), b.tellPeers)
+	if worth {
+		b.do(Tell{To: -1, Payload: message})
+	}
 }
 
 func (b *Balancer) listUpdate(now time.Duration, up ListUpdate) {
@@ -248,8 +251,7 @@
 	return aim + lateCredit*r.class.LateWorth*(end-aim)
 }
 
-// hold keeps a request until a worker may take it, with ever rarer looks.
-func (b *Balancer) hold(now time.Duration, r *request) {
+func (b *Balancer) hold(now time.Duration, r *request) { // until a worker may take it, with ever rarer looks
 	step := max(holdStep, time.Duration(b.est.run.or(0, 0)/holdLooks*float64(time.Second)))
 	r.lookAt = now + step<<min(r.looks, holdTop)
 	r.looks++
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -25,6 +25,7 @@
 	askBackoff    = time.Second      // first wait after a failed subscription; doubles
 	askBackoffTop = 5                // doublings at most
 	messageBytes  = 256              // most that a message holds, and the unit of its price
+	messageOver   = 16               // bytes charged for a message besides what it holds
 	tellShare     = 0.003            // part of the result that messages may cost
 	tellMost      = 20.0             // messages a second that are worth sending at most
 	peerLife      = 2 * time.Second  // a peer not heard for longer is left out
@@ -393,14 +394,12 @@
 	return m
 }
 
-// tellEvery is the span between messages whose price stays within its share.
-func (f *fleet) tellEvery(bytes int, perSecond float64) time.Duration {
-	price := f.settings.Costs.Message * float64(bytes) / messageBytes * float64(f.settings.Balancers-1)
-	rate := tellMost
-	if price > 0 {
-		rate = min(rate, tellShare*perSecond/price)
-	}
-	return time.Duration(float64(time.Second) / max(rate, 2/peerLife.Seconds()))
+// tellEvery is the span between messages at a fair price, and whether they then come often enough to count.
+func (f *fleet) tellEvery(bytes int, perSecond float64) (time.Duration, bool) {
+	price := f.settings.Costs.Message * float64(bytes+messageOver) / messageBytes * float64(f.settings.Balancers-1)
+	rate := min(tellMost, tellShare*max(perSecond, 1)/max(price, 1e-9))
+	least := 2 / peerLife.Seconds()
+	return time.Duration(float64(time.Second) / max(rate, least)), rate >= least
 }
 
 // hear takes in a peer's message in place of its last. Tags not listed here,
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -624,6 +624,38 @@
 	}
 }
 
+// TestTellingIsWorthItsPrice sums over a fleet what its telling all peers costs for each
+// request, at the thin traffic of a large one and at that of a small one.
+func TestTellingIsWorthItsPrice(t *testing.T) {
+	for _, of := range []struct{ nodes, perSecond int }{{300, 1}, {60, 1}, {3, 30}} {
+		s := ruleSettings(0)
+		s.Balancers, s.Costs.Message = of.nodes, 0.0099
+		requests, price := 0, 0.0
+		for i := range of.nodes {
+			s.Ordinal = i
+			st := &stream{b: balancer(t, s, uint64(i)), c: newChecker(s), rng: rand.New(rand.NewPCG(uint64(i), 3))}
+			st.give(listOf(ListFull, 8))
+			for st.now = 0; st.now < 10*time.Second; st.now += 10 * time.Millisecond {
+				st.fire()
+				if st.rng.IntN(100) < of.perSecond {
+					requests, st.next = requests+1, st.next+1
+					st.give(Request{ID: st.next, Slots: 1, Deadline: st.now + 4*time.Second})
+				}
+			}
+			for _, a := range st.trace {
+				if a, ok := a.(Tell); ok {
+					price += s.Costs.Message * float64(len(a.Payload)+messageOver) / messageBytes * float64(of.nodes-1)
+				}
+			}
+		}
+		if share := price / float64(requests); share > 2*tellShare {
+			t.Errorf("%d dispatchers: messages cost %.3f for each request", of.nodes, share)
+		} else if of.nodes == 3 && share == 0 {
+			t.Error("three dispatchers that could afford it told each other nothing")
+		}
+	}
+}
+
 func TestKeysHaveHomes(t *testing.T) {
 	a, b := busyBalancer(t, ruleSettings(0)), busyBalancer(t, ruleSettings(1))
 	for key := uint64(1); key <= 20; key++ {
--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -40,6 +40,8 @@
 	lastComers    = 700 * time.Millisecond // before that nothing new is let in
 	peerAlive     = 500 * time.Millisecond // a node that serves tells its peers more often
 
+	crowd = 10 // nodes of which a planned restart leaves some at work at any time
+
 	readyLook  = 5 * time.Millisecond // how often a start looks whether it may accept clients
 	askedFor   = 2 * time.Second      // after which it does so with the list as it last was
 	lookAround = 50 * time.Millisecond
--- a/cmd/ospreybend/upgrade.go
+++ b/cmd/ospreybend/upgrade.go
@@ -190,12 +190,13 @@
 
 // serveOn lets clients in for as long as they still come, and after that until
 // another node tells that it serves: where all are restarted one after the other,
-// the next may go before the last is back, and clients would find nobody.
+// the next may go before the last is back, and clients would find nobody. A crowd is
+// never all gone, and too large for each to tell all others.
 func (n *node) serveOn(began, killed time.Time) {
 	time.Sleep(time.Until(began.Add(serveOn)))
 	for alone := true; time.Now().Before(killed.Add(-lastComers)); time.Sleep(lookAround) {
 		n.loop.Call(func() { alone = !n.core.HeardWithin(peerAlive) })
-		if !alone || n.cfg.PeerListen == "" || len(n.cfg.Peers) < 2 {
+		if !alone || n.cfg.PeerListen == "" || len(n.cfg.Peers) < 2 || len(n.cfg.Peers) > crowd {
 			return
 		}
 	}
