Log each operation's way through its route steps at debug level

'operation taken', 'step sent', 'step started', 'step ended' with outcome and report, 'probe ended', 'operation answered' carry the id that nodes and prep workers share. Whether they are wanted is looked up once: at rest they cost a branch.

--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -179,6 +179,7 @@
 	}
 	n.peers = peers
 	core.Connect(to, n.pool, peers)
+	core.Name(n.pool.NameOf)
 	n.pool.Start()
 	giveUp := make([]time.Duration, len(s.Classes))
 	for i, c := range s.Classes {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -105,6 +105,9 @@
 	return id, d.names[id] == name
 }
 
+// NameOf returns the name of a destination that the list has named at some time.
+func (d *Discovery) NameOf(id balance.WorkerID) string { return d.names[id] }
+
 // Relay tells the core anew of one destination, as when a word by hand on it has
 // changed.
 func (d *Discovery) Relay(id balance.WorkerID) {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strconv"
 	"time"
 
 	"ospreybend/balance"
@@ -62,6 +63,8 @@
 	heardAt  time.Duration // the last message of another node; 0: none
 	endBy    time.Duration // what ending owns is to be answered by then
 	ending   Owner         // nil: none
+	traced   bool          // the log has each operation's way
+	named    func(balance.WorkerID) string
 
 	counts Counts
 }
@@ -84,7 +87,8 @@
 		return nil, err
 	}
 	return &Core{settings: s, decide: decide, clock: clock, due: line,
-		counts: Counts{Classes: make([]ClassCounts, len(s.Classes))}, state: map[balance.WorkerID]balance.State{}, idle: func() {}}, nil
+		counts: Counts{Classes: make([]ClassCounts, len(s.Classes))}, state: map[balance.WorkerID]balance.State{}, idle: func() {}, traced: tracing(),
+		named: func(id balance.WorkerID) string { return strconv.FormatUint(uint64(id), 16) }}, nil
 }
 
 // Connect names the adapters on the far side.
@@ -174,6 +178,8 @@
 	if op == nil {
 		return
 	}
+	c.traceOperation("operation taken", op, "class", op.Class, "slots", op.Slots, "hint_us", op.Cost.Microseconds(),
+		"due_us", (op.Deadline - op.arrived).Microseconds())
 	c.tell(c.request(ref, op))
 }
 
@@ -200,6 +206,7 @@
 		return
 	}
 	c.counts.Gone++
+	c.traceOperation("operation withdrawn", op)
 	c.finish(op)
 	c.tell(balance.RequestGone{Request: balance.RequestID(ref)})
 	c.forget(ref, op)
@@ -223,6 +230,8 @@
 	}
 	a.MayHaveRun = c.MayHaveRun(ref)
 	c.count(op.Class, a.Verdict)
+	c.traceOperation("operation answered", op, "verdict", a.Verdict, "retry_us", a.RetryAfter.Microseconds(),
+		"may_have_run", a.MayHaveRun)
 	c.finish(op)
 	op.Owner.Answered(ref, a)
 	if c.witness != nil {
@@ -286,6 +295,7 @@
 	if s == nil {
 		return
 	}
+	c.traceStep("step started", s)
 	if op := c.ops.Get(s.op); op != nil && !op.over {
 		op.tries[s.number].Started = c.clock.Now()
 		op.Owner.Started(s.op, s.to)
@@ -319,6 +329,7 @@
 		end.Outcome = balance.Cancelled
 	}
 	c.counts.Outcomes[end.Outcome]++
+	c.traceStep("step ended", s, "outcome", end.Outcome, "report", end.Report)
 	op := c.ops.Get(s.op)
 	op.out--
 	op.tries[s.number].Out, op.tries[s.number].MayHave = false, !end.Outcome.NeverRan()
@@ -344,6 +355,10 @@
 	if c.witness != nil && ev.Report != nil {
 		c.witness.Reported(ev.Worker, ev.Report)
 	}
+	if c.traced {
+		slog.Debug("probe ended", "destination", c.named(ev.Worker), "outcome", ev.Outcome, "after_us",
+			ev.Elapsed.Microseconds(), "report", ev.Report)
+	}
 	c.tell(ev)
 }
 
@@ -460,6 +475,7 @@
 		return
 	}
 	c.counts.Steps++
+	c.traceStep("step sent", s)
 	s.deadline = c.due.Add(until, func() { c.stop(at, balance.TimedOut) })
 	op.Owner.Stepped(ref, a.Worker)
 	gate, ok := op.Owner.(Gate)
