Read the load report's fields on real nodes, whose settings name them with blanks

A start's line of the settings: x0="free slots". Cause: wire.report looks domain.reportX0 up as 'free_slots', as the simulator's wire writes it with no room for blanks. The test's example had the underscore too. Ruled out: the answers (read whole), the order of the fields, the age of the report, the choice itself (a test of it with reports passed). Change: the word is read in either form.

--- a/balance/api.go
+++ b/balance/api.go
@@ -117,6 +117,7 @@
 	Waste     float64
 	Probe     float64
 	Message   float64
+	Handshake float64
 }
 
 // Settings is all a dispatcher is told at its start.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -166,6 +166,7 @@
 			Waste:     p.number("costs.waste", 0),
 			Probe:     p.number("costs.probe", 0),
 			Message:   p.number("costs.peer", 0),
+			Handshake: p.number("costs.handshake", 0),
 		},
 	}
 	how := p.choice("report.how", "inline", "on_probe", "off")
@@ -218,14 +219,18 @@
 		fields[i] = fieldNames[name]
 		switch name {
 		case "x0":
-			fields[i] = extraNames[p.values["domain.reportX0"]]
+			fields[i] = extraNames[plain(p.values["domain.reportX0"])]
 		case "x1":
-			fields[i] = extraNames[p.values["domain.reportX1"]]
+			fields[i] = extraNames[plain(p.values["domain.reportX1"])]
 		}
 	}
 	return fields
 }
 
+// plain writes a word as the simulator's wire does. A real node's settings are JSON,
+// and have the blanks that the wire has no room for.
+func plain(word string) string { return strings.NewReplacer(" ", "_", ",", "_").Replace(word) }
+
 func (p *pairs) class(i int) balance.Class {
 	at := fmt.Sprintf("grades.%d.", i)
 	return balance.Class{
