Ask by probes only where there are more workers than are asked for a request

Seen: TestPlatform's scenarios failed with 'GET /load' to a stand-in that knows operations alone: a dispatcher of one to three workers asked all of them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -321,7 +321,7 @@
 		}
 		least = min(least, f.total)
 	}
-	if b.thin = float64(known) < thinPart*float64(could); len(b.ties) == 0 {
+	if b.thin = could > scoutMost && float64(known) < thinPart*float64(could); len(b.ties) == 0 {
 		return forecast{}, false
 	}
 	return b.ties[b.rng.IntN(len(b.ties))], true
