Ask first the cold workers whose budget a dispatcher has a share of

Cause: a dispatcher of 300 has some budget left at one in twenty of the cold workers at any moment, and nobody else may use that share; scout drew at random from the whole list and nearly always met one without, so that the share lapsed. Change: one draw in choose among those that may take the job, cold ones before others. The job still goes to the least total. Tests: cold ones are among the asked; 60 real dispatchers that ask by probes stay under one cold worker's budget in every window.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,6 +72,7 @@
 	toldAt   time.Duration
 	rate     mean       // requests a second
 	scouting []*request // waiting for probes' answers, oldest first
+	stray    *worker    // a worker at random of those that the last choice was from
 	thin     bool       // too few workers are known to choose by; since the last choice
 }
 
@@ -241,8 +242,7 @@
 	return max(least, 0)
 }
 
-// timeLeft is the time, in seconds, in which an answer still pays: to the aim,
-// and where a late one pays too, a part of the rest by its worth.
+// timeLeft is the time, in seconds, in which an answer still pays; late ones pay by their worth.
 func (b *Balancer) timeLeft(now time.Duration, r *request) float64 {
 	end := (r.Deadline - now).Seconds()
 	aim := min(end, b.aim(r)-(now-r.arrived).Seconds())
@@ -299,7 +299,7 @@
 // choose returns the forecast of the least total among the eligible workers.
 func (b *Balancer) choose(now time.Duration, r *request) (forecast, bool) {
 	least, first := math.Inf(1), r.firstThatMayHaveRun()
-	turnover, could, known := b.est.run.or(usualRun, 1), 0, 0
+	turnover, could, known, luck := b.est.run.or(usualRun, 1), 0, 0, -1.
 	b.ties = b.ties[:0]
 	for _, w := range b.fleet.list {
 		if !b.eligible(r, w, first) {
@@ -313,6 +313,13 @@
 		if !b.fleet.mayWarm(now, w, f.cost) {
 			continue
 		}
+		draw := b.rng.Float64()
+		if b.fleet.coldPart(now, w) < 1 {
+			draw++
+		}
+		if draw > luck {
+			b.stray, luck = w, draw
+		}
 		if f.total < least*(1-nearTie) {
 			b.ties = b.ties[:0]
 		}
@@ -444,8 +451,7 @@
 	}
 }
 
-// giveUp is the one gate of rule 1: the final answer, once, as harmless as rule 2 lets it be. wait
-// is the seconds after which a return may do better.
+// giveUp is the one gate of rule 1: the final answer, once, with the seconds after which to return.
 func (b *Balancer) giveUp(now time.Duration, r *request, wait float64) {
 	if r.over {
 		return
@@ -537,8 +543,7 @@
 	case Full:
 		b.est.full.add(a.free-r.Slots, 1, poolSamples)
 		if a.free >= r.Slots {
-			// A worker that turns jobs away though it seems free has something
-			// else wrong, and with nothing in work would draw ever more of them.
+			// Something else is wrong with it, and with nothing in work it would draw ever more.
 			b.fleet.judge(now, w, r.Class, true)
 		}
 		b.fleet.sawFull(now, w, b.est.run.or(usualRun, 1))
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -198,8 +198,7 @@
 	slots  float64
 }
 
-// sizeOf gives the job's size in seconds: the hint, corrected by what hints of
-// its bucket have been worth, or its class's mean.
+// sizeOf gives the job's size in seconds: the hint by what such hints were worth, or its class's mean.
 func (e *estimator) sizeOf(j job) float64 {
 	if j.size > 0 {
 		return j.size * of(e.worth, windowKey{j.class, j.bucket}).or(1, worthSamples)
@@ -225,8 +224,7 @@
 	return (line.at(free-j.slots)*line.n + guess*waitSamples) / (line.n + waitSamples)
 }
 
-// transferTo predicts the transfer delay. Until sampled, a worker takes the
-// mean of the others in its zone; until any is, the quickest start there.
+// transferTo predicts the transfer delay, until sampled by the zone's mean, else its quickest start.
 func (e *estimator) transferTo(now time.Duration, p *profile, zone int, j job) float64 {
 	if l := p.transfer.fit(now, p.life, 1); l.n > 0 {
 		return l.at(e.sizeOf(j))
@@ -237,9 +235,8 @@
 	return e.floor[zone]
 }
 
-// processAt predicts the processing time, queue wait included, at so many free
-// slots. The worker's own line counts by its samples against the pooled
-// prediction, since on a large fleet most windows are nearly empty.
+// processAt predicts the processing time, queue wait included, at so many free slots. The worker's own
+// line counts by its samples against the pooled prediction: on a large fleet most are nearly empty.
 func (e *estimator) processAt(now time.Duration, p *profile, kind int, j job, free, slots float64) float64 {
 	size := e.sizeOf(j)
 	pooled := e.paceOf(now, p, kind)*size + e.waitAt(j, free, slots)
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -35,7 +35,6 @@
 	id               WorkerID
 	zone, kind, cell int
 	state            State
-	scale            float64
 	started          time.Duration
 	profile          profile
 
@@ -116,7 +115,7 @@
 		w.reported, w.tokens, w.heardAt = false, 0, 0
 		clear(w.health)
 	}
-	w.zone, w.kind, w.cell, w.state, w.scale, w.started = l.Zone, l.Kind, l.Cell, l.State, l.Scale, l.Started
+	w.zone, w.kind, w.cell, w.state, w.started = l.Zone, l.Kind, l.Cell, l.State, l.Started
 	if w.tokens == 0 {
 		// All learn of a start together: a random overdraft keeps their first jobs apart.
 		w.tokens, w.tokensAt = -f.rng.Float64(), now
@@ -158,8 +157,7 @@
 	return r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age))/float64(r.ColdTime)
 }
 
-// mayWarm is the one gate of rule 4: a job of so many slot-seconds goes to a cold worker only out
-// of this dispatcher's share of the work budget.
+// mayWarm is the one gate of rule 4: what goes to a cold worker is within this dispatcher's share.
 func (f *fleet) mayWarm(now time.Duration, w *worker, cost float64) bool {
 	r, part := f.settings.Rules, f.coldPart(now, w)
 	if part >= 1 {
@@ -232,10 +230,7 @@
 	if waiting, ok := seen[FieldBacklog]; ok {
 		return waiting * each
 	}
-	if held, ok := seen[FieldOutstanding]; ok {
-		return max(0, held*each-(f.slotsOf(w)-free))
-	}
-	return 0
+	return max(0, seen[FieldOutstanding]*each-(f.slotsOf(w)-free)) // none where that is not told
 }
 
 // freeSlots estimates the slots free now: the report ages towards the mean of its kind in the
@@ -282,8 +277,7 @@
 	}
 }
 
-// failChance estimates the chance that the worker fails a job of a class. The prior is the fleet's, so
-// that a trouble of all shuns nobody.
+// failChance estimates the chance of a failure at a worker. A trouble of the whole fleet shuns nobody.
 func (f *fleet) failChance(now time.Duration, w *worker, class int) (chance float64) {
 	for _, at := range [2]int{0, 1 + class} {
 		of, all := &w.health[at], &f.health[at]
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -354,14 +354,19 @@
 // TestColdBudgetOfAll holds the work that many dispatchers together send a cold
 // worker within any window against the budget that fells it.
 func TestColdBudgetOfAll(t *testing.T) {
+	t.Run("two workers", func(t *testing.T) { coldBudgetOfAll(t, 2) })
+	t.Run("asked by probes", func(t *testing.T) { coldBudgetOfAll(t, 12) })
+}
+
+func coldBudgetOfAll(t *testing.T, workers int) {
 	const n = 60
 	s := ruleSettings(0)
-	s.Balancers, s.Limits.Messages = n, false
+	s.Balancers, s.Limits.Messages, s.Limits.Probes = n, false, true
 	var all []*stream
 	for i := range n {
 		s.Ordinal = i
 		st := &stream{b: balancer(t, s, uint64(i)), c: newChecker(s), rng: rand.New(rand.NewPCG(uint64(i), 2))}
-		st.give(listOf(ListCached, 2))
+		st.give(listOf(ListCached, workers))
 		all = append(all, st)
 	}
 	var sent []sample // at, x: work in slot-seconds
@@ -387,6 +392,11 @@
 					}
 				}
 			}
+			for i := 0; i < len(st.trace); i++ { // an answer adds to it
+				if a, ok := st.trace[i].(Probe); ok {
+					st.give(ProbeDone{Worker: a.Worker, Outcome: Served, Report: []float32{4, 0}})
+				}
+			}
 			for _, a := range st.trace {
 				if a, ok := a.(Send); ok && a.Worker == 2 && now >= 2*time.Second {
 					sent = append(sent, sample{at: now, x: work.Seconds()})
--- a/balance/scout.go
+++ b/balance/scout.go
@@ -13,7 +13,8 @@
 )
 
 // On a large fleet a dispatcher hears of each worker too seldom to know who is free. There it asks a few
-// by probes, the best forecast and others at random in turn, and takes the least total of these.
+// by probes, the best forecast and one at random in turn, and takes the least total of these. At random
+// is a cold one if any: no other dispatcher may use up this one's share of its budget.
 
 // scout asks for reports where the dispatcher cannot know better; else the request goes by what is known.
 func (b *Balancer) scout(now time.Duration, r *request, f forecast) bool {
@@ -26,9 +27,8 @@
 	}
 	round := len(r.asked)
 	for ok := true; ok && len(r.asked) < min(round+scoutWide, scoutMost); f, ok = b.choose(now, r) {
-		if w := b.fleet.list[b.rng.IntN(len(b.fleet.list))]; len(r.asked)%2 == 1 &&
-			b.eligible(r, w, r.firstThatMayHaveRun()) && b.fleet.mayWarm(now, w, f.cost) {
-			f.worker = w
+		if len(r.asked)%2 == 1 {
+			f.worker = b.stray
 		}
 		r.asked = append(r.asked, f.worker)
 		r.silent++
--- a/balance/scout_test.go
+++ b/balance/scout_test.go
@@ -48,6 +48,32 @@
 	}
 }
 
+// TestColdShareIsUsed has one worker in eight cold, and a share of its budget left: it is asked.
+func TestColdShareIsUsed(t *testing.T) {
+	b := scoutBalancer(t, 160)
+	up := listOf(ListFull, 160)
+	now := 12 * time.Second
+	for i := range up.Workers[:20] {
+		up.Workers[i].Started = 10 * time.Second
+	}
+	b.Handle(now, up)
+	for _, w := range b.fleet.list {
+		w.tokens, w.tokensAt = 1, now
+	}
+	for n := RequestID(1); n <= 20; n++ {
+		asked := probedOf(b.Handle(now, Request{ID: n, HasCost: true, Cost: 100 * time.Millisecond, Slots: 1, Deadline: now + 4*time.Second}))
+		cold := 0
+		for _, id := range asked {
+			if b.fleet.byID[id].started > 0 {
+				cold++
+			}
+		}
+		if cold == 0 || cold == len(asked) {
+			t.Errorf("request %d: %d of the %d asked are cold", n, cold, len(asked))
+		}
+	}
+}
+
 // TestNobodyHasRoom asks ever others for a while and then holds the request, as the few that
 // were asked say nothing of all the others. Past use it is refused.
 func TestNobodyHasRoom(t *testing.T) {
