--- a/balance/estimate_test.go
+++ b/balance/estimate_test.go
@@ -91,6 +91,9 @@
 	}
 	near(t, "processing of its kind", e.processAt(0, unseen, 3, j, 2, 4), 0.2, 0.02)
 	near(t, "transfer of its zone", e.transferTo(0, unseen, 1, j), 0.01, 1e-9)
+	e.wait = map[int]*pooledLine{} // nobody has waited yet
+	near(t, "wait for the slots that lack", e.waitAt(j, -3, 4), 4*e.run.or(0, 0)/4, 0.01)
+	near(t, "wait where slots are free", e.waitAt(j, 5, 4), 0, 0.01)
 }
 
 func TestTransferFollowsSize(t *testing.T) {
