--- a/balance/scout.go
+++ b/balance/scout.go
@@ -27,7 +27,7 @@
 	}
 	round := len(r.asked)
 	for ok := true; ok && len(r.asked) < min(round+scoutWide, scoutMost); f, ok = b.choose(now, r) {
-		if len(r.asked)%2 == 0 {
+		if len(r.asked)%2 == 1 {
 			f.worker = b.stray
 		}
 		r.asked = append(r.asked, f.worker)
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -16,7 +16,9 @@
 
 const (
 	maxDeadline = time.Hour // a client that names a longer one waits as long as this
-	maxID       = 256       // most bytes of a Req-Id
+	maxID       = 256       // most bytes of a Req-Id, and of a client's own key
+
+	idempotencyKey = "Idempotency-Key" // passes on as it comes
 )
 
 // FrontConfig is what the platform front is told.
@@ -105,12 +107,17 @@
 // operation reads a request's header into an operation.
 func (f *Front) operation(m *Message, class int) (routing.Operation, *Fault) {
 	now := f.loop.Now()
-	if name := m.doubled("Req-"); name != "" {
-		return routing.Operation{}, bad(name + " comes twice")
+	for _, prefix := range [...]string{"Req-", idempotencyKey} {
+		if name := m.doubled(prefix); name != "" {
+			return routing.Operation{}, bad(name + " comes twice")
+		}
 	}
 	op := routing.Operation{Class: class, Slots: 1, Deadline: now + f.config.GiveUp[class]}
-	op.Work = routing.Work{ID: string(m.Header("Req-Id")), Target: string(m.Target), Body: bytes.Clone(m.Body)}
+	op.Work = routing.Work{ID: string(m.Header("Req-Id")), Target: string(m.Target), Body: bytes.Clone(m.Body),
+		Key: string(m.Header(idempotencyKey))}
 	switch {
+	case len(op.Work.Key) > maxID:
+		return op, bad(idempotencyKey + " is too long")
 	case op.Work.ID == "":
 		return op, bad("Req-Id is missing")
 	case len(op.Work.ID) > maxID || !token([]byte(op.Work.ID)):
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -35,6 +35,27 @@
 	}
 }
 
+// A client's own key passes on as it came: by it prep workers drop repeats, and one that a node made
+// up, left out or changed is none that a client sent.
+func TestKeyPassesOn(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play(`
+		c dial front
+		c send POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\nidempotency-key:  5c0f 6E1a, 2b \r\nContent-Length: 2\r\n\r\nhi
+		s accept workers
+		s expect Idempotency-Key: 5c0f 6E1a, 2b\r\n
+		s expect hi
+		s send {stream}{done}
+		c expect fine
+	`)
+	w.balanced(t)
+	for name, key := range map[string]string{"comes twice": `Idempotency-Key: a\r\nidempotency-key: a\r\n`,
+		"is too long": `Idempotency-Key: ` + strings.Repeat("a", maxID+1) + `\r\n`} {
+		w.Play(lines("c dial front", `c send POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\n`+key+`\r\n`, "c expect HTTP/1.1 400",
+			"c expect "+name, "c closed"))
+	}
+}
+
 // Requests come split anywhere, and several at once.
 func TestSplitAndPipelined(t *testing.T) {
 	w := newWorld(t, nil)
--- a/internal/routing/ports.go
+++ b/internal/routing/ports.go
@@ -15,6 +15,7 @@
 type Work struct {
 	ID     string // unique, as the client gave it
 	Target string // path and query
+	Key    string // the client's own, by which repeats are dropped; passed on; empty: none
 	Body   []byte
 	Once   bool // must not run twice; set by the core
 }
--- a/internal/upgrade/handover.go
+++ b/internal/upgrade/handover.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	socketName  = "next-1-" // with the version of what is said there
+	socketName  = "next-2-" // with the version of what is said there
 	mostParcel  = 512 << 10
 	mostSockets = 32 // beside one parcel
 	bufferSize  = 1 << 20
