--- a/cmd/ospreybend/fleet.go
+++ b/cmd/ospreybend/fleet.go
@@ -42,6 +42,9 @@
 
 // Run plays.
 func (c *measureFleet) Run(e *cli.Env) error {
+	if c.Days < 1 {
+		return fmt.Errorf("--days: %d, at least one is wanted", c.Days)
+	}
 	kinds := []struct {
 		name string
 		of   func(emulator.Day) emulator.Day
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -7,6 +7,7 @@
 package emulator
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -95,6 +96,24 @@
 	ShakePrice float64 // part of the price of a handshake that each new connection counts
 }
 
+// check names the first parameter with which no day can be played: without workers, or with
+// no load, operations would come all at once or never.
+func (d Day) check() error {
+	for _, c := range []struct {
+		name string
+		v    float64
+	}{{"nodes", float64(d.Nodes)}, {"workers", float64(d.Workers)}, {"length", d.Length}, {"load", d.Load}} {
+		if !(c.v > 0) || math.IsInf(c.v, 0) {
+			return fmt.Errorf("%s: %v, above 0 is wanted", c.name, c.v)
+		}
+	}
+	if len(d.Kinds) == 0 || len(d.Classes) == 0 || len(d.Classes) != len(d.Settings.Classes) {
+		return fmt.Errorf("%d kinds of workers, %d classes of operations, %d in the settings", len(d.Kinds), len(d.Classes),
+			len(d.Settings.Classes))
+	}
+	return nil
+}
+
 // pick draws one of n by their shares; the last has what is left.
 func pick(r *rand.Rand, n int, share func(int) float64) int {
 	at := r.Float64()
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -41,6 +42,18 @@
 	}
 }
 
+// A day that cannot be played is turned away by the name of what is wrong, not played for ever.
+func TestNoSuchDay(t *testing.T) {
+	for name, spoil := range map[string]func(*Day){"nodes": func(d *Day) { d.Nodes = 0 }, "workers": func(d *Day) { d.Workers = -1 },
+		"load": func(d *Day) { d.Load = math.NaN() }, "length": func(d *Day) { d.Length = math.Inf(1) }, "classes": func(d *Day) { d.Classes = nil }} {
+		d := Workshop(2, 2, 1)
+		spoil(&d)
+		if _, err := Play(d); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // Six in ten prep workers are replaced within 7 s, and all nodes see the cold ones at once: what
 // the sum of them sends to any stays within what it bears, with seven in ten nodes killed and
 // started anew amid it as without, and with the list late by as long as it may be.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -73,6 +73,9 @@
 
 // Play plays a day.
 func Play(d Day) (Result, error) {
+	if err := d.check(); err != nil {
+		return Result{}, err
+	}
 	w := newWorld(d)
 	for range d.Workers {
 		w.addWorker(0)
