Begin nothing for a client that has left, and cut off nobody unread at an ending

Core.MayStart did not look at `over`: where the settings let nothing be called off, a dial in flight wrote its request for a client known to be gone. - server.closeIdle, late and shed closed without a look at what had come: a request in the receive buffer was reset, with any answer behind it. A lingering connection was out of the count, so the process ended over its unread bytes. Linger never ended the sending where something was still to be written, and closed it off after a second. - start took a kept worker connection whose end, or a second answer, lay unread: a booking ended as reset, or got another's answer. A line's id was not compared with the request's: a late second answer was served to the next client as its result. Change: transport asks the system (poll) before it trusts a connection: Ended before each attempt's first byte (routing.Waiter), Quiet before a kept connection is used or an idle one closed. closeIdle ends the sending first and drops what is read after; drained waits until clients have ended their side, bounded by the time that the process is spared. Foreign lines are unreadable answers; what must not run twice leaves a connection 25 ms after its last use for another. TestLeaving wanted `drained` with clients still open: it now wants the contrary, and that it comes when they close. Answers in tests that named another request's id now name their own.

--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -41,6 +41,7 @@
 	// which counts at most as much, and some more.
 	longestSpared = 3 * time.Second
 	spareTime     = 550 * time.Millisecond // of 0.7 s
+	partFor       = 100 * time.Millisecond // then for clients to end their side: a process's end cuts off what they have not read
 	lastComers    = 700 * time.Millisecond // before that nothing new is let in
 	peerAlive     = 500 * time.Millisecond // a node that serves tells its peers more often
 
@@ -360,8 +361,8 @@
 	}
 	select {
 	case <-drained:
-	case <-time.After(time.Until(latest)):
-		slog.Warn("leaving: some front sockets are still open")
+	case <-time.After(time.Until(killed.Add(partFor))):
+		slog.Warn("leaving: some clients have not ended their connections")
 	}
 	if n.batch != nil {
 		n.batch.stop(n, latest)
--- a/internal/protocol/carry.go
+++ b/internal/protocol/carry.go
@@ -179,7 +179,7 @@
 	f.register(ref, c)
 	handlers := make([]*destinationConn, len(part.Steps))
 	for i, at := range part.Steps {
-		handlers[i] = to.adopt(steps[at.Try], part.Carried.Tries[at.Try].Worker, at, part.Carried.Operation.Work.Once, conns[i])
+		handlers[i] = to.adopt(steps[at.Try], part.Carried.Tries[at.Try].Worker, at, &part.Carried.Operation.Work, conns[i])
 	}
 	f.core.Resume(ref)
 	for i, c := range handlers {
@@ -218,7 +218,7 @@
 }
 
 // adopt takes over a connection at work on a step.
-func (d *Destinations) adopt(step slot.Ref, id balance.WorkerID, p StepPart, once bool,
+func (d *Destinations) adopt(step slot.Ref, id balance.WorkerID, p StepPart, w *routing.Work,
 	conn *transport.Conn) *destinationConn {
 	to := d.byID[id]
 	if to == nil {
@@ -228,7 +228,7 @@
 	c := &destinationConn{owner: d, to: to, conn: conn, process: to.process, head: p.Head, status: p.Status, declined: p.Declined,
 		load: p.Load, line: p.Line, last: p.Last, kept: p.Kept,
 		body: bodyReader{left: p.Left, chunked: p.Chunked, toEnd: p.ToEnd, over: p.Over}}
-	t := &trip{step: step, once: once, to: to, conn: c, sentAt: d.loop.Now()}
+	t := &trip{step: step, id: w.ID, once: w.Once, to: to, conn: c, sentAt: d.loop.Now()}
 	c.trip = t
 	d.trips[step] = t
 	d.open++
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -23,6 +23,7 @@
 	probeTimeout = 500 * time.Millisecond // a probe that takes longer says nothing more
 	maxLine      = maxBody + 4<<10        // most bytes of one line of an answer
 	waryFor      = time.Minute            // how long kept connections are mistrusted after one has failed
+	settleFor    = 25 * time.Millisecond  // a second answer, if one comes, comes within it
 )
 
 // DestinationConfig is what the destinations' side is told.
@@ -61,6 +62,7 @@
 // trip is one exchange with a destination: a route step or a probe.
 type trip struct {
 	step    slot.Ref // 0: a probe
+	id      string   // of the request
 	once    bool     // must not run twice
 	to      *destination
 	request []byte
@@ -86,7 +88,8 @@
 	last     bool   // no further exchange on this connection
 	line     []byte // the part of a line that is in
 	deadline *due.Deadline
-	kept     bool  // has served an exchange before
+	kept     bool // has served an exchange before
+	restedAt time.Duration
 	told     bool  // the outcome is known
 	done     *trip // whose outcome is known and not told yet
 	outcome  routing.StepEnd
@@ -218,7 +221,7 @@
 		d.core.StepEnded(step, routing.StepEnd{Outcome: balance.NotSent})
 		return
 	}
-	t := &trip{step: step, once: w.Once, to: to, request: d.request(w, until), sentAt: d.loop.Now()}
+	t := &trip{step: step, id: w.ID, once: w.Once, to: to, request: d.request(w, until), sentAt: d.loop.Now()}
 	d.trips[step] = t
 	d.start(t)
 }
@@ -259,16 +262,12 @@
 	d.start(t)
 }
 
-// start puts a trip on the newest idle connection, or on a new one. While kept
+// start puts a trip on an idle connection, or on a new one. While kept
 // connections are mistrusted, what must not run twice gets a new one: where that
 // does not come up the request never ran, but a kept one that turns out dead
 // when the request is out leaves that open.
 func (d *Destinations) start(t *trip) {
-	fresh := t.once && d.loop.Now() < d.wary
-	if n := len(t.to.idle); n > 0 && !fresh {
-		c := t.to.idle[n-1]
-		t.to.idle = t.to.idle[:n-1]
-		d.loop.Due.Drop(c.deadline)
+	if c := d.kept(t); c != nil {
 		d.put(t, c)
 		return
 	}
@@ -280,6 +279,32 @@
 	d.dial(t)
 }
 
+// kept takes the newest idle connection that may carry a trip. On one that has only just
+// become idle a second answer may yet come, and say of the next request that it never ran:
+// what must not run twice does not go there.
+func (d *Destinations) kept(t *trip) *destinationConn {
+	now := d.loop.Now()
+	if t.once && now < d.wary {
+		return nil
+	}
+	for i := len(t.to.idle) - 1; i >= 0; i-- {
+		c := t.to.idle[i]
+		if !c.conn.Quiet() {
+			// Its end has come, or what nobody asked for, and the loop has not read it
+			// yet: what is written now would end as a reset.
+			c.close()
+			continue
+		}
+		if t.once && now-c.restedAt < settleFor {
+			continue
+		}
+		t.to.idle = slices.Delete(t.to.idle, i, i+1)
+		d.loop.Due.Drop(c.deadline)
+		return c
+	}
+	return nil
+}
+
 func (d *Destinations) dial(t *trip) {
 	c := &destinationConn{owner: d, to: t.to, process: t.to.process, trip: t}
 	d.open++
@@ -391,7 +416,7 @@
 		return
 	}
 	c.trip = nil
-	c.kept = true
+	c.kept, c.restedAt = true, d.loop.Now()
 	c.to.idle = append(c.to.idle, c)
 	keep := max(d.config.ConnIdle-idleMargin, d.config.ConnIdle/2)
 	if d.config.ConnIdle == 0 {
@@ -559,6 +584,10 @@
 		c.broken(nil, bad("a line is no object"))
 		return
 	}
+	if n.ID != "" && n.ID != c.trip.id {
+		c.broken(nil, bad("a line is of another request"))
+		return
+	}
 	step := c.trip.step
 	switch n.State {
 	case "started":
--- /dev/null
+++ b/internal/protocol/ending_test.go
@@ -0,0 +1,224 @@
+package protocol
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/balance"
+	"ospreybend/internal/routing"
+	"ospreybend/internal/slot"
+)
+
+// Crossings at an ending, forced: the steps of both sides are played while the loop stands in a
+// callback, so that the node has read nothing of them when it goes on. docs/design/endings.md has
+// the table of these moments.
+
+// busy plays steps while the node's loop is held up, and then has it do what else there is.
+func (w *world) busy(text string, then func()) {
+	w.Loop.Call(func() {
+		w.Play(text)
+		if then != nil {
+			then()
+		}
+	})
+}
+
+func (w *world) steps() (n uint64) {
+	w.Loop.Call(func() { n = w.core.Counts().Steps })
+	return n
+}
+
+// sockets returns the clients' connections, on the loop.
+func (w *world) sockets() (all []*frontSocket) {
+	w.front.sockets.All(func(_ slot.Ref, f *frontSocket) { all = append(all, f) })
+	return all
+}
+
+// lone leaves one prep worker, so that a connection that rests is the next request's.
+func (w *world) lone() {
+	w.Loop.Call(func() {
+		w.core.PoolChanged(balance.ListUpdate{Kind: balance.ListChanges,
+			Workers: []balance.Listing{{Worker: numberOf("s-2"), State: balance.Gone}}})
+	})
+}
+
+func (w *world) gone(n uint64) {
+	w.Until(func() bool { return w.core.Counts().Gone == n })
+}
+
+// A client sends its request and is gone before the loop, busy until then, has read a byte of it:
+// nothing is begun for it, whichever way it went.
+func TestClientGoneBeforeItIsRead(t *testing.T) {
+	for _, leaves := range []string{"leaves", "close", "resets"} {
+		t.Run(leaves, func(t *testing.T) {
+			w := newWorld(t, nil)
+			w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc expect HTTP/1.1 200")
+			w.busy("c send {ask}\nc arrives\nc "+leaves, nil)
+			w.gone(1)
+			if n := w.steps(); n != 0 {
+				t.Errorf("%d attempts for a client that had gone", n)
+			}
+			w.balanced(t)
+		})
+	}
+}
+
+// The second of two requests in one piece is not begun either where the client has left behind them.
+func TestClientGoneBehindTwoRequests(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("c dial front\nc send {ask}\ns accept workers\ns expect hi\nc send {book}\nc arrives")
+	w.busy("s send {stream}{done}\ns arrives\nc leaves", nil)
+	w.Until(func() bool { return w.core.Open() == 0 && len(w.front.calls) == 0 && w.front.sockets.Len() == 0 })
+	if n := w.steps(); n != 1 {
+		t.Errorf("%d attempts, of which one was for a client that was there", n)
+	}
+	w.balanced(t)
+}
+
+// An attempt comes back as never run, and behind it the client's leave: there is no further one.
+func TestClientGoneBeforeTheNextAttempt(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("c dial front\nc send {book}\ns accept workers\ns expect Req-Id: b1")
+	w.busy(`s send HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n`+"\ns arrives\nc leaves", nil)
+	w.gone(1)
+	if n := w.steps(); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+	w.balanced(t)
+}
+
+// A client leaves while the connection for its attempt is made. Where the settings let nothing be
+// called off, not a byte goes out all the same; so too where the loop has not read its leave.
+func TestClientGoneWhileConnecting(t *testing.T) {
+	for name, leave := range map[string]func(*world, *Call){
+		"told":   func(_ *world, c *Call) { c.socket.close() },
+		"unread": func(w *world, _ *Call) { w.Play("c leaves") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(s *balance.Settings, _ *FrontConfig) { s.Limits.Cancel = false })
+			w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc expect HTTP/1.1 200")
+			w.Loop.Call(func() {
+				f := w.sockets()[0]
+				m, _, fault := ParseRequest([]byte("POST /buchen HTTP/1.1\r\nReq-Id: b1\r\nReq-Deadline: 3\r\n\r\n"))
+				if fault != nil {
+					t.Error(fault)
+					return
+				}
+				f.take(m) // dials, and the dial ends in a later turn
+				leave(w, f.call)
+			})
+			w.Play("s accept workers")
+			w.Until(func() bool { return w.core.Counts().Outcomes[balance.ConnectFailed] > 0 })
+			if n := w.outcomes(); n[balance.Reset]+n[balance.Served]+n[balance.TimedOut] != 0 {
+				t.Errorf("outcomes %v", n)
+			}
+			w.balanced(t)
+		})
+	}
+}
+
+// A prep worker closes a resting connection in the moment in which a booking is to go over it: it
+// goes over a new one. Nothing has run, and the client sees nothing of it.
+func TestRestingConnectionEndsAtTheSend(t *testing.T) {
+	w := newWorld(t, nil)
+	w.lone()
+	w.Play("c dial front\nc send {ask}\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect fine\nwait 1s")
+	w.busy("c send {book}\nc arrives\ns leaves", nil)
+	w.Play("r accept workers\nr expect Req-Id: b1\nr send {stream}{booked}\nc expect HTTP/1.1 200")
+	if n := w.outcomes(); n[balance.Reset] != 0 {
+		t.Errorf("outcomes %v", n)
+	}
+	w.balanced(t)
+}
+
+// A second answer comes after the last line, before the connection's next request is written or
+// after: it is nobody's answer, and no client gets it.
+func TestSecondAnswer(t *testing.T) {
+	w := newWorld(t, nil)
+	w.lone()
+	w.Play("c dial front\nc send {ask}\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect fine\nwait 1s")
+	w.busy("c send {book}\nc arrives\ns send {stream}{done}\ns arrives", nil)
+	w.Play("r accept workers\nr expect Req-Id: b1\nr send {stream}{booked}\nc expect HTTP/1.1 200\nwait 1s")
+	w.Play("c send {book}\nr expect Req-Id: b1\nr send {stream}{done}\nc expect HTTP/1.1 502")
+	if n := w.outcomes(); n[balance.Served] != 2 || n[balance.Reset] != 1 {
+		t.Errorf("outcomes %v", n)
+	}
+	w.balanced(t)
+}
+
+// A second answer may be some milliseconds late, and say that it never ran: what must not run
+// twice does not go over a connection that has only just become free.
+func TestOnceShunsWhatHasJustRested(t *testing.T) {
+	w := newWorld(t, nil)
+	w.lone()
+	w.Play("c dial front\nc send {ask}\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect fine\nc send {book}")
+	w.Play("r accept workers\nr expect Req-Id: b1\nr send {stream}{booked}\nc expect HTTP/1.1 200")
+	w.Play("wait 1s\nc send {book}\nr expect Req-Id: b1\nr send {stream}{booked}\nc expect HTTP/1.1 200")
+	w.balanced(t)
+}
+
+// The node leaves, and in that moment a request comes on a connection that rests: it is answered,
+// as the last there, and not cut off unread.
+func TestRequestAsTheNodeLeaves(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc expect HTTP/1.1 200")
+	w.busy("c send {ask}\nc arrives", func() { w.front.Stop(0, func() {}) })
+	w.Play("s accept workers\ns expect hi\ns send {stream}{done}\nc expect Connection: close\nc expect fine\nc ended")
+	w.balanced(t)
+}
+
+// A request that is read after the node has ended its sending is not sent on, and what the client
+// has had before is not taken from it by a reset. The node is not done before the client is.
+func TestRequestAfterTheNodeHasLeft(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n")
+	drained := false
+	w.Until(func() bool {
+		all := w.sockets()
+		return len(all) == 1 && all[0].asked
+	})
+	w.Loop.Call(func() { w.front.Stop(0, func() { drained = true }) })
+	w.Play("c send {ask}\nc arrives\nc expect HTTP/1.1 200\nc ended")
+	w.Loop.Call(func() {
+		if drained {
+			t.Error("drained while a client has not ended its side")
+		}
+	})
+	if n := w.steps(); n != 0 {
+		t.Errorf("%d attempts for what came after the end", n)
+	}
+	w.Play("c close")
+	w.Until(func() bool { return drained })
+	w.balanced(t)
+}
+
+// A connection on which nothing came in time is ended; not where its request comes just then.
+func TestRequestAtTheEndOfItsTime(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Play("c dial front")
+	w.Until(func() bool { return w.front.sockets.Len() == 1 })
+	w.Advance(requestWithin - 5*time.Millisecond)
+	w.busy("c send {ask}\nc arrives", func() {
+		f := w.sockets()[0]
+		w.Loop.Due.Drop(f.limit)
+		f.late()
+	})
+	w.Play("s accept workers\ns expect hi\ns send {stream}{done}\nc expect fine")
+	w.balanced(t)
+}
+
+// At the limit of connections one that rests goes, so that the next client finds room; not one
+// whose request has come and is not read yet.
+func TestEvictedAsItsRequestComes(t *testing.T) {
+	w := newWorld(t, func(_ *balance.Settings, f *FrontConfig) { f.Sockets = socketSpare + 1 })
+	w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc expect HTTP/1.1 200\nwait 1s")
+	w.busy("c send {ask}\nc arrives", func() {
+		if w.front.shed() {
+			t.Error("the one connection has a request")
+		}
+	})
+	w.Play("s accept workers\ns expect hi\ns send {stream}{done}\nc expect fine")
+	w.balanced(t)
+}
+
+var _ routing.Waiter = (*Front)(nil)
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -228,6 +228,17 @@
 	return "Retry-After: " + strconv.FormatFloat(after.Seconds(), 'f', 3, 64) + "\r\n"
 }
 
+// Waits looks whether an operation's client is still there. One that has left is heard of
+// only when the loop reads its end, behind all that has come before.
+func (f *Front) Waits(op slot.Ref) bool {
+	c := f.calls[op]
+	if c == nil || !c.socket.conn.Ended() {
+		return true
+	}
+	c.socket.close()
+	return false
+}
+
 // Started, Stepped and StepDone concern other fronts: a client here hears of
 // nothing but the final answer.
 func (f *Front) Started(slot.Ref, balance.WorkerID) {}
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -71,7 +71,7 @@
 		b accept workers
 		b expect POST /buchen HTTP/1.1
 		b expect Req-Id: b1
-		b send {stream}{done}
+		b send {stream}{booked}
 		c expect fine
 	`)
 	w.balanced(t)
@@ -214,7 +214,7 @@
 		answer string
 		want   balance.Outcome
 	}{
-		"done":                 {`{stream}{done}`, balance.Served},
+		"done":                 {`{stream}{booked}`, balance.Served},
 		"failed":               {line("failed"), balance.Errored},
 		"returned":             {line("returned"), balance.Full},
 		"lost":                 {line("lost"), balance.Reset},
@@ -226,7 +226,8 @@
 		"unreadable":           {`nonsense\r\n\r\n`, balance.Reset},
 		"no end of line":       {`{stream}` + `19\r\n{"state":"done"         }\r\n0\r\n\r\n`, balance.Served},
 		"line no object":       {`{stream}` + scenario.Chunk(`hello`), balance.Reset},
-		"interim, then served": {`HTTP/1.1 100 Continue\r\n\r\n{stream}{done}`, balance.Served},
+		"another's line":       {`{stream}{done}`, balance.Reset},
+		"interim, then served": {`HTTP/1.1 100 Continue\r\n\r\n{stream}{booked}`, balance.Served},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, nil)
@@ -235,7 +236,7 @@
 			case c.want == balance.Served:
 				w.Play("c expect HTTP/1.1 200")
 			case c.want.NeverRan():
-				w.Play(lines("r accept workers", "r expect Req-Id: b1", "r send {stream}{done}", "c expect fine"))
+				w.Play(lines("r accept workers", "r expect Req-Id: b1", "r send {stream}{booked}", "c expect fine"))
 			default:
 				w.Play("c expect HTTP/1.1 502")
 			}
@@ -271,13 +272,15 @@
 		}
 		w.core.PoolChanged(up)
 	})
-	serve := func(conn string) string {
-		return lines(conn+" expect Req-Id", conn+` expect \r\n\r\n`, conn+" send {stream}{done}", "c expect fine")
+	serve := func(conn, answer string) string {
+		return lines(conn+" expect Req-Id", conn+` expect \r\n\r\n`, conn+" send {stream}"+answer, "c expect fine", "wait 1s")
 	}
-	w.Play(lines("c dial front", "c send {ask}", "s accept workers", serve("s"), "c send {book}", serve("s")))
+	asked := func(conn string) string { return serve(conn, "{done}") }
+	booked := func(conn string) string { return serve(conn, "{booked}") }
+	w.Play(lines("c dial front", "c send {ask}", "s accept workers", asked("s"), "c send {book}", booked("s")))
 	w.Play(lines("c send {book}", "s expect Req-Id: b1", "s close", "c expect HTTP/1.1 502"))
-	w.Play(lines("c send {ask}", "t accept workers", serve("t"), "c send {book}", "u accept workers", serve("u")))
-	w.Play(lines("c send {ask}", serve("u"), "wait 1m", "c send {ask}", "v accept workers", serve("v"), "c send {book}", serve("v")))
+	w.Play(lines("c send {ask}", "t accept workers", asked("t"), "c send {book}", "u accept workers", booked("u")))
+	w.Play(lines("c send {ask}", asked("u"), "wait 1m", "c send {ask}", "v accept workers", asked("v"), "c send {book}", booked("v")))
 }
 
 // A refused connection proves that nothing ran: after the last attempt the
@@ -476,7 +479,17 @@
 		c expect Connection: close
 		c expect fine
 		c closed
+		idle close
+		late close
 	`)
+	w.Loop.Call(func() {
+		select {
+		case <-drained:
+			t.Error("drained, and a client has not ended its side")
+		default:
+		}
+	})
+	w.Play("c close")
 	<-drained
 	if c, err := net.Dial("tcp", w.front.config.Listen); err == nil {
 		c.Close()
@@ -499,7 +512,7 @@
 		s expect Req-Id: b1
 		wait 1s
 		head send Cookie: x\r\n
-		s send {stream}{done}
+		s send {stream}{booked}
 		body expect fine
 		wait 1900ms
 		silent closed
@@ -620,7 +633,8 @@
 	w.Play(part("two", 60<<10))
 	w.Until(held(90 << 10))
 	w.Play(lines(part("three", 25<<10), "two expect HTTP/1.1 503", "two closed"))
-	w.Play(lines("one send "+strings.Repeat("x", 34<<10), "s accept workers", "s expect xxx", "s send {stream}{done}", "one expect fine"))
+	w.Play(lines("one send "+strings.Repeat("x", 34<<10), "s accept workers", "s expect xxx", "s send {stream}"+
+		scenario.Chunk(`{"id":"one","state":"done","result":"fine"}`)+`0\r\n\r\n`, "one expect fine"))
 }
 
 // A client that writes on at full speed still gets the error, and its
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -20,6 +20,7 @@
 	slowFor       = 250 * time.Millisecond  // and one that has brought a part of it, the next
 	stalledFor    = 2 * time.Second         // one that has brought no more for so long will not
 	restedFor     = 500 * time.Millisecond  // an idle connection that a usual client hardly misses
+	readSoon      = 2 * time.Millisecond    // what has come is read by the loop within it
 	slowShare     = 2                       // unfinished requests may fill one front socket in so many before they go first
 	mostAhead     = maxHead                 // most bytes kept of what a client sends while its call is in work
 	tellEvery     = 10 * time.Second
@@ -45,6 +46,7 @@
 	listener  *transport.Listener
 	sockets   slot.Table[*frontSocket]
 	lingering []*transport.Conn // answered for the last time, oldest first
+	parting   int               // of these, not closed yet
 	held      int               // bytes of input held
 	stopping  bool
 	ended     bool // nothing more is accepted
@@ -132,7 +134,8 @@
 // Stop accepts nothing more. Each answer from now on is the last on its
 // connection, and after a while those that owe nothing are closed: until then
 // clients may use the ones that they have, and what they have sent is read. drained
-// is called when none is left.
+// is called when none is left, and each client has ended its side too or has had the
+// time for it: the end of a process closes over unread bytes, and answers go with that.
 func (s *Server) Stop(after time.Duration, drained func()) {
 	if s.stopping {
 		return
@@ -156,17 +159,27 @@
 	s.check()
 }
 
-// closeIdle closes the front sockets that have brought nothing that is unanswered.
+// closeIdle ends the front sockets that have brought nothing that is unanswered. A
+// request that has come and is not read yet is served first; one that is read after the
+// end of the sending could not be answered, and goes no further.
 func (s *Server) closeIdle() {
+	again := false
 	s.sockets.All(func(_ slot.Ref, f *frontSocket) {
-		if f.call == nil && f.held == 0 {
-			f.close()
+		switch {
+		case f.call != nil || f.held > 0:
+		case f.conn.Quiet():
+			f.finish()
+		default:
+			again = true
 		}
 	})
+	if again {
+		s.loop.Due.Add(s.loop.Now()+readSoon, s.closeIdle)
+	}
 }
 
 func (s *Server) check() {
-	if s.stopping && s.ended && s.drained != nil && s.sockets.Len() == 0 {
+	if s.stopping && s.ended && s.drained != nil && s.sockets.Len() == 0 && s.parting == 0 {
 		drained := s.drained
 		s.drained = nil
 		drained()
@@ -224,17 +237,17 @@
 	// What the other side has closed since is out of the way already.
 	s.lingering = slices.DeleteFunc(s.lingering, func(c *transport.Conn) bool { return !c.Lingering() })
 	switch {
-	case silent != nil:
+	case silent.quiet():
 		silent.close()
-	case unfinished != nil && (now-unfinished.heard >= stalledFor || slow > s.most/slowShare):
+	case unfinished.quiet() && (now-unfinished.heard >= stalledFor || slow > s.most/slowShare):
 		unfinished.close()
 	case len(s.lingering) > 0:
 		s.lingering[0].Close()
-	case idle != nil && now-idle.since >= restedFor:
+	case idle.quiet() && now-idle.since >= restedFor:
 		idle.close()
-	case unfinished != nil:
+	case unfinished.quiet():
 		unfinished.close()
-	case idle != nil:
+	case idle.quiet():
 		idle.close()
 	default:
 		return false
@@ -243,6 +256,10 @@
 	return true
 }
 
+// quiet tells whether the socket, if there is one, has brought nothing that is not read
+// yet: its request may have come whole by now.
+func (f *frontSocket) quiet() bool { return f != nil && f.conn.Quiet() }
+
 // stiller tells whether of two unfinished requests this one is less likely to come
 // whole: one that has come in pieces will go on, one that has brought all it ever
 // brought at once hardly will.
@@ -285,6 +302,10 @@
 // late ends a connection whose request has not come whole in time.
 func (f *frontSocket) late() {
 	f.limit = nil
+	if !f.conn.Quiet() {
+		f.limit = f.server.loop.Due.Add(f.server.loop.Now()+readSoon, f.late) // it is to be read first
+		return
+	}
 	if f.held == 0 {
 		f.server.counts.Silent++
 		f.close()
@@ -431,8 +452,12 @@
 	for len(s.lingering) > 0 && !s.lingering[0].Lingering() {
 		s.lingering = s.lingering[1:]
 	}
-	c.Linger()
 	s.lingering = append(s.lingering, c)
+	s.parting++
+	c.Linger(func() {
+		s.parting--
+		s.check()
+	})
 }
 
 // Gone sets what is called if the client goes away before the answer.
--- a/internal/protocol/stage_test.go
+++ b/internal/protocol/stage_test.go
@@ -46,6 +46,7 @@
 	w.Words["book"] = `POST /buchen HTTP/1.1\r\nReq-Id: b1\r\nReq-Deadline: 3.0\r\n\r\n`
 	w.Words["stream"] = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n`
 	w.Words["done"] = scenario.Chunk(`{"id":"a1","state":"done","result":"fine","load":{"queue":1,"x0":2}}`) + `0\r\n\r\n`
+	w.Words["booked"] = strings.ReplaceAll(w.Words["done"], "a1", "b1")
 	known := List{Version: 7, Entries: []Listed{{Name: "s-1", Address: workers, State: "Ready", Weight: 1},
 		{Name: "s-2", Address: workers, State: "Ready", Weight: 1}}}
 	w.Loop.Call(func() {
--- a/internal/routing/ports.go
+++ b/internal/routing/ports.go
@@ -103,6 +103,11 @@
 	Gate(op slot.Ref, open func(ok bool))
 }
 
+// Waiter is an owner that can look whether anybody still waits for an operation, though
+// it may not have been told otherwise yet. The core asks before each attempt's first
+// byte. An owner that finds nobody withdraws the operation before it says no.
+type Waiter interface{ Waits(op slot.Ref) bool }
+
 // StepEnd is how a route step ended.
 type StepEnd struct {
 	Outcome  balance.Outcome
--- a/internal/routing/steps.go
+++ b/internal/routing/steps.go
@@ -21,15 +21,25 @@
 }
 
 // MayStart tells whether a route step whose connection has come up only now may
-// still write its first byte: the destination may have been told to drain, and
-// the deadline may have passed, while the connection was made.
+// still write its first byte: the destination may have been told to drain, the
+// deadline may have passed and the client may have left while the connection was made.
 func (c *Core) MayStart(ref slot.Ref) bool {
 	s := c.steps.Get(ref)
 	if s == nil {
 		return false
 	}
 	state, listed := c.state[s.to]
-	return listed && state == balance.Ready && c.clock.Now() < s.until
+	return listed && state == balance.Ready && c.clock.Now() < s.until && c.awaited(s.op)
+}
+
+// awaited tells whether anybody waits for an operation's answer. It may withdraw it.
+func (c *Core) awaited(ref slot.Ref) bool {
+	op := c.ops.Get(ref)
+	if op == nil || op.over {
+		return false
+	}
+	w, ok := op.Owner.(Waiter)
+	return !ok || w.Waits(ref)
 }
 
 // StepStarted tells that the destination has begun to run the step.
@@ -116,7 +126,7 @@
 	op.tries = append(op.tries, balance.Try{Worker: a.Worker, SentAt: now, Out: true, MayHave: true})
 	op.out++
 	state, listed := c.state[a.Worker]
-	if op.over || !listed || state != balance.Ready || len(op.steps) > c.settings.Limits.MaxAttempts {
+	if !c.awaited(ref) || !listed || state != balance.Ready || len(op.steps) > c.settings.Limits.MaxAttempts {
 		c.StepEnded(at, StepEnd{Outcome: balance.NotSent})
 		return
 	}
@@ -147,7 +157,7 @@
 	op := c.ops.Get(s.op)
 	s.gated = false
 	op.gated--
-	if !ok || op.over || !c.MayStart(at) {
+	if !ok || !c.MayStart(at) {
 		c.StepEnded(at, StepEnd{Outcome: balance.NotSent})
 		return
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -7,12 +7,17 @@
 //	NAME expect TEXT      read until TEXT has come; what is before it is passed over
 //	NAME keep WORD TEXT   read until TEXT has come; what follows it, to the next
 //	                      quotation mark, is {WORD} from then on
+//	NAME arrives          wait until the node's system has all that was sent
+//	NAME leaves           end the sending, and wait until the node's system has that
+//	NAME resets           break the connection
 //	NAME closed           read until the other side has ended the connection
+//	NAME ended            the same, and it was no reset
 //	NAME close            end the connection
 //	wait SPAN             let the node's clock advance by so much
 //
 // Lines that start with '#' are remarks. The clock is the stage's: no step
-// races with real time, which only bounds how long a failing step hangs.
+// races with real time, which only bounds how long a failing step hangs. What is
+// played within a callback of the loop comes while the node reads nothing.
 package scenario
 
 import (
@@ -21,17 +26,22 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ospreybend/internal/transport"
 )
 
 const (
 	hang  = 10 * time.Second     // real time after which a step has failed
 	grain = 5 * time.Millisecond // the clock advances by this much at a time
+
+	finWait2 = 5 // the system's number for a connection whose end the other side has acknowledged
 )
 
 // Stage is where scenarios play: a loop with a clock of its own, and stand-ins.
@@ -172,8 +182,25 @@
 		value, err := c.until('"')
 		s.Words[word] = value
 		return err
+	case "arrives":
+		return c.await(func(q int, _ uint8) bool { return q == 0 })
+	case "leaves":
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			return err
+		}
+		return c.await(func(_ int, state uint8) bool { return state == finWait2 })
+	case "resets":
+		if err := c.Conn.(*net.TCPConn).SetLinger(0); err != nil {
+			return err
+		}
+		return c.Close()
 	case "closed":
 		return c.expectEnd()
+	case "ended":
+		if err := c.more(); err != io.EOF {
+			return fmt.Errorf("no end but %v; came: %q", err, c.unread)
+		}
+		return nil
 	case "close":
 		return c.Close()
 	}
@@ -269,6 +296,33 @@
 	}
 }
 
+// await asks the system of this side until the other's has what was sent. On loopback that is
+// at once; the other side's program need not have read any of it.
+func (c *conn) await(met func(unacknowledged int, state uint8) bool) error {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(hang); time.Now().Before(end); runtime.Gosched() {
+		q, state := 0, uint8(0)
+		var err error
+		if told := raw.Control(func(fd uintptr) {
+			var info *unix.TCPInfo
+			if q, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+				if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+					state = info.State
+				}
+			}
+		}); told != nil || err != nil {
+			return errors.Join(told, err)
+		}
+		if met(q, state) {
+			return nil
+		}
+	}
+	return errors.New("it never came there")
+}
+
 func (c *conn) more() error {
 	if err := c.SetReadDeadline(time.Now().Add(hang)); err != nil {
 		return err
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,13 +7,17 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"ospreybend/internal/slot"
 )
 
 const (
-	keptBuffer = 16 << 10 // a buffer grown past this is given back once empty
-	lingerFor  = time.Second
+	keptBuffer = 16 << 10              // a buffer grown past this is given back once empty
+	lingerFor  = time.Second           // for the other side to end a connection, or to take some more of what is owed
+	lingerMost = 10 * lingerFor        // for one that takes what is owed ever more slowly
+	lingerLook = 10 * time.Millisecond // how often what is owed is looked at
+	readSoon   = 2 * time.Millisecond  // what has come is read by the loop within it
 )
 
 // Handler is what a protocol does with a connection.
@@ -35,6 +39,7 @@
 	handler   Handler
 	opened    func()
 	leave     func()
+	ended     func() // told when a lingering connection is closed
 	in        []byte
 	from      int // where the unused bytes start
 	pumping   bool
@@ -114,6 +119,27 @@
 // other side to end the connection.
 func (c *Conn) Lingering() bool { return c.lingering && !c.closed }
 
+// Ended looks whether the other side or the network has ended the connection, though
+// the loop may not have read as far as that: what has come before it is read first, and
+// a busy loop reads late.
+func (c *Conn) Ended() bool {
+	return c.closed || c.look()&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// Quiet looks whether nothing has come in that the loop has not read, the other side's
+// end included.
+func (c *Conn) Quiet() bool { return !c.closed && c.look() == 0 }
+
+// look asks the system for what it holds ready on the connection.
+func (c *Conn) look() int16 {
+	ready := []unix.PollFd{{Fd: int32(c.raw.Fd()), Events: unix.POLLIN | unix.POLLRDHUP}}
+	for {
+		if _, err := unix.Poll(ready, 0); err != unix.EINTR {
+			return ready[0].Revents // of a call that failed: nothing is known
+		}
+	}
+}
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	if c.closed {
@@ -125,19 +151,48 @@
 	}
 }
 
-// Linger ends the sending, and the connection once the other side has ended its
-// own: closing at once with bytes unread would reset the connection, and the
-// other side would lose the last answer.
-func (c *Conn) Linger() {
+// Linger ends the sending once the system has taken all that was sent, and the
+// connection once the other side has ended its own: a close over unread bytes would
+// reset the connection, and the other side would lose the last answer. What comes in
+// from now on is read and dropped. ended is called when the connection is closed.
+func (c *Conn) Linger(ended func()) {
 	if !c.Open() {
+		ended()
 		return
 	}
-	c.lingering = true
+	c.lingering, c.ended = true, ended
 	c.in, c.from = nil, 0
-	c.loop.Due.Add(c.loop.now+lingerFor, c.Close)
-	if c.Sent() {
+	now := c.loop.now
+	c.flush(c.raw.OutboundBuffered(), now+lingerFor, now+lingerMost)
+}
+
+// flush waits for the rest of what was sent for as long as the other side takes some of it.
+func (c *Conn) flush(left int, until, latest time.Duration) {
+	if c.closed {
+		return
+	}
+	now, owed := c.loop.now, c.raw.OutboundBuffered()
+	if owed < left {
+		left, until = owed, now+lingerFor
+	}
+	switch {
+	case owed == 0:
 		_ = syscall.Shutdown(c.raw.Fd(), syscall.SHUT_WR)
+		c.loop.Due.Add(now+lingerFor, func() { c.endQuietly(latest) })
+	case now >= min(until, latest):
+		c.Close()
+	default:
+		c.loop.Due.Add(now+lingerLook, func() { c.flush(left, until, latest) })
+	}
+}
+
+// endQuietly closes what lingers, between two reads: not over what has just come.
+func (c *Conn) endQuietly(latest time.Duration) {
+	if !c.closed && c.loop.now < latest && !c.Quiet() {
+		c.loop.Due.Add(c.loop.now+readSoon, func() { c.endQuietly(latest) })
+		return
 	}
+	c.Close()
 }
 
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -285,5 +285,8 @@
 			c.handler.Closed(c)
 		}
 	}
+	if c.ended != nil {
+		c.ended()
+	}
 	return gnet.None
 }
