Have the test of a pool config that is down fail on waits that are too long

Change: the pool config may return behind any call, so that no two calls may lie further apart than 6 s less the 2 s for an answer.

--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -91,10 +91,11 @@
 }
 
 // The pool config goes down just as a prep worker is told to drain, and stays down for long: it
-// refuses, says nothing, breaks off, or answers without an end. The last call before its return is
-// lost too. The change is known within 6 s of the return, whatever time for asking the settings give.
+// refuses, says nothing, breaks off, or answers without an end. It may return right behind any call,
+// which is lost too, and take 2 s to answer the next: no two lie further apart than 4 s, so that the
+// change is known within 6 s of the return, whatever time for asking the settings give.
 func TestDownWhileAChangeCountsAsTold(t *testing.T) {
-	const known = 6 * time.Second
+	const known, turn = 6 * time.Second, 2 * time.Second
 	for how, says := range map[string]string{"refuses": `{down}`, "is silent": "", "breaks off": `HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"index":9,"snap`,
 		"never ends": `{stream}1\r\n{\r\n`} {
 		for _, down := range []time.Duration{1700 * time.Millisecond, 8 * time.Second, 60 * time.Second} {
@@ -111,8 +112,8 @@
 			gone := time.Duration(0)
 			for n := 1; ; n++ {
 				span, came := w.Await("pool", down+known)
-				if gone += span; !came || gone > down+known {
-					t.Fatalf("%s for %v: the next call comes %v later", how, down, gone)
+				if gone += span; !came || span > known-turn {
+					t.Fatalf("%s for %v: call %d comes %v after the one before it", how, down, n, span)
 				}
 				name := fmt.Sprint("p", n)
 				w.Play(name + " accept pool\n" + name + " expect from=8")
