--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -33,7 +33,8 @@
 	countsEvery = 10 * time.Second
 
 	discoveryConnect = 500 * time.Millisecond
-	agentWithin      = time.Second // where lists are pushed: the node's own machine answers at once, or not at all
+	agentWithin      = time.Second     // where lists are pushed: the node's own machine answers at once, or not at all
+	readyWithin      = 5 * time.Second // half of the time in which a restarted node is to be ready
 
 	leaveAtLatest = time.Second // past the longest deadline
 
@@ -137,6 +138,7 @@
 	calls *link.Client
 
 	agentBy time.Duration // until then the list's agent is waited for
+	readyBy time.Duration // from then on a start is over though the pool config has not answered yet
 	voters  []config.FleetVoter
 
 	inherited net.Listener  // the clients' socket, where the platform holds it; nil: the front opens its own
@@ -205,7 +207,7 @@
 	core.Connect(to, n.pool, peers)
 	core.Name(n.pool.NameOf)
 	n.pool.Start()
-	n.agentBy = n.loop.Now() + agentWithin
+	n.agentBy, n.readyBy = n.loop.Now()+agentWithin, n.loop.Now()+readyWithin
 	giveUp := make([]time.Duration, len(s.Classes))
 	for i, c := range s.Classes {
 		giveUp[i] = c.GiveUp
@@ -259,12 +261,14 @@
 }
 
 // able tells whether clients are to come. Where lists are pushed, what the agent has counts as
-// told from the first moment on: it is asked first, for a moment.
+// told from the first moment on: it is asked first, for a moment. A start whose own list names
+// nobody who is ready is not held up for longer than a start may take, however long the pool
+// config is down: what comes then is refused at once, which is harmless.
 func (n *node) able() bool {
 	if !n.cfg.Settings.AskDiscovery && !n.pool.Asked() && n.loop.Now() < n.agentBy {
 		return false
 	}
-	return n.core.Able()
+	return n.core.Able() || !n.pool.Asked() && n.loop.Now() >= n.readyBy
 }
 
 // count writes the totals to the log, now and then.
