--- a/cmd/ospreybend/child.go
+++ b/cmd/ospreybend/child.go
@@ -26,6 +26,7 @@
 	platform string
 	batch    string
 	admin    *client.Admin
+	alone    bool // its batch front is off
 }
 
 // files writes a node's files into dir. extra is further lines of the batch
@@ -85,6 +86,9 @@
 		if answer.StatusCode != http.StatusOK {
 			return false
 		}
+		if c.alone {
+			return true
+		}
 		_, err = c.admin.Queue(ctx)
 		return err == nil
 	})
--- a/cmd/ospreybend/leave_test.go
+++ b/cmd/ospreybend/leave_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"ospreybend/internal/standin"
 )
 
 // ending is what became of one request of a client that never stops sending.
@@ -70,7 +72,14 @@
 // request that the node has read gets its whole answer; what is not read crosses the end of
 // its connection, once for each; and the process is gone in time, with exit code 0.
 func TestLeavesUnderClientsThatNeverStop(t *testing.T) {
-	_, n := startChild(t, 4, 64, 40*time.Millisecond)
+	t.Run("all well", func(t *testing.T) { leavesUnderClients(t, false) })
+	t.Run("a quarter hangs", func(t *testing.T) { leavesUnderClients(t, true) })
+}
+
+// With hang, one of the four prep workers says that it has started and nothing more, from just
+// before the signal on.
+func leavesUnderClients(t *testing.T, hang bool) {
+	fleet, n := startChild(t, 4, 64, 40*time.Millisecond)
 	const clients = 100
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -98,6 +107,9 @@
 		})
 	}
 	<-warm
+	if hang {
+		fleet.Workers[0].Follow(func(standin.Job) standin.Act { return standin.Act{Kind: standin.Hang} })
+	}
 	before, began := served.Load(), time.Now()
 	err := n.leave()
 	took := time.Since(began)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -30,6 +30,7 @@
 	index   uint64
 	changed chan struct{}
 	away    bool
+	refused int
 	server  *http.Server
 	address string
 }
@@ -59,8 +60,17 @@
 	d.changed = make(chan struct{})
 }
 
-// Away has discovery answer nothing but 503 from now on, or as usual again.
-func (d *Discovery) Away(away bool) { d.mu.Lock(); d.away = away; d.mu.Unlock() }
+// Away has discovery answer nothing but 503 from now on, open watches included, or as usual again.
+func (d *Discovery) Away(away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = away
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Refused counts the calls that have had a 503.
+func (d *Discovery) Refused() int { d.mu.Lock(); defer d.mu.Unlock(); return d.refused }
 
 // Stop ends discovery.
 func (d *Discovery) Stop() { _ = d.server.Close() }
@@ -71,11 +81,7 @@
 	d.mu.Lock()
 	index, changed, away := d.index, d.changed, d.away
 	d.mu.Unlock()
-	if away {
-		http.Error(out, "away", http.StatusServiceUnavailable)
-		return
-	}
-	if from == index && hold > 0 {
+	if !away && from == index && hold > 0 {
 		select {
 		case <-changed:
 		case <-time.After(time.Duration(hold) * time.Millisecond):
@@ -85,6 +91,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.away {
+		d.refused++
+		http.Error(out, "away", http.StatusServiceUnavailable)
+		return
+	}
 	if from == d.index && hold > 0 {
 		_ = json.NewEncoder(out).Encode(map[string]any{"index": d.index, "snapshot": false, "endpoints": []Endpoint{}})
 		return
