Take in who waits in the backlog before the listener closes; keep answers that nobody reads bounded

Cause, by reading, confirmed by forced crossings on real sockets: - server.Stop closed the listener under connections that the system had accepted and the program had not (the accept goroutine waits for the loop): they were reset with their requests, which count as taken. - frontSocket.Data served pipelined requests however much of the answers lay unread: gnet's buffer for one client grew without a bound. Change: transport.Listener.Finish accepts what waits, as far as there is room, and then closes; a shared socket's backlog is the other processes'. Ruled out by reading: stale slot numbers (a generation each), late timers (due.Line drops them; an entry added in a turn waits for the next).

--- a/internal/protocol/ending_test.go
+++ b/internal/protocol/ending_test.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"bytes"
+	"net"
 	"testing"
 	"time"
 
@@ -167,6 +169,16 @@
 	w.balanced(t)
 }
 
+// The node stops listening while a client that the system has let in waits to be accepted: its
+// request is answered, not reset.
+func TestClientInTheBacklogAsTheNodeLeaves(t *testing.T) {
+	w := newWorld(t, nil)
+	// The first is being handed to the loop, which stands; the second waits behind it.
+	w.busy("a dial front\na send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc dial front\nc send {ask}\nc arrives", func() { w.front.Stop(0, func() {}) })
+	w.Play("a expect HTTP/1.1 200\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect Connection: close\nc expect fine\nc ended")
+	w.balanced(t)
+}
+
 // A request that is read after the node has ended its sending is not sent on, and what the client
 // has had before is not taken from it by a reset. The node is not done before the client is.
 func TestRequestAfterTheNodeHasLeft(t *testing.T) {
@@ -207,6 +219,35 @@
 	w.balanced(t)
 }
 
+// A client asks on and on and reads no answer: the node keeps no more of them than an answer may be
+// long, and ends the connection.
+func TestAnswersNeverRead(t *testing.T) {
+	w := newWorld(t, nil)
+	c, err := net.Dial("tcp", w.front.config.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	asked := bytes.Repeat([]byte("GET /healthz HTTP/1.1\r\n\r\n"), 40<<10)
+	go func() {
+		for range 64 { // over all that the systems of both sides take in
+			if _, err := c.Write(asked); err != nil {
+				return
+			}
+		}
+	}()
+	kept := 0
+	w.Until(func() bool {
+		for _, f := range w.sockets() {
+			kept = max(kept, f.conn.Unsent())
+		}
+		return kept > 2*mostUnread || w.front.Counts().Shed == 1 && w.front.sockets.Len() == 0
+	})
+	if kept > 2*mostUnread {
+		t.Errorf("%d bytes of answers are kept", kept)
+	}
+}
+
 // At the limit of connections one that rests goes, so that the next client finds room; not one
 // whose request has come and is not read yet.
 func TestEvictedAsItsRequestComes(t *testing.T) {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -23,6 +23,7 @@
 	readSoon      = 2 * time.Millisecond    // what has come is read by the loop within it
 	slowShare     = 2                       // unfinished requests may fill one front socket in so many before they go first
 	mostAhead     = maxHead                 // most bytes kept of what a client sends while its call is in work
+	mostUnread    = maxBody + maxHead       // and of answers that it does not read while it asks on
 	tellEvery     = 10 * time.Second
 	noRoom        = "there is no room for the request just now"
 	continueLine  = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -142,7 +143,7 @@
 	}
 	s.stopping, s.drained = true, drained
 	if s.listener != nil {
-		_ = s.listener.Close()
+		s.listener.Finish()
 	} else {
 		s.ended = true
 	}
@@ -351,6 +352,11 @@
 	f.heard, f.pieces = f.server.loop.Now(), f.held > 0
 	used := 0
 	for f.call == nil && conn.Open() && used < len(in) {
+		if conn.Unsent() > mostUnread {
+			f.server.counts.Shed++
+			f.finish() // it has what it reads of the answers until then
+			break
+		}
 		m, n, err := f.reader.read(in[used:])
 		if err != nil {
 			f.refuse(err)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -112,6 +112,14 @@
 	return c.raw.OutboundBuffered() == 0
 }
 
+// Unsent returns the bytes given to Send that the system has not taken.
+func (c *Conn) Unsent() int {
+	if c.closed {
+		return 0
+	}
+	return c.raw.OutboundBuffered()
+}
+
 // Open tells whether the connection is usable.
 func (c *Conn) Open() bool { return !c.closed && !c.lingering }
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -9,12 +9,15 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Listener takes in connections until it is closed.
 type Listener struct {
 	net.Listener
 	room   chan struct{}
+	take   func(net.Conn) // an accepted connection, which has its place in room
 	open   atomic.Int32
 	coming atomic.Int32 // accepted, and not shown to the loop yet
 }
@@ -51,16 +54,20 @@
 	if _, ok := ln.(*net.TCPListener); !ok {
 		return nil, errors.Join(fmt.Errorf("descriptor %d: no TCP socket", fd), ln.Close())
 	}
-	return ln, nil
+	return shared{ln}, nil
 }
 
+// shared is a listening socket that other processes hold too: what waits there is theirs as well.
+type shared struct{ net.Listener }
+
 // Accept accepts connections on a listening socket, at most most of them open at
 // once; further ones wait in the system's queue. accept is called on the loop with
 // each, and ended once the listener has been closed and the last one been shown.
 func (l *Loop) Accept(ln net.Listener, most int, accept func(*Conn) Handler, ended func()) *Listener {
 	in := &Listener{Listener: ln, room: make(chan struct{}, most)}
+	in.take = func(raw net.Conn) { in.enroll(l, raw, accept) }
 	go func() {
-		in.serve(l, accept)
+		in.serve()
 		for in.Coming() > 0 {
 			time.Sleep(time.Millisecond)
 		}
@@ -69,7 +76,7 @@
 	return in
 }
 
-func (in *Listener) serve(l *Loop, accept func(*Conn) Handler) {
+func (in *Listener) serve() {
 	for {
 		in.room <- struct{}{}
 		raw, err := in.Listener.Accept()
@@ -81,20 +88,70 @@
 			time.Sleep(acceptPause) // out of descriptors, perhaps: they come back
 			continue
 		}
-		in.open.Add(1)
-		in.coming.Add(1)
-		leave := func() {
-			in.open.Add(-1)
-			<-in.room
-		}
-		c := &Conn{loop: l, leave: leave}
-		c.opened = func() {
-			c.handler = accept(c)
-			in.coming.Add(-1)
-		}
-		if _, err := l.client.EnrollContext(raw, c); err != nil {
-			in.coming.Add(-1)
-			leave()
+		in.take(raw)
+	}
+}
+
+// enroll hands an accepted connection to the loop. It has its place in room.
+func (in *Listener) enroll(l *Loop, raw net.Conn, accept func(*Conn) Handler) {
+	in.open.Add(1)
+	in.coming.Add(1)
+	leave := func() {
+		in.open.Add(-1)
+		<-in.room
+	}
+	c := &Conn{loop: l, leave: leave}
+	c.opened = func() {
+		c.handler = accept(c)
+		in.coming.Add(-1)
+	}
+	if _, err := l.client.EnrollContext(raw, c); err != nil {
+		in.coming.Add(-1)
+		leave()
+	}
+}
+
+// Finish closes the listener once what the system has accepted by now is taken in: a close
+// resets what still waits there, with the requests on it. What waits on a shared socket is
+// left to the others. It does not hold up the loop.
+func (in *Listener) Finish() {
+	go func() {
+		for in.takeWaiting() {
 		}
+		_ = in.Close()
+	}()
+}
+
+// takeWaiting takes in one connection that waits, and tells whether there was one and room for it.
+func (in *Listener) takeWaiting() bool {
+	ln, ok := in.Listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	system, err := ln.SyscallConn()
+	if err != nil {
+		return false
+	}
+	select {
+	case in.room <- struct{}{}:
+	default:
+		return false
+	}
+	fd := -1
+	// Accept may be waiting on the same socket in another goroutine: this does not wait.
+	if err := system.Control(func(listening uintptr) {
+		fd, _, err = unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	}); err != nil || fd < 0 {
+		<-in.room
+		return false
+	}
+	f := os.NewFile(uintptr(fd), "accepted")
+	raw, err := net.FileConn(f)
+	_ = f.Close()
+	if err != nil {
+		<-in.room
+		return true
 	}
+	in.take(raw)
+	return true
 }
