Begin no repeat past its window when its connection comes up late; ask anew when the version falls

Cause, by reading, confirmed by forced crossings: - The module looks at a keyed class's window when it decides. Change: the core looks at the window again before the first byte, with 25 ms for the way, the module with 30. A whole list sets the version whatever it was; changes of a lower one are passed over, and all is asked for at once. Tests: both fail without their mends. A repeat whose connection is up in time is still served.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -10,6 +10,7 @@
 const (
 	startLate = 400 * time.Millisecond // a start is overdue after this, a mean run and two waits
 	startSoon = 100 * time.Millisecond // a start is told within it, unless the job has to wait
+	onItsWay  = 30 * time.Millisecond  // that a send takes to where repeats are dropped for a while
 )
 
 // firstThatMayHaveRun returns the earliest attempt that may have had effect.
@@ -33,7 +34,7 @@
 	if first == nil {
 		return send, true
 	}
-	send = send && effect != Unsafe && (effect != Keyed || now <= first.sentAt+r.class.Window)
+	send = send && effect != Unsafe && (effect != Keyed || now <= first.sentAt+r.class.Window-onItsWay)
 	return send, effect == Safe || effect == Keyed && r.class.Group == GroupAll
 }
 
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -403,7 +403,15 @@
 	} else if c == d.watch {
 		quiet = !d.first && !list.Snapshot && len(list.Entries) == 0
 		d.first = false
-		d.version = max(d.version, list.Version)
+		switch {
+		case list.Snapshot || list.Version >= d.version:
+			d.version = list.Version
+		default:
+			// Another service answers, or one that has begun anew: changes since then say
+			// nothing of what is listed here. All of it is asked for, at once.
+			slog.Warn("pool config: the version goes backwards", "from", d.version, "to", list.Version)
+			d.version, d.first, quiet = 0, true, true
+		}
 		d.ask(c, d.watchTarget())
 	}
 	if !quiet {
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -69,6 +69,23 @@
 	return is
 }
 
+// The version goes backwards, as where another service answers or one has begun anew. Changes since
+// then do not fit the list here: all of it is asked for at once, and the watch goes on from there.
+func TestVersionGoesBackwards(t *testing.T) {
+	w := newWorld(t, func(s *balance.Settings, _ *FrontConfig) { s.AskDiscovery = true })
+	w.Words["same"] = answered(sameList)
+	w.Words["older"] = answered(`{"index":3,"snapshot":false,"endpoints":[{"name":"s-2","status":"Gone"}]}`)
+	w.Words["all"] = answered(`{"index":3,"snapshot":true,"endpoints":[{"name":"s-2","status":"Ready","address":"127.0.0.1:1"}]}`)
+	w.Play("wait 100ms\np accept pool\np expect hold_ms=1 HTTP/1.1\np send {same}\np expect from=8&hold_ms=2000\np send {older}\np expect from=0&hold_ms=1 HTTP/1.1")
+	if !w.ready("s-2") {
+		t.Error("a change of another list counts")
+	}
+	w.Play("p send {all}\np expect from=3&hold_ms=2000")
+	if w.ready("s-1") || !w.ready("s-2") {
+		t.Error("the whole list does not count")
+	}
+}
+
 // A call cut in the middle of its answer is one that failed: it is asked anew at once, and
 // nothing of it counts.
 func TestListCutInTheMiddle(t *testing.T) {
--- a/internal/protocol/ending_test.go
+++ b/internal/protocol/ending_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -159,6 +161,33 @@
 	w.balanced(t)
 }
 
+// Prep workers drop repeats of a request for a second. The connection for a repeat comes up only when
+// that second is over: not a byte goes out, as they would run it once more.
+func TestRepeatWhoseConnectionComesLate(t *testing.T) {
+	for late, want := range map[time.Duration]balance.Outcome{0: balance.Served, 980 * time.Millisecond: balance.ConnectFailed} {
+		w := newWorld(t, func(s *balance.Settings, _ *FrontConfig) {
+			s.Classes[1].Effect, s.Classes[1].Window = balance.Keyed, time.Second
+		})
+		w.Play("c dial front\nc send {book}\ns accept workers\ns expect Req-Id: b1")
+		w.Loop.Call(func() {
+			for _, step := range slices.Collect(maps.Keys(w.to.trips)) { // the first attempt may have run
+				w.core.StepEnded(step, routing.StepEnd{Outcome: balance.Reset})
+			}
+			w.Late(late)
+		})
+		w.Play("r accept workers")
+		if want == balance.Served {
+			w.Play("r expect Req-Id: b1\nr send {stream}{booked}\nc expect HTTP/1.1 200")
+		} else {
+			w.Play("c expect HTTP/1.1 503")
+		}
+		if n := w.outcomes(); n[want] != 1 || n[balance.Served]+n[balance.ConnectFailed] != 1 {
+			t.Errorf("%v late: outcomes %v", late, n)
+		}
+		w.balanced(t)
+	}
+}
+
 // The node leaves, and in that moment a request comes on a connection that rests: it is answered,
 // as the last there, and not cut off unread.
 func TestRequestAsTheNodeLeaves(t *testing.T) {
--- a/internal/routing/steps.go
+++ b/internal/routing/steps.go
@@ -9,6 +9,9 @@
 	"ospreybend/internal/slot"
 )
 
+// onItsWay is what the network may take, with half of the slack that the rules have on sockets to spare.
+const onItsWay = 25 * time.Millisecond
+
 // step is one route step.
 type step struct {
 	op       slot.Ref
@@ -29,7 +32,22 @@
 		return false
 	}
 	state, listed := c.state[s.to]
-	return listed && state == balance.Ready && c.clock.Now() < s.until && c.awaited(s.op)
+	return listed && state == balance.Ready && c.clock.Now() < s.until && c.awaited(s.op) && c.inWindow(s)
+}
+
+// inWindow tells whether a repeat of what destinations drop repeats of for a while may still begin: its
+// connection may have come up long after the module's decision, and its bytes are on their way yet.
+func (c *Core) inWindow(s *step) bool {
+	op := c.ops.Get(s.op)
+	if op.Class >= len(c.settings.Classes) || c.settings.Classes[op.Class].Effect != balance.Keyed {
+		return true
+	}
+	for i, t := range op.tries {
+		if i != s.number && t.MayHave && c.clock.Now() > t.SentAt+c.settings.Classes[op.Class].Window-onItsWay {
+			return false
+		}
+	}
+	return true
 }
 
 // awaited tells whether anybody waits for an operation's answer. It may withdraw it.
@@ -126,7 +144,7 @@
 	op.tries = append(op.tries, balance.Try{Worker: a.Worker, SentAt: now, Out: true, MayHave: true})
 	op.out++
 	state, listed := c.state[a.Worker]
-	if !c.awaited(ref) || !listed || state != balance.Ready || len(op.steps) > c.settings.Limits.MaxAttempts {
+	if !c.awaited(ref) || !listed || state != balance.Ready || len(op.steps) > c.settings.Limits.MaxAttempts || !c.inWindow(s) {
 		c.StepEnded(at, StepEnd{Outcome: balance.NotSent})
 		return
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// Late has the node's clock jump, as when the loop was held up: nothing is fired before the next turn.
+func (s *Stage) Late(span time.Duration) { s.now.Add(int64(span)) }
+
 // Until waits for something that shows on the loop alone. The clock stands.
 func (s *Stage) Until(f func() bool) {
 	s.t.Helper()
