--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -46,6 +46,9 @@
 	wary   time.Duration      // until when kept connections are mistrusted
 	load   map[string]int     // a report field's place, by each name it may have
 
+	unreadable uint64        // answers
+	tellAt     time.Duration // when to log of them again
+
 	attempts uint64                     // route steps whose last byte has been written
 	partly   map[*trip]*destinationConn // those whose last byte the system has not taken yet
 }
@@ -519,7 +522,7 @@
 // broken ends an exchange whose answer cannot be read. The request went out
 // whole, so that it may have run.
 func (c *destinationConn) broken(in []byte, why *Fault) int {
-	slog.Warn("unreadable answer", "destination", c.to.name, "reason", why.Text)
+	c.owner.unreadableAnswer(c.to.name, why.Text)
 	t := c.trip
 	c.trip = nil
 	c.close()
@@ -529,6 +532,15 @@
 	return len(in)
 }
 
+// unreadableAnswer counts an answer that cannot be read. One line in a while tells of all since the last.
+func (d *Destinations) unreadableAnswer(from, reason string) {
+	d.unreadable++
+	if now := d.loop.Now(); d.unreadable == 1 || now >= d.tellAt {
+		slog.Warn("unreadable answer", "destination", from, "reason", reason, "in_all", d.unreadable)
+		d.tellAt = now + tellEvery
+	}
+}
+
 func (c *destinationConn) begin(m *Message) {
 	c.head, c.status, c.last = true, m.Status, m.Close
 	c.declined = string(m.Header("Srv-Declined")) == "1"
--- a/internal/protocol/ending_test.go
+++ b/internal/protocol/ending_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -248,6 +250,26 @@
 	w.balanced(t)
 }
 
+// A prep worker that answers nonsense all the time is told of once in a while, with all counted.
+func TestNonsenseIsLoggedNowAndThen(t *testing.T) {
+	var log bytes.Buffer
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(old)
+	w := newWorld(t, nil)
+	w.lone()
+	w.Play("c dial front")
+	for range 3 {
+		w.Play(`c send {book}` + "\ns accept workers\ns expect Req-Id: b1\ns send nonsense\\r\\n\\r\\n\nc expect HTTP/1.1 502")
+	}
+	w.Play("wait 10s\nc send {book}\ns accept workers\ns expect Req-Id: b1\ns send nonsense\\r\\n\\r\\n\nc expect HTTP/1.1 502")
+	w.Loop.Call(func() {
+		if lines := strings.Count(log.String(), "unreadable answer"); lines != 2 || !strings.Contains(log.String(), "in_all=4") {
+			t.Errorf("%d lines: %s", lines, log.String())
+		}
+	})
+}
+
 // A client asks on and on and reads no answer: the node keeps no more of them than an answer may be
 // long, and ends the connection.
 func TestAnswersNeverRead(t *testing.T) {
