End what came from the backlog and asks nothing; fuzz the list's reader

Cause: a connection taken in from the backlog at a planned restart came after closeIdle had run, so that one that asks nothing kept the process for 2.8 s, its own limit. Change: such a one is looked at again after 25 ms, as a usual client's request comes within that. FuzzList reads any answer's entries: what is taken in has a number, a start that can be and a finite weight.

--- a/internal/protocol/ending_test.go
+++ b/internal/protocol/ending_test.go
@@ -205,8 +205,10 @@
 func TestClientInTheBacklogAsTheNodeLeaves(t *testing.T) {
 	w := newWorld(t, nil)
 	// The first is being handed to the loop, which stands; the second waits behind it.
-	w.busy("a dial front\na send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc dial front\nc send {ask}\nc arrives", func() { w.front.Stop(0, func() {}) })
-	w.Play("a expect HTTP/1.1 200\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect Connection: close\nc expect fine\nc ended")
+	// The third asks nothing: the node does not wait for it as long as for a usual client.
+	w.busy("a dial front\na send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc dial front\nc send {ask}\nc arrives\nmute dial front", func() { w.front.Stop(0, func() {}) })
+	w.Until(func() bool { return w.front.ended })
+	w.Play("wait 30ms\nmute ended\na expect HTTP/1.1 200\ns accept workers\ns expect hi\ns send {stream}{done}\nc expect Connection: close\nc expect fine\nc ended")
 	w.balanced(t)
 }
 
--- a/internal/protocol/http_fuzz_test.go
+++ b/internal/protocol/http_fuzz_test.go
@@ -1,6 +1,11 @@
 package protocol
 
-import "testing"
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+)
 
 // Whatever comes in, the parser neither fails nor uses more than there is.
 func FuzzParseRequest(f *testing.F) {
@@ -16,3 +21,29 @@
 		}
 	})
 }
+
+// Whatever the pool config answers, the node goes on: what it takes in makes sense, and what does not is passed over.
+func FuzzList(f *testing.F) {
+	for _, text := range []string{`{"index":9,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:80","status":"Ready","weight":1e400,"since_ms":-1}]}`,
+		`{"index":-1}`, `{"index":9,"endpoints":[{"name":"s-1","status":"Gone"},{"name":"s-1","status":"Ready","since_ms":1e300}]}`,
+		`{"index":9,"snapshot":true,"endpoints":[null,{"name":"s-2","address":"x","status":"Terminating","weight":-0.5}]}`, `[]`, `{"endpoints":{}}`} {
+		f.Add([]byte(text))
+	}
+	const now = 1000 * time.Hour
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var list List
+		if json.Unmarshal(text, &list) != nil {
+			return // a call that failed
+		}
+		d := NewDiscovery(DiscoveryConfig{Zones: []string{"a"}}, nil, nil, nil)
+		for _, e := range list.Entries {
+			if e.fault(now) != nil {
+				continue
+			}
+			l := d.listing(e)
+			if l.Worker == 0 || l.Started < 0 || l.Started > now+ahead || !(l.Scale >= 0) || math.IsInf(l.Scale, 0) {
+				t.Errorf("%+v is taken in as %+v", e, l)
+			}
+		}
+	})
+}
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -194,6 +194,9 @@
 	f := &frontSocket{server: s, conn: c}
 	f.ref = s.sockets.Add(f)
 	f.await()
+	if s.stopping { // it waited in the backlog; a usual client's request is there, or comes at once
+		s.loop.Due.Add(s.loop.Now()+freshFor, s.closeIdle)
+	}
 	s.makeRoom()
 	if s.listener.Open() > s.most-socketLast {
 		// All have a request in work. Who waits in the system's queue would wait
