--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -134,7 +134,8 @@
 	crowd := min(1, float64(f.settings.Balancers)/askCrowd)
 	switch f.askTries {
 	case 0:
-		return time.Duration(f.rng.Float64() * crowd * float64(min(f.settings.Rules.AskWithin/askSpread, 3*askAgain)))
+		most := min(f.settings.Rules.AskWithin/askSpread, 3*askAgain)
+		return time.Duration(f.rng.Float64() * crowd * float64(most))
 	case 1: // the first that failed
 		return time.Duration(f.rng.Float64() * crowd * float64(askAgain*3/2))
 	}
