--- a/cmd/ospreybend/main.go
+++ b/cmd/ospreybend/main.go
@@ -273,10 +273,11 @@
 
 // count writes the totals to the log, now and then.
 func (n *node) count() {
-	c, f := n.core.Counts(), n.front.Counts()
+	c, f, p := n.core.Counts(), n.front.Counts(), n.pool.Counts()
 	slog.Info("counts", "operations", c.Operations, "served", c.Served, "refused", c.Refused, "failed", c.Failed,
 		"rejected", c.Rejected, "gone", c.Gone, "moved", c.Moved, "open", n.core.Open(), "steps", c.Steps, "outcomes", fmt.Sprint(c.Outcomes),
-		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed, "full", f.Full)
+		"turned_away", f.Rejected, "silent", f.Silent, "shed", f.Shed, "full", f.Full,
+		"list_asked", p.Asked, "list_answered", p.Answered, "list_refused", p.Refused, "list_silent", p.Silent)
 	if n.batch != nil {
 		b := n.batch.jobs.Counts()
 		slog.Info("batch counts", "unfinished", b.Unfinished, "queued", b.Lined, "in_core", b.InCore, "waits", b.Waits,
--- /dev/null
+++ b/internal/protocol/crowd_test.go
@@ -0,0 +1,160 @@
+package protocol
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"ospreybend/balance"
+	"ospreybend/internal/routing"
+	"ospreybend/internal/scenario"
+)
+
+// turns is a pool config for many nodes, on the test's clock: a call that may not wait for news takes its
+// turn, and is refused at once where that would come too late. The end of a hold costs nothing.
+type turns struct {
+	each, longest time.Duration
+	version       int
+
+	mu             sync.Mutex
+	came, ended    int // calls, connections
+	fresh, waiting []*turn
+	dead           map[net.Conn]bool
+	free           time.Duration // when the turns given so far are over
+}
+
+type turn struct {
+	conn net.Conn
+	from int
+	at   time.Duration // when it is answered; 0: not given yet
+}
+
+func (s *turns) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			in := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(in)
+				s.mu.Lock()
+				if err != nil {
+					s.dead[conn] = true
+					s.ended++
+					s.mu.Unlock()
+					return
+				}
+				from, _ := strconv.Atoi(r.FormValue("from"))
+				c := &turn{conn: conn, from: from}
+				if r.FormValue("hold_ms") != "1" {
+					c.at = -1
+				}
+				s.came++
+				s.fresh = append(s.fresh, c)
+				s.mu.Unlock()
+			}
+		}()
+	}
+}
+
+// run answers and refuses what is due now, and returns how many calls those were.
+func (s *turns) run(now time.Duration) (told int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.fresh {
+		if c.at != 0 {
+			continue // a watch, and nothing new ever comes here
+		}
+		if s.free = max(s.free, now); s.free+s.each-now > s.longest {
+			fmt.Fprint(c.conn, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+			told++
+			continue
+		}
+		s.free += s.each
+		c.at = s.free
+		s.waiting = append(s.waiting, c)
+	}
+	s.fresh = nil
+	for len(s.waiting) > 0 && s.waiting[0].at <= now {
+		c := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		if s.dead[c.conn] {
+			continue // its turn was for nothing
+		}
+		list := fmt.Sprintf(`{"index":%d,"snapshot":false,"endpoints":[]}`, s.version)
+		fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		told++
+	}
+	return told
+}
+
+// Many nodes start together, and the pool config does few calls in a second: what it has is known to all within
+// the 6 s after which it counts as told, as far as it can answer so many by then.
+func TestCrowdAtAServiceThatAnswersInTurn(t *testing.T) {
+	const nodes, known = 20, 6 * time.Second
+	for seed := range uint64(5) {
+		stage := scenario.New(t)
+		service := &turns{each: 200 * time.Millisecond, longest: 2 * time.Second, version: 8, dead: map[net.Conn]bool{}}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go service.serve(l)
+		pools := make([]*Discovery, nodes)
+		now := func() (at time.Duration) { stage.Loop.Call(func() { at = stage.Loop.Now() }); return at }
+		began := now()
+		stage.Loop.Call(func() {
+			for i := range pools {
+				core, err := routing.New(balance.Settings{Balancers: nodes, Ordinal: i, AskDiscovery: true,
+					Resolution: 2 * time.Millisecond, Classes: []balance.Class{{GiveUp: time.Second}},
+					Limits: balance.Limits{MaxAttempts: 1}, Rules: balance.Rules{ColdFrom: 1, AskWithin: 10 * time.Second}},
+					seed*nodes+uint64(i), stage.Loop, &stage.Loop.Due)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				to := NewDestinations(DestinationConfig{}, stage.Loop, core)
+				pools[i] = NewDiscovery(DiscoveryConfig{Address: l.Addr().String(), ConnectTimeout: time.Minute,
+					Known: List{Version: 7}}, stage.Loop, core, to)
+				peers, _ := NewPeers(PeersConfig{}, stage.Loop, core)
+				core.Connect(to, pools[i], peers)
+				pools[i].Start()
+			}
+		})
+		told, knowing := 0, 0
+		for knowing < nodes {
+			if span := now() - began; span > known {
+				t.Fatalf("seed %d: after %v %d of %d nodes know", seed, span, knowing, nodes)
+			}
+			stage.Advance(10 * time.Millisecond)
+			var sum CallCounts
+			level := func() bool { // what either side has done the other has seen
+				sum, knowing = CallCounts{}, 0
+				for _, d := range pools {
+					sum.Asked += d.counts.Asked
+					sum.Answered += d.counts.Answered
+					sum.Refused += d.counts.Refused
+					sum.Silent += d.counts.Silent
+					if d.version == uint64(service.version) {
+						knowing++
+					}
+				}
+				service.mu.Lock()
+				defer service.mu.Unlock()
+				return int(sum.Asked) == service.came && int(sum.Answered+sum.Refused) == told &&
+					int(sum.Refused+sum.Silent) == service.ended
+			}
+			stage.Until(level)
+			told += service.run(now())
+			stage.Until(level)
+		}
+	}
+}
