Count a worker's last line as soon as it is whole, and close what never ends behind it

Cause, found by reading: (1) an answer whose last line had come and whose end never did kept its connection for ever: `destinationConn.tell` gave the trip up and set no time limit, and such a connection is neither idle nor in work, so that `closeIdlest` never takes it. Change: a time limit of 0.25 s behind the last line; what is in a chunk counts as it comes (`bodyReader.between`). Tests: TestAnswersWithoutAnEnd fails without the first ("still open"), TestAnswersCutAnywhere without the second. The latter's border moved by two bytes, to the whole line: the last one held the frame for a part of the line. Half a line is no result as before.

--- a/internal/protocol/answers.go
+++ b/internal/protocol/answers.go
@@ -194,11 +194,14 @@
 	return raw
 }
 
-// tell notes the trip's outcome; the connection goes on to the end of the answer.
+// tell notes the trip's outcome; the connection goes on to the end of the answer, for a while: an answer
+// that never ends would keep its descriptor.
 func (c *destinationConn) tell(e routing.StepEnd) {
 	c.done, c.outcome = c.trip, e
 	c.trip.conn = nil
 	c.trip, c.told = nil, true
+	loop := c.owner.loop
+	c.deadline = loop.Due.Add(loop.Now()+restWithin, c.close)
 }
 
 // finish stands at the end of an answer.
@@ -211,6 +214,7 @@
 	}
 	t := c.trip
 	c.trip, c.told = nil, false
+	c.owner.loop.Due.Drop(c.deadline)
 	// First the connection, so that what follows from the outcome can use it.
 	if c.last {
 		c.close()
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -22,6 +22,7 @@
 	maxLine      = maxBody + 4<<10        // most bytes of one line of an answer
 	waryFor      = time.Minute            // how long kept connections are mistrusted after one has failed
 	settleFor    = 25 * time.Millisecond  // a second answer, if one comes, comes within it
+	restWithin   = 250 * time.Millisecond // the end of an answer, behind its last line
 )
 
 // DestinationConfig is what the destinations' side is told.
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -320,29 +320,36 @@
 	return nil
 }
 
-// chunk reads one chunk. used is 0 where more bytes are needed; last tells that
-// the body has ended with it, the trailer included.
-func chunk(in []byte) (data []byte, used int, last bool, err *Fault) {
+// chunkSize reads the line before a chunk. used is 0 where more bytes are needed.
+func chunkSize(in []byte) (size, used int, err *Fault) {
 	end := bytes.IndexByte(in, '\n')
 	if end < 0 {
 		if len(in) > maxHead {
-			return nil, 0, false, bad("a chunk's size is malformed")
+			return 0, 0, bad("a chunk's size is malformed")
 		}
-		return nil, 0, false, nil
+		return 0, 0, nil
 	}
-	size, _, _ := bytes.Cut(in[:end], []byte{';'})
-	n, e := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
+	text, _, _ := bytes.Cut(in[:end], []byte{';'})
+	n, e := strconv.ParseUint(string(bytes.TrimSpace(text)), 16, 31)
 	if e != nil {
-		return nil, 0, false, bad("a chunk's size is malformed")
+		return 0, 0, bad("a chunk's size is malformed")
 	}
-	if n > maxBody {
+	return int(n), end + 1, nil
+}
+
+// chunk reads one chunk. used is 0 where more bytes are needed; last tells that
+// the body has ended with it, the trailer included.
+func chunk(in []byte) (data []byte, used int, last bool, err *Fault) {
+	n, at, err := chunkSize(in)
+	switch {
+	case at == 0:
+		return nil, 0, false, err
+	case n > maxBody:
 		return nil, 0, false, &Fault{413, "a chunk is over 64 KiB"}
-	}
-	at := end + 1
-	if n == 0 {
+	case n == 0:
 		return trailer(in, at)
 	}
-	stop := at + int(n)
+	stop := at + n
 	if len(in) < stop+2 {
 		return nil, 0, false, nil
 	}
@@ -372,8 +379,9 @@
 
 // Body takes a response's body in piece by piece, as it comes.
 type bodyReader struct {
-	left    int // of a body of known length
+	left    int // of a body of known length, or of a chunk
 	chunked bool
+	ending  bool // a chunk's end is to come
 	toEnd   bool
 	over    bool
 }
@@ -397,18 +405,40 @@
 		return nil, 0, nil
 	}
 	switch {
-	case b.chunked:
-		data, used, b.over, err = chunk(in)
-		return data, used, err
+	case b.chunked && b.left == 0:
+		used, err = b.between(in)
+		return nil, used, err
 	case b.toEnd:
 		return in, len(in), nil
 	}
 	used = min(b.left, len(in))
 	b.left -= used
-	b.over = b.left == 0
+	b.over, b.ending = b.left == 0 && !b.chunked, b.chunked
 	return in[:used], used, nil
 }
 
+// between reads what stands between two chunks. What is in a chunk counts as it comes: its sender may break
+// off behind a whole line.
+func (b *bodyReader) between(in []byte) (used int, err *Fault) {
+	if b.ending {
+		if len(in) < 2 {
+			return 0, nil
+		}
+		if in[0] != '\r' || in[1] != '\n' {
+			return 0, bad("a chunk has no end")
+		}
+		b.ending = false
+		return 2, nil
+	}
+	n, at, err := chunkSize(in)
+	if n > 0 || at == 0 {
+		b.left = n
+		return at, err
+	}
+	_, used, b.over, err = trailer(in, at)
+	return used, err
+}
+
 // statusText is for the statuses that the node sends.
 var statusText = map[int]string{200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
 	400: "Bad Request", 408: "Request Timeout", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
