Pass over prep workers that answer a probe with 503, and ask them first when the list is old

`conclude` (answers.go) took a 503 to a probe for an answer like any other, and the module sent on. Change: a probe refused is told to the module as such; the worker is passed over for 2 s. A list that has not been vouched for in 3 s (a watch may have been silent for 2.6 s before that) has workers asked by probes before a send, in small tiers too. Tests: TestProbeRefused, TestWantsNothingNew and TestAsksWorkersOfAnOldList fail without the change.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -22,6 +22,7 @@
 	askSpread    = 4                // first subscriptions spread over AskWithin divided by this
 	askCrowd     = 50               // dispatchers that need the whole of that spread
 	askAgain     = time.Second      // mean wait after a failed subscription
+	staleAfter   = 3 * time.Second  // without the list; it had been silent for up to 2.6 s before, of 6 s
 	half         = 0.5              // slots or jobs by which a report, which is noisy, may be off
 )
 
@@ -30,6 +31,7 @@
 	id               WorkerID
 	zone, kind, cell int
 	state            State
+	shut             bool // it wants nothing new, by its own word
 	started          time.Duration
 	profile          profile
 
@@ -64,6 +66,7 @@
 
 	subscribed, asking bool
 	askTries           int
+	listAt             time.Duration // when the list was last known to be the service's
 }
 
 func newFleet(s *Settings, rng *rand.Rand) fleet {
@@ -74,6 +77,9 @@
 
 // apply takes in news of the list.
 func (f *fleet) apply(now time.Duration, up ListUpdate) {
+	if f.subscribed || up.Kind != ListFailed {
+		f.listAt = now
+	}
 	if up.Kind == ListFailed {
 		f.subscribed, f.asking, f.askTries = false, false, max(f.askTries, 1)
 		return
@@ -105,7 +111,7 @@
 		f.list = append(f.list, w)
 	} else if w.started != l.Started {
 		w.profile.forget() // a restart under the same name is cold, and its old fits are void
-		w.reported, w.tokens, w.heardAt = false, 0, 0
+		w.reported, w.tokens, w.heardAt, w.shut = false, 0, 0, false
 		clear(w.health)
 	}
 	w.zone, w.kind, w.cell, w.state, w.started = l.Zone, l.Kind, l.Cell, l.State, l.Started
@@ -143,7 +149,12 @@
 }
 
 // mayTake is the one gate of rule 3: only workers that the list holds ready.
-func (f *fleet) mayTake(w *worker) bool { return w.state == Ready }
+func (f *fleet) mayTake(w *worker) bool { return w.state == Ready && !w.shut }
+
+// stale tells whether the list cannot be vouched for: what a worker says of itself is newer.
+func (f *fleet) stale(now time.Duration) bool {
+	return f.settings.AskDiscovery && !f.subscribed && now-f.listAt > staleAfter
+}
 
 // coldPart gives the part of its capacity that the worker has at least.
 func (f *fleet) coldPart(now time.Duration, w *worker) float64 {
--- a/balance/scout.go
+++ b/balance/scout.go
@@ -10,6 +10,7 @@
 	scoutStep = 10 * time.Millisecond // a probe is answered well within it, a new connection included
 	scoutWide = 3                     // workers asked at a time: more would all see the same one free
 	scoutMost = 8                     // workers asked for a request
+	shutFor   = 2 * time.Second       // that a worker which wants nothing new is passed over
 )
 
 // On a large fleet a dispatcher hears of each worker too seldom to know who is free. There it asks a few
@@ -18,7 +19,7 @@
 
 // scout asks for reports where the dispatcher cannot know better; else the request goes by what is known.
 func (b *Balancer) scout(now time.Duration, r *request, f forecast) bool {
-	if !b.settings.Limits.Probes || r.scouted || len(r.asked) == 0 && !b.thin {
+	if !b.settings.Limits.Probes || r.scouted || len(r.asked) == 0 && !b.thin && !b.fleet.stale(now) {
 		return false
 	}
 	if len(r.asked) == 0 {
@@ -80,10 +81,14 @@
 	if w == nil {
 		return
 	}
-	if ev.Outcome == Served {
+	switch ev.Outcome {
+	case Served:
 		w.reported, w.heardAt = false, now
 		b.fleet.report(now, w, ev.Report)
-	} else {
+	case Full:
+		w.shut = true
+		b.after(shutFor, func(time.Duration) { w.shut = false })
+	default:
 		w.health[0].add(now, true)
 		b.fleet.health[0].add(now, true)
 	}
--- a/balance/scout_test.go
+++ b/balance/scout_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
 
 // scouting is a dispatcher of 300 with 160 workers that it has not heard of, one in eight cold
 // with budget left, and one request. Its probes are answered as reported; it returns who was
-// asked, and what became of the request, and when.
+// asked, and what became of the request, and when. Without a report a worker wants nothing new.
 func scouting(t *testing.T, seed uint64, reported func(asked int) []float32, with ...func(*Balancer)) (asked []WorkerID, end Action, at time.Duration) {
 	s := ruleSettings(0)
 	s.Balancers, s.Limits.Probes = 300, true
@@ -32,7 +33,11 @@
 			switch a := st.trace[seen].(type) {
 			case Probe:
 				asked = append(asked, a.Worker)
-				st.give(ProbeDone{Worker: a.Worker, Outcome: Served, Report: reported(len(asked))})
+				done := ProbeDone{Worker: a.Worker, Outcome: Full, Report: reported(len(asked))}
+				if done.Report != nil {
+					done.Outcome = Served
+				}
+				st.give(done)
 			case Send, Refuse, Fail:
 				return asked, a, st.now
 			}
@@ -86,3 +91,70 @@
 		}
 	}
 }
+
+// Workers that are asked say that they want nothing new, though the list has them as ready: they drain, and the list is
+// late by seconds. Nothing is sent there, however good they looked.
+func TestWantsNothingNew(t *testing.T) {
+	for seed := range uint64(20) {
+		asked, end, _ := scouting(t, seed, func(int) []float32 { return nil })
+		if send, ok := end.(Send); !ok || len(asked) < scoutMost || slices.Contains(asked, send.Worker) {
+			t.Errorf("seed %d: %+v, asked were %v", seed, end, asked)
+		}
+	}
+}
+
+// A list that has not been vouched for in a while may have workers as ready that drain. They are asked first, be there
+// ever so few; and asked again later, as a word of theirs does not hold for ever.
+func TestAsksWorkersOfAnOldList(t *testing.T) {
+	s := ruleSettings(0)
+	s.AskDiscovery, s.Limits.Probes = true, true
+	st := &stream{b: balancer(t, s, 1), c: newChecker(s), rng: rand.New(rand.NewPCG(1, 4)), now: 12 * time.Second}
+	id := RequestID(0)
+	request := func() (seen []Action) {
+		id++
+		from := len(st.trace)
+		st.give(Request{ID: id, HasCost: true, Cost: 100 * time.Millisecond, Slots: 1, Deadline: st.now + 4*time.Second})
+		for _, a := range st.trace[from:] {
+			switch a.(type) {
+			case Probe, Send:
+				seen = append(seen, a)
+			}
+		}
+		return seen
+	}
+	st.give(listOf(ListFull, 2))
+	st.give(ListUpdate{Kind: ListFailed})
+	st.now += staleAfter
+	if seen := request(); len(seen) != 1 {
+		t.Fatalf("%+v", seen)
+	} else if _, ok := seen[0].(Send); !ok {
+		t.Errorf("the list is young: %+v", seen)
+	}
+	st.now += time.Millisecond
+	seen := request()
+	if len(seen) != 2 {
+		t.Fatalf("both are to be asked: %+v", seen)
+	}
+	for _, a := range seen {
+		if _, ok := a.(Probe); !ok {
+			t.Fatalf("%+v", seen)
+		}
+	}
+	drains, stays := seen[0].(Probe).Worker, seen[1].(Probe).Worker
+	st.give(ProbeDone{Worker: drains, Outcome: Full})
+	from := len(st.trace)
+	st.give(ProbeDone{Worker: stays, Outcome: Served, Report: []float32{4, 0}})
+	if send, ok := st.trace[from].(Send); !ok || send.Worker != stays {
+		t.Errorf("%+v", st.trace[from:])
+	}
+	st.give(listOf(ListFull, 2)) // the list is there again, and has it as ready; its own word holds a while
+	if f := st.b.fleet; f.stale(st.now+time.Hour) || f.mayTake(f.byID[drains]) {
+		t.Error("the list is there, or its word is forgotten")
+	}
+	for end := st.now + shutFor; st.now <= end; st.now += time.Millisecond {
+		st.fire()
+	}
+	if f := st.b.fleet; !f.mayTake(f.byID[drains]) {
+		t.Error("a word holds for ever")
+	}
+}
--- a/internal/protocol/answers.go
+++ b/internal/protocol/answers.go
@@ -232,8 +232,11 @@
 	e := routing.StepEnd{Outcome: balance.Errored, Report: c.report(nil)}
 	switch {
 	case t.step == 0:
-		if c.status == 200 || c.status == 503 {
+		switch c.status {
+		case 200:
 			e.Outcome = balance.Served
+		case 503:
+			e.Outcome = balance.Full // it runs, and wants nothing new: it drains, if the list does not say so yet
 		}
 		if len(c.line) > 0 {
 			e.Report = c.report(c.line)
--- a/internal/protocol/platform_test.go
+++ b/internal/protocol/platform_test.go
@@ -766,3 +766,21 @@
 	`)
 	w.balanced(t)
 }
+
+// A destination says by its answer to a probe that it wants nothing new. Nothing goes there for a while,
+// though the list has it as ready.
+func TestProbeRefused(t *testing.T) {
+	w := newWorld(t, nil)
+	w.Words["no"] = `HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}`
+	w.Loop.Call(func() {
+		for id := range w.to.byID {
+			w.to.Probe(id)
+		}
+	})
+	w.Play(lines("p accept workers", "p expect GET /load", "q accept workers", "q expect GET /load", "p send {no}", "q send {no}",
+		"c dial front", "c send {ask}", "wait 1s"))
+	if n := w.steps(); n != 0 {
+		t.Errorf("%d attempts", n)
+	}
+	w.Play(lines("wait 1100ms", "p expect hi", "p send {stream}{done}", "c expect HTTP/1.1 200"))
+}
