Move the count of failures that forgets from the module to internal/stat

Measured: the module's tests and those of the new parts pass; TestOddsForget and TestSharesOfKeys are new.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -42,7 +42,7 @@
 	topFree    float64 // most free slots ever reported
 
 	unfinished float64       // slots of own jobs out
-	health     []health      // over all classes, then of each
+	health     []stat.Odds    // over all classes, then of each
 	heardAt    time.Duration // when it last started or answered an own job; 0: not since its start
 	others     float64       // slots that peers say their jobs hold here
 	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
@@ -61,7 +61,7 @@
 	peers    map[int]*peerView
 	fresh    int // peers heard of lately
 	byTag    map[uint16]*worker
-	health   []health  // the same over the fleet
+	health   []stat.Odds // the same over the fleet
 	shares   []float64 // what each zone takes, by its number; none: all
 
 	subscribed, asking bool
@@ -71,7 +71,7 @@
 
 func newFleet(s *Settings, rng *rand.Rand) fleet {
 	return fleet{settings: s, rng: rng, byID: map[WorkerID]*worker{}, kindFree: map[int]float64{},
-		meanFree: map[int]*stat.Mean{}, health: make([]health, 1+len(s.Classes)),
+		meanFree: map[int]*stat.Mean{}, health: make([]stat.Odds, 1+len(s.Classes)),
 		peers: map[int]*peerView{}}
 }
 
@@ -122,7 +122,7 @@
 }
 
 func (f *fleet) newWorker(now time.Duration, id WorkerID) *worker {
-	w := &worker{id: id, tokensAt: now, health: make([]health, len(f.health))}
+	w := &worker{id: id, tokensAt: now, health: make([]stat.Odds, len(f.health))}
 	w.profile.life = f.spread(sampleLife)
 	w.profile.forget()
 	return w
@@ -253,37 +253,19 @@
 	w.reported, w.reportedAt, w.free = true, now, free+w.unfinished
 }
 
-func decay(span time.Duration) float64 { return math.Exp(-span.Seconds() / healthLife.Seconds()) }
-
-// health is decayed counts of outcomes.
-type health struct {
-	failures, outcomes float64
-	at                 time.Duration
-}
-
-func (h *health) add(now time.Duration, failed bool) {
-	k := decay(now - h.at)
-	h.failures, h.outcomes, h.at = h.failures*k, h.outcomes*k+1, now
-	if failed {
-		h.failures++
-	}
-}
-
 // judge books an outcome on a worker's health, over all and for the class: some hit one alone.
 func (f *fleet) judge(now time.Duration, w *worker, class int, failed bool) {
-	for _, of := range [][]health{w.health, f.health} {
-		of[0].add(now, failed)
-		of[1+class].add(now, failed)
+	for _, of := range [][]stat.Odds{w.health, f.health} {
+		of[0].Add(now, healthLife, failed)
+		of[1+class].Add(now, healthLife, failed)
 	}
 }
 
 // failChance estimates the chance of a failure at a worker. A trouble of the whole fleet shuns nobody.
 func (f *fleet) failChance(now time.Duration, w *worker, class int) (chance float64) {
 	for _, at := range [2]int{0, 1 + class} {
-		of, all := &w.health[at], &f.health[at]
-		prior := max(leastFailure, all.failures/(all.outcomes+healthPrior))
-		k := decay(now - of.at)
-		chance = max(chance, (of.failures*k+prior*healthPrior)/(of.outcomes*k+healthPrior))
+		prior := max(leastFailure, f.health[at].Chance(f.health[at].At, healthLife, 0, healthPrior))
+		chance = max(chance, w.health[at].Chance(now, healthLife, prior, healthPrior))
 	}
 	return chance
 }
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -154,9 +154,9 @@
 	t.line(*p)
 }
 
-func (t *tape) health(h *health) {
-	t.numbers(&h.failures, &h.outcomes)
-	t.span(&h.at)
+func (t *tape) health(h *stat.Odds) {
+	t.numbers(&h.Failures, &h.Outcomes)
+	t.span(&h.At)
 }
 
 func (t *tape) window(w *stat.Window) {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -586,7 +586,7 @@
 			b.fleet.judge(0, w, 0, true)
 		}
 	}
-	spared := &worker{health: make([]health, len(b.fleet.health))}
+	spared := &worker{health: make([]stat.Odds, len(b.fleet.health))}
 	if tried, other := b.fleet.failChance(0, b.fleet.list[0], 0), b.fleet.failChance(0, spared, 0); tried > 1.5*other {
 		t.Errorf("chance of failure %v at a tried worker, %v at an untried one", tried, other)
 	}
--- a/balance/scout.go
+++ b/balance/scout.go
@@ -89,8 +89,8 @@
 		w.shut = true
 		b.after(shutFor, func(time.Duration) { w.shut = false })
 	default:
-		w.health[0].add(now, true)
-		b.fleet.health[0].add(now, true)
+		w.health[0].Add(now, healthLife, true)
+		b.fleet.health[0].Add(now, healthLife, true)
 	}
 	for _, r := range slices.Clone(b.scouting) {
 		if !slices.Contains(r.asked, w) {
--- a/internal/stat/stat_test.go
+++ b/internal/stat/stat_test.go
@@ -76,3 +76,45 @@
 	var none Mean
 	near(t, "empty mean", none.Or(7, 0), 7, 0)
 }
+
+func TestOddsForget(t *testing.T) {
+	var o Odds
+	o.Add(0, life, true)
+	o.Add(0, life, false)
+	if c := o.Chance(0, life, 0, 0); c != 0.5 {
+		t.Errorf("one of two: %v", c)
+	}
+	if c := o.Chance(0, life, 0.2, 2); math.Abs(c-0.35) > 1e-9 {
+		t.Errorf("shrunk to 0.2: %v", c)
+	}
+	if c := o.Chance(100*life, life, 0.2, 2); math.Abs(c-0.2) > 1e-9 {
+		t.Errorf("after a long time: %v", c)
+	}
+	o.Add(life, life, false)
+	if want := math.Exp(-1) / (2*math.Exp(-1) + 1); math.Abs(o.Chance(life, life, 0, 0)-want) > 1e-9 {
+		t.Errorf("%v, not %v", o.Chance(life, life, 0, 0), want)
+	}
+}
+
+func TestSharesOfKeys(t *testing.T) {
+	var s Shares
+	if got := s.Add(7, 100, 4); got != 0 {
+		t.Errorf("a first one has a share of %v", got)
+	}
+	for range 3 {
+		s.Add(7, 100, 4)
+		s.Add(8, 100, 4)
+	}
+	if got := s.Add(7, 100, 4); math.Abs(got-4./11) > 1e-9 {
+		t.Errorf("four of seven and four others: %v", got)
+	}
+	for key := range uint64(10000) { // many that come once each
+		s.Add(1000+key, 100, 4)
+	}
+	if len(s.counts) > 100 {
+		t.Errorf("%d keys are counted", len(s.counts))
+	}
+	if got := s.Add(7, 100, 4); got != 0 {
+		t.Errorf("one that has long not come has a share of %v", got)
+	}
+}
