Send the requests of one key to the same few prep workers

Ruled out: rules, calls for the list, probes. Change: balance/homes.go: an order of workers for each key, the same at every node, a price for who is far down it, homes by the key's share. Tests: forty dispatchers send a key's requests to one worker, thirty keys have many homes, a hot key has many, what overflows goes the same way; they fail with no price, and the hot key's without homes by share. Without keys nothing changes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -3,13 +3,14 @@
 //
 // This file is the interface alone: settings, events, actions. The decisions
 // are in balance.go (a request's life), place.go (which worker), attempts.go (sends and
-// what becomes of them), scout.go (probes), zones.go (the fleet's orders), estimate.go
+// what becomes of them), scout.go (probes), homes.go (keys), zones.go (the fleet's orders), estimate.go
 // (predictions), fleet.go and peers.go (workers).
 package balance
 
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -166,6 +167,17 @@
 	return nil
 }
 
+// read names a load report's values; those that it lacks are left out.
+func (s *Settings) read(report []float32) map[Field]float64 {
+	seen := map[Field]float64{}
+	for i, field := range s.Report {
+		if i < len(report) && !math.IsNaN(float64(report[i])) {
+			seen[field] = float64(report[i])
+		}
+	}
+	return seen
+}
+
 // Event is something a dispatcher is told.
 type Event interface{ event() }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	among         []*worker     // the only ones to choose from; nil: all
 	silent        int           // of those asked: not answered yet
 	scouted       bool          // that is over
+	homes         float64       // how far down its key's order the homes go
 }
 
 // Balancer makes one dispatcher's decisions. It is not safe for concurrent use, and shares nothing.
@@ -63,7 +64,8 @@
 	stray           *worker   // a worker at random of those that the last choice was from
 	topWorth        float64   // of a class
 	thin            bool      // too few workers are known to choose by; since the last choice
-	moves           float64   // copies that the budget for moving out of failed zones allows now
+	keys            stat.Shares
+	moves           float64 // copies that the budget for moving out of failed zones allows now
 }
 
 // New starts a dispatcher. The same seed and events give the same actions.
@@ -178,6 +180,7 @@
 		r.job.size = in.Cost.Seconds()
 	}
 	b.requests[in.ID] = r
+	b.settle(r)
 	b.fleet.jobSlots.Add(r.Slots, reportMemory)
 	b.limit(now, r)
 	return r
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -26,7 +26,7 @@
 	if !has || cost <= 0 {
 		return 0
 	}
-	return 1 + int(math.Log(float64(cost/time.Microsecond)+1)/math.Log(bucketBase))
+	return 1 + stat.Bucket(float64(cost/time.Microsecond), bucketBase)
 }
 
 // windowKey names a processing window of a worker.
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -42,7 +42,7 @@
 	topFree    float64 // most free slots ever reported
 
 	unfinished float64       // slots of own jobs out
-	health     []stat.Odds    // over all classes, then of each
+	health     []stat.Odds   // over all classes, then of each
 	heardAt    time.Duration // when it last started or answered an own job; 0: not since its start
 	others     float64       // slots that peers say their jobs hold here
 	tokens     float64       // cold budget left, slot-seconds; negative: overdrawn
@@ -62,7 +62,7 @@
 	fresh    int // peers heard of lately
 	byTag    map[uint16]*worker
 	health   []stat.Odds // the same over the fleet
-	shares   []float64 // what each zone takes, by its number; none: all
+	shares   []float64   // what each zone takes, by its number; none: all
 
 	subscribed, asking bool
 	askTries           int
@@ -200,12 +200,7 @@
 
 // report takes in a worker's load report.
 func (f *fleet) report(now time.Duration, w *worker, values []float32) {
-	seen := map[Field]float64{}
-	for i, field := range f.settings.Report {
-		if i < len(values) && !math.IsNaN(float64(values[i])) {
-			seen[field] = float64(values[i])
-		}
-	}
+	seen := f.settings.read(values)
 	free, ok := seen[FieldFreeSlots]
 	if !ok {
 		return
--- /dev/null
+++ b/balance/homes_test.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// keyed sends requests of a key, one after the other, through dispatchers that share nothing, and returns how many each
+// worker got. After each, served tells whether it has ended by the next.
+func keyed(t *testing.T, dispatchers, requests int, key func(i int) uint64, served bool) map[WorkerID]int {
+	t.Helper()
+	s := ruleSettings(0)
+	s.Limits.Probes = false
+	all := make([]*stream, dispatchers)
+	for i := range all {
+		all[i] = &stream{b: balancer(t, s, uint64(i)+1), c: newChecker(s), rng: rand.New(rand.NewPCG(1, 1)), now: time.Second}
+		all[i].give(listOf(ListFull, 24))
+	}
+	got := map[WorkerID]int{}
+	for i := range requests {
+		st := all[i%dispatchers]
+		st.now += 5 * time.Second // what was learned of workers one by one is forgotten
+		from, id := len(st.trace), RequestID(i+1)
+		st.give(Request{ID: id, Key: key(i), Slots: 1, Deadline: st.now + 4*time.Second})
+		for _, a := range st.trace[from:] {
+			if send, ok := a.(Send); ok {
+				got[send.Worker]++
+				if served {
+					st.give(AttemptNews{Request: id, Worker: send.Worker, Started: true})
+					st.now += 100 * time.Millisecond
+					st.give(AttemptDone{Request: id, Worker: send.Worker, Outcome: Served, Elapsed: 100 * time.Millisecond, Over: true})
+				}
+			}
+		}
+	}
+	return got
+}
+
+// Dispatchers that never speak send a key's requests to the same few workers, and other keys' to others. Without
+// that each worker would fetch every key's data from the store which all share.
+func TestRequestsOfAKeyGoTogether(t *testing.T) {
+	homes := map[WorkerID]bool{}
+	for key := range uint64(30) {
+		got, most := keyed(t, 40, 40, func(int) uint64 { return key + 1 }, true), 0
+		for id, n := range got {
+			if n > most {
+				most, homes[id] = n, true
+			}
+		}
+		if most < 36 {
+			t.Errorf("key %d: of 40 requests at most %d went to one worker: %v", key, most, got)
+		}
+	}
+	if len(homes) < 12 {
+		t.Errorf("30 keys have %d homes of 24", len(homes))
+	}
+}
+
+// A key that most requests have gets as many homes as that share needs; one worker would have all of them in its queue.
+func TestAHotKeyHasManyHomes(t *testing.T) {
+	hot := keyed(t, 1, 600, func(i int) uint64 {
+		if i%2 == 0 {
+			return 1
+		}
+		return uint64(2 + i)
+	}, true)
+	if len(hot) < 16 {
+		t.Errorf("%d of 24 workers are used", len(hot))
+	}
+	for id, n := range hot {
+		if n > 150 { // a quarter; without homes by share the first has half
+			t.Errorf("worker %d got %d of 600", id, n)
+		}
+	}
+}
+
+// What overflows goes on along the key's own order, the same for all: the next home is busy with it too, but
+// keeps its data.
+func TestOverflowIsTheSameForAll(t *testing.T) {
+	got := keyed(t, 10, 60, func(int) uint64 { return 9 }, false)
+	if len(got) < 2 || len(got) > 8 {
+		t.Errorf("six of each of ten dispatchers, none ended, went to %d workers: %v", len(got), got)
+	}
+}
+
+// Without keys nothing is drawn to anywhere.
+func TestNoKeyNoHome(t *testing.T) {
+	if got := keyed(t, 40, 40, func(int) uint64 { return 0 }, true); len(got) < 12 {
+		t.Errorf("40 requests without a key went to %d workers", len(got))
+	}
+}
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"math"
 	"time"
+
+	"ospreybend/internal/stat"
 )
 
 const (
@@ -14,14 +16,6 @@
 	peerLife     = 2 * time.Second // a peer not heard for longer is left out
 )
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // peerView is what one peer last said that it has out.
 type peerView struct {
 	at    time.Duration
@@ -29,7 +23,7 @@
 }
 
 // tagOf names a worker in messages, short enough for a message to name many.
-func tagOf(id WorkerID) uint16 { return uint16(mix(uint64(id))) }
+func tagOf(id WorkerID) uint16 { return uint16(stat.Mix(uint64(id))) }
 
 // tell writes what this dispatcher has out, by worker.
 func (f *fleet) tell() []byte {
--- a/balance/place.go
+++ b/balance/place.go
@@ -166,7 +166,7 @@
 	run := b.est.paceOf(now, &w.profile, w.kind) * b.est.sizeOf(r.job)
 	f.cost, f.run, f.delay = run*r.Slots, transfer+run, transfer+process
 	f.full = min(1, b.est.full.At(f.free-r.Slots))
-	f.total = f.delay + process*w.unfinished/b.fleet.slotsOf(w)
+	f.total = f.delay + b.fetchCost(r, w) + process*w.unfinished/b.fleet.slotsOf(w)
 	f.total += aim * min(1, (f.delay-f.run)/max(left-f.run, leastRun)) // the chance that the wait makes it late
 	f.total += b.fleet.failChance(now, w, r.Class) * r.class.GiveUp.Seconds()
 	// Each 'full' uses up one of the attempts and its round trip.
@@ -193,10 +193,8 @@
 	if !b.fleet.mayTake(w) || !b.fleet.inShare(r.ID, w.zone) || (r.class.Kind >= 0 && r.class.Kind != w.kind) {
 		return false
 	}
-	if first != nil && !inGroup(r.class, first.worker, w) {
-		return false
-	}
-	if slices.Contains(r.asked, w) || r.among != nil && !slices.Contains(r.among, w) {
+	if first != nil && !inGroup(r.class, first.worker, w) || slices.Contains(r.asked, w) ||
+		r.among != nil && !slices.Contains(r.among, w) {
 		return false
 	}
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.worker == w })
--- a/balance/scout.go
+++ b/balance/scout.go
@@ -70,9 +70,7 @@
 
 func (b *Balancer) endScout(r *request) {
 	r.scouted, r.asked = true, nil
-	if i := slices.Index(b.scouting, r); i >= 0 {
-		b.scouting = slices.Delete(b.scouting, i, i+1)
-	}
+	b.scouting = slices.DeleteFunc(b.scouting, func(one *request) bool { return one == r })
 }
 
 // probed takes in a probe's answer, which is fresher than any report before it.
--- a/balance/zones.go
+++ b/balance/zones.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"ospreybend/internal/stat"
 )
 
 const (
@@ -16,7 +18,7 @@
 // looking again does not get round it.
 func (f *fleet) inShare(id RequestID, zone int) bool {
 	share := f.shareOf(zone)
-	return share >= 1 || float64(mix(uint64(id)^mix(uint64(zone)))>>11)/(1<<53) < share
+	return share >= 1 || stat.Draw(uint64(id), uint64(zone)) < share
 }
 
 // shareOf gives what a zone takes.
