Tell a prep worker the time that is left when its request is written, not when it was decided

Cause, found by reading: `Destinations.Send` made the request, with `Req-Deadline`, before the connection was dialled; one that came up late carried the old figure, up to the connect timeout (0.25 s) too much. Change: the request is made as it is written. Tests: TestTimeLeftWhenTheConnectionComesLate fails without it (0.2 s and 2.5 s late). TestEndsLongAfterItsStart (a worker hangs amid its answer's body; resets 2.5 s after a start) found no fault. Measured: internal/protocol passes.

--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -67,7 +67,9 @@
 	id      string   // of the request
 	once    bool     // must not run twice
 	to      *destination
-	request []byte
+	request []byte        // of a probe
+	work    *routing.Work // of a route step: its request is made as it is written, since it tells the time left
+	until   time.Duration
 	conn    *destinationConn // nil: still being made
 	abandon func()           // gives up the making of the connection
 	sentAt  time.Duration
@@ -223,7 +225,7 @@
 		d.core.StepEnded(step, routing.StepEnd{Outcome: balance.NotSent})
 		return
 	}
-	t := &trip{step: step, id: w.ID, once: w.Once, to: to, request: d.request(w, until), sentAt: d.loop.Now()}
+	t := &trip{step: step, id: w.ID, once: w.Once, to: to, work: w, until: until, sentAt: d.loop.Now()}
 	d.trips[step] = t
 	d.start(t)
 }
@@ -337,7 +339,10 @@
 	c.trip, t.conn = t, c
 	c.head, c.status, c.declined, c.load, c.line, c.last, c.told = false, 0, false, nil, c.line[:0], false, false
 	request := t.request
-	t.request = nil
+	if t.work != nil {
+		request = d.request(t.work, t.until)
+	}
+	t.request, t.work = nil, nil
 	sent := c.conn.Send(request)
 	if t.step != 0 {
 		fault.Hit(fault.BytesWritten)
--- a/internal/protocol/ending_test.go
+++ b/internal/protocol/ending_test.go
@@ -12,6 +12,7 @@
 
 	"ospreybend/balance"
 	"ospreybend/internal/routing"
+	"ospreybend/internal/scenario"
 	"ospreybend/internal/slot"
 )
 
@@ -190,6 +191,25 @@
 	}
 }
 
+// The connection for an attempt comes up late. The time that the prep worker is told is what is left by then.
+func TestTimeLeftWhenTheConnectionComesLate(t *testing.T) {
+	for late, want := range map[time.Duration]string{0: "3.000", 200 * time.Millisecond: "2.800", 2500 * time.Millisecond: "0.500"} {
+		w := newWorld(t, nil)
+		w.Play("c dial front\nc send GET /healthz HTTP/1.1\\r\\n\\r\\n\nc expect HTTP/1.1 200")
+		w.Loop.Call(func() {
+			f := w.sockets()[0]
+			m, _, fault := ParseRequest([]byte("POST /pruefen HTTP/1.1\r\nReq-Id: a1\r\nReq-Deadline: 3\r\n\r\n"))
+			if fault != nil {
+				t.Error(fault)
+				return
+			}
+			f.take(m) // dials
+			w.Late(late)
+		})
+		w.Play(lines("s accept workers", "s expect Req-Deadline: "+want, "s send {stream}{done}", "c expect HTTP/1.1 200"))
+	}
+}
+
 // The node leaves, and in that moment a request comes on a connection that rests: it is answered,
 // as the last there, and not cut off unread.
 func TestRequestAsTheNodeLeaves(t *testing.T) {
@@ -316,3 +336,22 @@
 }
 
 var _ routing.Waiter = (*Front)(nil)
+
+// A prep worker hangs in the middle of its answer's body, or breaks the connection long after it has begun. A booking has
+// failed, at the end of its time or at once, and is sent nowhere else; what may be repeated is, and its client served by that.
+func TestEndsLongAfterItsStart(t *testing.T) {
+	half := scenario.Chunk(`{"id":"b1","state":"started"}`) + `40\r\n{"id":"b1","state":"do`
+	w := newWorld(t, nil)
+	w.Words["half"] = half
+	w.Play(lines("c dial front", "c send {book}", "s accept workers", "s expect Req-Id: b1", "s send {stream}{half}",
+		"wait 3s", "c expect HTTP/1.1 502", "s closed"))
+	w.Play(lines("c send {book}", "r accept workers", "r expect Req-Id: b1", "r send {stream}{half}",
+		"wait 2500ms", "r resets", "c expect HTTP/1.1 502"))
+	if n := w.steps(); n != 2 {
+		t.Errorf("%d attempts at two bookings", n)
+	}
+	w.Words["half"] = strings.ReplaceAll(half, "b1", "a1")
+	w.Play(lines("c send {ask}", "s accept workers", "s expect hi", "s send {stream}{half}",
+		"wait 2500ms", "s resets", "r accept workers", "r expect Req-Deadline: 0.5", "r send {stream}{done}", "c expect HTTP/1.1 200"))
+	w.balanced(t)
+}
