Beside a key's busy homes take a free worker of those asked

A busy home has the least total, as the free ones pay for being away from home; so the request asked on, up to eight, and then waited at home. Change: a request with a key goes to the least total of those that have room. Test: TestBusyHome fails without it.

--- a/balance/scout.go
+++ b/balance/scout.go
@@ -49,13 +49,14 @@
 	if r.scouted || r.over {
 		return
 	}
-	asked := r.asked
-	silent := func(w *worker) bool { return !w.reported || w.reportedAt < r.scoutAt }
-	r.asked, r.among = nil, slices.DeleteFunc(slices.Clone(asked), silent)
+	// Who is worth less takes a place where it waits a little. Beside a key's busy homes a free one will do.
+	asked, need := r.asked, r.Slots-half-(1-r.class.Worth/b.topWorth)
+	r.asked, r.among = nil, slices.DeleteFunc(slices.Clone(asked), func(w *worker) bool {
+		free := b.fleet.freeSlots(now, w, b.est.run.Or(usualRun, 1))
+		return r.Key != 0 && free < need || !w.reported || w.reportedAt < r.scoutAt
+	})
 	f, ok := b.choose(now, r)
-	r.among = nil
-	// Who is worth less takes a place where it waits a little, and leaves the free ones to others.
-	if yield := 1 - r.class.Worth/b.topWorth; ok && f.free >= r.Slots-half-yield {
+	if r.among = nil; ok && f.free >= need {
 		b.endScout(r)
 		b.send(now, r, f)
 		return
--- a/balance/scout_test.go
+++ b/balance/scout_test.go
@@ -10,7 +10,12 @@
 // scouting is a dispatcher of 300 with 160 workers that it has not heard of, one in eight cold
 // with budget left, and one request. Its probes are answered as reported; it returns who was
 // asked, and what became of the request, and when. Without a report a worker wants nothing new.
-func scouting(t *testing.T, seed uint64, reported func(asked int) []float32, with ...func(*Balancer)) (asked []WorkerID, end Action, at time.Duration) {
+func scouting(t *testing.T, seed uint64, reported func(asked int) []float32, with ...func(*Balancer)) ([]WorkerID, Action, time.Duration) {
+	return scoutingOf(t, seed, 0, reported, with...)
+}
+
+// scoutingOf is the same with a key.
+func scoutingOf(t *testing.T, seed, key uint64, reported func(asked int) []float32, with ...func(*Balancer)) (asked []WorkerID, end Action, at time.Duration) {
 	s := ruleSettings(0)
 	s.Balancers, s.Limits.Probes = 300, true
 	st := &stream{b: balancer(t, s, seed), c: newChecker(s), rng: rand.New(rand.NewPCG(seed, 4)), now: 12 * time.Second}
@@ -26,7 +31,7 @@
 		w.tokens, w.tokensAt = 1, st.now
 	}
 	st.b.out = 1 // with nothing out it would send in any case
-	st.give(Request{ID: 1, HasCost: true, Cost: 100 * time.Millisecond, Slots: 1, Deadline: st.now + 4*time.Second})
+	st.give(Request{ID: 1, Key: key, HasCost: true, Cost: 100 * time.Millisecond, Slots: 1, Deadline: st.now + 4*time.Second})
 	for seen := 0; st.now < 20*time.Second; st.now += time.Millisecond {
 		st.fire()
 		for ; seen < len(st.trace); seen++ {
@@ -158,3 +163,19 @@
 		t.Error("a word holds for ever")
 	}
 }
+
+// A key's home is busy, and another of those asked has room: the request goes there. Behind a price for being away from
+// home its total is more than that of the wait, so that the request would ask on and wait at home.
+func TestBusyHome(t *testing.T) {
+	for seed := range uint64(10) {
+		asked, end, _ := scoutingOf(t, seed, 7, func(asked int) []float32 {
+			if asked == 1 {
+				return []float32{0, 1}
+			}
+			return []float32{4, 0}
+		})
+		if send, ok := end.(Send); !ok || len(asked) != scoutWide || send.Worker == asked[0] {
+			t.Errorf("seed %d: %+v, asked were %v", seed, end, asked)
+		}
+	}
+}
