Show what a decision among 200 workers costs, with a key and without

Need: homes for keys draw a number for each worker at each choice. Change: a benchmark of a whole decision, probes and answers included.

--- a/balance/homes_test.go
+++ b/balance/homes_test.go
@@ -90,3 +90,38 @@
 		t.Errorf("40 requests without a key went to %d workers", len(got))
 	}
 }
+
+// What a decision costs among 200 workers that probes are answered for, with a key and without.
+func BenchmarkDecisionAmong200(b *testing.B) {
+	for name, keys := range map[string]uint64{"keyed": 1000, "keyless": 1} {
+		b.Run(name, func(b *testing.B) {
+			s := ruleSettings(0)
+			s.Balancers, s.Limits.Probes = 300, true
+			d, err := New(s, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := time.Second
+			d.Handle(now, listOf(ListFull, 200))
+			id := RequestID(0)
+			for b.Loop() {
+				id++
+				now += 20 * time.Millisecond
+				todo := append([]Action(nil), d.Handle(now, Request{ID: id, Key: uint64(id) % keys, Slots: 1, Deadline: now + 4*time.Second})...)
+				for len(todo) > 0 {
+					a := todo[0]
+					todo = todo[1:]
+					switch a := a.(type) {
+					case Probe:
+						todo = append(todo, d.Handle(now, ProbeDone{Worker: a.Worker, Outcome: Served, Report: []float32{4, 0}})...)
+					case Send:
+						d.Handle(now, AttemptDone{Request: id, Worker: a.Worker, Outcome: Served, Elapsed: 10 * time.Millisecond, Over: true})
+					}
+				}
+			}
+			if len(d.requests) > 0 {
+				b.Errorf("%d requests are open", len(d.requests))
+			}
+		})
+	}
+}
