--- a/internal/stat/stat.go
+++ b/internal/stat/stat.go
@@ -1,5 +1,5 @@
-// Package stat holds plain statistics: means and lines that forget, and windows of
-// samples that expire. It decides nothing and has no clock.
+// Package stat holds plain statistics: means, lines and counts that forget, windows of
+// samples that expire, and draws that two numbers fix. It decides nothing and has no clock.
 package stat
 
 import (
