--- /dev/null
+++ b/coord/agreement/types.go
@@ -0,0 +1,169 @@
+// Package agreement is a consensus core for one replica group: it elects a leader, replicates a
+// log of entries to a majority and changes the group's members. It decides only: it has no
+// goroutine, no socket, no file and no clock of its own. Its caller passes the monotonic time to
+// each call, carries out what Take returns and reports what has become durable.
+package agreement
+
+import (
+	"errors"
+	"time"
+)
+
+// MemberID names one incarnation of a member. A machine that lost its disk comes back under
+// a new ID, so that promises which the old incarnation gave are never given twice.
+type MemberID uint64
+
+// Member is one replica of the group.
+type Member struct {
+	ID      MemberID
+	Address string // where its peers reach it, "ip:port"
+	Voter   bool   // false: a learner, which receives the log and counts in no majority
+}
+
+// EntryKind tells what an entry holds.
+type EntryKind uint8
+
+const (
+	EntryCommand EntryKind = iota // Data is a command of the state machine
+	EntryNoop                     // a new leader's first entry
+	EntryMembers                  // Members is the group's membership from here on
+)
+
+// Entry is one record of the replicated log.
+type Entry struct {
+	Term, Index uint64
+	Kind        EntryKind
+	Data        []byte
+	Members     []Member // of EntryMembers
+}
+
+// HardState is what must be durable before a promise that rests on it leaves the machine.
+type HardState struct {
+	Term   uint64
+	Vote   MemberID
+	Commit uint64 // a hint: may be behind after a restart
+}
+
+// Snapshot stands for all entries up to Index.
+type Snapshot struct {
+	Index, Term uint64
+	Members     []Member
+	Data        []byte // of the state machine
+}
+
+// MessageKind tells what a message asks or answers.
+type MessageKind uint8
+
+const (
+	MessagePreVote MessageKind = iota
+	MessagePreVoteReply
+	MessageVote
+	MessageVoteReply
+	MessageAppend
+	MessageAppendReply
+	MessageHeartbeat
+	MessageHeartbeatReply
+	MessageSnapshot
+	MessageSnapshotReply
+	MessageTransferNow // the leader asks the receiver to campaign at once
+)
+
+// Message is what two members of a group say to each other.
+type Message struct {
+	Kind      MessageKind
+	From, To  MemberID
+	Term      uint64
+	LogIndex  uint64 // Append: entry before the first one sent. Vote: last entry of the candidate. Reply: last matching entry
+	LogTerm   uint64
+	Commit    uint64
+	Entries   []Entry
+	Snapshot  *Snapshot
+	Reject    bool
+	HintIndex uint64 // AppendReply, rejected: where to go on
+	HintTerm  uint64
+	Context   uint64 // Heartbeat and its reply: the read round that it confirms
+	Forced    bool   // Vote: part of a planned transfer, so leases do not hold it back
+}
+
+// Role is what a member does in its term.
+type Role uint8
+
+const (
+	RoleFollower Role = iota
+	RolePreCandidate
+	RoleCandidate
+	RoleLeader
+)
+
+// Config sets up a member.
+type Config struct {
+	ID              MemberID
+	ElectionTimeout time.Duration // least silence of the leader before a campaign; drawn up to twice this
+	Heartbeat       time.Duration // pause between a leader's heartbeats
+	MaxAppendBytes  int           // most bytes of entries in one message
+	MaxInflight     int           // most unanswered Append messages for a member
+	Seed            uint64        // of the draws of election timeouts
+}
+
+// Stored is what a member finds on its disk. The zero value is an empty disk: such a member
+// has no vote and waits for a leader to send it the group's state.
+type Stored struct {
+	HardState HardState
+	Snapshot  Snapshot // Index 0: none
+	Entries   []Entry  // those after the snapshot
+}
+
+// Founding returns the state of a group's first members at its formation: a snapshot at index 1
+// of term 1 with nothing but the membership. All founders must be given the same members.
+func Founding(members []Member, data []byte) Stored {
+	return Stored{HardState: HardState{Term: 1, Commit: 1},
+		Snapshot: Snapshot{Index: 1, Term: 1, Members: members, Data: data}}
+}
+
+// Persist is what is to be made durable, in this order: Snapshot, then Entries, then HardState.
+// Entries replace all stored entries from the index of the first one on.
+type Persist struct {
+	Sequence  uint64 // to be handed to Persisted once all is durable
+	HardState *HardState
+	Entries   []Entry
+	Snapshot  *Snapshot // received from the leader: replaces the whole log
+}
+
+// ReadResult answers a Read: the state machine may be read once Index is applied.
+type ReadResult struct {
+	ID    uint64
+	Index uint64
+	OK    bool // false: leadership was lost or could not be confirmed
+}
+
+// Ready is all that a member wants done since the last Take.
+type Ready struct {
+	Persist   *Persist  // nil: nothing. May be batched and written apart from the caller's loop
+	Messages  []Message // may be sent at once; those that rest on Persist come after Persisted
+	Restore   *Snapshot // the state machine takes this state before it applies Committed
+	Committed []Entry   // to be applied in order, each exactly once in a process's life
+	Reads     []ReadResult
+}
+
+// Status describes a member for its caller.
+type Status struct {
+	Role      Role
+	Term      uint64
+	Leader    MemberID // 0: unknown
+	Members   []Member
+	Commit    uint64
+	Applied   uint64
+	First     uint64 // first entry in the log
+	Last      uint64 // last entry in the log
+	Confirmed time.Duration
+	// Confirmed: of a leader, when a majority last answered a heartbeat sent by then; of a follower, when it
+	// last heard its leader and held all that the leader had then committed.
+}
+
+// Errors of proposals.
+var (
+	ErrNotLeader    = errors.New("agreement: not the leader")
+	ErrTransferring = errors.New("agreement: leadership is being handed over")
+	ErrBusy         = errors.New("agreement: too many entries are waiting for a majority")
+	ErrMemberChange = errors.New("agreement: a change of members is under way or not allowed")
+)
--- /dev/null
+++ b/internal/selection/types.go
@@ -0,0 +1,67 @@
+// Package selection decides which worker reads a prompt and which one makes its tokens, or that the
+// request is refused. Predictions are fitted from the node's own answers (Eq. 3 of the design's
+// paper) on the windows of package estimate. It has no I/O; time is an argument.
+package selection
+
+import (
+	"time"
+
+	"ospreybend/internal/catalog"
+)
+
+// Part is one piece of a prompt, shared among requests that carry the same ID in the same place.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what the choice depends on. Instants are on the caller's monotonic clock.
+type Request struct {
+	Service      string
+	Route        string
+	Model        string
+	Priority     int    // 0 is highest
+	Prompt       []Part // in order; the last belongs to the request or its session
+	PromptTokens int    // 0: not told
+	OutputTokens int    // most out
+	Streaming    bool
+	Arrived      time.Duration
+	Objective    time.Duration // instant by which the first event (or the whole answer) earns its full worth
+	Deadline     time.Duration // instant after which the client waits no more
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Prefill *catalog.Worker // reads the prompt; nil: Run does it alone, or the service has no stages
+	Run     *catalog.Worker // makes the tokens, or the whole answer
+	First   time.Duration   // predicted time from now to the first event, or to the whole answer
+}
+
+// Verdict is what becomes of a request.
+type Verdict struct {
+	Send       bool
+	RetryAfter time.Duration // of a refusal: when to come back
+}
+
+// CallKind tells what a call to a worker is for.
+type CallKind uint8
+
+const (
+	CallPrefill CallKind = iota // the prompt is read, a handle comes back
+	CallRun                     // tokens are made, from a handle or from the prompt
+)
+
+// Load is what a worker told in its answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Failure tells why a call yielded nothing.
+type Failure uint8
+
+const (
+	FailureConnect  Failure = iota // no connection: nothing was sent
+	FailureBroken                  // reset, cut short or garbage after the request was sent
+	FailureSilence                 // no answer in time
+	FailureStatus                  // an error status of a worker that ran the request
+	FailureHandover                // the handle was gone or its memory could not be fetched
+	FailureMisrouted               // 421: another worker has the address, or the stage was wrong
+)
