--- /dev/null
+++ b/coord/replica/options.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+	"ospreybend/coord/shards"
+)
+
+// Machine is the replicated state machine. Only the group's loop calls it.
+type Machine interface {
+	// Apply carries out one command and returns its result. It is called once for each command
+	// entry, in the order of the log, and must give the same result on all replicas.
+	Apply(entry agreement.Entry) any
+	// Snapshot returns the whole state. The group keeps the slice; the machine must not change it.
+	Snapshot() []byte
+	// Restore replaces the state by that of a snapshot taken after the entry at index. The data
+	// was made by Snapshot, of this machine or of another replica's.
+	Restore(index uint64, data []byte) error
+}
+
+// Clock is a monotonic clock. Now is never 0 or less.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Options sets up a Group.
+type Options struct {
+	Shard      shards.ID
+	Directory  string            // of this group alone
+	FileSystem seglog.FileSystem // nil: the operating system's
+	Self       agreement.Member
+	Founders   []agreement.Member // only at the system's first formation; used if the disk is empty
+	Machine    Machine            // in its initial state
+
+	// Send hands a message to the transport. It is called by the loop and must not block; a message
+	// may be lost. Address is empty where the group does not know the receiver as a member yet: the
+	// transport then looks it up by ID, or drops the message. The message must not be changed.
+	Send func(to agreement.Member, message agreement.Message)
+	// OnApplied is called by the loop after the machine has applied all up to index. May be nil.
+	OnApplied func(index uint64)
+	// OnStatus is called by the loop when role, term, leader, members or writability have changed. May be nil.
+	OnStatus func(Status)
+
+	ElectionTimeout time.Duration // 0: DefaultElectionTimeout
+	Heartbeat       time.Duration // 0: DefaultHeartbeat
+	Logger          *zap.Logger   // nil: none
+	Clock           Clock         // nil: the process's steady clock
+}
+
+// Defaults of Options.
+const (
+	DefaultElectionTimeout = 500 * time.Millisecond
+	DefaultHeartbeat       = 100 * time.Millisecond
+)
+
+// NeverConfirmed is the ConfirmedAge of a member that has not been confirmed since its start.
+const NeverConfirmed = time.Duration(1<<63 - 1)
+
+// Status describes a group's local replica.
+type Status struct {
+	Shard        shards.ID
+	Role         agreement.Role
+	Term         uint64
+	Leader       agreement.Member // ID 0: unknown
+	Members      []agreement.Member
+	Applied      uint64
+	Commit       uint64
+	ConfirmedAge time.Duration // since agreement.Status.Confirmed
+	Writable     bool          // the disk takes writes in time
+	DiskBytes    int64
+}
+
+// IsLeader tells whether this replica leads the group.
+func (s Status) IsLeader() bool { return s.Role == agreement.RoleLeader }
--- /dev/null
+++ b/coord/seglog/osfilesystem.go
@@ -0,0 +1,108 @@
+package seglog
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+const (
+	directoryMode = 0o755
+	fileMode      = 0o644
+)
+
+// OSFileSystem is the operating system's file system.
+type OSFileSystem struct{}
+
+type osFile struct{ file *os.File }
+
+func (f osFile) Write(data []byte) (int, error) { return f.file.Write(data) }
+
+func (f osFile) Truncate(size int64) error {
+	if err := f.file.Truncate(size); err != nil {
+		return err
+	}
+	_, err := f.file.Seek(size, io.SeekStart)
+	return err
+}
+
+func (f osFile) Sync() error  { return f.file.Sync() }
+func (f osFile) Close() error { return f.file.Close() }
+
+// MakeDirectory creates a directory and its missing parents and syncs the folder of each one made.
+func (s OSFileSystem) MakeDirectory(directory string) error {
+	info, err := os.Stat(directory)
+	if err == nil && info.IsDir() {
+		return nil
+	}
+	parent := filepath.Dir(directory)
+	if parent != directory {
+		if err := s.MakeDirectory(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(directory, directoryMode); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	return s.SyncDirectory(parent)
+}
+
+// Create makes an empty file, or empties the existing one.
+func (OSFileSystem) Create(path string) (File, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{file}, nil
+}
+
+// OpenAppend opens an existing file and goes to its end.
+func (OSFileSystem) OpenAppend(path string) (File, error) {
+	file, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := file.Seek(0, io.SeekEnd); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return osFile{file}, nil
+}
+
+// ReadFile returns the whole content of a file.
+func (OSFileSystem) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// Rename gives a file another name in place of the file that has it.
+func (OSFileSystem) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove takes a file's name away.
+func (OSFileSystem) Remove(path string) error { return os.Remove(path) }
+
+// List returns the plain files of a directory.
+func (OSFileSystem) List(directory string) ([]FileInfo, error) {
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return nil, err
+	}
+	var files []FileInfo
+	for _, entry := range entries {
+		if !entry.Type().IsRegular() {
+			continue
+		}
+		info, err := entry.Info()
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, FileInfo{Name: entry.Name(), Size: info.Size()})
+	}
+	return files, nil
+}
+
+// SyncDirectory syncs the directory's own content, its names.
+func (OSFileSystem) SyncDirectory(directory string) error {
+	file, err := os.Open(directory)
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Sync(), file.Close())
+}
