--- /dev/null
+++ b/internal/feedlink/doc.go
@@ -0,0 +1,16 @@
+// Package feedlink carries the feed between processes: from a keeper to agents, and from an agent
+// to the proxy of its machine. A reader says in its Hello how far it has each shard, and gets a
+// snapshot or the changes since, then changes as they commit, and a status at short intervals.
+//
+// Frames. All connections of the fleet use one layout, so that a listener which several protocols
+// share tells them apart by the first frame:
+//
+//	u32 length of the body (big-endian) | u8 kind | body
+//
+// The length does not count the kind. Kinds 1 to 31 belong to this package; other protocols use
+// FirstPeerKind and above.
+//
+// Offsets. A shard's offset is the index of an entry in the shard's log. Neither side ever goes to
+// a lower one: the server sends only what is above what it has sent, and the client drops
+// what is not above what it holds.
+package feedlink
--- /dev/null
+++ b/internal/feedlink/schemas.go
@@ -0,0 +1,51 @@
+package feedlink
+
+import "github.com/hamba/avro/v2"
+
+// Avro schemas of the frames' bodies. Offsets and other counts are unsigned in the program and
+// travel as the long of the same 64 bits.
+const itemSchema = `{"type":"record","name":"Item","fields":[
+	{"name":"Key","type":"string"},{"name":"Value","type":"bytes"}]}`
+
+var (
+	helloSchema = avro.MustParse(`{"type":"record","name":"Hello","fields":[
+		{"name":"Node","type":"string"},
+		{"name":"Zone","type":"string"},
+		{"name":"Region","type":"string"},
+		{"name":"IP","type":"string"},
+		{"name":"Role","type":"string"},
+		{"name":"Incarnation","type":"long"},
+		{"name":"Offsets","type":{"type":"array","items":{"type":"record","name":"Offset","fields":[
+			{"name":"Shard","type":"long"},{"name":"Index","type":"long"}]}}}]}`)
+
+	snapshotSchema = avro.MustParse(`{"type":"record","name":"SnapshotPart","fields":[
+		{"name":"Shard","type":"long"},
+		{"name":"Index","type":"long"},
+		{"name":"First","type":"boolean"},
+		{"name":"Last","type":"boolean"},
+		{"name":"Items","type":{"type":"array","items":` + itemSchema + `}}]}`)
+
+	changesSchema = avro.MustParse(`{"type":"record","name":"Changes","fields":[
+		{"name":"Shard","type":"long"},
+		{"name":"Changes","type":{"type":"array","items":{"type":"record","name":"Change","fields":[
+			{"name":"Index","type":"long"},
+			{"name":"Put","type":{"type":"array","items":` + itemSchema + `}},
+			{"name":"Delete","type":{"type":"array","items":"string"}}]}}}]}`)
+
+	statusSchema = avro.MustParse(`{"type":"record","name":"Status","fields":[
+		{"name":"Sequence","type":"long"},
+		{"name":"Shards","type":{"type":"array","items":{"type":"record","name":"ShardStatus","fields":[
+			{"name":"Shard","type":"long"},
+			{"name":"Index","type":"long"},
+			{"name":"Current","type":"boolean"}]}}},
+		{"name":"Keepers","type":{"type":"array","items":{"type":"record","name":"Keeper","fields":[
+			{"name":"Address","type":"string"},
+			{"name":"Zone","type":"string"},
+			{"name":"Region","type":"string"}]}}}]}`)
+
+	reportSchema = avro.MustParse(`{"type":"record","name":"Report","fields":[
+		{"name":"Topic","type":"string"},{"name":"Body","type":"bytes"}]}`)
+)
+
+// codec admits strings and byte fields up to the length of a frame.
+var codec = avro.Config{MaxByteSliceSize: MaxFrameBytes}.Freeze()
--- /dev/null
+++ b/internal/feedlink/server.go
@@ -0,0 +1,215 @@
+package feedlink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+)
+
+// Source is what a server's sessions read. Its methods may be called by several goroutines.
+type Source interface {
+	// Shards lists the shards that the source has.
+	Shards() []shards.ID
+	// Since returns what takes a reader on from index: the changes above it, by ascending index,
+	// or a snapshot where those are no longer kept. Both are nil if there is nothing above index.
+	// What it returns must not change afterwards.
+	Since(shard shards.ID, index uint64) (changes []feed.Change, snapshot *feed.Snapshot)
+	// Status returns the source's present status; Sequence is not used.
+	Status() Status
+	// Subscribe has a token sent to wake, without blocking, whenever a shard has advanced or the
+	// currency of one or the keepers have changed, until cancel is called.
+	Subscribe(wake chan<- struct{}) (cancel func())
+	// OnReport takes a report of the reader. It must not block.
+	OnReport(hello Hello, topic string, body []byte)
+}
+
+const (
+	// StatusInterval is the longest time between two statuses to an agent.
+	StatusInterval = 400 * time.Millisecond
+	// LoopbackStatusInterval is the same to the proxy of the same machine.
+	LoopbackStatusInterval = 2 * time.Second
+	// GatherInterval is the shortest time between two looks at the source, so that one write
+	// carries all that was committed in between.
+	GatherInterval = 20 * time.Millisecond
+)
+
+// SessionOptions change a session's intervals; zero values stand for the constants.
+type SessionOptions struct {
+	StatusInterval time.Duration
+	GatherInterval time.Duration
+	WriteLimit     time.Duration
+}
+
+func (o SessionOptions) withDefaults() SessionOptions {
+	if o.StatusInterval == 0 {
+		o.StatusInterval = StatusInterval
+	}
+	if o.GatherInterval == 0 {
+		o.GatherInterval = GatherInterval
+	}
+	if o.WriteLimit == 0 {
+		o.WriteLimit = WriteLimit
+	}
+	return o
+}
+
+// Session is the server's side of one connection.
+type Session struct {
+	connection net.Conn
+	hello      Hello
+	source     Source
+	options    SessionOptions
+	outbox     *outbox
+	writer     *feedWriter
+}
+
+// Serve runs a session with the usual intervals until the connection or ctx ends, and closes
+// the connection. It returns why it ended: io.EOF if the reader closed the connection.
+func Serve(ctx context.Context, connection net.Conn, hello Hello, source Source) error {
+	return NewSession(connection, hello, source, SessionOptions{}).Run(ctx)
+}
+
+// NewSession prepares a session. The connection's first frame, hello, has been read.
+func NewSession(connection net.Conn, hello Hello, source Source, options SessionOptions) *Session {
+	options = options.withDefaults()
+	return &Session{
+		connection: connection,
+		hello:      hello,
+		source:     source,
+		options:    options,
+		outbox:     newOutbox(),
+		writer:     newFeedWriter(connection, hello.Offsets, options.WriteLimit),
+	}
+}
+
+// Send has a report sent to the reader. It does not block; the oldest reports are dropped where
+// too many wait.
+func (s *Session) Send(topic string, body []byte) { s.outbox.put(Report{Topic: topic, Body: body}) }
+
+// Run serves the connection as Serve says.
+func (s *Session) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(ctx, func() { _ = s.connection.Close() })
+	defer stop()
+
+	readerDone := make(chan struct{})
+	go func() {
+		defer close(readerDone)
+		cancel(s.readReports())
+	}()
+	err := s.write(ctx)
+	cancel(err)
+	_ = s.connection.Close()
+	<-readerDone
+	return context.Cause(ctx)
+}
+
+// readReports hands the reader's reports to the source until the connection fails.
+func (s *Session) readReports() error {
+	reader := bufio.NewReaderSize(s.connection, reportBufferBytes)
+	for {
+		kind, body, err := ReadFrame(reader)
+		if err != nil {
+			return err
+		}
+		if kind != KindReport {
+			return UnexpectedKindError{Kind: kind}
+		}
+		report, err := DecodeReport(body)
+		if err != nil {
+			return err
+		}
+		s.source.OnReport(s.hello, report.Topic, report.Body)
+	}
+}
+
+// write sends what the source has until ctx ends or a write fails.
+func (s *Session) write(ctx context.Context) error {
+	wake := make(chan struct{}, 1)
+	cancel := s.source.Subscribe(wake)
+	defer cancel()
+
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if err := s.sendNews(); err != nil {
+			return err
+		}
+		looked := time.Now()
+		timer.Reset(s.untilStatus(looked))
+		if !s.await(ctx, wake, timer) {
+			return ctx.Err()
+		}
+		if !pause(ctx, s.options.GatherInterval-time.Since(looked)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// await returns once there may be something to send, or false once ctx has ended.
+func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-wake:
+			return true
+		case <-timer.C:
+			return true
+		case <-s.outbox.ready:
+			return true
+		}
+	}
+}
+
+// sendNews sends, in this order, what the shards have, the status if it is due, and reports. The
+// status is read first, so that a reader that gets it has each shard as far as it says.
+func (s *Session) sendNews() error {
+	status := s.source.Status()
+	for _, shard := range s.source.Shards() {
+		changes, snapshot := s.source.Since(shard, s.writer.sent[shard])
+		if err := s.writer.shard(shard, changes, snapshot); err != nil {
+			return err
+		}
+	}
+	if s.writer.statusChanged(status) || s.untilStatus(time.Now()) <= 0 {
+		if err := s.writer.status(status); err != nil {
+			return err
+		}
+	}
+	for _, report := range s.outbox.take() {
+		if err := s.writer.report(report); err != nil {
+			return err
+		}
+	}
+	return s.writer.flush()
+}
+
+// untilStatus says how long the next status may wait.
+func (s *Session) untilStatus(now time.Time) time.Duration {
+	return s.options.StatusInterval - now.Sub(s.writer.statusAt)
+}
+
+// pause waits for a time, or returns false once ctx has ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// errStopped is the cause of an end that nobody's fault brought about.
+var errStopped = errors.New("feedlink: stopped")
