--- /dev/null
+++ b/coord/feed/buffer.go
@@ -0,0 +1,119 @@
+package feed
+
+import (
+	"errors"
+	"sort"
+
+	"github.com/google/btree"
+)
+
+// ErrIndexNotRising is returned for a change whose index is not above the buffer's.
+var ErrIndexNotRising = errors.New("feed: the index of a change is not above the last one")
+
+const (
+	itemTreeDegree = 32
+	changeOverhead = 64 // bytes counted for a change beside its keys and values
+	itemOverhead   = 32 // bytes counted for an item or a deleted key beside its text
+)
+
+// Buffer holds the items of one shard and the latest changes to them. Values that are handed in
+// and out are shared: nobody may write to them. It is not safe for concurrent use.
+type Buffer struct {
+	index           uint64 // of the last change or of the snapshot
+	floor           uint64 // the changes above it are all in the backlog
+	items           *btree.BTreeG[Item]
+	backlog         []Change
+	backlogBytes    int
+	maxBacklogBytes int
+}
+
+// NewBuffer returns an empty buffer at index 0, which keeps at most maxBacklogBytes of changes.
+func NewBuffer(maxBacklogBytes int) *Buffer {
+	buffer := &Buffer{maxBacklogBytes: maxBacklogBytes}
+	buffer.items = newItemTree()
+	return buffer
+}
+
+func newItemTree() *btree.BTreeG[Item] {
+	return btree.NewG(itemTreeDegree, func(left, right Item) bool { return left.Key < right.Key })
+}
+
+// Reset replaces all that is held by a snapshot. The backlog is empty afterwards.
+func (b *Buffer) Reset(snapshot Snapshot) {
+	b.index = snapshot.Index
+	b.floor = snapshot.Index
+	b.backlog = nil
+	b.backlogBytes = 0
+	b.items = newItemTree()
+	for _, item := range snapshot.Items {
+		b.items.ReplaceOrInsert(item)
+	}
+}
+
+// Append takes a change whose index is above the last one; indices may be left out. A change
+// without items is kept as well: the offsets of readers follow the log. Within a change, deleted
+// keys go before those that are put.
+func (b *Buffer) Append(change Change) error {
+	if change.Index <= b.index {
+		return ErrIndexNotRising
+	}
+	for _, key := range change.Delete {
+		b.items.Delete(Item{Key: key})
+	}
+	for _, item := range change.Put {
+		b.items.ReplaceOrInsert(item)
+	}
+	b.index = change.Index
+	b.backlog = append(b.backlog, change)
+	b.backlogBytes += size(change)
+	b.trim()
+	return nil
+}
+
+// trim drops the oldest changes until the backlog is within its bound.
+func (b *Buffer) trim() {
+	dropped := 0
+	for b.backlogBytes > b.maxBacklogBytes && dropped < len(b.backlog) {
+		oldest := b.backlog[dropped]
+		b.floor = oldest.Index
+		b.backlogBytes -= size(oldest)
+		b.backlog[dropped] = Change{}
+		dropped++
+	}
+	b.backlog = b.backlog[dropped:]
+}
+
+// size returns the bytes that a change counts in the backlog.
+func size(change Change) int {
+	total := changeOverhead
+	for _, item := range change.Put {
+		total += itemOverhead + len(item.Key) + len(item.Value)
+	}
+	for _, key := range change.Delete {
+		total += itemOverhead + len(key)
+	}
+	return total
+}
+
+// Since returns the changes above index in their order. It is false where some of them are no
+// longer held, so that the reader needs a snapshot. A reader that is ahead gets nothing.
+func (b *Buffer) Since(index uint64) (changes []Change, ok bool) {
+	if index < b.floor {
+		return nil, false
+	}
+	first := sort.Search(len(b.backlog), func(i int) bool { return b.backlog[i].Index > index })
+	return append([]Change(nil), b.backlog[first:]...), true
+}
+
+// Snapshot returns all items, sorted by key, at the buffer's index.
+func (b *Buffer) Snapshot() Snapshot {
+	items := make([]Item, 0, b.items.Len())
+	b.items.Ascend(func(item Item) bool {
+		items = append(items, item)
+		return true
+	})
+	return Snapshot{Index: b.index, Items: items}
+}
+
+// Index returns the index of the last change, or of the snapshot if none came after it.
+func (b *Buffer) Index() uint64 { return b.index }
