--- /dev/null
+++ b/internal/exchange/types.go
@@ -0,0 +1,137 @@
+// Package exchange is the client side of HTTP/1.1 towards workers: it keeps connections by address,
+// sends a request on one of them, and says to the byte what was sent and what came back.
+package exchange
+
+import (
+	"fmt"
+	"time"
+
+	"ospreybend/internal/httpwire"
+)
+
+// Result is what is known of a call after it.
+type Result uint8
+
+const (
+	// NotSent: no byte of the request was written. It has not run and will not.
+	NotSent Result = iota + 1
+	// NotExecuted: the worker answered with X-Not-Executed. It has not run and will not.
+	NotExecuted
+	// Misdirected: the worker answered 421. It has not run and will not.
+	Misdirected
+	// Answered: any other answer. The request counts as run.
+	Answered
+	// Broken: bytes were written and no whole answer came. The request may have run.
+	Broken
+)
+
+var resultNames = [...]string{"none", "not sent", "not executed", "misdirected", "answered", "broken"}
+
+func (r Result) String() string { return resultNames[r] }
+
+// Reason is why a call failed.
+type Reason uint8
+
+const (
+	DialFailed  Reason = iota + 1 // refused, reset or unreachable
+	DialTimeout                   // no connection within Options.DialTimeout
+	Full                          // the address has its most connections, all in use
+	PoolClosed
+	Cancelled  // the call's context has ended
+	WriteError // with Result NotSent: nothing was written
+	ReadError  // reset or an error of the connection
+	Ended      // the connection ended before a whole answer
+	Malformed  // bytes that are no answer, or one over a limit
+	Foreign    // the answer carries another request's id
+)
+
+var reasonNames = [...]string{"none", "dial failed", "dial timeout", "full", "pool closed", "cancelled", "write error",
+	"read error", "ended", "malformed", "foreign"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Failure is the error of a call that has no whole answer.
+type Failure struct {
+	Result  Result // NotSent or Broken
+	Reason  Reason
+	Reused  bool   // on a kept connection
+	Written int    // bytes written of Total
+	Total   int    // bytes of the request; 0 where none was composed
+	Partial []byte // of a stream: what came of an event that was not ended; never to be passed on as whole
+	Err     error  // the cause; may be nil
+}
+
+func (f *Failure) Error() string {
+	return fmt.Sprintf("exchange: %v: %v (%d of %d bytes written): %v", f.Result, f.Reason, f.Written, f.Total, f.Err)
+}
+
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Call is one request to one worker.
+type Call struct {
+	Address string // "ip:port"
+	Method  string
+	Target  string // path and query, sent as they are
+	// Fields are the header fields, Host with them. Those that concern one connection only are left out when they
+	// are sent, as are Accept-Encoding, Expect and Content-Length, which the exchange sets itself.
+	Fields httpwire.Fields
+	Body   []byte
+	// Events tells that an answer that is an event stream with a 2xx status is to be read event by event. Any other is read whole.
+	Events bool
+	// BodyLimit is the most bytes of an answer that is read whole; 0 stands for DefaultBodyLimit.
+	BodyLimit int
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Response is an answer.
+type Response struct {
+	Result Result // NotExecuted, Misdirected or Answered
+	Status int
+	// Fields are the header fields without those that concern one connection only and without Content-Length.
+	Fields httpwire.Fields
+	Body   []byte  // whole; nil with Stream
+	Stream *Stream // not nil: the body is to be read by Stream.Next until its error, or Stream.Close called
+	Load   *Load   // of X-Server-Load; nil where there is none
+	// Leaving tells that the answer had "Connection: close".
+	Leaving bool
+	// ToEnd tells that the body has neither length nor chunks: whether it came whole cannot be known.
+	ToEnd  bool
+	Reused bool // on a kept connection
+
+	SentAt time.Time // when the request's last byte was written
+	HeadAt time.Time // when the answer's head had come
+}
+
+// Load is a worker's X-Server-Load.
+type Load struct{ Running, Waiting, Slots int }
+
+// Event is one event of a stream.
+type Event struct {
+	Raw      []byte // its bytes, the blank line with them
+	ID       string // of its "id:" line; "" where there is none
+	HasID    bool
+	Versions int64 // of its "versions:" line; -1 where there is none
+	Open     bool  // no blank line ended it: only as the last of a whole body
+}
+
+// Batch is what came of a stream: one event, or several that were there together.
+type Batch struct {
+	Raw    []byte // the bytes of all its events, unchanged; valid until the next call of Next
+	Events []Event
+	Last   bool // the body ended whole behind them; Events may be empty
+	ReadAt time.Time
+}
+
+// Counts tells what a pool has done since its start.
+type Counts struct {
+	Dials       int64
+	DialsFailed int64
+	Reused      int64
+	Stale       int64 // kept connections found closed before use
+	Surplus     int64 // connections closed for bytes that belong to no request
+	Foreign     int64 // answers of other requests
+	Expired     int64 // kept connections closed before the worker would
+	Open        int64 // connections now
+	Idle        int64
+}
--- /dev/null
+++ b/internal/httpwire/fields.go
@@ -0,0 +1,68 @@
+package httpwire
+
+// Field is one header field, name and value as they came.
+type Field struct{ Name, Value string }
+
+// Fields are header fields in the order in which they came.
+type Fields []Field
+
+// Get returns the first value of a field, compared without regard to case, and "" where there is none.
+func (f Fields) Get(name string) string {
+	for i := range f {
+		if EqualFold(f[i].Name, name) {
+			return f[i].Value
+		}
+	}
+	return ""
+}
+
+// Has tells whether a field is there.
+func (f Fields) Has(name string) bool { return f.Count(name) > 0 }
+
+// Count returns how many fields have a name.
+func (f Fields) Count(name string) int {
+	count := 0
+	for i := range f {
+		if EqualFold(f[i].Name, name) {
+			count++
+		}
+	}
+	return count
+}
+
+// With returns the fields without those of a name, and with one of that name and value at the end.
+// The fields themselves stay as they are.
+func (f Fields) With(name, value string) Fields {
+	return append(f.Without(name), Field{name, value})
+}
+
+// Without returns the fields that have another name, in an array of their own.
+func (f Fields) Without(name string) Fields {
+	kept := make(Fields, 0, len(f)+1)
+	for _, field := range f {
+		if !EqualFold(field.Name, name) {
+			kept = append(kept, field)
+		}
+	}
+	return kept
+}
+
+// EqualFold compares field names without regard to case, in ASCII alone.
+func EqualFold[A, B ~string | ~[]byte](a A, b B) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range len(a) {
+		if lower(a[i]) != lower(b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func lower(c byte) byte {
+	if 'A' <= c && c <= 'Z' {
+		return c + 'a' - 'A'
+	}
+	return c
+}
