--- /dev/null
+++ b/coord/seglog/crash_test.go
@@ -0,0 +1,165 @@
+package seglog_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ospreybend/coord/seglog/seglogtest"
+)
+
+const (
+	drawSeed        = 20260101
+	workloadCalls   = 14
+	lossesPerPoint  = 6
+	maxOperations   = 400 // of the disk in one workload; more than any makes
+	drawnHistories  = 150
+	roundsOfHistory = 4
+)
+
+// TestPowerLossAtEachOperation stops the same workloads before each of their disk operations, and
+// loses power with several outcomes of what was not synced.
+func TestPowerLossAtEachOperation(t *testing.T) {
+	for seed := range uint64(4) {
+		points := 0
+		for ; points < maxOperations; points++ {
+			finished, err := lossAfter(seed, int64(points))
+			if err != nil {
+				t.Fatalf("workload %d, power lost after %d operations: %v", seed, points, err)
+			}
+			if finished {
+				break
+			}
+		}
+		if points == maxOperations {
+			t.Fatalf("workload %d is longer than %d operations", seed, maxOperations)
+		}
+	}
+}
+
+// lossAfter tells whether the workload finished before the power went.
+func lossAfter(seed uint64, operations int64) (finished bool, err error) {
+	disk := seglogtest.NewDisk()
+	disk.Operations = operations
+	record, failure := runOnDisk(disk, seed)
+	for outcome := range uint64(lossesPerPoint) {
+		lost := disk.Clone()
+		lost.LosePower(newRandom(outcome))
+		if err := recoverTwice(lost, record, outcome); err != nil {
+			return false, fmt.Errorf("outcome %d: %w", outcome, err)
+		}
+	}
+	killed := disk.Clone()
+	killed.Restart()
+	if err := recoverTwice(killed, record, seed); err != nil {
+		return false, fmt.Errorf("killed: %w", err)
+	}
+	return failure == nil, nil
+}
+
+func runOnDisk(disk *seglogtest.Disk, seed uint64) (*history, error) {
+	log, stored, err := open(disk)
+	record := newHistory(stored)
+	if err != nil {
+		return record, err
+	}
+	return record, runUntilFailure(log, workload{newRandom(seed)}, record, workloadCalls)
+}
+
+// recoverTwice opens the disk, and once more after a loss of power: what the first opening returned
+// must be there again.
+func recoverTwice(disk *seglogtest.Disk, record *history, outcome uint64) error {
+	_, first, err := open(disk)
+	if err != nil {
+		return errors.Join(errNotRecovered, err)
+	}
+	if err := record.check(first); err != nil {
+		return err
+	}
+	disk.LosePower(newRandom(outcome + 100))
+	_, second, err := open(disk)
+	if err != nil {
+		return errors.Join(errNotRecovered, err)
+	}
+	if text(first) != text(second) {
+		return fmt.Errorf("first %s\nthen %s", text(first), text(second))
+	}
+	return nil
+}
+
+// TestPowerLossDuringRecovery stops the recovery itself at each of its operations.
+func TestPowerLossDuringRecovery(t *testing.T) {
+	for seed := range uint64(3) {
+		for operations := int64(5); operations < 60; operations += 4 {
+			disk := seglogtest.NewDisk()
+			disk.Operations = operations
+			record, failure := runOnDisk(disk, seed)
+			if failure == nil {
+				break
+			}
+			disk.LosePower(newRandom(seed))
+			checkRecoveryStops(t, disk, record)
+		}
+	}
+}
+
+func checkRecoveryStops(t *testing.T, disk *seglogtest.Disk, record *history) {
+	t.Helper()
+	for operations := int64(0); ; operations++ {
+		stopped := disk.Clone()
+		stopped.Operations = operations
+		_, _, failure := open(stopped)
+		stopped.LosePower(newRandom(uint64(operations)))
+		if err := recoverTwice(stopped, record, uint64(operations)); err != nil {
+			t.Fatalf("recovery stopped after %d operations: %v", operations, err)
+		}
+		if failure == nil {
+			return
+		}
+	}
+}
+
+// TestDrawnHistories goes on after each loss of power with more calls.
+func TestDrawnHistories(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(drawSeed)
+	parameters.MinSuccessfulTests = drawnHistories
+	properties := gopter.NewProperties(parameters)
+	properties.Property("recovery yields a prefix that has all that was acknowledged", prop.ForAll(
+		func(seed uint64, stops []int64) string { return describe(playHistory(seed, stops)) },
+		gen.UInt64(),
+		gen.SliceOfN(roundsOfHistory, gen.Int64Range(0, 60)),
+	))
+	properties.TestingRun(t)
+}
+
+// describe gives gopter the reason of a failure; an empty text is a success.
+func describe(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func playHistory(seed uint64, stops []int64) error {
+	disk := seglogtest.NewDisk()
+	random := newRandom(seed)
+	record := newHistory(emptyDisk)
+	for _, stop := range stops {
+		log, stored, err := open(disk)
+		if err != nil {
+			return errors.Join(errNotRecovered, err)
+		}
+		if err := record.check(stored); err != nil {
+			return err
+		}
+		record = newHistory(stored)
+		disk.Operations = stop
+		_ = runUntilFailure(log, workload{random}, record, workloadCalls)
+		disk.LosePower(random)
+	}
+	return recoverTwice(disk, record, seed)
+}
--- /dev/null
+++ b/coord/seglog/encoding.go
@@ -0,0 +1,135 @@
+package seglog
+
+import (
+	"errors"
+
+	"github.com/hamba/avro/v2"
+
+	"ospreybend/coord/agreement"
+)
+
+var errTooLong = errors.New("seglog: a record is too long")
+
+// Avro has signed numbers only; 64-bit values are stored with the same bits.
+
+type wireMember struct {
+	ID      int64  `avro:"id"`
+	Address string `avro:"address"`
+	Voter   bool   `avro:"voter"`
+}
+
+type wireEntry struct {
+	Term    int64        `avro:"term"`
+	Index   int64        `avro:"index"`
+	Kind    int          `avro:"kind"`
+	Data    []byte       `avro:"data"`
+	Members []wireMember `avro:"members"`
+}
+
+type wireHardState struct {
+	Term   int64 `avro:"term"`
+	Vote   int64 `avro:"vote"`
+	Commit int64 `avro:"commit"`
+}
+
+type wireSnapshot struct {
+	Index        int64         `avro:"index"`
+	Term         int64         `avro:"term"`
+	Members      []wireMember  `avro:"members"`
+	Data         []byte        `avro:"data"`
+	HardState    wireHardState `avro:"hardState"`
+	FirstSegment int64         `avro:"firstSegment"`
+}
+
+const (
+	memberSchemaText = `{"type":"record","name":"Member","fields":[
+		{"name":"id","type":"long"},{"name":"address","type":"string"},{"name":"voter","type":"boolean"}]}`
+	hardStateSchemaText = `{"type":"record","name":"HardState","fields":[
+		{"name":"term","type":"long"},{"name":"vote","type":"long"},{"name":"commit","type":"long"}]}`
+	entrySchemaText = `{"type":"record","name":"Entry","fields":[
+		{"name":"term","type":"long"},{"name":"index","type":"long"},{"name":"kind","type":"int"},
+		{"name":"data","type":"bytes"},{"name":"members","type":{"type":"array","items":` + memberSchemaText + `}}]}`
+	snapshotSchemaText = `{"type":"record","name":"Snapshot","fields":[
+		{"name":"index","type":"long"},{"name":"term","type":"long"},
+		{"name":"members","type":{"type":"array","items":` + memberSchemaText + `}},
+		{"name":"data","type":"bytes"},{"name":"hardState","type":` + hardStateSchemaText + `},
+		{"name":"firstSegment","type":"long"}]}`
+)
+
+var (
+	entrySchema     = parseSchema(entrySchemaText)
+	hardStateSchema = parseSchema(hardStateSchemaText)
+	snapshotSchema  = parseSchema(snapshotSchemaText)
+	codec           = avro.Config{MaxByteSliceSize: maxRecord}.Freeze()
+)
+
+// parseSchema keeps each schema apart, so that names may repeat between them.
+func parseSchema(text string) avro.Schema {
+	schema, err := avro.ParseWithCache(text, "", &avro.SchemaCache{})
+	if err != nil {
+		panic(err) // a constant of this file is wrong
+	}
+	return schema
+}
+
+func encodeEntry(entry *agreement.Entry) ([]byte, error) {
+	return codec.Marshal(entrySchema, wireEntry{
+		Term:    int64(entry.Term),
+		Index:   int64(entry.Index),
+		Kind:    int(entry.Kind),
+		Data:    entry.Data,
+		Members: membersToWire(entry.Members),
+	})
+}
+
+func decodeEntry(body []byte) (agreement.Entry, error) {
+	var wire wireEntry
+	if err := codec.Unmarshal(entrySchema, body, &wire); err != nil {
+		return agreement.Entry{}, err
+	}
+	return agreement.Entry{
+		Term:    uint64(wire.Term),
+		Index:   uint64(wire.Index),
+		Kind:    agreement.EntryKind(wire.Kind),
+		Data:    wire.Data,
+		Members: membersFromWire(wire.Members),
+	}, nil
+}
+
+func encodeHardState(state agreement.HardState) ([]byte, error) {
+	return codec.Marshal(hardStateSchema, hardStateToWire(state))
+}
+
+func decodeHardState(body []byte) (agreement.HardState, error) {
+	var wire wireHardState
+	err := codec.Unmarshal(hardStateSchema, body, &wire)
+	return hardStateFromWire(wire), err
+}
+
+func hardStateToWire(state agreement.HardState) wireHardState {
+	return wireHardState{Term: int64(state.Term), Vote: int64(state.Vote), Commit: int64(state.Commit)}
+}
+
+func hardStateFromWire(wire wireHardState) agreement.HardState {
+	return agreement.HardState{Term: uint64(wire.Term), Vote: agreement.MemberID(wire.Vote), Commit: uint64(wire.Commit)}
+}
+
+func membersToWire(members []agreement.Member) []wireMember {
+	wire := make([]wireMember, len(members))
+	for i, member := range members {
+		wire[i] = wireMember{ID: int64(member.ID), Address: member.Address, Voter: member.Voter}
+	}
+	return wire
+}
+
+// membersFromWire returns nil for none.
+func membersFromWire(wire []wireMember) []agreement.Member {
+	if len(wire) == 0 {
+		return nil
+	}
+	members := make([]agreement.Member, len(wire))
+	for i, member := range wire {
+		members[i] = agreement.Member{ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter}
+	}
+	return members
+}
--- /dev/null
+++ b/coord/seglog/model_test.go
@@ -0,0 +1,238 @@
+package seglog_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+	"ospreybend/coord/seglog/seglogtest"
+)
+
+const (
+	directory         = "group"
+	smallSegmentBytes = 250 // so that a few records fill a segment
+)
+
+// operation is one call of the log.
+type operation struct {
+	batch   []*agreement.Persist
+	compact *agreement.Snapshot
+}
+
+// stateAfter returns the states that a call passes through, the last one being its result.
+func statesOf(before agreement.Stored, one operation) []agreement.Stored {
+	if one.compact != nil {
+		return []agreement.Stored{compacted(before, *one.compact)}
+	}
+	var states []agreement.Stored
+	current := before
+	for _, persist := range one.batch {
+		for _, next := range statesOfPersist(current, persist) {
+			states = append(states, next)
+			current = next
+		}
+	}
+	return states
+}
+
+func statesOfPersist(before agreement.Stored, persist *agreement.Persist) []agreement.Stored {
+	var states []agreement.Stored
+	current := before
+	if persist.Snapshot != nil {
+		current.Snapshot = *persist.Snapshot
+		current.Entries = nil
+		if persist.HardState != nil {
+			current.HardState = *persist.HardState
+		}
+		states = append(states, current)
+	}
+	for _, entry := range persist.Entries {
+		position := entry.Index - current.Snapshot.Index - 1
+		current.Entries = append(slices.Clone(current.Entries[:position]), entry)
+		states = append(states, current)
+	}
+	if persist.HardState != nil {
+		current.HardState = *persist.HardState
+		states = append(states, current)
+	}
+	return states
+}
+
+func compacted(before agreement.Stored, snapshot agreement.Snapshot) agreement.Stored {
+	after := before
+	after.Entries = slices.Clone(before.Entries[snapshot.Index-before.Snapshot.Index:])
+	after.Snapshot = snapshot
+	return after
+}
+
+// text writes a state in one form, so that states can be compared.
+func text(state agreement.Stored) string {
+	last := state.Snapshot.Index + uint64(len(state.Entries))
+	state.HardState.Commit = min(state.HardState.Commit, last)
+	return fmt.Sprintf("%+v", state)
+}
+
+func lastIndex(state agreement.Stored) uint64 {
+	return state.Snapshot.Index + uint64(len(state.Entries))
+}
+
+func lastTerm(state agreement.Stored) uint64 {
+	if len(state.Entries) > 0 {
+		return state.Entries[len(state.Entries)-1].Term
+	}
+	return state.Snapshot.Term
+}
+
+// workload draws calls that fit the state in which they are made.
+type workload struct{ random *rand.Rand }
+
+func (w workload) next(state agreement.Stored) operation {
+	if w.random.IntN(6) == 0 && len(state.Entries) > 0 {
+		return operation{compact: w.localSnapshot(state)}
+	}
+	var batch []*agreement.Persist
+	current := state
+	for range 1 + w.random.IntN(3) {
+		persist := w.persist(current)
+		states := statesOfPersist(current, persist)
+		current = states[len(states)-1]
+		batch = append(batch, persist)
+	}
+	return operation{batch: batch}
+}
+
+func (w workload) localSnapshot(state agreement.Stored) *agreement.Snapshot {
+	entry := state.Entries[w.random.IntN(len(state.Entries))]
+	return &agreement.Snapshot{Index: entry.Index, Term: entry.Term, Members: w.members(), Data: w.data()}
+}
+
+func (w workload) persist(state agreement.Stored) *agreement.Persist {
+	persist := &agreement.Persist{}
+	switch w.random.IntN(10) {
+	case 0:
+		persist.Snapshot = w.receivedSnapshot(state)
+		state.Snapshot, state.Entries = *persist.Snapshot, nil
+	case 1, 2:
+		persist.Entries = w.entries(w.replacedFrom(state), lastTerm(state)+1)
+	case 3:
+	default:
+		persist.Entries = w.entries(lastIndex(state)+1, max(lastTerm(state), 1))
+	}
+	if persist.Entries == nil || w.random.IntN(3) == 0 {
+		persist.HardState = w.hardState(state)
+	}
+	return persist
+}
+
+// replacedFrom draws the index from which a new leader replaces entries.
+func (w workload) replacedFrom(state agreement.Stored) uint64 {
+	return state.Snapshot.Index + 1 + uint64(w.random.IntN(len(state.Entries)+1))
+}
+
+func (w workload) receivedSnapshot(state agreement.Stored) *agreement.Snapshot {
+	index := state.Snapshot.Index + 1 + uint64(w.random.IntN(len(state.Entries)+5))
+	return &agreement.Snapshot{Index: index, Term: lastTerm(state) + 1, Members: w.members(), Data: w.data()}
+}
+
+func (w workload) hardState(state agreement.Stored) *agreement.HardState {
+	return &agreement.HardState{
+		Term:   state.HardState.Term + uint64(w.random.IntN(3)),
+		Vote:   agreement.MemberID(w.random.Uint64()),
+		Commit: max(state.Snapshot.Index, min(state.HardState.Commit, lastIndex(state))),
+	}
+}
+
+func (w workload) entries(first, term uint64) []agreement.Entry {
+	var entries []agreement.Entry
+	for i := range uint64(1 + w.random.IntN(4)) {
+		entry := agreement.Entry{Term: term, Index: first + i, Data: w.data()}
+		if w.random.IntN(8) == 0 {
+			entry.Kind, entry.Members = agreement.EntryMembers, w.members()
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
+func (w workload) members() []agreement.Member {
+	return []agreement.Member{
+		{ID: agreement.MemberID(w.random.Uint64()), Address: "10.1.0.1:7660", Voter: true},
+		{ID: agreement.MemberID(w.random.Uint64()), Address: "10.1.0.2:7660"},
+	}
+}
+
+func (w workload) data() []byte {
+	data := make([]byte, 1+w.random.IntN(40))
+	for i := range data {
+		data[i] = byte(w.random.Uint32())
+	}
+	return data
+}
+
+// history is what may be on disk: all states, of which those before acknowledged must not be.
+type history struct {
+	states       []agreement.Stored
+	acknowledged int
+}
+
+func newHistory(state agreement.Stored) *history {
+	return &history{states: []agreement.Stored{state}}
+}
+
+func (h *history) last() agreement.Stored { return h.states[len(h.states)-1] }
+
+func (h *history) attempt(one operation) { h.states = append(h.states, statesOf(h.last(), one)...) }
+
+func (h *history) acknowledge() { h.acknowledged = len(h.states) - 1 }
+
+// check fails unless the state is one that was passed through since the last acknowledged one.
+func (h *history) check(state agreement.Stored) error {
+	for _, allowed := range h.states[h.acknowledged:] {
+		if text(allowed) == text(state) {
+			return nil
+		}
+	}
+	return fmt.Errorf("recovered %s\nacknowledged %s\nattempted %s",
+		text(state), text(h.states[h.acknowledged]), text(h.last()))
+}
+
+func carryOut(log *seglog.Log, one operation) error {
+	if one.compact != nil {
+		return log.Compact(*one.compact)
+	}
+	return log.Save(one.batch)
+}
+
+func open(disk *seglogtest.Disk) (*seglog.Log, agreement.Stored, error) {
+	return seglog.Open(seglog.Options{FileSystem: disk, Directory: directory, SegmentBytes: smallSegmentBytes})
+}
+
+func mustOpen(t *testing.T, disk *seglogtest.Disk) (*seglog.Log, agreement.Stored) {
+	t.Helper()
+	log, stored, err := open(disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return log, stored
+}
+
+// runUntilFailure makes drawn calls until one fails or count are done.
+func runUntilFailure(log *seglog.Log, calls workload, record *history, count int) error {
+	for range count {
+		one := calls.next(record.last())
+		record.attempt(one)
+		if err := carryOut(log, one); err != nil {
+			return err
+		}
+		record.acknowledge()
+	}
+	return nil
+}
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+var errNotRecovered = errors.New("the disk could not be opened")
--- /dev/null
+++ b/coord/seglog/record.go
@@ -0,0 +1,164 @@
+package seglog
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"ospreybend/coord/agreement"
+)
+
+// FormatNumber is the format of all files that this package writes.
+const FormatNumber uint32 = 1
+
+// Kinds of files, the first bytes of each.
+const (
+	segmentMagic  = "OBSG"
+	snapshotMagic = "OBSS"
+	memberMagic   = "OBSM"
+)
+
+const (
+	magicBytes    = 4
+	preambleBytes = magicBytes + 4 + 4            // kind, format number, check value
+	headerBytes   = preambleBytes + 8 + 8 + 4 + 4 // segment: and number, first index, check values of the segment before and of the header
+	recordPrefix  = 4 + 4                         // length of kind and body, check value
+	snapshotStart = preambleBytes + 8 + 4         // snapshot: and length of the body, check value
+	maxRecord     = 1 << 30                       // greatest length of kind and body, bytes
+)
+
+// recordKind tells what a record's body holds.
+type recordKind byte
+
+const (
+	recordEntry recordKind = iota + 1
+	recordHardState
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func checksum(chain uint32, data []byte) uint32 { return crc32.Update(chain, castagnoli, data) }
+
+// appendPreamble adds the kind of the file, the format number and the check value of both.
+func appendPreamble(data []byte, magic string) []byte {
+	start := len(data)
+	data = append(data, magic...)
+	data = binary.LittleEndian.AppendUint32(data, FormatNumber)
+	return binary.LittleEndian.AppendUint32(data, checksum(0, data[start:]))
+}
+
+// checkPreamble tells whether the data starts with an undamaged preamble of the kind. One of
+// another format gives ErrFormat.
+func checkPreamble(name string, data []byte, magic string) (ok bool, err error) {
+	if len(data) < preambleBytes || string(data[:magicBytes]) != magic {
+		return false, nil
+	}
+	check := binary.LittleEndian.Uint32(data[preambleBytes-4:])
+	if check != checksum(0, data[:preambleBytes-4]) {
+		return false, nil
+	}
+	if found := binary.LittleEndian.Uint32(data[magicBytes:]); found != FormatNumber {
+		return false, ErrFormat{File: name, Found: found, Supported: FormatNumber}
+	}
+	return true, nil
+}
+
+// recordWriter collects the bytes of records. chain is the check value of the last one.
+type recordWriter struct {
+	data  []byte
+	chain uint32
+	err   error // the first one
+}
+
+// header adds a segment's header, whose check value starts the chain.
+func (w *recordWriter) header(sequence, firstIndex uint64, previous uint32) {
+	w.data = appendPreamble(w.data, segmentMagic)
+	w.data = binary.LittleEndian.AppendUint64(w.data, sequence)
+	w.data = binary.LittleEndian.AppendUint64(w.data, firstIndex)
+	w.data = binary.LittleEndian.AppendUint32(w.data, previous)
+	w.chain = checksum(0, w.data)
+	w.data = binary.LittleEndian.AppendUint32(w.data, w.chain)
+}
+
+func (w *recordWriter) entry(entry *agreement.Entry) {
+	body, err := encodeEntry(entry)
+	w.record(recordEntry, body, err)
+}
+
+func (w *recordWriter) hardState(state agreement.HardState) {
+	body, err := encodeHardState(state)
+	w.record(recordHardState, body, err)
+}
+
+func (w *recordWriter) record(kind recordKind, body []byte, err error) {
+	if w.err != nil {
+		return
+	}
+	if err == nil && len(body) >= maxRecord {
+		err = errTooLong
+	}
+	if err != nil {
+		w.err = err
+		return
+	}
+	start := len(w.data)
+	w.data = binary.LittleEndian.AppendUint32(w.data, uint32(1+len(body)))
+	w.data = binary.LittleEndian.AppendUint32(w.data, 0) // the check value, known below
+	w.data = append(w.data, byte(kind))
+	w.data = append(w.data, body...)
+	w.chain = recordCheck(w.chain, w.data[start:])
+	binary.LittleEndian.PutUint32(w.data[start+4:], w.chain)
+}
+
+// recordCheck computes a record's check value from the one before it, its length, kind and body.
+func recordCheck(chain uint32, record []byte) uint32 {
+	return checksum(checksum(chain, record[:4]), record[recordPrefix:])
+}
+
+// recordReader walks through a segment's bytes.
+type recordReader struct {
+	data     []byte
+	offset   int // after the last undamaged record
+	chain    uint32
+	previous uint32 // check value of the last record of the segment before
+}
+
+// newRecordReader checks the header. ok is false if it is missing, damaged or of another segment.
+func newRecordReader(data []byte, sequence uint64) (reader *recordReader, ok bool) {
+	if len(data) < headerBytes {
+		return nil, false
+	}
+	chain := checksum(0, data[:headerBytes-4])
+	if chain != binary.LittleEndian.Uint32(data[headerBytes-4:]) {
+		return nil, false
+	}
+	if binary.LittleEndian.Uint64(data[preambleBytes:]) != sequence {
+		return nil, false
+	}
+	previous := binary.LittleEndian.Uint32(data[headerBytes-8:])
+	return &recordReader{data: data, offset: headerBytes, chain: chain, previous: previous}, true
+}
+
+// next returns the next record, which counts once accept is called. ok is false at the end of the
+// data and at a record that is incomplete or damaged.
+func (r *recordReader) next() (kind recordKind, body []byte, ok bool) {
+	rest := r.data[r.offset:]
+	if len(rest) <= recordPrefix {
+		return 0, nil, false
+	}
+	length := int(binary.LittleEndian.Uint32(rest))
+	if length < 1 || length > len(rest)-recordPrefix {
+		return 0, nil, false
+	}
+	record := rest[:recordPrefix+length]
+	if recordCheck(r.chain, record) != binary.LittleEndian.Uint32(record[4:]) {
+		return 0, nil, false
+	}
+	return recordKind(record[recordPrefix]), record[recordPrefix+1:], true
+}
+
+// accept moves behind the record that next returned.
+func (r *recordReader) accept() {
+	length := int(binary.LittleEndian.Uint32(r.data[r.offset:]))
+	r.chain = binary.LittleEndian.Uint32(r.data[r.offset+4:])
+	r.offset += recordPrefix + length
+}
