Add the consensus core of a replica group

The keepers' shards need an agreed log. Node elects, replicates, changes members, reads and hands over, without goroutine, clock or I/O of its own; what rests on durability is released by Persisted.

--- /dev/null
+++ b/coord/agreement/cluster_test.go
@@ -0,0 +1,224 @@
+package agreement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	testElection  = 1000 * time.Millisecond
+	testHeartbeat = 100 * time.Millisecond
+	testStep      = 20 * time.Millisecond
+)
+
+// testDisk is what a member has made durable.
+type testDisk struct {
+	stored Stored
+}
+
+func (d *testDisk) write(persist *Persist) {
+	if persist.Snapshot != nil {
+		d.stored.Snapshot = *persist.Snapshot
+		d.stored.Entries = nil
+	}
+	if len(persist.Entries) > 0 {
+		keep := persist.Entries[0].Index - d.stored.Snapshot.Index - 1
+		d.stored.Entries = append(slices.Clone(d.stored.Entries[:keep]), persist.Entries...)
+	}
+	if persist.HardState != nil {
+		d.stored.HardState = *persist.HardState
+	}
+}
+
+// testMember is a node with its disk and what its state machine was given.
+type testMember struct {
+	node    *Node
+	disk    testDisk
+	held    []*Persist // not durable while stalled
+	stalled bool
+	down    bool
+	applied []string
+	reads   []ReadResult
+	state   string // of the last snapshot
+}
+
+// testGroup plays a group with a network that delivers at once.
+type testGroup struct {
+	t       *testing.T
+	now     time.Duration
+	members map[MemberID]*testMember
+	order   []MemberID
+	queue   []Message
+	drop    func(Message) bool
+	sent    int
+}
+
+func testConfig(id MemberID) Config {
+	return Config{
+		ID:              id,
+		ElectionTimeout: testElection,
+		Heartbeat:       testHeartbeat,
+		MaxAppendBytes:  1 << 10,
+		MaxInflight:     4,
+		Seed:            7,
+	}
+}
+
+func testVoters(ids ...MemberID) []Member {
+	var members []Member
+	for _, id := range ids {
+		members = append(members, Member{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", id), Voter: true})
+	}
+	return members
+}
+
+func newTestGroup(t *testing.T, ids ...MemberID) *testGroup {
+	g := &testGroup{t: t, members: map[MemberID]*testMember{}}
+	for _, id := range ids {
+		g.add(id, Founding(testVoters(ids...), nil))
+	}
+	return g
+}
+
+func (g *testGroup) add(id MemberID, stored Stored) *testMember {
+	member := &testMember{disk: testDisk{stored: stored}}
+	member.node = New(testConfig(id), stored, g.now)
+	g.members[id] = member
+	g.order = append(g.order, id)
+	return member
+}
+
+// restart starts a member again with what its disk holds.
+func (g *testGroup) restart(id MemberID) {
+	member := g.members[id]
+	member.held, member.applied, member.down = nil, nil, false
+	member.node = New(testConfig(id), member.disk.stored, g.now)
+}
+
+func (g *testGroup) collect(id MemberID) {
+	member := g.members[id]
+	if member.down {
+		return
+	}
+	ready := member.node.Take()
+	if ready.Restore != nil {
+		member.state, member.applied = string(ready.Restore.Data), nil
+	}
+	for _, entry := range ready.Committed {
+		if entry.Kind == EntryCommand {
+			member.applied = append(member.applied, string(entry.Data))
+		}
+	}
+	member.reads = append(member.reads, ready.Reads...)
+	g.queue = append(g.queue, ready.Messages...)
+	g.sent += len(ready.Messages)
+	if ready.Persist != nil {
+		member.held = append(member.held, ready.Persist)
+	}
+	if !member.stalled {
+		g.sync(id)
+	}
+}
+
+// sync makes durable what a member has handed out.
+func (g *testGroup) sync(id MemberID) {
+	member := g.members[id]
+	for _, persist := range member.held {
+		member.disk.write(persist)
+		member.node.Persisted(g.now, persist.Sequence)
+	}
+	member.held = nil
+}
+
+// settle delivers all messages until none is left.
+func (g *testGroup) settle() {
+	for quiet := 0; quiet < 2; {
+		for _, id := range g.order {
+			g.collect(id)
+		}
+		if len(g.queue) == 0 {
+			quiet++
+			continue
+		}
+		quiet = 0
+		g.deliver()
+	}
+}
+
+func (g *testGroup) deliver() {
+	queue := g.queue
+	g.queue = nil
+	for _, message := range queue {
+		member := g.members[message.To]
+		if member == nil || member.down || (g.drop != nil && g.drop(message)) {
+			continue
+		}
+		member.node.Step(g.now, message)
+	}
+}
+
+func (g *testGroup) run(span time.Duration) {
+	for end := g.now + span; g.now < end; {
+		g.now += testStep
+		for _, id := range g.order {
+			member := g.members[id]
+			if !member.down && g.now >= member.node.NextTick() {
+				member.node.Tick(g.now)
+			}
+		}
+		g.settle()
+	}
+}
+
+// leader returns the leader of the highest term, 0 if there is none.
+func (g *testGroup) leader() MemberID {
+	var leader MemberID
+	var term uint64
+	for _, id := range g.order {
+		status := g.members[id].node.Status()
+		if !g.members[id].down && status.Role == RoleLeader && status.Term > term {
+			leader, term = id, status.Term
+		}
+	}
+	return leader
+}
+
+func (g *testGroup) elect() *Node {
+	g.t.Helper()
+	g.run(4 * testElection)
+	id := g.leader()
+	if id == 0 {
+		g.t.Fatal("no leader")
+	}
+	return g.members[id].node
+}
+
+func (g *testGroup) propose(data string) {
+	g.t.Helper()
+	if _, _, err := g.members[g.leader()].node.Propose(g.now, []byte(data)); err != nil {
+		g.t.Fatal(err)
+	}
+	g.settle()
+}
+
+func (g *testGroup) change(change Change) {
+	g.t.Helper()
+	if err := g.members[g.leader()].node.ChangeMembers(g.now, change); err != nil {
+		g.t.Fatal(err)
+	}
+	g.settle()
+}
+
+func (g *testGroup) wantApplied(id MemberID, want ...string) {
+	g.t.Helper()
+	if got := g.members[id].applied; !slices.Equal(got, want) {
+		g.t.Fatalf("member %d applied %q, want %q", id, got, want)
+	}
+}
+
+// others returns all members but one.
+func (g *testGroup) others(id MemberID) []MemberID {
+	return slices.DeleteFunc(slices.Clone(g.order), func(other MemberID) bool { return other == id })
+}
--- /dev/null
+++ b/coord/agreement/group_test.go
@@ -0,0 +1,163 @@
+package agreement
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestCommandsReachAllMembersInOrder(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	g.propose("a")
+	g.propose("b")
+	for _, id := range g.order {
+		g.wantApplied(id, "a", "b")
+	}
+}
+
+func TestGroupGoesOnWithoutAMinority(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	g.propose("a")
+	first := g.leader()
+	g.members[first].down = true
+	g.elect()
+	g.propose("b")
+	for _, id := range g.others(first) {
+		g.wantApplied(id, "a", "b")
+	}
+	g.restart(first)
+	g.run(2 * testElection)
+	g.wantApplied(first, "a", "b")
+}
+
+func TestSoleVoterCommitsAndReadsAlone(t *testing.T) {
+	g := newTestGroup(t, 1)
+	node := g.elect()
+	g.propose("a")
+	g.wantApplied(1, "a")
+	if err := node.Read(g.now, 5); err != nil {
+		t.Fatal(err)
+	}
+	g.settle()
+	if len(g.members[1].reads) != 1 || !g.members[1].reads[0].OK {
+		t.Fatalf("reads %v", g.members[1].reads)
+	}
+}
+
+func TestEmptyDiskComesBackAsLearnerThenVoter(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	g.propose("a")
+	lost := g.others(g.leader())[0]
+	g.members[lost].down = true
+	g.add(9, Stored{})
+	g.run(testElection)
+	if status := g.members[9].node.Status(); status.Term != 0 || status.Role != RoleFollower {
+		t.Fatalf("empty member acts: %+v", status)
+	}
+	added := Member{ID: 9, Address: "10.0.0.9:1"}
+	g.change(Change{Add: &added})
+	g.run(testElection)
+	g.wantApplied(9, "a")
+	added.Voter = true
+	g.change(Change{Add: &added})
+	g.change(Change{Remove: lost})
+	g.propose("b")
+	g.wantApplied(9, "a", "b")
+	if members := leader.Status().Members; len(members) != 3 {
+		t.Fatalf("members %v", members)
+	}
+}
+
+func TestLearnerTakesASnapshotThenEntries(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	for range 400 {
+		g.propose("x")
+	}
+	leader.Compact(leader.Status().Applied, nil, []byte("state"))
+	if leader.Status().First == 2 {
+		t.Fatal("nothing was compacted")
+	}
+	g.add(9, Stored{})
+	g.change(Change{Add: &Member{ID: 9, Address: "10.0.0.9:1"}})
+	g.run(testElection)
+	g.propose("b")
+	g.wantApplied(9, "b")
+	if g.members[9].state != "state" {
+		t.Fatalf("state %q", g.members[9].state)
+	}
+	g.restart(9)
+	g.run(testElection)
+	g.wantApplied(9, "b")
+}
+
+func TestTransferHandsLeadershipOver(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	to := g.others(g.leader())[1]
+	before := g.now
+	if err := leader.Transfer(g.now, to); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := leader.Propose(g.now, nil); !errors.Is(err, ErrTransferring) {
+		t.Fatalf("propose during a transfer: %v", err)
+	}
+	g.settle()
+	if g.leader() != to || g.now != before {
+		t.Fatalf("leader %d at %v, want %d at %v", g.leader(), g.now, to, before)
+	}
+}
+
+func TestStalledDiskHandsLeadershipOver(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	first := g.leader()
+	g.run(testElection)
+	g.members[first].stalled = true
+	g.propose("a")
+	g.wantApplied(first, "a")
+	leader.SetWritable(g.now, false)
+	g.settle()
+	if g.leader() == first || g.leader() == 0 {
+		t.Fatalf("leader %d, was %d", g.leader(), first)
+	}
+	g.run(4 * testElection)
+	if g.leader() == first {
+		t.Fatal("a member that cannot write leads again")
+	}
+}
+
+func TestRestSendsHeartbeatsAlone(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	g.run(testElection)
+	g.sent = 0
+	g.run(10 * testHeartbeat)
+	if want := 2 * 2 * 10; g.sent > want {
+		t.Fatalf("%d messages in %v, want at most %d", g.sent, 10*testHeartbeat, want)
+	}
+	for _, id := range g.order {
+		if id != g.leader() && g.members[id].node.NextTick() < g.now+testElection/2 {
+			t.Fatal("a follower wakes up too soon")
+		}
+	}
+}
+
+func TestConfirmedIsRecentOnCurrentMembers(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	for _, id := range g.order {
+		if age := g.now - g.members[id].node.Status().Confirmed; age > 2*testHeartbeat {
+			t.Errorf("member %d: confirmed %v ago", id, age)
+		}
+	}
+	cut := g.others(g.leader())[0]
+	g.members[cut].down = true
+	g.run(2 * time.Second)
+	if age := g.now - g.members[cut].node.Status().Confirmed; age < 2*time.Second {
+		t.Errorf("cut member: confirmed %v ago", age)
+	}
+}
--- /dev/null
+++ b/coord/agreement/log.go
@@ -0,0 +1,101 @@
+package agreement
+
+import "slices"
+
+// entryLog holds the entries after base. Slices handed out stay valid: entries are never
+// overwritten in place.
+type entryLog struct {
+	base     uint64 // index before the first entry held
+	baseTerm uint64
+	entries  []Entry
+}
+
+func (l *entryLog) first() uint64 { return l.base + 1 }
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index, and false if the entry is not held.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.base {
+		return l.baseTerm, true
+	}
+	if index < l.base || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+// matches reports whether the log holds an entry of the given index and term.
+func (l *entryLog) matches(index, term uint64) bool {
+	own, held := l.term(index)
+	return held && own == term
+}
+
+// span returns the entries from first to last, both included.
+func (l *entryLog) span(first, last uint64) []Entry {
+	if first > last {
+		return nil
+	}
+	from, to := first-l.base-1, last-l.base
+	return l.entries[from:to:to]
+}
+
+// limited returns entries from first on with at most maxBytes, and at least one if there is one.
+func (l *entryLog) limited(first uint64, maxBytes int) []Entry {
+	last, size := first, 0
+	for ; last <= l.last(); last++ {
+		size += entrySize(&l.entries[last-l.base-1])
+		if size > maxBytes && last > first {
+			break
+		}
+	}
+	return l.span(first, last-1)
+}
+
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on. The rest is copied, since dropped entries may
+// still be on their way to the disk or to a peer.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = slices.Clone(l.entries[:index-l.base-1])
+}
+
+// drop forgets the entries up to index.
+func (l *entryLog) drop(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.base, l.baseTerm = index, term
+}
+
+// findAtMost returns the highest index up to limit whose term is at most term. It ends at base.
+func (l *entryLog) findAtMost(limit, term uint64) (index, found uint64) {
+	index = min(limit, l.last())
+	for index > l.base {
+		own, _ := l.term(index)
+		if own <= term {
+			return index, own
+		}
+		index--
+	}
+	return l.base, l.baseTerm
+}
+
+// entryOverhead is the assumed cost of an entry's fields in a message, in bytes.
+const entryOverhead = 24
+
+// memberSize is the assumed cost of a member in a message, in bytes.
+const memberSize = 40
+
+func entrySize(entry *Entry) int {
+	return entryOverhead + len(entry.Data) + memberSize*len(entry.Members)
+}
--- /dev/null
+++ b/coord/agreement/rules.go
@@ -0,0 +1,44 @@
+package agreement
+
+// Rule names one check of the core. Tests leave rules out to show that the
+// simulation notices their absence. A running system leaves out none.
+type Rule string
+
+// The rules that can be left out.
+const (
+	RuleVoteOnce          Rule = "vote-once"           // one vote a term
+	RuleVoteLog           Rule = "vote-log"            // no vote for a candidate with an older log
+	RuleVoteDurable       Rule = "vote-durable"        // a vote is sent after it is durable
+	RuleCandidateDurable  Rule = "candidate-durable"   // a candidate's term is durable before it asks for votes
+	RuleAppendTerm        Rule = "append-term"         // entries of a former term's leader are refused
+	RuleAppendMatch       Rule = "append-match"        // entries are taken only behind a matching entry
+	RuleAppendDurable     Rule = "append-durable"      // entries are acknowledged after they are durable
+	RuleLeaderDurable     Rule = "leader-durable"      // a leader counts itself for entries that are durable
+	RuleCommitMajority    Rule = "commit-majority"     // a majority must hold an entry
+	RuleCommitOwnTerm     Rule = "commit-own-term"     // copies are counted for entries of the own term alone
+	RuleCommitVerified    Rule = "commit-verified"     // a follower commits only what it shares with the leader
+	RuleReadConfirmed     Rule = "read-confirmed"      // a read waits for a majority's answer
+	RuleReadOwnTerm       Rule = "read-own-term"       // a read waits for the first commit of the own term
+	RuleMembersOneByOne   Rule = "members-one-by-one"  // a change waits until the one before it is committed
+	RuleMembersOwnTerm    Rule = "members-own-term"    // a change waits for the first commit of the own term
+	RuleMembersRollBack   Rule = "members-roll-back"   // a truncated change of members is undone
+	RuleLearnerNoMajority Rule = "learner-no-majority" // learners count in no majority
+	RuleEmptySilent       Rule = "empty-silent"        // a member with an empty disk gives no vote
+)
+
+// Rules returns all rules that can be left out.
+func Rules() []Rule {
+	return []Rule{
+		RuleVoteOnce, RuleVoteLog, RuleVoteDurable, RuleCandidateDurable,
+		RuleAppendTerm, RuleAppendMatch, RuleAppendDurable, RuleLeaderDurable,
+		RuleCommitMajority, RuleCommitOwnTerm, RuleCommitVerified,
+		RuleReadConfirmed, RuleReadOwnTerm,
+		RuleMembersOneByOne, RuleMembersOwnTerm, RuleMembersRollBack,
+		RuleLearnerNoMajority, RuleEmptySilent,
+	}
+}
+
+// holds reports whether a rule is in force.
+func (n *Node) holds(rule Rule) bool {
+	return !n.omitted[rule]
+}
--- a/coord/agreement/types.go
+++ b/coord/agreement/types.go
@@ -70,18 +70,19 @@
 
 // Message is what two members of a group say to each other.
 type Message struct {
-	Kind      MessageKind
-	From, To  MemberID
-	Term      uint64
-	LogIndex  uint64 // Append: entry before the first one sent. Vote: last entry of the candidate. Reply: last matching entry
+	Kind     MessageKind
+	From, To MemberID
+	Term     uint64
+	LogIndex uint64 // Append: entry before the first one sent. Vote: last entry of the candidate. AppendReply: last matching entry
+	// that is durable; rejected: LogIndex of the Append. HeartbeatReply: last matching entry
 	LogTerm   uint64
 	Commit    uint64
 	Entries   []Entry
 	Snapshot  *Snapshot
 	Reject    bool
-	HintIndex uint64 // AppendReply, rejected: where to go on
+	HintIndex uint64 // AppendReply: last matching entry; rejected: where to go on. HeartbeatReply: last matching entry that is durable
 	HintTerm  uint64
-	Context   uint64 // Heartbeat and its reply: the read round that it confirms
+	Context   uint64 // Heartbeat and its reply: the read round that it confirms; 0: tells the commit index and wants no reply
 	Forced    bool   // Vote: part of a planned transfer, so leases do not hold it back
 }
 
@@ -103,6 +104,7 @@
 	MaxAppendBytes  int           // most bytes of entries in one message
 	MaxInflight     int           // most unanswered Append messages for a member
 	Seed            uint64        // of the draws of election timeouts
+	Omit            []Rule        // checks left out, by tests alone
 }
 
 // Stored is what a member finds on its disk. The zero value is an empty disk: such a member
@@ -166,4 +168,11 @@
 	ErrTransferring = errors.New("agreement: leadership is being handed over")
 	ErrBusy         = errors.New("agreement: too many entries are waiting for a majority")
 	ErrMemberChange = errors.New("agreement: a change of members is under way or not allowed")
+	ErrNoSuccessor  = errors.New("agreement: no other voter can take over leadership")
+)
+
+// Errors of states that must never be.
+var (
+	ErrStored            = errors.New("agreement: stored state cannot be used")
+	ErrCommittedConflict = errors.New("agreement: a leader's entry conflicts with a committed one")
 )
