--- a/internal/catalog/routes.go
+++ b/internal/catalog/routes.go
@@ -1,12 +1,54 @@
 package catalog
 
-import "ospreybend/internal/configuration"
+import (
+	"strings"
+
+	"ospreybend/internal/configuration"
+)
 
 // routeTable finds a route by host and path.
 type routeTable struct {
-	byHost map[string][]*configuration.Route // longest prefix first
+	byHost map[string]hostRoutes
+}
+
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*configuration.Route
+	longest  int // bytes of the longest prefix
+}
+
+// newRouteTable returns the table of routes; nobody may change them afterwards.
+func newRouteTable(routes map[string]*configuration.Route) routeTable {
+	table := routeTable{byHost: map[string]hostRoutes{}}
+	for _, route := range routes {
+		held, found := table.byHost[route.Hostname]
+		if !found {
+			held.byPrefix = map[string]*configuration.Route{}
+		}
+		held.byPrefix[route.PathPrefix] = route
+		held.longest = max(held.longest, len(route.PathPrefix))
+		table.byHost[route.Hostname] = held
+	}
+	return table
 }
 
 // Match returns the route of a request, or nil. The host is in lower case and has no port; the path
 // has no query.
-func (v *View) Match(host, path string) *configuration.Route { panic("not built yet") }
+func (v *View) Match(host, path string) *configuration.Route {
+	held, found := v.routes.byHost[host]
+	if !found {
+		return nil
+	}
+	// Each prefix ends with a slash: only what ends so can be one.
+	candidate := path[:min(len(path), held.longest)]
+	for {
+		slash := strings.LastIndexByte(candidate, '/')
+		if slash < 0 {
+			return nil
+		}
+		if route := held.byPrefix[candidate[:slash+1]]; route != nil {
+			return route
+		}
+		candidate = candidate[:slash]
+	}
+}
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -1,13 +1,332 @@
 package configuration
 
-// ParseRoute reads an item of "routes". The error is a *Refusal.
-func ParseRoute(raw []byte) (Route, error) { panic("not built yet") }
+import (
+	"math"
+	"strings"
+	"time"
+
+	"github.com/go-faster/jx"
+)
+
+// What holds where the operator gives no value, or one that cannot be meant.
+const (
+	defaultHealthPath     = "/health"
+	defaultMaxAttempts    = 1
+	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxBodyBytes   = 4 << 20
+	defaultHeaderTimeout  = 3 * time.Second
+	defaultIdleTimeout    = 15 * time.Second
+	wholeWeight           = 1
+)
+
+const (
+	typeIdempotent = "idempotent"
+	typeStreaming  = "streaming"
+)
+
+// ParseRoute reads an item of "routes". Targets without a weight are left out. The error is a
+// *Refusal.
+func ParseRoute(raw []byte) (Route, error) {
+	route, refusal := parseRoute(raw)
+	if refusal != nil {
+		return Route{}, refusal
+	}
+	weighted := make([]Target, 0, len(route.Targets))
+	for _, target := range route.Targets {
+		if target.Weight > 0 {
+			weighted = append(weighted, target)
+		}
+	}
+	route.Targets = weighted
+	return route, nil
+}
+
+// parseRoute reads a route with all targets that it names.
+func parseRoute(raw []byte) (Route, *Refusal) {
+	route := Route{MaxAttempts: defaultMaxAttempts}
+	single := ""
+	refusal := eachMember(raw, "route", func(decoder *jx.Decoder, key string) error {
+		return routeMember(decoder, key, &route, &single)
+	})
+	if refusal != nil {
+		return Route{}, refusal
+	}
+	if len(route.Targets) == 0 && single != "" {
+		route.Targets = []Target{{Service: single, Weight: wholeWeight}}
+	}
+	route.Hostname = normalHost(route.Hostname)
+	route.MaxAttempts = max(route.MaxAttempts, defaultMaxAttempts)
+	route.TargetLatency = max(route.TargetLatency, 0)
+	route.GapObjective = max(route.GapObjective, 0)
+	return route, checkRoute(route)
+}
+
+// routeMember reads one member of a route; single takes "service".
+func routeMember(decoder *jx.Decoder, key string, route *Route, single *string) error {
+	switch key {
+	case "name":
+		return readString(decoder, key, &route.Name)
+	case "hostname":
+		return readString(decoder, key, &route.Hostname)
+	case "pathPrefix":
+		return readString(decoder, key, &route.PathPrefix)
+	case "routeType":
+		return readRouteType(decoder, key, &route.Type)
+	case "timeoutMs":
+		return readSpan(decoder, key, time.Millisecond, &route.Timeout)
+	case "targetLatencyMs":
+		return readSpan(decoder, key, time.Millisecond, &route.TargetLatency)
+	case "priority":
+		return readCount(decoder, key, &route.Priority)
+	case "service":
+		return readString(decoder, key, single)
+	case "trafficSplit":
+		return readTargets(decoder, key, &route.Targets)
+	case "maxAttempts":
+		return readCount(decoder, key, &route.MaxAttempts)
+	case "sessionAffinity":
+		return readBool(decoder, key, &route.SessionAffinity)
+	case "resumable":
+		return readBool(decoder, key, &route.Resumable)
+	case "gap_aim_ms":
+		return readSpan(decoder, key, time.Millisecond, &route.GapObjective)
+	default:
+		return decoder.Skip()
+	}
+}
+
+// readRouteType reads the type; one that is not known is held to the strictest rules.
+func readRouteType(decoder *jx.Decoder, key string, into *RouteType) error {
+	name := ""
+	if err := readString(decoder, key, &name); err != nil {
+		return err
+	}
+	switch name {
+	case typeIdempotent:
+		*into = Idempotent
+	case typeStreaming:
+		*into = Streaming
+	default:
+		*into = NonIdempotent
+	}
+	return nil
+}
+
+// readTargets reads "trafficSplit".
+func readTargets(decoder *jx.Decoder, key string, into *[]Target) error {
+	*into = nil
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Array {
+		return refuse(BadField, key+" is not a list")
+	}
+	return decoder.Arr(func(decoder *jx.Decoder) error {
+		target, err := readTarget(decoder, key)
+		if err != nil {
+			return err
+		}
+		*into = append(*into, target)
+		return nil
+	})
+}
+
+func readTarget(decoder *jx.Decoder, key string) (Target, error) {
+	target := Target{}
+	if decoder.Next() != jx.Object {
+		return target, refuse(BadField, key+" holds something that is not an object")
+	}
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		switch key {
+		case "service":
+			return readString(decoder, key, &target.Service)
+		case "weight":
+			return readNumber(decoder, key, &target.Weight)
+		default:
+			return decoder.Skip()
+		}
+	})
+	return target, err
+}
+
+// normalHost returns a host as routes are compared: in lower case and without a port.
+func normalHost(host string) string {
+	host = strings.ToLower(host)
+	colon := strings.LastIndexByte(host, ':')
+	if colon < 0 || strings.HasSuffix(host, "]") || strings.IndexByte(host, ':') != colon && host[0] != '[' {
+		return host
+	}
+	return host[:colon]
+}
 
 // ParseService reads an item of "services". The error is a *Refusal.
-func ParseService(raw []byte) (Service, error) { panic("not built yet") }
+func ParseService(raw []byte) (Service, error) {
+	service, refusal := parseService(raw)
+	if refusal != nil {
+		return Service{}, refusal
+	}
+	return service, nil
+}
+
+func parseService(raw []byte) (Service, *Refusal) {
+	service := Service{}
+	refusal := eachMember(raw, "service", func(decoder *jx.Decoder, key string) error {
+		switch key {
+		case "name":
+			return readString(decoder, key, &service.Name)
+		case "healthPath":
+			return readString(decoder, key, &service.HealthPath)
+		case "maxConnections":
+			return readCount(decoder, key, &service.MaxConnections)
+		case "engine":
+			return readEngine(decoder, key, &service.Engine)
+		default:
+			return decoder.Skip()
+		}
+	})
+	if refusal != nil {
+		return Service{}, refusal
+	}
+	if service.Name == "" {
+		return Service{}, refuse(MissingField, "name of a service")
+	}
+	if service.HealthPath == "" {
+		service.HealthPath = defaultHealthPath
+	}
+	service.MaxConnections = max(service.MaxConnections, 0)
+	return service, nil
+}
+
+// readEngine reads "engine"; null counts as absent.
+func readEngine(decoder *jx.Decoder, key string, into **Engine) error {
+	*into = nil
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Object {
+		return refuse(BadField, key+" is not an object")
+	}
+	engine := &Engine{}
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		return engineMember(decoder, key, engine)
+	})
+	if err != nil {
+		return err
+	}
+	engine.Slots = max(engine.Slots, 0)
+	engine.KVTokens = max(engine.KVTokens, 0)
+	engine.KVTokenBytes = math.Max(engine.KVTokenBytes, 0)
+	engine.LinkMbps = math.Max(engine.LinkMbps, 0)
+	engine.Stride = max(engine.Stride, 1)
+	engine.HandleTTL = max(engine.HandleTTL, 0)
+	engine.SwitchTime = max(engine.SwitchTime, 0)
+	*into = engine
+	return nil
+}
 
-// ParseLimits reads "limits". The error is a *Refusal.
-func ParseLimits(raw []byte) (Limits, error) { panic("not built yet") }
+func engineMember(decoder *jx.Decoder, key string, engine *Engine) error {
+	switch key {
+	case "slots":
+		return readCount(decoder, key, &engine.Slots)
+	case "kvTokens":
+		return readCount(decoder, key, &engine.KVTokens)
+	case "kvTokenBytes":
+		return readNumber(decoder, key, &engine.KVTokenBytes)
+	case "linkMbps":
+		return readNumber(decoder, key, &engine.LinkMbps)
+	case "stride":
+		return readCount(decoder, key, &engine.Stride)
+	case "handleTtlS":
+		return readSpan(decoder, key, time.Second, &engine.HandleTTL)
+	case "switchS":
+		return readSpan(decoder, key, time.Second, &engine.SwitchTime)
+	case "models":
+		return readModelNames(decoder, key, &engine.Models)
+	default:
+		return decoder.Skip()
+	}
+}
+
+// readModelNames reads a list of names, or of objects with a name.
+func readModelNames(decoder *jx.Decoder, key string, into *[]string) error {
+	*into = nil
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Array {
+		return refuse(BadField, key+" is not a list")
+	}
+	return decoder.Arr(func(decoder *jx.Decoder) error {
+		name := ""
+		if err := readModelName(decoder, key, &name); err != nil {
+			return err
+		}
+		if name != "" {
+			*into = append(*into, name)
+		}
+		return nil
+	})
+}
+
+func readModelName(decoder *jx.Decoder, key string, into *string) error {
+	if decoder.Next() != jx.Object {
+		return readString(decoder, key, into)
+	}
+	return decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		if key == "name" {
+			return readString(decoder, key, into)
+		}
+		return decoder.Skip()
+	})
+}
 
 // DefaultLimits returns what holds where the operator gives no limits.
-func DefaultLimits() Limits { panic("not built yet") }
+func DefaultLimits() Limits {
+	return Limits{
+		MaxHeaderBytes: defaultMaxHeaderBytes,
+		MaxBodyBytes:   defaultMaxBodyBytes,
+		HeaderTimeout:  defaultHeaderTimeout,
+		IdleTimeout:    defaultIdleTimeout,
+	}
+}
+
+// ParseLimits reads "limits"; what is missing or not above 0 has its default. The error is a
+// *Refusal.
+func ParseLimits(raw []byte) (Limits, error) {
+	limits := Limits{}
+	refusal := eachMember(raw, "limits", func(decoder *jx.Decoder, key string) error {
+		switch key {
+		case "maxHeaderBytes":
+			return readCount(decoder, key, &limits.MaxHeaderBytes)
+		case "maxBodyBytes":
+			return readCount(decoder, key, &limits.MaxBodyBytes)
+		case "headerTimeoutMs":
+			return readSpan(decoder, key, time.Millisecond, &limits.HeaderTimeout)
+		case "idleTimeoutMs":
+			return readSpan(decoder, key, time.Millisecond, &limits.IdleTimeout)
+		default:
+			return decoder.Skip()
+		}
+	})
+	if refusal != nil {
+		return Limits{}, refusal
+	}
+	return limits.withDefaults(), nil
+}
+
+func (l Limits) withDefaults() Limits {
+	preset := DefaultLimits()
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = preset.MaxHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = preset.MaxBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = preset.HeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = preset.IdleTimeout
+	}
+	return l
+}
--- a/internal/registry/beat.go
+++ b/internal/registry/beat.go
@@ -1,12 +1,262 @@
 package registry
 
+import (
+	"errors"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/go-faster/jx"
+)
+
+// Bounds of what a heartbeat may tell.
+const (
+	largestBody     = 256 << 10 // bytes
+	longestText     = 256       // bytes of a name or an address
+	mostModels      = 1024
+	mostAdapters    = 4096 // of one model
+	largestNumber   = 1 << 40
+	reservedPrefix  = "@" // of services that are the fleet's own
+	stateReady      = "ready"
+	smallestSlots   = 1
+	unknownSequence = 0
+)
+
 // Beat is one heartbeat.
 type Beat struct {
 	Instance
 	ColdRemainingMs int64  // it stays slow for so long; not replicated
-	Sequence        uint64 // rises with every call of the instance
+	Sequence        uint64 // rises with every call of the instance; 0: not numbered
+}
+
+// ParseBeat reads the body of a heartbeat of the instance id. Unknown fields are ignored; a state
+// that is not known counts as draining. The error is a *Refusal.
+func ParseBeat(id string, body []byte) (Beat, error) {
+	if len(body) > largestBody {
+		return Beat{}, refuse(TooLarge, "body")
+	}
+	beat := Beat{}
+	decoder := jx.DecodeBytes(body)
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		return beatMember(decoder, key, &beat)
+	})
+	if err != nil {
+		return Beat{}, asRefusal(err)
+	}
+	if err := decoder.Skip(); !errors.Is(err, io.EOF) {
+		return Beat{}, refuse(Unreadable, "something follows the end")
+	}
+	beat.ID = id
+	beat.Slots = max(beat.Slots, smallestSlots)
+	if refusal := checkBeat(beat); refusal != nil {
+		return Beat{}, refusal
+	}
+	return beat, nil
+}
+
+// asRefusal returns the refusal within err, or one that says that the body cannot be read.
+func asRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return refuse(Unreadable, err.Error())
+}
+
+func beatMember(decoder *jx.Decoder, key string, beat *Beat) error {
+	switch key {
+	case "service":
+		return readText(decoder, key, &beat.Service)
+	case "address":
+		return readText(decoder, key, &beat.Address)
+	case "zone":
+		return readText(decoder, key, &beat.Zone)
+	case "generation":
+		return readText(decoder, key, &beat.Generation)
+	case "slots":
+		return readInt(decoder, key, &beat.Slots)
+	case "state":
+		return readState(decoder, key, &beat.State)
+	case "coldRemainingMs":
+		return readCold(decoder, key, &beat.ColdRemainingMs)
+	case "stage":
+		return readText(decoder, key, &beat.Stage)
+	case "models":
+		return readModels(decoder, key, &beat.Models)
+	case "sequence":
+		return readSequence(decoder, key, &beat.Sequence)
+	default:
+		return decoder.Skip()
+	}
+}
+
+// checkBeat refuses what cannot be recorded.
+func checkBeat(beat Beat) *Refusal {
+	if beat.ID == "" {
+		return refuse(MissingField, "id")
+	}
+	if len(beat.ID) > longestText {
+		return refuse(TooLarge, "id")
+	}
+	if beat.Service == "" {
+		return refuse(MissingField, "service")
+	}
+	if strings.HasPrefix(beat.Service, reservedPrefix) {
+		return refuse(BadField, "service is reserved")
+	}
+	if beat.Address == "" {
+		return refuse(MissingField, "address")
+	}
+	if _, err := netip.ParseAddrPort(beat.Address); err != nil {
+		return refuse(BadField, "address is not IP:PORT")
+	}
+	return nil
+}
+
+// isNull tells whether the next value is null, and skips it then.
+func isNull(decoder *jx.Decoder) bool {
+	if decoder.Next() != jx.Null {
+		return false
+	}
+	return decoder.Null() == nil
+}
+
+// readText reads a bounded string; null counts as empty.
+func readText(decoder *jx.Decoder, key string, into *string) error {
+	if isNull(decoder) {
+		*into = ""
+		return nil
+	}
+	if decoder.Next() != jx.String {
+		return refuse(BadField, key+" is not a string")
+	}
+	text, err := decoder.Str()
+	if err != nil {
+		return err
+	}
+	if len(text) > longestText {
+		return refuse(TooLarge, key)
+	}
+	*into = text
+	return nil
 }
 
-// ParseBeat reads the body of a heartbeat of the instance id. Unknown fields are ignored. The error
-// is a *Refusal.
-func ParseBeat(id string, body []byte) (Beat, error) { panic("not built yet") }
+// readNumber reads a number and cuts off its fraction; null counts as 0.
+func readNumber(decoder *jx.Decoder, key string) (int64, error) {
+	if isNull(decoder) {
+		return 0, nil
+	}
+	if decoder.Next() != jx.Number {
+		return 0, refuse(BadField, key+" is not a number")
+	}
+	value, err := decoder.Float64()
+	if err != nil {
+		return 0, err
+	}
+	if value < -largestNumber || value > largestNumber {
+		return 0, refuse(BadField, key+" is out of range")
+	}
+	return int64(value), nil
+}
+
+func readInt(decoder *jx.Decoder, key string, into *int) error {
+	value, err := readNumber(decoder, key)
+	*into = int(value)
+	return err
+}
+
+// readCold reads the time that is left; a negative one counts as 0.
+func readCold(decoder *jx.Decoder, key string, into *int64) error {
+	value, err := readNumber(decoder, key)
+	*into = max(value, 0)
+	return err
+}
+
+// readSequence reads a whole number of up to 63 bits; null counts as not numbered.
+func readSequence(decoder *jx.Decoder, key string, into *uint64) error {
+	*into = unknownSequence
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Number {
+		return refuse(BadField, key+" is not a number")
+	}
+	value, err := decoder.Int64()
+	if err != nil || value < 0 {
+		return refuse(BadField, key+" is not a whole number")
+	}
+	*into = uint64(value)
+	return nil
+}
+
+// readState reads the state; what is not known is not sent to.
+func readState(decoder *jx.Decoder, key string, into *State) error {
+	text := ""
+	if err := readText(decoder, key, &text); err != nil {
+		return err
+	}
+	switch text {
+	case stateReady, "":
+		*into = Ready
+	default:
+		*into = Draining
+	}
+	return nil
+}
+
+func readModels(decoder *jx.Decoder, key string, into *[]Model) error {
+	*into = nil
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Array {
+		return refuse(BadField, key+" is not a list")
+	}
+	return decoder.Arr(func(decoder *jx.Decoder) error {
+		if len(*into) == mostModels {
+			return refuse(TooLarge, key)
+		}
+		model, err := readModel(decoder, key)
+		*into = append(*into, model)
+		return err
+	})
+}
+
+func readModel(decoder *jx.Decoder, list string) (Model, error) {
+	model := Model{}
+	if decoder.Next() != jx.Object {
+		return model, refuse(BadField, list+" holds something that is not an object")
+	}
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+		switch key {
+		case "name":
+			return readText(decoder, key, &model.Name)
+		case "generation":
+			return readInt(decoder, key, &model.Generation)
+		case "adapters":
+			return readAdapters(decoder, key, &model.Adapters)
+		default:
+			return decoder.Skip()
+		}
+	})
+	return model, err
+}
+
+func readAdapters(decoder *jx.Decoder, key string, into *[]string) error {
+	*into = nil
+	if isNull(decoder) {
+		return nil
+	}
+	if decoder.Next() != jx.Array {
+		return refuse(BadField, key+" is not a list")
+	}
+	return decoder.Arr(func(decoder *jx.Decoder) error {
+		if len(*into) == mostAdapters {
+			return refuse(TooLarge, key)
+		}
+		name := ""
+		err := readText(decoder, key, &name)
+		*into = append(*into, name)
+		return err
+	})
+}
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -1,5 +1,11 @@
 package registry
 
+import (
+	"fmt"
+
+	"github.com/hamba/avro/v2"
+)
+
 // Reason tells why an instance was removed.
 type Reason uint8
 
@@ -9,15 +15,166 @@
 	Superseded   Reason = 3 // another instance has its address; final
 )
 
+// final tells whether heartbeats no longer bring the instance back.
+func (r Reason) final() bool { return r != Expired }
+
+// operation numbers what a command does.
+type operation int
+
+const (
+	operationPut    operation = 1
+	operationRemove operation = 2
+)
+
+const commandFormat = 1
+
+var binary = avro.Config{}.Freeze()
+
+// The schemas of instances; a command holds one with its operation's fields.
+const instanceFields = `
+	{"name":"id","type":"string"},
+	{"name":"service","type":"string"},
+	{"name":"address","type":"string"},
+	{"name":"zone","type":"string"},
+	{"name":"generation","type":"string"},
+	{"name":"slots","type":"long"},
+	{"name":"state","type":"int"},
+	{"name":"stage","type":"string"},
+	{"name":"models","type":{"type":"array","items":{"type":"record","name":"model","fields":[
+		{"name":"name","type":"string"},
+		{"name":"generation","type":"long"},
+		{"name":"adapters","type":{"type":"array","items":"string"}}]}}}`
+
+var (
+	itemSchema    = avro.MustParse(`{"type":"record","name":"instance","fields":[` + instanceFields + `]}`)
+	commandSchema = avro.MustParse(`{"type":"record","name":"registry_command","fields":[
+	{"name":"format","type":"int"},
+	{"name":"operation","type":"int"},
+	{"name":"sequence","type":"long"},
+	{"name":"reason","type":"int"},` + instanceFields + `]}`)
+)
+
+type itemRecord struct {
+	ID         string  `avro:"id"`
+	Service    string  `avro:"service"`
+	Address    string  `avro:"address"`
+	Zone       string  `avro:"zone"`
+	Generation string  `avro:"generation"`
+	Slots      int64   `avro:"slots"`
+	State      int     `avro:"state"`
+	Stage      string  `avro:"stage"`
+	Models     []Model `avro:"models"`
+}
+
+type commandRecord struct {
+	Format    int   `avro:"format"`
+	Operation int   `avro:"operation"`
+	Sequence  int64 `avro:"sequence"`
+	Reason    int   `avro:"reason"`
+	itemRecord
+}
+
+// command is what was decoded.
+type command struct {
+	operation operation
+	instance  Instance // only its ID where it is removed
+	sequence  uint64
+	reason    Reason
+}
+
+func recordOf(instance Instance) itemRecord {
+	return itemRecord{
+		ID:         instance.ID,
+		Service:    instance.Service,
+		Address:    instance.Address,
+		Zone:       instance.Zone,
+		Generation: instance.Generation,
+		Slots:      int64(instance.Slots),
+		State:      int(instance.State),
+		Stage:      instance.Stage,
+		Models:     instance.Models,
+	}
+}
+
+func (r itemRecord) instance() Instance {
+	return Instance{
+		ID:         r.ID,
+		Service:    r.Service,
+		Address:    r.Address,
+		Zone:       r.Zone,
+		Generation: r.Generation,
+		Slots:      int(r.Slots),
+		State:      State(r.State),
+		Stage:      r.Stage,
+		Models:     r.Models,
+	}
+}
+
 // EncodePut returns the command that records an instance as its heartbeat of that sequence told.
-func EncodePut(instance Instance, sequence uint64) []byte { panic("not built yet") }
+func EncodePut(instance Instance, sequence uint64) []byte {
+	return mustMarshal(commandSchema, commandRecord{
+		Format:     commandFormat,
+		Operation:  int(operationPut),
+		Sequence:   int64(sequence),
+		itemRecord: recordOf(instance),
+	})
+}
 
 // EncodeRemove returns the command that removes an instance whose last known heartbeat had that
-// sequence.
-func EncodeRemove(id string, reason Reason, sequence uint64) []byte { panic("not built yet") }
+// sequence; 0 where it is not known.
+func EncodeRemove(id string, reason Reason, sequence uint64) []byte {
+	return mustMarshal(commandSchema, commandRecord{
+		Format:     commandFormat,
+		Operation:  int(operationRemove),
+		Sequence:   int64(sequence),
+		Reason:     int(reason),
+		itemRecord: itemRecord{ID: id},
+	})
+}
+
+func decodeCommand(encoded []byte) (command, *Refusal) {
+	if len(encoded) == 0 {
+		return command{}, refuse(BadCommand, "it is empty")
+	}
+	var record commandRecord
+	if err := binary.Unmarshal(commandSchema, encoded, &record); err != nil {
+		return command{}, refuse(BadCommand, err.Error())
+	}
+	if record.Format != commandFormat {
+		return command{}, refuse(BadCommand, fmt.Sprintf("format %d", record.Format))
+	}
+	decoded := command{
+		operation: operation(record.Operation),
+		instance:  record.instance(),
+		sequence:  uint64(record.Sequence),
+		reason:    Reason(record.Reason),
+	}
+	if decoded.instance.ID == "" {
+		return command{}, refuse(BadCommand, "it names no instance")
+	}
+	return decoded, nil
+}
 
 // EncodeItem returns the feed's value of an instance.
-func EncodeItem(instance Instance) []byte { panic("not built yet") }
+func EncodeItem(instance Instance) []byte { return mustMarshal(itemSchema, recordOf(instance)) }
+
+// DecodeItem reads what EncodeItem wrote. The error is a *Refusal.
+func DecodeItem(value []byte) (Instance, error) {
+	if len(value) == 0 {
+		return Instance{}, refuse(BadCommand, "the item is empty")
+	}
+	var record itemRecord
+	if err := binary.Unmarshal(itemSchema, value, &record); err != nil {
+		return Instance{}, refuse(BadCommand, err.Error())
+	}
+	return record.instance(), nil
+}
 
-// DecodeItem reads what EncodeItem wrote.
-func DecodeItem(value []byte) (Instance, error) { panic("not built yet") }
+// mustMarshal writes a record of this package's own schemas, which cannot fail.
+func mustMarshal(schema avro.Schema, record any) []byte {
+	encoded, err := binary.Marshal(schema, record)
+	if err != nil {
+		panic(fmt.Sprintf("registry: encode: %v", err))
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/registry/snapshot.go
@@ -0,0 +1,86 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/hamba/avro/v2"
+)
+
+// ErrSnapshot is wrapped by what Restore returns for bytes that it cannot read.
+var ErrSnapshot = errors.New("registry: the snapshot cannot be read")
+
+const snapshotFormat = 1
+
+var snapshotSchema = avro.MustParse(`{"type":"record","name":"registry_snapshot","fields":[
+	{"name":"format","type":"int"},
+	{"name":"instances","type":{"type":"array","items":{"type":"record","name":"held","fields":[
+		{"name":"sequence","type":"long"},
+		{"name":"value","type":"bytes"}]}}},
+	{"name":"tombstones","type":{"type":"array","items":{"type":"record","name":"tombstone","fields":[
+		{"name":"id","type":"string"},
+		{"name":"reason","type":"int"},
+		{"name":"sequence","type":"long"}]}}}]}`)
+
+type heldRecord struct {
+	Sequence int64  `avro:"sequence"`
+	Value    []byte `avro:"value"`
+}
+
+type tombstoneRecord struct {
+	ID       string `avro:"id"`
+	Reason   int    `avro:"reason"`
+	Sequence int64  `avro:"sequence"`
+}
+
+type snapshotRecord struct {
+	Format     int               `avro:"format"`
+	Instances  []heldRecord      `avro:"instances"`
+	Tombstones []tombstoneRecord `avro:"tombstones"`
+}
+
+// Snapshot returns the whole state; equal states give equal bytes.
+func (s *Store) Snapshot() []byte {
+	whole := snapshotRecord{Format: snapshotFormat}
+	for _, id := range s.sortedIDs() {
+		held := s.records[id]
+		whole.Instances = append(whole.Instances, heldRecord{Sequence: int64(held.sequence), Value: held.value})
+	}
+	for _, id := range s.buried {
+		stone := s.tombstones[id]
+		whole.Tombstones = append(whole.Tombstones, tombstoneRecord{
+			ID:       id,
+			Reason:   int(stone.reason),
+			Sequence: int64(stone.sequence),
+		})
+	}
+	return mustMarshal(snapshotSchema, whole)
+}
+
+// Restore replaces the state by what Snapshot returned. The error wraps ErrSnapshot; the state is
+// as before then.
+func (s *Store) Restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		return fmt.Errorf("%w: it is empty", ErrSnapshot)
+	}
+	var whole snapshotRecord
+	if err := binary.Unmarshal(snapshotSchema, snapshot, &whole); err != nil {
+		return fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	if whole.Format != snapshotFormat {
+		return fmt.Errorf("%w: format %d", ErrSnapshot, whole.Format)
+	}
+	restored := NewStore()
+	for _, held := range whole.Instances {
+		instance, err := DecodeItem(held.Value)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrSnapshot, err)
+		}
+		restored.insert(&record{instance: &instance, value: held.Value, sequence: uint64(held.Sequence)})
+	}
+	for _, stone := range whole.Tombstones {
+		restored.bury(stone.ID, tombstone{reason: Reason(stone.Reason), sequence: uint64(stone.Sequence)})
+	}
+	*s = *restored
+	return nil
+}
