--- /dev/null
+++ b/coord/membership/membership_test.go
@@ -0,0 +1,289 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+func names(count int) []string {
+	list := make([]string, count)
+	for i := range list {
+		list[i] = fmt.Sprintf("edge-%03d", i)
+	}
+	return list
+}
+
+func probers(t *testing.T, all []string) map[string]int {
+	t.Helper()
+	probed := make(map[string]int)
+	for _, name := range all {
+		targets := Targets(name, all, Rings)
+		if slices.Contains(targets, name) {
+			t.Fatalf("%s probes itself", name)
+		}
+		for _, target := range targets {
+			probed[target]++
+		}
+	}
+	return probed
+}
+
+func TestEachNodeIsProbedByAboutThreeOthers(t *testing.T) {
+	for _, count := range []int{4, 10, 60, 300} {
+		probed := probers(t, names(count))
+		total := 0
+		for _, name := range names(count) {
+			if probed[name] < 1 || probed[name] > Rings {
+				t.Errorf("of %d nodes, %s is probed by %d", count, name, probed[name])
+			}
+			total += probed[name]
+		}
+		if count >= 60 && float64(total) < 2.9*float64(count) {
+			t.Errorf("%d nodes have %d probes", count, total)
+		}
+	}
+}
+
+func TestFewNodes(t *testing.T) {
+	if targets := Targets("a", nil, Rings); len(targets) != 0 {
+		t.Errorf("targets of a lone node: %v", targets)
+	}
+	if targets := Targets("a", []string{"a", "b"}, Rings); !slices.Equal(targets, []string{"b"}) {
+		t.Errorf("targets of one of two: %v", targets)
+	}
+}
+
+func TestAJoinChangesFewTargets(t *testing.T) {
+	before := names(100)
+	after := append(names(100), "edge-new")
+	changed := 0
+	for _, name := range before {
+		for _, target := range Targets(name, after, Rings) {
+			if !slices.Contains(Targets(name, before, Rings), target) {
+				changed++
+			}
+		}
+	}
+	if changed > Rings {
+		t.Errorf("%d targets changed, want at most %d", changed, Rings)
+	}
+}
+
+func TestTargetsDoNotDependOnTheOrder(t *testing.T) {
+	all := names(30)
+	want := Targets(all[3], all, Rings)
+	slices.Reverse(all)
+	if got := Targets(all[26], all, Rings); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestPacketRoundTrip(t *testing.T) {
+	packets := []Packet{
+		{Kind: Ping, Sequence: 1},
+		{Kind: Ack, Sequence: 1<<64 - 1},
+		{Kind: NoAck, Sequence: 7},
+		{Kind: PingRequest, Sequence: 9, Target: netip.MustParseAddrPort("10.1.0.35:7662")},
+	}
+	for _, packet := range packets {
+		encoded := packet.Encode(nil)
+		if len(encoded) != PacketBytes {
+			t.Errorf("%d bytes", len(encoded))
+		}
+		decoded, err := DecodePacket(encoded)
+		if err != nil || decoded != packet {
+			t.Errorf("got %+v, %v; want %+v", decoded, err, packet)
+		}
+	}
+	for _, bad := range [][]byte{nil, {1}, make([]byte, PacketBytes), make([]byte, PacketBytes+1)} {
+		if _, err := DecodePacket(bad); err == nil {
+			t.Errorf("%v was taken", bad)
+		}
+	}
+}
+
+// network carries packets between probers on a clock of its own; each packet takes latency.
+type network struct {
+	now      time.Time
+	probers  map[netip.AddrPort]*Prober
+	down     map[netip.AddrPort]bool
+	cut      map[[2]netip.AddrPort]bool
+	flights  []flight
+	findings map[string][]Finding // by the node that found
+	sent     int
+}
+
+type flight struct {
+	at       time.Time
+	from, to netip.AddrPort
+	packet   Packet
+}
+
+const (
+	latency = 2 * time.Millisecond
+	step    = time.Millisecond
+)
+
+func newNetwork(count int) *network {
+	n := &network{
+		now:      time.Unix(1000, 0),
+		probers:  make(map[netip.AddrPort]*Prober),
+		down:     make(map[netip.AddrPort]bool),
+		cut:      make(map[[2]netip.AddrPort]bool),
+		findings: make(map[string][]Finding),
+	}
+	var nodes []Node
+	for i, name := range names(count) {
+		nodes = append(nodes, Node{Name: name, Address: address(i)})
+	}
+	for i, node := range nodes {
+		seed := uint64(i + 1)
+		random := func() uint64 { seed = seed*6364136223846793005 + 1442695040888963407; return mix(seed) }
+		prober := NewProber(node.Name, Options{}, random)
+		prober.SetNodes(nodes)
+		n.probers[node.Address] = prober
+	}
+	return n
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7662)
+}
+
+func (n *network) run(span time.Duration) {
+	for end := n.now.Add(span); n.now.Before(end); n.now = n.now.Add(step) {
+		n.deliver()
+		for from, prober := range n.probers {
+			if at, ok := prober.NextAt(); ok && !n.down[from] && !n.now.Before(at) {
+				n.carryOut(from, prober, prober.Tick(n.now))
+			}
+		}
+	}
+}
+
+func (n *network) deliver() {
+	due := n.flights
+	n.flights = nil
+	for _, f := range due {
+		switch {
+		case n.now.Before(f.at):
+			n.flights = append(n.flights, f)
+		case n.down[f.to] || n.down[f.from] || n.cut[[2]netip.AddrPort{f.from, f.to}]:
+		default:
+			n.carryOut(f.to, n.probers[f.to], n.probers[f.to].Receive(n.now, f.from, f.packet))
+		}
+	}
+}
+
+func (n *network) carryOut(from netip.AddrPort, prober *Prober, actions Actions) {
+	for _, out := range actions.Send {
+		n.sent++
+		n.flights = append(n.flights, flight{at: n.now.Add(latency), from: from, to: out.To, packet: out.Packet})
+	}
+	n.findings[prober.self] = append(n.findings[prober.self], actions.Findings...)
+}
+
+func (n *network) suspicions(node string) int {
+	count := 0
+	for _, findings := range n.findings {
+		for _, finding := range findings {
+			if finding.Suspected && finding.Node.Name == node {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestAllAnswer(t *testing.T) {
+	n := newNetwork(10)
+	n.run(20 * time.Second)
+	for name, findings := range n.findings {
+		if len(findings) > 0 {
+			t.Errorf("%s found %v", name, findings)
+		}
+	}
+	if perSecond := float64(n.sent) / 10 / 20; perSecond > 2.2 {
+		t.Errorf("%.1f packets per node and second", perSecond)
+	}
+}
+
+func TestADeadNodeIsSuspectedAndComesBack(t *testing.T) {
+	n := newNetwork(10)
+	n.run(5 * time.Second)
+	n.down[address(4)] = true
+	n.run(6 * time.Second)
+	if n.suspicions("edge-004") == 0 {
+		t.Error("the dead node is not suspected")
+	}
+	for _, name := range names(10) {
+		if name != "edge-004" && n.suspicions(name) > 0 {
+			t.Errorf("%s is suspected", name)
+		}
+	}
+	n.down[address(4)] = false
+	n.run(8 * time.Second)
+	for _, prober := range n.probers {
+		if prober.suspected["edge-004"] {
+			t.Errorf("%s still suspects it", prober.self)
+		}
+	}
+}
+
+func TestACutBetweenTwoNodesSuspectsNobody(t *testing.T) {
+	n := newNetwork(10)
+	target := Targets("edge-000", names(10), Rings)[0]
+	for i, name := range names(10) {
+		if name == target {
+			n.cut[[2]netip.AddrPort{address(0), address(i)}] = true
+			n.cut[[2]netip.AddrPort{address(i), address(0)}] = true
+		}
+	}
+	n.run(20 * time.Second)
+	for _, name := range names(10) {
+		if n.suspicions(name) > 0 {
+			t.Errorf("%s is suspected", name)
+		}
+	}
+}
+
+func TestANodeThatIsCutOffSuspectsNobody(t *testing.T) {
+	n := newNetwork(10)
+	for i := 1; i < 10; i++ {
+		n.cut[[2]netip.AddrPort{address(0), address(i)}] = true
+		n.cut[[2]netip.AddrPort{address(i), address(0)}] = true
+	}
+	n.run(20 * time.Second)
+	if len(n.findings["edge-000"]) > 0 {
+		t.Errorf("it found %v", n.findings["edge-000"])
+	}
+	if n.suspicions("edge-000") == 0 {
+		t.Error("the others do not suspect it")
+	}
+}
+
+func TestAStallOfTheProberGivesUpWhatIsOut(t *testing.T) {
+	n := newNetwork(3)
+	prober := n.probers[address(0)]
+	actions := prober.Tick(n.now)
+	if len(actions.Send) != 1 || actions.Send[0].Packet.Kind != Ping {
+		t.Fatalf("first tick: %+v", actions)
+	}
+	actions = prober.Tick(n.now.Add(10 * time.Second))
+	if len(actions.Send) != 1 || actions.Send[0].Packet.Kind != Ping {
+		t.Errorf("after the stall: %+v", actions)
+	}
+}
+
+func TestNodesThatAreGoneAreNotProbed(t *testing.T) {
+	n := newNetwork(3)
+	prober := n.probers[address(0)]
+	prober.Tick(n.now)
+	prober.SetNodes(nil)
+	if at, ok := prober.NextAt(); ok {
+		t.Errorf("it waits until %v", at)
+	}
+}
--- /dev/null
+++ b/coord/membership/packet.go
@@ -0,0 +1,60 @@
+package membership
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+)
+
+// PacketKind tells what a packet asks or answers.
+type PacketKind uint8
+
+// Kinds of packets.
+const (
+	Ping        PacketKind = 1 // asks for an Ack
+	Ack         PacketKind = 2 // the node asked about answers, by itself or through a peer
+	PingRequest PacketKind = 3 // asks a peer to ping Target
+	NoAck       PacketKind = 4 // the answer of that peer where Target did not answer it
+)
+
+// Packet is one datagram between two nodes.
+type Packet struct {
+	Kind     PacketKind
+	Sequence uint64         // an answer repeats that of its question
+	Target   netip.AddrPort // of PingRequest, IPv4
+}
+
+// PacketBytes is the length of an encoded packet.
+const PacketBytes = 15
+
+// ErrBadPacket is returned for bytes that are no packet.
+var ErrBadPacket = errors.New("membership: not a packet")
+
+// Encode appends the packet's bytes to buffer.
+func (p Packet) Encode(buffer []byte) []byte {
+	buffer = append(buffer, byte(p.Kind))
+	buffer = binary.BigEndian.AppendUint64(buffer, p.Sequence)
+	var address [4]byte
+	if p.Target.Addr().Is4() {
+		address = p.Target.Addr().As4()
+	}
+	buffer = append(buffer, address[:]...)
+	return binary.BigEndian.AppendUint16(buffer, p.Target.Port())
+}
+
+// DecodePacket reads a packet.
+func DecodePacket(data []byte) (Packet, error) {
+	if len(data) != PacketBytes {
+		return Packet{}, ErrBadPacket
+	}
+	packet := Packet{Kind: PacketKind(data[0]), Sequence: binary.BigEndian.Uint64(data[1:9])}
+	switch packet.Kind {
+	case Ping, Ack, NoAck:
+	case PingRequest:
+		address := netip.AddrFrom4([4]byte(data[9:13]))
+		packet.Target = netip.AddrPortFrom(address, binary.BigEndian.Uint16(data[13:15]))
+	default:
+		return Packet{}, ErrBadPacket
+	}
+	return packet, nil
+}
--- /dev/null
+++ b/coord/membership/rounds.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+)
+
+// startProbe pings the next target.
+func (p *Prober) startProbe(now time.Time, actions *Actions) {
+	p.turn++
+	target := p.targets[p.turn%len(p.targets)]
+	p.probe = &probe{target: target, sequence: p.nextSequence(), deadline: now.Add(p.options.AckLimit)}
+	actions.send(target.Address, Packet{Kind: Ping, Sequence: p.probe.sequence})
+}
+
+// probeExpired asks peers about a target that did not answer, and gives up where they did not
+// all confirm it in time.
+func (p *Prober) probeExpired(now time.Time, actions *Actions) {
+	if p.probe.peersAsked > 0 {
+		p.probe = nil
+		return
+	}
+	peers := p.drawPeers(p.probe.target)
+	if len(peers) == 0 {
+		p.probe = nil
+		return
+	}
+	p.probe.peersAsked = len(peers)
+	p.probe.deadline = now.Add(p.options.PeersLimit)
+	for _, peer := range peers {
+		actions.send(peer.Address, Packet{
+			Kind: PingRequest, Sequence: p.probe.sequence, Target: p.probe.target.Address,
+		})
+	}
+}
+
+// drawPeers draws the nodes that are asked about a target.
+func (p *Prober) drawPeers(target Node) []Node {
+	others := make([]Node, 0, len(p.nodes))
+	for _, node := range p.nodes {
+		if node.Name != p.self && node.Name != target.Name && !p.suspected[node.Name] {
+			others = append(others, node)
+		}
+	}
+	count := min(confirmations, len(others))
+	for i := range count {
+		drawn := i + int(p.random()%uint64(len(others)-i))
+		others[i], others[drawn] = others[drawn], others[i]
+	}
+	return others[:count]
+}
+
+// acknowledged ends the probe or the relay that the sequence belongs to.
+func (p *Prober) acknowledged(sequence uint64, actions *Actions) {
+	if relay, ok := p.relays[sequence]; ok {
+		delete(p.relays, sequence)
+		actions.send(relay.requester, Packet{Kind: Ack, Sequence: relay.sequence})
+		return
+	}
+	if p.probe == nil || p.probe.sequence != sequence {
+		return
+	}
+	target := p.probe.target
+	p.probe = nil
+	if p.suspected[target.Name] {
+		delete(p.suspected, target.Name)
+		actions.Findings = append(actions.Findings, Finding{Node: target})
+	}
+}
+
+// notAcknowledged counts a peer that had no answer either.
+func (p *Prober) notAcknowledged(sequence uint64, actions *Actions) {
+	if p.probe == nil || p.probe.sequence != sequence || p.probe.peersAsked == 0 {
+		return
+	}
+	p.probe.noAcks++
+	if p.probe.noAcks < p.probe.peersAsked {
+		return
+	}
+	target := p.probe.target
+	p.probe = nil
+	p.suspected[target.Name] = true
+	actions.Findings = append(actions.Findings, Finding{Node: target, Suspected: true})
+}
+
+// startRelay pings a node for another one.
+func (p *Prober) startRelay(now time.Time, from netip.AddrPort, request Packet, actions *Actions) {
+	if len(p.relays) >= relayLimit {
+		return
+	}
+	sequence := p.nextSequence()
+	p.relays[sequence] = relay{
+		requester: from, sequence: request.Sequence, deadline: now.Add(p.options.AckLimit),
+	}
+	actions.send(request.Target, Packet{Kind: Ping, Sequence: sequence})
+}
+
+// expireRelays tells those that asked that there was no answer.
+func (p *Prober) expireRelays(now time.Time, actions *Actions) {
+	for sequence, relay := range p.relays {
+		if now.Before(relay.deadline) {
+			continue
+		}
+		delete(p.relays, sequence)
+		actions.send(relay.requester, Packet{Kind: NoAck, Sequence: relay.sequence})
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,15 +5,127 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 
+	"ospreybend/coord/membership"
+	"ospreybend/internal/feedlink"
 	"ospreybend/internal/settings"
 )
 
-// Run runs the agent until ctx ends, and then serves the proxy until it has gone or the time of
-// grace is nearly over. It fails if a port of the machine cannot be opened.
+// Ports of the machine's range that the agent knows of, by their place in it.
+const (
+	feedPortPlace  = 0 // of keepers: where they serve the feed
+	proxyPortPlace = 1 // on loopback: where the agent serves its proxy
+	probePortPlace = 2 // where agents answer the probes of others
+	portsNeeded    = 3
+)
+
+const (
+	gcPercent        = 50          // the heap is small and changes rarely
+	memoryLimitShare = 0.6         // of the machine's memory for the Go runtime
+	megabyte         = 1e6         // bytes
+	graceMargin      = time.Second // kept of the time of grace for the end of the process
+)
+
+// ErrPorts is returned for settings whose port range is too short.
+var ErrPorts = errors.New("agent: the port range has too few ports")
+
+// Options switch parts of the agent.
+type Options struct {
+	ProbePeers bool // take part in the probing between agents
+	Probing    membership.Options
+}
+
+// DefaultOptions are those of Run.
+func DefaultOptions() Options { return Options{ProbePeers: true} }
+
+// Run runs the agent with the default options until ctx ends, and then serves the proxy until it has
+// gone or the time of grace is nearly over. It fails if a port of the machine cannot be opened.
 func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
-	<-ctx.Done()
+	return RunWith(ctx, config, DefaultOptions(), log)
+}
+
+// RunWith is Run with options.
+func RunWith(ctx context.Context, config settings.Settings, options Options, log *zap.Logger) error {
+	ports, err := portsOf(config)
+	if err != nil {
+		return err
+	}
+	limitMemory(config.Limits)
+
+	store := newStore()
+	client := newKeeperClient(config, ports.feed, store, log)
+	front, err := newProxyFront(ctx, ports.proxy, store, client.Report)
+	if err != nil {
+		return fmt.Errorf("agent: listen for the proxy: %w", err)
+	}
+	store.onReport(front.broadcast)
+	if options.ProbePeers {
+		stop, err := startProbing(ctx, config.IP, ports.probe, options.Probing, store, client.Report)
+		if err != nil {
+			front.close()
+			return fmt.Errorf("agent: open the port for probes: %w", err)
+		}
+		defer stop()
+	}
+	go front.accept()
+	log.Info("agent started", zap.String("node", config.NodeName))
+
+	_ = client.Run(ctx)
+	front.drain(drainLimit(config.Bounds))
+	log.Info("agent stopped")
 	return nil
 }
+
+type machinePorts struct{ feed, proxy, probe int }
+
+func portsOf(config settings.Settings) (machinePorts, error) {
+	first, last := config.PortRange[0], config.PortRange[1]
+	if first <= 0 || last < first+portsNeeded-1 {
+		return machinePorts{}, fmt.Errorf("%w: %d to %d", ErrPorts, first, last)
+	}
+	return machinePorts{
+		feed:  first + feedPortPlace,
+		proxy: first + proxyPortPlace,
+		probe: first + probePortPlace,
+	}, nil
+}
+
+// limitMemory has the runtime collect garbage early: the process is charged for its peak.
+func limitMemory(limits settings.Limits) {
+	debug.SetGCPercent(gcPercent)
+	if limits.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(float64(limits.MemoryMb) * megabyte * memoryLimitShare))
+	}
+}
+
+// drainLimit says how long the proxy is served after the signal to stop.
+func drainLimit(bounds settings.Bounds) time.Duration {
+	return max(settings.Seconds(bounds.GraceS)-graceMargin, graceMargin)
+}
+
+func newKeeperClient(config settings.Settings, feedPort int, store *store, log *zap.Logger) *feedlink.Client {
+	return feedlink.NewClient(feedlink.ClientOptions{
+		Hello: feedlink.Hello{
+			Node:        config.NodeName,
+			Zone:        config.Zone,
+			Region:      config.Region,
+			IP:          config.IP,
+			Role:        feedlink.RoleAgent,
+			Incarnation: rand.Uint64(),
+		},
+		Choice: feedlink.ChoiceOptions{
+			Node:     config.NodeName,
+			Zone:     config.Zone,
+			Region:   config.Region,
+			Seeds:    config.Seeds,
+			FeedPort: feedPort,
+		},
+	}, &upstream{store: store, log: log})
+}
--- /dev/null
+++ b/internal/agent/probing.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"ospreybend/coord/membership"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/registry"
+)
+
+const (
+	// nodesInterval is the shortest time between two looks at the list of nodes.
+	nodesInterval = 5 * time.Second
+	// readRetryAfter is the wait after a failed read of the socket that is no timeout.
+	readRetryAfter = 100 * time.Millisecond
+	packetBuffer   = 64 // bytes, more than a packet has
+)
+
+// probing drives a prober with one UDP socket and one goroutine.
+type probing struct {
+	socket *net.UDPConn
+	prober *membership.Prober
+	store  *store
+	report func(topic string, body []byte)
+	port   int
+
+	nodesIndex uint64    // of the shard when the nodes were last read
+	nodesAt    time.Time // when that was
+	sendBuffer []byte
+}
+
+// startProbing answers the probes of other machines and probes some of them, until ctx ends. stop
+// waits for the end.
+func startProbing(
+	ctx context.Context, ip string, port int, options membership.Options, store *store,
+	report func(topic string, body []byte),
+) (stop func(), err error) {
+	address, err := netip.ParseAddr(ip)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, uint16(port))))
+	if err != nil {
+		return nil, err
+	}
+	p := &probing{
+		socket: socket,
+		prober: membership.NewProber(address.String(), options, rand.Uint64),
+		store:  store,
+		report: report,
+		port:   port,
+	}
+	done := make(chan struct{})
+	closeSocket := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	go func() {
+		defer close(done)
+		p.run(ctx)
+	}()
+	return func() {
+		closeSocket()
+		_ = socket.Close()
+		<-done
+	}, nil
+}
+
+// run reads packets and does what is due until ctx ends.
+func (p *probing) run(ctx context.Context) {
+	var buffer [packetBuffer]byte
+	for ctx.Err() == nil {
+		_ = p.socket.SetReadDeadline(p.nextAt())
+		count, from, err := p.socket.ReadFromUDPAddrPort(buffer[:])
+		now := time.Now()
+		switch {
+		case err == nil:
+			p.receive(now, from, buffer[:count])
+		case errors.Is(err, net.ErrClosed):
+			return
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			time.Sleep(readRetryAfter)
+		}
+		p.refreshNodes(now)
+		if at, ok := p.prober.NextAt(); ok && !now.Before(at) {
+			p.carryOut(p.prober.Tick(now))
+		}
+	}
+}
+
+// nextAt says when something is due at the latest.
+func (p *probing) nextAt() time.Time {
+	refreshAt := time.Now().Add(nodesInterval)
+	if at, ok := p.prober.NextAt(); ok && at.Before(refreshAt) {
+		return at
+	}
+	return refreshAt
+}
+
+func (p *probing) receive(now time.Time, from netip.AddrPort, data []byte) {
+	packet, err := membership.DecodePacket(data)
+	if err != nil {
+		return
+	}
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	p.carryOut(p.prober.Receive(now, from, packet))
+}
+
+func (p *probing) carryOut(actions membership.Actions) {
+	for _, out := range actions.Send {
+		p.sendBuffer = out.Packet.Encode(p.sendBuffer[:0])
+		_, _ = p.socket.WriteToUDPAddrPort(p.sendBuffer, out.To) // a lost packet is asked about again
+	}
+	for _, finding := range actions.Findings {
+		body, err := feedlink.EncodeSuspicion(feedlink.Suspicion{
+			IP: finding.Node.Name, Suspected: finding.Suspected,
+		})
+		if err == nil {
+			p.report(feedlink.TopicSuspicion, body)
+		}
+	}
+}
+
+// refreshNodes reads the list of nodes again if its shard has moved on.
+func (p *probing) refreshNodes(now time.Time) {
+	if !p.nodesAt.IsZero() && now.Sub(p.nodesAt) < nodesInterval {
+		return
+	}
+	p.nodesAt = now
+	values, index := p.store.valuesSince(nodesShard(), p.nodesIndex)
+	if index == p.nodesIndex {
+		return
+	}
+	p.nodesIndex = index
+	p.prober.SetNodes(nodesOf(values, p.port))
+}
+
+func nodesShard() shards.ID { return shards.Of(registry.NodesService) }
+
+// nodesOf picks the fleet's nodes out of a shard's items. A node is named by its IP.
+func nodesOf(values [][]byte, port int) []membership.Node {
+	var nodes []membership.Node
+	seen := make(map[netip.Addr]bool)
+	for _, value := range values {
+		ip, ok := nodeIP(value)
+		if !ok || seen[ip] {
+			continue
+		}
+		seen[ip] = true
+		nodes = append(nodes, membership.Node{
+			Name:    ip.String(),
+			Address: netip.AddrPortFrom(ip, uint16(port)),
+		})
+	}
+	return nodes
+}
+
+// nodeIP returns the IP of an item that is one of the fleet's nodes and is not about to leave.
+func nodeIP(value []byte) (ip netip.Addr, ok bool) {
+	if !bytes.Contains(value, []byte(registry.NodesService)) {
+		return netip.Addr{}, false // most items; they need not be decoded
+	}
+	instance, err := registry.DecodeItem(value)
+	if err != nil || instance.Service != registry.NodesService || instance.State == registry.Draining {
+		return netip.Addr{}, false
+	}
+	address, err := netip.ParseAddrPort(instance.Address)
+	return address.Addr(), err == nil
+}
--- /dev/null
+++ b/internal/agent/store.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+)
+
+// backlogBytes bounds the changes that are kept of each shard. The proxy reads them at once; one that
+// was away for longer gets a snapshot, over loopback.
+const backlogBytes = 64 << 10
+
+// store holds the items of all shards as the keeper sent them.
+type store struct {
+	mu       sync.Mutex
+	buffers  map[shards.ID]*feed.Buffer
+	current  map[shards.ID]bool // by the keeper's last status; empty without a keeper
+	wakes    map[chan<- struct{}]struct{}
+	toReport func(report feedlink.Report)
+}
+
+func newStore() *store {
+	return &store{
+		buffers: make(map[shards.ID]*feed.Buffer),
+		current: make(map[shards.ID]bool),
+		wakes:   make(map[chan<- struct{}]struct{}),
+	}
+}
+
+// onReport sets what becomes of the keeper's reports. It is called before the feed is read.
+func (s *store) onReport(take func(report feedlink.Report)) { s.toReport = take }
+
+func (s *store) reset(shard shards.ID, snapshot feed.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.buffer(shard).Reset(snapshot)
+}
+
+func (s *store) change(shard shards.ID, change feed.Change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buffer(shard).Append(change)
+}
+
+// buffer returns a shard's buffer, a new one if there is none. The caller holds mu.
+func (s *store) buffer(shard shards.ID) *feed.Buffer {
+	buffer, ok := s.buffers[shard]
+	if !ok {
+		buffer = feed.NewBuffer(backlogBytes)
+		s.buffers[shard] = buffer
+	}
+	return buffer
+}
+
+// setCurrent notes which shards the keeper is current in, and wakes readers if that is news.
+func (s *store) setCurrent(status []feedlink.ShardStatus) {
+	s.mu.Lock()
+	changed := len(status) != len(s.current)
+	for _, shard := range status {
+		known, ok := s.current[shard.Shard]
+		changed = changed || !ok || known != shard.Current
+	}
+	clear(s.current)
+	for _, shard := range status {
+		s.current[shard.Shard] = shard.Current
+	}
+	s.mu.Unlock()
+	if changed {
+		s.wakeAll()
+	}
+}
+
+func (s *store) wakeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for wake := range s.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Shards implements feedlink.Source.
+func (s *store) Shards() []shards.ID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sortedShards()
+}
+
+// sortedShards lists the shards that there is anything of. The caller holds mu.
+func (s *store) sortedShards() []shards.ID {
+	held := make([]shards.ID, 0, len(s.buffers))
+	for shard := range s.buffers {
+		held = append(held, shard)
+	}
+	slices.Sort(held)
+	return held
+}
+
+// Since implements feedlink.Source.
+func (s *store) Since(shard shards.ID, index uint64) ([]feed.Change, *feed.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	buffer, ok := s.buffers[shard]
+	if !ok || buffer.Index() <= index {
+		return nil, nil
+	}
+	if changes, ok := buffer.Since(index); ok {
+		return changes, nil
+	}
+	snapshot := buffer.Snapshot()
+	return nil, &snapshot
+}
+
+// Status implements feedlink.Source: a shard is current where the keeper is.
+func (s *store) Status() feedlink.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var status feedlink.Status
+	for _, shard := range s.sortedShards() {
+		status.Shards = append(status.Shards, feedlink.ShardStatus{
+			Shard: shard, Index: s.buffers[shard].Index(), Current: s.current[shard],
+		})
+	}
+	return status
+}
+
+// Subscribe implements feedlink.Source.
+func (s *store) Subscribe(wake chan<- struct{}) (cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wakes[wake] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.wakes, wake)
+	}
+}
+
+// valuesSince returns the values of a shard's items and their index, or nothing but the index if
+// that is the given one.
+func (s *store) valuesSince(shard shards.ID, index uint64) (values [][]byte, now uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	buffer, ok := s.buffers[shard]
+	if !ok || buffer.Index() == index {
+		return nil, index
+	}
+	for _, item := range buffer.Snapshot().Items {
+		values = append(values, item.Value)
+	}
+	return values, buffer.Index()
+}
--- a/internal/feedlink/client.go
+++ b/internal/feedlink/client.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"time"
 
 	"ospreybend/coord/feed"
 	"ospreybend/coord/shards"
 )
 
-// Handler takes what a client receives. One goroutine calls it.
+// Handler takes what a client receives. One goroutine calls it, that of Run; what it is given is
+// its own to keep.
 type Handler interface {
 	// Snapshot replaces all that is held of a shard.
 	Snapshot(shard shards.ID, snapshot feed.Snapshot)
@@ -20,7 +23,8 @@
 	Disconnected(err error)
 }
 
-// BatchHandler is a Handler that is told when all that arrived together has been handed over.
+// BatchHandler is a Handler that is told when all of one frame's changes, or a whole snapshot,
+// have been handed over.
 type BatchHandler interface {
 	Handler
 	BatchDone()
@@ -37,22 +41,132 @@
 	Hello  Hello // Offsets: what is held already
 	Choice ChoiceOptions
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // nil: Dial
-	Now    func() time.Time                                            // nil: time.Now
 }
 
 // Client reads the feed from one server at a time and goes to another when that one fails.
-type Client struct{}
+type Client struct {
+	hello    Hello
+	handler  Handler
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	choice   *Choice
+	receiver *receiver
+	outbox   *outbox
+}
 
 // NewClient prepares a client.
-func NewClient(options ClientOptions, handler Handler) *Client { return &Client{} }
+func NewClient(options ClientOptions, handler Handler) *Client {
+	dial := options.Dial
+	if dial == nil {
+		dial = Dial
+	}
+	return &Client{
+		hello:    options.Hello,
+		handler:  handler,
+		dial:     dial,
+		choice:   NewChoice(options.Choice, rand.Float64),
+		receiver: newReceiver(options.Hello.Offsets),
+		outbox:   newOutbox(),
+	}
+}
 
 // NewProxyClient prepares the client of a proxy, which reads from the agent of its own machine.
-// The agent's port is the second of the machine's range (settings' portRange[1]).
-func NewProxyClient(hello Hello, agentPort int, handler Handler) *Client { return &Client{} }
+// The agent's port is the second of the machine's range (settings' portRange[1]). Role is set.
+func NewProxyClient(hello Hello, agentPort int, handler Handler) *Client {
+	hello.Role = RoleProxy
+	choice := ChoiceOptions{
+		Node:        hello.Node,
+		Fixed:       LoopbackAddress(agentPort),
+		SilentAfter: LoopbackSilentAfter,
+	}
+	return NewClient(ClientOptions{Hello: hello, Choice: choice}, handler)
+}
+
+// LoopbackAddress is where an agent serves its proxy.
+func LoopbackAddress(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
 // Run reads until ctx ends, and returns its error.
-func (c *Client) Run(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+func (c *Client) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		address, wait := c.choice.Next(time.Now())
+		if !pause(ctx, wait) {
+			break
+		}
+		err := c.attempt(ctx, address)
+		c.choice.Ended(time.Now(), err)
+	}
+	return ctx.Err()
+}
 
 // Report has a report sent to the server, once connected. It does not block; the oldest reports are
 // dropped where too many wait.
-func (c *Client) Report(topic string, body []byte) {}
+func (c *Client) Report(topic string, body []byte) { c.outbox.put(Report{Topic: topic, Body: body}) }
+
+// attempt dials a server and follows its feed. It returns why that ended.
+func (c *Client) attempt(ctx context.Context, address string) error {
+	if address == "" {
+		return ErrNoServer
+	}
+	connection, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.choice.Connected(time.Now())
+	c.handler.Connected(address)
+	err = c.follow(ctx, connection)
+	c.handler.Disconnected(err)
+	return err
+}
+
+// follow reads one connection until it fails, is to be left, or ctx ends, and closes it.
+func (c *Client) follow(ctx context.Context, connection net.Conn) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+
+	hello := c.hello
+	hello.Offsets = c.receiver.connected()
+	writerDone := make(chan struct{})
+	go func() {
+		defer close(writerDone)
+		if err := c.send(ctx, connection, hello); err != nil {
+			cancel(err)
+		}
+	}()
+	err := c.receive(connection)
+	cancel(err)
+	_ = connection.Close()
+	<-writerDone
+	return context.Cause(ctx)
+}
+
+// send writes the hello and then reports as they come, until ctx ends or a write fails.
+func (c *Client) send(ctx context.Context, connection net.Conn, hello Hello) error {
+	frames, err := AppendHello(nil, hello)
+	if err != nil {
+		return err
+	}
+	for {
+		if frames, err = appendReports(frames, c.outbox.take()); err != nil {
+			return err
+		}
+		if err := writeAll(connection, frames, WriteLimit); err != nil {
+			return err
+		}
+		frames = nil
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.outbox.ready:
+		}
+	}
+}
+
+func appendReports(frames []byte, reports []Report) ([]byte, error) {
+	for _, report := range reports {
+		var err error
+		if frames, err = AppendReport(frames, report); err != nil {
+			return nil, err
+		}
+	}
+	return frames, nil
+}
--- a/internal/feedlink/schemas.go
+++ b/internal/feedlink/schemas.go
@@ -45,6 +45,9 @@
 
 	reportSchema = avro.MustParse(`{"type":"record","name":"Report","fields":[
 		{"name":"Topic","type":"string"},{"name":"Body","type":"bytes"}]}`)
+
+	suspicionSchema = avro.MustParse(`{"type":"record","name":"Suspicion","fields":[
+		{"name":"IP","type":"string"},{"name":"Suspected","type":"boolean"}]}`)
 )
 
 // codec admits strings and byte fields up to the length of a frame.
--- a/internal/feedlink/server.go
+++ b/internal/feedlink/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -154,18 +153,14 @@
 
 // await returns once there may be something to send, or false once ctx has ended.
 func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer) bool {
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-wake:
-			return true
-		case <-timer.C:
-			return true
-		case <-s.outbox.ready:
-			return true
-		}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	case <-timer.C:
+	case <-s.outbox.ready:
 	}
+	return true
 }
 
 // sendNews sends, in this order, what the shards have, the status if it is due, and reports. The
@@ -191,11 +186,20 @@
 	return s.writer.flush()
 }
 
-// untilStatus says how long the next status may wait.
+// untilStatus says how long the next status may wait. Statuses are due at multiples of the interval
+// since the process began, so that all sessions send theirs in one wake-up of the process.
 func (s *Session) untilStatus(now time.Time) time.Duration {
-	return s.options.StatusInterval - now.Sub(s.writer.statusAt)
+	if s.writer.statusAt.IsZero() {
+		return 0
+	}
+	latest := s.writer.statusAt.Add(s.options.StatusInterval)
+	beyond := latest.Sub(processStart) % s.options.StatusInterval
+	return latest.Add(-beyond).Sub(now)
 }
 
+// processStart is the origin of the grid of statuses.
+var processStart = time.Now()
+
 // pause waits for a time, or returns false once ctx has ended.
 func pause(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
@@ -210,6 +214,3 @@
 		return true
 	}
 }
-
-// errStopped is the cause of an end that nobody's fault brought about.
-var errStopped = errors.New("feedlink: stopped")
