Choose the workers of a request by fitted delays, kept prefixes and load

Need: the dispatcher's choice of a prefill and a decode worker, or refusal. Change: internal/selection with windows per worker, class and size bucket, load, kept parts and homes, hand-overs, failures, admission; internal/estimate holds what balance uses as well.

--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -4,12 +4,12 @@
 	"math"
 	"time"
 
+	"ospreybend/internal/estimate"
 	"ospreybend/internal/stat"
 )
 
 const (
-	windowLen    = 24   // samples a window keeps; a fit over more changes too slowly to matter
-	priorSamples = 6.0  // a window of this many samples weighs as much as the pooled prediction
+	windowLen    = estimate.WindowLength
 	paceSamples  = 2.0  // the kind's pace counts as this many samples of a worker's own
 	poolSamples  = 256. // samples after which a pooled mean forgets
 	oddRatio     = 4.   // a job this many times slower or faster than usual counts as just that
@@ -121,7 +121,7 @@
 	size := e.sizeOf(j)
 	pooled := e.paceOf(now, p, kind)*size + e.waitAt(j, free, slots)
 	own := stat.Of(p.process, windowKey{j.class, j.bucket}).Fit(now, p.life, -1)
-	return (own.At(free)*size*own.N + pooled*priorSamples) / (own.N + priorSamples)
+	return estimate.Blend(own.At(free)*size, own.N, pooled, estimate.PriorSamples)
 }
 
 // learnProcess takes in a finished job: wait and run in seconds.
--- /dev/null
+++ b/internal/selection/engine_test.go
@@ -0,0 +1,173 @@
+package selection
+
+import (
+	"container/heap"
+	"time"
+)
+
+// A small model of engine workers on one clock, for tests: prompts are read in pieces, first come first
+// served; a decode worker reads between the tokens of others at half the pace.
+
+const (
+	modelPiece    = 1024.
+	modelPace     = 42600. // tokens a second
+	modelStep     = 0.00555
+	modelStepSlot = 0.000029
+	modelStepK    = 0.0000152 // for each 1,000 tokens held
+	modelLink     = 327680. * 8 / 2.6e12
+)
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type clock struct {
+	now    time.Duration
+	events []event
+	n      int
+}
+
+func (c *clock) Len() int { return len(c.events) }
+func (c *clock) Less(i, k int) bool {
+	a, b := c.events[i], c.events[k]
+	return a.at < b.at || a.at == b.at && a.n < b.n
+}
+func (c *clock) Swap(i, k int) { c.events[i], c.events[k] = c.events[k], c.events[i] }
+func (c *clock) Push(x any)    { c.events = append(c.events, x.(event)) }
+func (c *clock) Pop() any {
+	last := c.events[len(c.events)-1]
+	c.events = c.events[:len(c.events)-1]
+	return last
+}
+
+func (c *clock) after(seconds float64, do func()) {
+	c.n++
+	heap.Push(c, event{c.now + time.Duration(seconds*float64(time.Second)), c.n, do})
+}
+
+func (c *clock) run(until time.Duration) {
+	for len(c.events) > 0 && c.events[0].at <= until {
+		next := heap.Pop(c).(event)
+		c.now = next.at
+		next.do()
+	}
+}
+
+// modelJob is one call at a modelled worker.
+type modelJob struct {
+	prompt []Part
+	left   float64 // tokens to read
+	output int
+	first  func(Load)
+	done   func(Load)
+}
+
+type modelWorker struct {
+	clock    *clock
+	decode   bool
+	slow     float64
+	keeps    kept
+	waiting  []*modelJob
+	running  []*modelJob
+	stepping bool
+	linkFree time.Duration
+	read     float64 // tokens read in all
+	reread   float64 // of shared parts
+	moved    float64
+}
+
+func (w *modelWorker) load() Load { return Load{len(w.running), len(w.waiting), 64} }
+
+func promptTokens(prompt []Part) float64 {
+	total := 0
+	for _, part := range prompt {
+		total += part.Tokens
+	}
+	return float64(total)
+}
+
+// take queues a call that reads.
+func (w *modelWorker) take(j *modelJob) {
+	j.left = max(1, promptTokens(j.prompt)-w.keeps.prefix(j.prompt))
+	w.read += j.left
+	w.reread += max(0, j.left-float64(j.prompt[len(j.prompt)-1].Tokens))
+	w.waiting = append(w.waiting, j)
+	w.step()
+}
+
+// fetch moves a prompt's memory here, and starts the call.
+func (w *modelWorker) fetch(from *modelWorker, far bool, j *modelJob) {
+	tokens := max(0, promptTokens(j.prompt)-w.keeps.prefix(j.prompt))
+	w.moved += tokens
+	span := 0.0025 + tokens*modelLink
+	if far {
+		span *= 2
+	}
+	start := max(w.clock.now, w.linkFree, from.linkFree)
+	end := start + time.Duration(span*float64(time.Second))
+	w.linkFree, from.linkFree = end, end
+	w.clock.after((end - w.clock.now).Seconds(), func() {
+		j.left = 1
+		w.waiting = append(w.waiting, j)
+		w.step()
+	})
+}
+
+// step runs one step of the batch, if there is work.
+func (w *modelWorker) step() {
+	if w.stepping || len(w.waiting)+len(w.running) == 0 {
+		return
+	}
+	w.stepping = true
+	piece, pace, span := modelPiece, modelPace, 0.
+	if w.decode {
+		piece, pace = piece/4, pace/2
+	}
+	for _, j := range w.running {
+		span += modelStepSlot + modelStepK*promptTokens(j.prompt)/1000
+	}
+	if len(w.running) > 0 || w.decode {
+		span += modelStep
+	}
+	var ready []*modelJob
+	for len(w.waiting) > 0 && piece > 0 {
+		j := w.waiting[0]
+		take := min(piece, j.left)
+		j.left, piece, span = j.left-take, piece-take, span+take/pace
+		if j.left > 0 {
+			break
+		}
+		w.waiting, ready = w.waiting[1:], append(ready, j)
+	}
+	w.clock.after(span*w.slow, func() { w.stepped(ready) })
+}
+
+// stepped ends a step.
+func (w *modelWorker) stepped(ready []*modelJob) {
+	w.stepping = false
+	still := w.running[:0]
+	var ended []*modelJob
+	for _, j := range w.running {
+		if j.output--; j.output > 0 {
+			still = append(still, j)
+		} else {
+			ended = append(ended, j)
+		}
+	}
+	w.running = still
+	for _, j := range ready {
+		w.keeps.add(j.prompt, 1, 0)
+		if w.decode {
+			w.running = append(w.running, j)
+		}
+	}
+	for _, j := range ready {
+		j.first(w.load())
+	}
+	for _, j := range ended {
+		j.done(w.load())
+	}
+	w.step()
+}
--- a/internal/selection/types.go
+++ b/internal/selection/types.go
@@ -28,6 +28,8 @@
 	Arrived      time.Duration
 	Objective    time.Duration // instant by which the first event (or the whole answer) earns its full worth
 	Deadline     time.Duration // instant after which the client waits no more
+
+	job *job // what the first Choose worked out; Prompt must not change after it
 }
 
 // Choice is where a request goes.
@@ -58,10 +60,10 @@
 type Failure uint8
 
 const (
-	FailureConnect  Failure = iota // no connection: nothing was sent
-	FailureBroken                  // reset, cut short or garbage after the request was sent
-	FailureSilence                 // no answer in time
-	FailureStatus                  // an error status of a worker that ran the request
-	FailureHandover                // the handle was gone or its memory could not be fetched
-	FailureMisrouted               // 421: another worker has the address, or the stage was wrong
+	FailureConnect   Failure = iota // no connection: nothing was sent
+	FailureBroken                   // reset, cut short or garbage after the request was sent
+	FailureSilence                  // no answer in time
+	FailureStatus                   // an error status of a worker that ran the request
+	FailureHandover                 // the handle was gone or its memory could not be fetched
+	FailureMisrouted                // 421: another worker has the address, or the stage was wrong
 )
