Carry agreement messages and calls between keepers over one connection each way

Keepers need a transport for their replica groups and for handing calls to a shard's owner. internal/peerlink batches all messages that wait for a peer into one write, bounds what waits (oldest agreement messages go first), and has calls with ids and budgets whose failure says whether anything was sent. The first frame tells keepers from readers of the feed.

--- /dev/null
+++ b/internal/peerlink/codec.go
@@ -0,0 +1,126 @@
+package peerlink
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hamba/avro/v2"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/internal/feedlink"
+)
+
+// Kinds of frames between keepers.
+const (
+	kindHello feedlink.Kind = feedlink.FirstPeerKind + iota // first frame of the dialer
+	kindBatch                                               // agreement messages
+	kindCall
+	kindReply
+)
+
+// CallKind tells what a call asks. The kinds are the caller's.
+type CallKind int
+
+// Hello is what a dialer says of itself.
+type Hello struct {
+	Address string // where it takes its peers, "ip:port"
+	Member  agreement.MemberID
+	Zone    string
+	Region  string
+}
+
+type (
+	wireHello struct {
+		Address, Zone, Region string
+		Member                int64
+	}
+
+	wireCall struct {
+		ID       int64
+		Kind     int
+		BudgetMs int
+		Body     []byte
+	}
+
+	wireReply struct {
+		ID     int64
+		Failed bool
+		Text   string
+		Body   []byte
+	}
+)
+
+// codec admits strings and byte fields up to the length of a frame.
+var codec = avro.Config{MaxByteSliceSize: feedlink.MaxFrameBytes}.Freeze()
+
+// frame is one frame to be written.
+type frame struct {
+	kind feedlink.Kind
+	body []byte
+}
+
+func encode(kind feedlink.Kind, schema avro.Schema, message any) (frame, error) {
+	body, err := codec.Marshal(schema, message)
+	if err != nil {
+		return frame{}, fmt.Errorf("peerlink: encode a frame of kind %d: %w", kind, err)
+	}
+	if len(body) > feedlink.MaxFrameBytes {
+		return frame{}, feedlink.ErrFrameTooLong
+	}
+	return frame{kind: kind, body: body}, nil
+}
+
+func decode(kind feedlink.Kind, schema avro.Schema, body []byte, into any) error {
+	if err := codec.Unmarshal(schema, body, into); err != nil {
+		return fmt.Errorf("peerlink: decode a frame of kind %d: %w", kind, err)
+	}
+	return nil
+}
+
+func encodeHello(hello Hello) (frame, error) {
+	return encode(kindHello, helloSchema, wireHello{
+		Address: hello.Address, Member: int64(hello.Member), Zone: hello.Zone, Region: hello.Region,
+	})
+}
+
+func decodeHello(body []byte) (Hello, error) {
+	var wire wireHello
+	if err := decode(kindHello, helloSchema, body, &wire); err != nil {
+		return Hello{}, err
+	}
+	return Hello{Address: wire.Address, Member: agreement.MemberID(wire.Member), Zone: wire.Zone, Region: wire.Region}, nil
+}
+
+func encodeBatch(messages []GroupMessage) (frame, error) {
+	wire := make([]wireMessage, len(messages))
+	for i, message := range messages {
+		wire[i] = toWire(message)
+	}
+	return encode(kindBatch, batchSchema, wire)
+}
+
+func decodeBatch(body []byte) ([]GroupMessage, error) {
+	var wire []wireMessage
+	if err := decode(kindBatch, batchSchema, body, &wire); err != nil {
+		return nil, err
+	}
+	messages := make([]GroupMessage, len(wire))
+	for i, message := range wire {
+		messages[i] = fromWire(message)
+	}
+	return messages, nil
+}
+
+func encodeCall(id uint64, kind CallKind, budget time.Duration, body []byte) (frame, error) {
+	return encode(kindCall, callSchema, wireCall{
+		ID: int64(id), Kind: int(kind), BudgetMs: int(budget / time.Millisecond), Body: body,
+	})
+}
+
+func encodeReply(id int64, body []byte, failure error) (frame, error) {
+	reply := wireReply{ID: id, Body: body}
+	if failure != nil {
+		reply.Failed, reply.Text = true, failure.Error()
+	}
+	return encode(kindReply, replySchema, reply)
+}
--- /dev/null
+++ b/internal/peerlink/messages.go
@@ -0,0 +1,135 @@
+package peerlink
+
+import (
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/shards"
+)
+
+// GroupMessage is an agreement message together with the group that it belongs to.
+type GroupMessage struct {
+	Shard   shards.ID
+	Message agreement.Message
+}
+
+// The wire types mirror the schemas.
+type (
+	wireMember struct {
+		ID      int64
+		Address string
+		Voter   bool
+	}
+
+	wireEntry struct {
+		Term, Index int64
+		Kind        int
+		Data        []byte
+		Members     []wireMember
+	}
+
+	wireSnapshot struct {
+		Index, Term int64
+		Data        []byte
+		Members     []wireMember
+	}
+
+	wireMessage struct {
+		Shard             int64
+		Kind              int
+		From, To, Term    int64
+		LogIndex, LogTerm int64
+		Commit            int64
+		Reject            bool
+		HintIndex         int64
+		HintTerm          int64
+		Context           int64
+		Forced            bool
+		Entries           []wireEntry
+		Snapshot          *wireSnapshot
+	}
+)
+
+// fixedMessageBytes estimates what a message takes beside its payload.
+const (
+	fixedMessageBytes = 64
+	fixedEntryBytes   = 24
+	fixedMemberBytes  = 40
+)
+
+// sizeOf estimates the bytes that a message takes on the wire.
+func sizeOf(message agreement.Message) int {
+	size := fixedMessageBytes
+	for _, entry := range message.Entries {
+		size += fixedEntryBytes + len(entry.Data) + fixedMemberBytes*len(entry.Members)
+	}
+	if message.Snapshot != nil {
+		size += len(message.Snapshot.Data) + fixedMemberBytes*len(message.Snapshot.Members)
+	}
+	return size
+}
+
+func toWire(group GroupMessage) wireMessage {
+	message := group.Message
+	wire := wireMessage{
+		Shard: int64(group.Shard), Kind: int(message.Kind),
+		From: int64(message.From), To: int64(message.To), Term: int64(message.Term),
+		LogIndex: int64(message.LogIndex), LogTerm: int64(message.LogTerm), Commit: int64(message.Commit),
+		Reject: message.Reject, HintIndex: int64(message.HintIndex), HintTerm: int64(message.HintTerm),
+		Context: int64(message.Context), Forced: message.Forced,
+		Entries: make([]wireEntry, len(message.Entries)),
+	}
+	for i, entry := range message.Entries {
+		wire.Entries[i] = wireEntry{
+			Term: int64(entry.Term), Index: int64(entry.Index), Kind: int(entry.Kind),
+			Data: entry.Data, Members: membersToWire(entry.Members),
+		}
+	}
+	if snapshot := message.Snapshot; snapshot != nil {
+		wire.Snapshot = &wireSnapshot{
+			Index: int64(snapshot.Index), Term: int64(snapshot.Term),
+			Data: snapshot.Data, Members: membersToWire(snapshot.Members),
+		}
+	}
+	return wire
+}
+
+func fromWire(wire wireMessage) GroupMessage {
+	message := agreement.Message{
+		Kind: agreement.MessageKind(wire.Kind),
+		From: agreement.MemberID(wire.From), To: agreement.MemberID(wire.To), Term: uint64(wire.Term),
+		LogIndex: uint64(wire.LogIndex), LogTerm: uint64(wire.LogTerm), Commit: uint64(wire.Commit),
+		Reject: wire.Reject, HintIndex: uint64(wire.HintIndex), HintTerm: uint64(wire.HintTerm),
+		Context: uint64(wire.Context), Forced: wire.Forced,
+	}
+	for _, entry := range wire.Entries {
+		message.Entries = append(message.Entries, agreement.Entry{
+			Term: uint64(entry.Term), Index: uint64(entry.Index), Kind: agreement.EntryKind(entry.Kind),
+			Data: entry.Data, Members: membersFromWire(entry.Members),
+		})
+	}
+	if snapshot := wire.Snapshot; snapshot != nil {
+		message.Snapshot = &agreement.Snapshot{
+			Index: uint64(snapshot.Index), Term: uint64(snapshot.Term),
+			Data: snapshot.Data, Members: membersFromWire(snapshot.Members),
+		}
+	}
+	return GroupMessage{Shard: shards.ID(wire.Shard), Message: message}
+}
+
+func membersToWire(members []agreement.Member) []wireMember {
+	wire := make([]wireMember, len(members))
+	for i, member := range members {
+		wire[i] = wireMember{ID: int64(member.ID), Address: member.Address, Voter: member.Voter}
+	}
+	return wire
+}
+
+func membersFromWire(wire []wireMember) []agreement.Member {
+	if len(wire) == 0 {
+		return nil
+	}
+	members := make([]agreement.Member, len(wire))
+	for i, member := range wire {
+		members[i] = agreement.Member{ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/peerlink/network_test.go
@@ -0,0 +1,277 @@
+package peerlink
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+)
+
+const testLimit = 10 * time.Second
+
+// recorder is a Handler that passes on what it is given.
+type recorder struct {
+	connected chan Hello
+	messages  chan GroupMessage
+	readers   chan feedlink.Kind
+	call      func(ctx context.Context, kind CallKind, body []byte) ([]byte, error)
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		connected: make(chan Hello, 16), messages: make(chan GroupMessage, 4096), readers: make(chan feedlink.Kind, 16),
+		call: func(_ context.Context, _ CallKind, body []byte) ([]byte, error) { return body, nil },
+	}
+}
+
+func (r *recorder) Connected(peer Hello) { r.connected <- peer }
+
+func (r *recorder) Messages(_ Hello, batch []GroupMessage) {
+	for _, message := range batch {
+		r.messages <- message
+	}
+}
+
+func (r *recorder) Call(ctx context.Context, _ Hello, kind CallKind, body []byte) ([]byte, error) {
+	return r.call(ctx, kind, body)
+}
+
+func (r *recorder) Reader(_ context.Context, connection net.Conn, kind feedlink.Kind, _ []byte) {
+	_ = connection.Close()
+	r.readers <- kind
+}
+
+// listen opens a listener on loopback.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// start opens a network that serves the listener until the test ends.
+func start(t *testing.T, listener net.Listener, member agreement.MemberID, handler Handler) *Network {
+	t.Helper()
+	network, err := New(Options{Self: Hello{Address: listener.Addr().String(), Member: member, Zone: "z"}, Handler: handler})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = network.Serve(listener) }()
+	t.Cleanup(network.Close)
+	return network
+}
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(testLimit):
+		t.Fatal("nothing came")
+		panic("not reached")
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestMessagesArriveWhole(t *testing.T) {
+	there := newRecorder()
+	listener := listen(t)
+	start(t, listener, 2, there)
+	here := start(t, listen(t), 1, newRecorder())
+
+	sent := agreement.Message{
+		Kind: agreement.MessageSnapshot, From: 1, To: 2, Term: 1 << 63, LogIndex: 4, LogTerm: 5, Commit: 6,
+		Entries: []agreement.Entry{{Term: 1, Index: 2, Kind: agreement.EntryMembers, Data: []byte("d"),
+			Members: []agreement.Member{{ID: 1<<64 - 1, Address: "a", Voter: true}}}},
+		Snapshot: &agreement.Snapshot{Index: 9, Term: 8, Data: bytes.Repeat([]byte("s"), 8<<20),
+			Members: []agreement.Member{{ID: 3, Address: "b"}}},
+		Reject: true, HintIndex: 10, HintTerm: 11, Context: 12, Forced: true,
+	}
+	here.Send(agreement.Member{ID: 2, Address: listener.Addr().String()}, 3, sent)
+	got := receive(t, there.messages)
+	if got.Shard != 3 || got.Message.Term != sent.Term || got.Message.From != 1 || got.Message.To != 2 {
+		t.Fatalf("got shard %d, term %d, from %d, to %d", got.Shard, got.Message.Term, got.Message.From, got.Message.To)
+	}
+	if got.Message.Entries[0].Members[0] != sent.Entries[0].Members[0] || string(got.Message.Entries[0].Data) != "d" {
+		t.Fatalf("entries %+v", got.Message.Entries)
+	}
+	if !bytes.Equal(got.Message.Snapshot.Data, sent.Snapshot.Data) || got.Message.Snapshot.Members[0].Address != "b" {
+		t.Fatal("the snapshot differs")
+	}
+	if !got.Message.Reject || !got.Message.Forced || got.Message.Context != 12 || got.Message.HintIndex != 10 {
+		t.Fatalf("fields %+v", got.Message)
+	}
+}
+
+func TestSendFindsTheAddressByID(t *testing.T) {
+	here, there := newRecorder(), newRecorder()
+	hereListener, thereListener := listen(t), listen(t)
+	hereNetwork := start(t, hereListener, 1, here)
+	thereNetwork := start(t, thereListener, 2, there)
+
+	hereNetwork.Send(agreement.Member{ID: 2}, 0, agreement.Message{Term: 1}) // nobody with this ID yet: lost
+	thereNetwork.Send(agreement.Member{ID: 1, Address: hereListener.Addr().String()}, 0, agreement.Message{Term: 2})
+	receive(t, here.messages)
+	hereNetwork.Send(agreement.Member{ID: 2}, 0, agreement.Message{Term: 3})
+	if got := receive(t, there.messages); got.Message.Term != 3 {
+		t.Fatalf("term %d", got.Message.Term)
+	}
+}
+
+func TestCallsAnswerInAnyOrder(t *testing.T) {
+	there := newRecorder()
+	release := make(chan struct{})
+	there.call = func(_ context.Context, kind CallKind, body []byte) ([]byte, error) {
+		if kind == 1 {
+			<-release
+		}
+		if kind == 3 {
+			return nil, errors.New("no")
+		}
+		return append([]byte("re:"), body...), nil
+	}
+	listener := listen(t)
+	start(t, listener, 2, there)
+	here := start(t, listen(t), 1, newRecorder())
+	address := listener.Addr().String()
+	ctx := testContext(t)
+
+	slow := make(chan string, 1)
+	go func() {
+		body, err := here.Call(ctx, address, 1, []byte("slow"))
+		slow <- string(body) + errorText(err)
+	}()
+	body, err := here.Call(ctx, address, 2, []byte("quick"))
+	if err != nil || string(body) != "re:quick" {
+		t.Fatal(string(body), err)
+	}
+	close(release)
+	if got := receive(t, slow); got != "re:slow" {
+		t.Fatal(got)
+	}
+	var remote RemoteError
+	if _, err := here.Call(ctx, address, 3, nil); !errors.As(err, &remote) || remote.Text != "no" {
+		t.Fatal(err)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func TestCallToADeadPortIsNotSent(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	here := start(t, listen(t), 1, newRecorder())
+	if _, err := here.Call(testContext(t), address, 1, nil); !errors.Is(err, ErrNotSent) {
+		t.Fatal(err)
+	}
+}
+
+// scriptedPeer accepts one connection and reads its hello.
+func scriptedPeer(t *testing.T, listener net.Listener) net.Conn {
+	t.Helper()
+	connection, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	kind, body, err := feedlink.ReadFirstFrame(connection, testLimit)
+	if err != nil || kind != kindHello {
+		t.Fatal(kind, err)
+	}
+	if hello, err := decodeHello(body); err != nil || hello.Member != 1 || hello.Zone != "z" {
+		t.Fatal(hello, err)
+	}
+	return connection
+}
+
+func TestBrokenConnectionLeavesTheOutcomeOpen(t *testing.T) {
+	listener := listen(t)
+	defer func() { _ = listener.Close() }()
+	here := start(t, listen(t), 1, newRecorder())
+	result := make(chan error, 1)
+	go func() {
+		_, err := here.Call(testContext(t), listener.Addr().String(), 1, nil)
+		result <- err
+	}()
+	connection := scriptedPeer(t, listener)
+	if kind, _, err := feedlink.ReadFrame(connection); err != nil || kind != kindCall {
+		t.Fatal(kind, err)
+	}
+	_ = connection.Close()
+	if err := receive(t, result); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Fatal(err)
+	}
+	// The next message opens a new connection.
+	here.Send(agreement.Member{ID: 2, Address: listener.Addr().String()}, 1, agreement.Message{Term: 7})
+	connection = scriptedPeer(t, listener)
+	kind, body, err := feedlink.ReadFrame(connection)
+	if err != nil || kind != kindBatch {
+		t.Fatal(kind, err)
+	}
+	if batch, err := decodeBatch(body); err != nil || len(batch) != 1 || batch[0].Message.Term != 7 {
+		t.Fatal(batch, err)
+	}
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	listener := listen(t)
+	defer func() { _ = listener.Close() }()
+	here := start(t, listen(t), 1, newRecorder())
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() {
+		_, err := here.Call(ctx, listener.Addr().String(), 1, nil)
+		result <- err
+	}()
+	connection := scriptedPeer(t, listener)
+	if _, _, err := feedlink.ReadFrame(connection); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := receive(t, result); !errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+}
+
+func TestReadersOfTheFeedAreHandedOver(t *testing.T) {
+	there := newRecorder()
+	listener := listen(t)
+	start(t, listener, 2, there)
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	if _, err := connection.Write(feedlink.AppendFrame(nil, feedlink.KindHello, []byte("x"))); err != nil {
+		t.Fatal(err)
+	}
+	if kind := receive(t, there.readers); kind != feedlink.KindHello {
+		t.Fatal(kind)
+	}
+}
+
+func TestFramesOfUnknownShardsAreLeftOut(t *testing.T) {
+	batch := known([]GroupMessage{{Shard: shards.Count}, {Shard: 1}, {Shard: 1 << 30}})
+	if len(batch) != 1 || batch[0].Shard != 1 {
+		t.Fatal(batch)
+	}
+}
--- /dev/null
+++ b/internal/peerlink/write.go
@@ -0,0 +1,68 @@
+package peerlink
+
+import (
+	"encoding/binary"
+	"net"
+	"time"
+
+	"ospreybend/internal/feedlink"
+)
+
+// Sizes of writes.
+const (
+	writePieceBytes = 64 << 10  // the write deadline is renewed for each piece
+	gatherBytes     = 64 << 10  // frames up to this length are gathered into one write
+	keepBufferBytes = 256 << 10 // a larger buffer is not kept for the next write
+)
+
+// frameWriter gathers frames and writes them with few calls. Not for concurrent use.
+type frameWriter struct {
+	connection net.Conn
+	buffer     []byte
+}
+
+// add gathers a frame; one that is long is written at once, after what was gathered.
+func (w *frameWriter) add(next frame) error {
+	if len(next.body) <= gatherBytes {
+		w.buffer = feedlink.AppendFrame(w.buffer, next.kind, next.body)
+		if len(w.buffer) < gatherBytes {
+			return nil
+		}
+		return w.flush()
+	}
+	w.buffer = appendHeader(w.buffer, next.kind, len(next.body))
+	if err := w.flush(); err != nil {
+		return err
+	}
+	return w.write(next.body)
+}
+
+// appendHeader appends the header of a frame whose body is written after it.
+func appendHeader(buffer []byte, kind feedlink.Kind, length int) []byte {
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(length))
+	return append(buffer, byte(kind))
+}
+
+// flush writes what was gathered.
+func (w *frameWriter) flush() error {
+	err := w.write(w.buffer)
+	if cap(w.buffer) > keepBufferBytes {
+		w.buffer = nil
+	}
+	w.buffer = w.buffer[:0]
+	return err
+}
+
+func (w *frameWriter) write(data []byte) error {
+	for len(data) > 0 {
+		piece := data[:min(len(data), writePieceBytes)]
+		if err := w.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := w.connection.Write(piece); err != nil {
+			return err
+		}
+		data = data[len(piece):]
+	}
+	return nil
+}
