Serve HTTP/1.1 requests on the proxy's front

The proxy reads requests strictly, hands each on whole with a context that ends with the client's connection, and writes one answer, whole or in chunks, one write each. Limits are those in force; drain, eviction, lingering close, 408/413/431/400.

--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,232 @@
+package front
+
+import (
+	"bytes"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/httpwire"
+)
+
+const (
+	statusTimeout     = 408
+	statusTooLarge    = 413
+	statusUnavailable = 503
+
+	firstBody = 64 << 10 // bytes made for a body at first; more as they come
+	// mostFraming is how many bytes of framing a body in chunks may have beyond its own length.
+	mostFraming = 64 << 10
+)
+
+var (
+	fullFault = httpwire.Fault{Status: statusUnavailable, Text: "there is no place for the request"}
+	lateFault = httpwire.Fault{Status: statusTimeout, Text: "the request did not come in time"}
+	longFault = httpwire.Fault{Status: statusTooLarge, Text: "the body is too long"}
+)
+
+// arrival is one request as far as it has come in.
+type arrival struct {
+	conn    *conn
+	limits  configuration.Limits
+	rules   httpwire.Rules
+	begun   time.Time // the first byte, on the clock of the deadlines
+	armed   bool      // the deadline is set
+	request *Request
+	head    httpwire.Head
+}
+
+// readRequest reads the next request. err is of the connection, and nobody is to be answered then.
+func (c *conn) readRequest() (a *arrival, fault *httpwire.Fault, err error) {
+	for len(c.in) == 0 {
+		if err := c.more(); err != nil {
+			return nil, nil, err
+		}
+	}
+	c.setState(reading)
+	a = &arrival{conn: c, limits: c.server.limits(), begun: time.Now(), request: &Request{FirstByteAt: c.server.now()}}
+	a.rules = httpwire.Rules{HeadBytes: a.limits.MaxHeaderBytes, BodyBytes: a.limits.MaxBodyBytes, Strict: true}
+	if fault, err = a.readHead(); fault == nil && err == nil {
+		fault, err = a.readBody()
+	}
+	if fault != nil || err != nil {
+		c.server.bodyBytes.Add(-int64(cap(a.request.Body)))
+		return nil, fault, err
+	}
+	a.request.ReadAt = c.server.now()
+	return a, nil, nil
+}
+
+// more waits for further bytes of the request by its deadline.
+func (a *arrival) more() (*httpwire.Fault, error) {
+	a.arm()
+	return a.orLate(a.conn.more())
+}
+
+// arm sets the deadline of the whole request, when it has not come at once.
+func (a *arrival) arm() {
+	if a.armed {
+		return
+	}
+	a.armed = true
+	c := a.conn
+	c.server.mu.Lock()
+	c.setDeadline(a.limits.HeaderTimeout - time.Since(a.begun))
+	c.server.mu.Unlock()
+}
+
+func (a *arrival) orLate(err error) (*httpwire.Fault, error) {
+	if err != nil && isTimeout(err) {
+		return &lateFault, nil
+	}
+	return nil, err
+}
+
+func (a *arrival) readHead() (*httpwire.Fault, error) {
+	c := a.conn
+	reader := httpwire.HeadReader{Kind: httpwire.Request, Rules: a.rules}
+	for {
+		used, fault := reader.Read(c.in, &a.head)
+		switch {
+		case fault != nil:
+			return fault, nil
+		case used > 0:
+			a.takeHead()
+			c.drop(used)
+			return nil, nil
+		}
+		if fault, err := a.more(); fault != nil || err != nil {
+			return fault, err
+		}
+	}
+}
+
+// takeHead copies what the request needs of the head.
+func (a *arrival) takeHead() {
+	r := a.request
+	r.Method = string(a.head.Method)
+	r.Target = string(a.head.Target)
+	path, _, _ := bytes.Cut(a.head.Target, []byte{'?'})
+	r.Path = r.Target[:len(path)]
+	all := a.head.Fields()
+	r.Host = all.Get("Host")
+	r.Fields = httpwire.HopsOf(all).Strip(all)
+	expects := a.head.Expects()
+	a.head.Method, a.head.Target, a.head.Raw = nil, nil, nil // the buffer goes on to be used
+	if expects {
+		a.head.Raw = []httpwire.RawField{expectField}
+	}
+}
+
+var expectField = httpwire.RawField{Name: []byte("Expect"), Value: []byte("100-continue")}
+
+func (a *arrival) readBody() (*httpwire.Fault, error) {
+	if a.head.Length > a.limits.MaxBodyBytes {
+		return &longFault, nil
+	}
+	body := httpwire.RequestBody(&a.head, &a.rules)
+	if body.Over {
+		return nil, nil
+	}
+	if err := a.goOn(); err != nil {
+		return nil, err
+	}
+	if body.Chunked {
+		return a.readChunks(&body)
+	}
+	return a.readLength(a.head.Length)
+}
+
+// goOn tells a client that waits for it to send its body.
+func (a *arrival) goOn() error {
+	if !a.head.Expects() || a.head.Old || len(a.conn.in) > 0 {
+		return nil
+	}
+	_ = a.conn.socket.SetWriteDeadline(time.Now().Add(a.conn.server.writeTime))
+	_, err := a.conn.socket.Write([]byte(httpwire.ContinueLine))
+	return err
+}
+
+// readLength reads a body of a known length. Memory is made as it comes: a length alone costs the client nothing.
+func (a *arrival) readLength(length int) (*httpwire.Fault, error) {
+	c, r := a.conn, a.request
+	for len(r.Body) < length {
+		if !a.grow(length) {
+			return &fullFault, nil
+		}
+		space := r.Body[len(r.Body):min(length, cap(r.Body))]
+		if len(c.in) > 0 {
+			n := copy(space, c.in)
+			c.drop(n)
+			r.Body = r.Body[:len(r.Body)+n]
+			continue
+		}
+		a.arm()
+		n, err := c.read(space)
+		r.Body = r.Body[:len(r.Body)+n]
+		if err != nil {
+			return a.orLate(err)
+		}
+	}
+	return nil, nil
+}
+
+// grow makes room for more of the body. It returns false where the server holds as much as it may.
+func (a *arrival) grow(most int) bool {
+	r := a.request
+	if len(r.Body) < cap(r.Body) {
+		return true
+	}
+	size := min(most, max(2*cap(r.Body), firstBody))
+	s := a.conn.server
+	held := s.bodyBytes.Add(int64(size - cap(r.Body)))
+	if budget := s.options.BodyBudget; budget > 0 && held > budget {
+		s.bodyBytes.Add(-int64(size - cap(r.Body)))
+		return false
+	}
+	grown := make([]byte, len(r.Body), size)
+	copy(grown, r.Body)
+	r.Body = grown
+	return true
+}
+
+// readChunks reads a body in chunks.
+func (a *arrival) readChunks(body *httpwire.BodyReader) (*httpwire.Fault, error) {
+	c, r := a.conn, a.request
+	framing := 0
+	for !body.Over {
+		data, used, fault := body.Next(c.in)
+		switch {
+		case fault != nil:
+			return fault, nil
+		case len(r.Body)+len(data) > a.limits.MaxBodyBytes:
+			return &longFault, nil
+		}
+		if fault := a.append(data); fault != nil {
+			return fault, nil
+		}
+		c.drop(used)
+		if framing += used - len(data); framing > mostFraming+len(r.Body) {
+			return &longFault, nil
+		}
+		if used > 0 {
+			continue
+		}
+		if fault, err := a.more(); fault != nil || err != nil {
+			return fault, err
+		}
+	}
+	return nil, nil
+}
+
+func (a *arrival) append(data []byte) *httpwire.Fault {
+	r := a.request
+	for len(data) > 0 {
+		if !a.grow(a.limits.MaxBodyBytes) {
+			return &fullFault
+		}
+		n := min(len(data), cap(r.Body)-len(r.Body))
+		r.Body = append(r.Body, data[:n]...)
+		data = data[n:]
+	}
+	return nil
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,28 +2,286 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"ospreybend/internal/configuration"
+)
+
+// Defaults of options and limits.
+const (
+	DefaultMaxConnections = 1024
+	DefaultWriteTimeout   = 5 * time.Second
+	DefaultRetryAfter     = 200 * time.Millisecond
+	DefaultHeaderBytes    = 16 << 10
+	DefaultBodyBytes      = 4 << 20
+	DefaultHeaderTimeout  = 3 * time.Second
+	DefaultIdleTimeout    = 15 * time.Second
+)
+
+const (
+	idleMargin      = 500 * time.Millisecond // kept open beyond the idle timeout
+	lingerTime      = time.Second            // for a client to read its last answer and end its side
+	lingerBytes     = 256 << 10              // read and dropped meanwhile, at most
+	acceptPause     = 20 * time.Millisecond  // after an error of accepting that may pass
+	mostRefusing    = 32                     // connections told 503 at the same time as there is no place
+	refuseWriteTime = 200 * time.Millisecond
+	freshFor        = 100 * time.Millisecond // a connection idle for less may have a request on its way
 )
 
 // Server serves HTTP/1.1 on one or more listeners.
-type Server struct{ options Options }
+type Server struct {
+	options Options
+	counts  counters
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	conns     map[*conn]struct{}
+	drainFor  time.Duration // the grace; valid while draining
+	closed    bool
+	refusing  int
+	busy      int           // requests in work and connections that linger
+	quiet     chan struct{} // closed when busy is 0; nil: nobody waits
+
+	draining   atomic.Bool
+	bodyBytes  atomic.Int64 // of the request bodies held
+	now        func() time.Time
+	maxConns   int
+	writeTime  time.Duration
+	retryAfter string
+}
+
+type counters struct {
+	accepted, refused, evicted, requests, malformed, timedOut, left, second, unanswered, broken, inWork atomic.Int64
+}
 
 // New makes a server.
-func New(options Options) *Server { return &Server{options: options} }
+func New(options Options) *Server {
+	s := &Server{options: options, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+	s.now = options.Now
+	if s.now == nil {
+		s.now = time.Now
+	}
+	s.maxConns = positive(options.MaxConnections, DefaultMaxConnections)
+	s.writeTime = positive(options.WriteTimeout, DefaultWriteTimeout)
+	s.retryAfter = RetryAfter(positive(options.RetryAfter, DefaultRetryAfter))
+	return s
+}
+
+func positive[T int | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// limits returns the limits in force, with defaults in place of what is not given.
+func (s *Server) limits() configuration.Limits {
+	limits := s.options.Limits()
+	limits.MaxHeaderBytes = positive(limits.MaxHeaderBytes, DefaultHeaderBytes)
+	limits.MaxBodyBytes = positive(limits.MaxBodyBytes, DefaultBodyBytes)
+	limits.HeaderTimeout = positive(limits.HeaderTimeout, DefaultHeaderTimeout)
+	limits.IdleTimeout = positive(limits.IdleTimeout, DefaultIdleTimeout)
+	return limits
+}
 
-// Serve accepts connections until Close or an error of the listener that lasts.
-func (s *Server) Serve(listener net.Listener) error { panic("not yet") }
+// Serve accepts connections until Close, and returns nil then. An error of the listener that does not pass is returned.
+func (s *Server) Serve(listener net.Listener) error {
+	if !s.track(listener) {
+		return listener.Close()
+	}
+	for {
+		socket, err := listener.Accept()
+		switch {
+		case err == nil:
+			s.accept(socket)
+		case s.isClosed():
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default:
+			s.log("accept: " + err.Error())
+			s.evict()
+			time.Sleep(acceptPause) // mostly no descriptors are left: one is freed meanwhile
+		}
+	}
+}
+
+func (s *Server) track(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[listener] = struct{}{}
+	return true
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) log(line string) {
+	if s.options.Log != nil {
+		s.options.Log(line)
+	}
+}
+
+// accept takes a connection in, in the place of the longest idle one where all are taken.
+func (s *Server) accept(socket net.Conn) {
+	s.counts.accepted.Add(1)
+	c := newConn(s, socket)
+	if s.add(c) || s.evict() && s.add(c) {
+		go c.serve()
+		return
+	}
+	s.refuse(socket)
+}
+
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.maxConns {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// evict closes the connection that has been idle for longest, if one has been for long enough.
+func (s *Server) evict() bool {
+	now := s.now()
+	s.mu.Lock()
+	var oldest *conn
+	for c := range s.conns {
+		if c.state != idle || now.Sub(c.idleSince) < freshFor {
+			continue
+		}
+		if oldest == nil || c.idleSince.Before(oldest.idleSince) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(s.conns, oldest)
+	}
+	s.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	s.counts.evicted.Add(1)
+	_ = oldest.socket.Close()
+	return true
+}
+
+// refuse tells a client that there is no place.
+func (s *Server) refuse(socket net.Conn) {
+	s.counts.refused.Add(1)
+	s.mu.Lock()
+	full := s.closed || s.refusing >= mostRefusing
+	if !full {
+		s.refusing++
+	}
+	s.mu.Unlock()
+	if full {
+		_ = socket.Close()
+		return
+	}
+	go s.tellFull(socket)
+}
+
+func (s *Server) tellFull(socket net.Conn) {
+	defer func() {
+		_ = socket.Close()
+		s.mu.Lock()
+		s.refusing--
+		s.mu.Unlock()
+	}()
+	_ = socket.SetWriteDeadline(time.Now().Add(refuseWriteTime))
+	if _, err := socket.Write(s.appendFault(nil, &fullFault)); err == nil {
+		discard(socket)
+	}
+}
 
 // Drain makes every further answer the last of its connection. The server goes on accepting and serving. Connections
 // that rest are closed once they have rested for the grace.
-func (s *Server) Drain(grace time.Duration) { panic("not yet") }
+func (s *Server) Drain(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainFor = grace
+	s.draining.Store(true)
+	for c := range s.conns {
+		if c.state == idle && time.Until(c.deadline) > grace {
+			c.setDeadline(grace)
+		}
+	}
+}
+
+// Wait returns nil when no request is in work and no client is still reading its last answer, or the context's error.
+func (s *Server) Wait(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		if s.busy == 0 {
+			s.mu.Unlock()
+			return nil
+		}
+		if s.quiet == nil {
+			s.quiet = make(chan struct{})
+		}
+		quiet := s.quiet
+		s.mu.Unlock()
+		select {
+		case <-quiet:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
-// Wait returns when no request is in work, or the context's error.
-func (s *Server) Wait(ctx context.Context) error { panic("not yet") }
+// addBusy counts what Wait waits for. The caller holds the lock.
+func (s *Server) addBusy(delta int) {
+	s.busy += delta
+	if s.busy == 0 && s.quiet != nil {
+		close(s.quiet)
+		s.quiet = nil
+	}
+}
 
 // Close closes the listeners and all connections. Requests in work are cut.
-func (s *Server) Close() error { panic("not yet") }
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	var first error
+	for listener := range s.listeners {
+		if err := listener.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	clear(s.listeners)
+	for c := range s.conns {
+		_ = c.socket.Close()
+	}
+	return first
+}
 
 // Counts returns what the server has seen.
-func (s *Server) Counts() Counts { panic("not yet") }
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	open := len(s.conns)
+	s.mu.Unlock()
+	n := &s.counts
+	return Counts{Accepted: n.accepted.Load(), Refused: n.refused.Load(), Evicted: n.evicted.Load(), Requests: n.requests.Load(),
+		Malformed: n.malformed.Load(), TimedOut: n.timedOut.Load(), Left: n.left.Load(), SecondAnswers: n.second.Load(),
+		Unanswered: n.unanswered.Load(), Broken: n.broken.Load(), Open: int64(open), InWork: n.inWork.Load()}
+}
--- /dev/null
+++ b/internal/httpwire/write.go
@@ -0,0 +1,66 @@
+package httpwire
+
+import "strconv"
+
+// StatusText returns the reason phrase of a status, and "" for one that is not known.
+func StatusText(status int) string { return statusText[status] }
+
+var statusText = map[int]string{200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 206: "Partial Content",
+	301: "Moved Permanently", 302: "Found", 303: "See Other", 304: "Not Modified", 307: "Temporary Redirect",
+	400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict", 410: "Gone", 412: "Precondition Failed", 413: "Content Too Large",
+	421: "Misdirected Request", 422: "Unprocessable Content", 429: "Too Many Requests",
+	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
+
+// AppendStatusLine appends a response's first line.
+func AppendStatusLine(out []byte, status int) []byte {
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, statusText[status]...)
+	return append(out, "\r\n"...)
+}
+
+// AppendField appends one header line.
+func AppendField(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, value...)
+	return append(out, "\r\n"...)
+}
+
+// AppendNumberField appends one header line with a whole number.
+func AppendNumberField(out []byte, name string, value int) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = strconv.AppendInt(out, int64(value), 10)
+	return append(out, "\r\n"...)
+}
+
+// AppendChunk appends one chunk; nothing where there are no data, as an empty chunk would be the last.
+func AppendChunk(out, data []byte) []byte {
+	if len(data) == 0 {
+		return out
+	}
+	out = strconv.AppendInt(out, int64(len(data)), 16)
+	out = append(out, "\r\n"...)
+	out = append(out, data...)
+	return append(out, "\r\n"...)
+}
+
+// LastChunk ends a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
+// ContinueLine tells a client to send its body.
+const ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// IsValue tells whether a text may be a field's value as it is.
+func IsValue(value string) bool {
+	for i := range len(value) {
+		if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
