--- /dev/null
+++ b/internal/dispatch/chooser_test.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/selection"
+)
+
+// scriptedChooser gives the choices it was told, leaving out those whose workers are excluded.
+type scriptedChooser struct {
+	choices []selection.Choice
+	refusal time.Duration
+	asked   []selection.Request
+	ended   map[*selection.Call][]string
+	order   []*selection.Call
+	firsts  int
+}
+
+// offers adds choices, "p1>d1" for a pair and "d1" for a worker alone.
+func (c *scriptedChooser) offers(texts ...string) {
+	for _, text := range texts {
+		var choice selection.Choice
+		choice.First = 100 * time.Millisecond
+		if len(text) > 2 {
+			choice.Prefill = testWorker(text[:2])
+			text = text[3:]
+		}
+		choice.Run = testWorker(text)
+		c.choices = append(c.choices, choice)
+	}
+}
+
+func (c *scriptedChooser) SetView(time.Duration, *catalog.View) {}
+
+func (c *scriptedChooser) Choose(_ time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.Verdict) {
+	c.asked = append(c.asked, *request)
+	for _, choice := range c.choices {
+		if slices.Contains(excluded, choice.Run.ID) {
+			continue
+		}
+		if choice.Prefill != nil && slices.Contains(excluded, choice.Prefill.ID) {
+			continue
+		}
+		return choice, selection.Verdict{Send: true}
+	}
+	return selection.Choice{}, selection.Verdict{RetryAfter: c.refusal}
+}
+
+func (c *scriptedChooser) Sent(_ time.Duration, _ *selection.Request, _ selection.CallKind, _ selection.Choice) *selection.Call {
+	call := new(selection.Call)
+	c.order = append(c.order, call)
+	return call
+}
+
+func (c *scriptedChooser) FirstEvent(time.Duration, *selection.Call) { c.firsts++ }
+
+func (c *scriptedChooser) Done(_ time.Duration, call *selection.Call, load *selection.Load) {
+	c.end(call, "done")
+}
+
+func (c *scriptedChooser) Rejected(_ time.Duration, call *selection.Call, _ *selection.Load) {
+	c.end(call, "rejected")
+}
+
+func (c *scriptedChooser) Failed(_ time.Duration, call *selection.Call, cause selection.Failure) {
+	c.end(call, fmt.Sprintf("failed %d", cause))
+}
+
+func (c *scriptedChooser) Abandoned(_ time.Duration, call *selection.Call) { c.end(call, "abandoned") }
+
+func (c *scriptedChooser) end(call *selection.Call, how string) {
+	c.ended[call] = append(c.ended[call], how)
+}
+
+// endings lists how the calls ended, and checks that each ended once.
+func (c *scriptedChooser) endings(t *testing.T) []string {
+	t.Helper()
+	var all []string
+	for _, call := range c.order {
+		if len(c.ended[call]) != 1 {
+			t.Fatalf("a call ended %d times: %v", len(c.ended[call]), c.ended[call])
+		}
+		all = append(all, c.ended[call][0])
+	}
+	return all
+}
+
+func (c *scriptedChooser) mustEnd(t *testing.T, want ...string) {
+	t.Helper()
+	if got := c.endings(t); !slices.Equal(got, want) {
+		t.Fatalf("calls ended %q, want %q", got, want)
+	}
+}
+
+func failedBy(cause selection.Failure) string { return fmt.Sprintf("failed %d", cause) }
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/retrybudget"
+)
+
+// Status codes of the dispatcher's own answers.
+const (
+	statusBadRequest     = 400
+	statusNotFound       = 404
+	statusBadGateway     = 502
+	statusUnavailable    = 503
+	statusGatewayTimeout = 504
+)
+
+// Options of a dispatcher. All but Log are required.
+type Options struct {
+	Workers Workers
+	Chooser Chooser
+	Budget  retrybudget.Rules
+	Now     func() time.Duration // monotonic
+	Draw    func() float64       // uniform in [0, 1); called from several goroutines
+	Log     *zap.Logger
+}
+
+// Counts tells what a dispatcher has done since its start.
+type Counts struct {
+	Requests       int64 // on a route
+	Unrouted       int64 // answered 404
+	Refused        int64 // answered 503
+	Failed         int64 // answered 502 or 504
+	Broken         int64 // answers broken off
+	Left           int64 // clients that left
+	Prefills       int64 // calls that read a prompt alone
+	Runs           int64 // calls that run a request
+	Repeats        int64 // runs beyond the first of a try
+	Resumed        int64 // streams taken up at another worker
+	HandlesFreed   int64 // handles freed that no worker took
+	HandlesDropped int64 // handles left to lapse as too many calls to free them were under way
+}
+
+// Dispatcher serves requests. Its methods may be called from several goroutines.
+type Dispatcher struct {
+	workers Workers
+	guard   *guard
+	view    atomic.Pointer[catalog.View]
+	now     func() time.Duration
+	draw    func() float64
+	log     *zap.Logger
+	freeing chan struct{} // one element for each call under way that frees a handle
+	counts  counters
+}
+
+// New makes a dispatcher. It answers 503 until it has a view with a configuration.
+func New(options Options) *Dispatcher {
+	log := options.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	return &Dispatcher{
+		workers: options.Workers,
+		guard: &guard{
+			now:     options.Now,
+			chooser: options.Chooser,
+			budgets: retrybudget.NewLedger(options.Budget, options.Now()),
+		},
+		now:     options.Now,
+		draw:    options.Draw,
+		log:     log,
+		freeing: make(chan struct{}, maxFreeing),
+	}
+}
+
+// SetView puts a view in force for the requests that come after it.
+func (d *Dispatcher) SetView(view *catalog.View) {
+	d.guard.setView(view)
+	d.view.Store(view)
+}
+
+// View returns the view in force; nil: none has come.
+func (d *Dispatcher) View() *catalog.View { return d.view.Load() }
+
+// Counts returns what the dispatcher has done.
+func (d *Dispatcher) Counts() Counts { return d.counts.read() }
+
+// Serve answers one request. It returns when the answer has been written or broken off.
+func (d *Dispatcher) Serve(responder Responder, request *front.Request) {
+	view := d.view.Load()
+	if view == nil || view.Generation == 0 {
+		d.refuse(responder, request, defaultRetryAfter)
+		return
+	}
+	route := view.Match(plainHost(request.Host), request.Path)
+	if route == nil {
+		d.counts.unrouted.Add(1)
+		_ = responder.Answer(statusNotFound, nil, nil)
+		return
+	}
+	if request.Fields.Get(fieldRequestID) == "" {
+		_ = responder.Answer(statusBadRequest, nil, nil)
+		return
+	}
+	d.serveRoute(responder, request, view, route)
+}
+
+func (d *Dispatcher) serveRoute(responder Responder, request *front.Request, view *catalog.View,
+	route *configuration.Route) {
+	service := d.target(view, route)
+	if service == nil {
+		d.refuse(responder, request, defaultRetryAfter)
+		return
+	}
+	d.counts.requests.Add(1)
+	d.guard.noteRequest(service.Name)
+	t := newTry(d, responder, request, view, route, service)
+	t.serve()
+	t.logEnd()
+}
+
+// target draws the service of a request by the route's weights.
+func (d *Dispatcher) target(view *catalog.View, route *configuration.Route) *configuration.Service {
+	if len(route.Targets) == 0 {
+		return nil
+	}
+	if len(route.Targets) == 1 {
+		return view.Services[route.Targets[0].Service]
+	}
+	return view.Services[drawTarget(route.Targets, d.draw())]
+}
+
+// drawTarget picks a target by a number in [0, 1). One of weight 0 is never picked while another weighs more.
+func drawTarget(targets []configuration.Target, number float64) string {
+	total := 0.0
+	for _, target := range targets {
+		total += target.Weight
+	}
+	rest := number * total
+	picked := ""
+	for _, target := range targets {
+		if target.Weight <= 0 {
+			continue
+		}
+		picked = target.Service
+		rest -= target.Weight
+		if rest < 0 {
+			break
+		}
+	}
+	return picked
+}
+
+// refuse promises that a request has not run and never will.
+func (d *Dispatcher) refuse(responder Responder, request *front.Request, retryAfter time.Duration) {
+	d.counts.refused.Add(1)
+	if retryAfter <= 0 {
+		retryAfter = defaultRetryAfter
+	}
+	fields := append(ownAnswerFields(request), httpwire.Field{
+		Name: fieldRetryAfter, Value: formatSeconds(min(retryAfter, maxRetryAfter)),
+	})
+	_ = responder.Answer(statusUnavailable, fields, nil)
+}
+
+// ownAnswerFields are the fields of an answer that no worker gave.
+func ownAnswerFields(request *front.Request) httpwire.Fields {
+	id := request.Fields.Get(fieldRequestID)
+	if id == "" {
+		return nil
+	}
+	return httpwire.Fields{{Name: fieldRequestID, Value: id}}
+}
--- /dev/null
+++ b/internal/dispatch/fields.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/selection"
+)
+
+// Names of header fields.
+const (
+	fieldRequestID   = "X-Request-Id"
+	fieldDeadline    = "X-Request-Deadline"
+	fieldModel       = "X-Model"
+	fieldTokenCount  = "X-Token-Count"
+	fieldPrefix      = "X-Prompt-Prefix"
+	fieldStage       = "X-Serving-Stage"
+	fieldKVFrom      = "Kv-From"
+	fieldTarget      = "X-Target-Instance"
+	fieldVersion     = "Expect-Version"
+	fieldPriority    = "Priority"
+	fieldLastEvent   = "Last-Event-Id"
+	fieldNotExecuted = "X-Not-Executed"
+	fieldSignature   = "X-Response-Signature"
+	fieldServerLoad  = "X-Server-Load"
+	fieldEncoding    = "Content-Encoding"
+	fieldRetryAfter  = "Retry-After"
+)
+
+const (
+	stagePrefill = "prefill"
+
+	// Priorities that workers take: 0 to 9, 0 first.
+	firstPriority = 1
+	priorityStep  = 2
+	lastPriority  = 9
+)
+
+// ownFields are set by the system alone; a client's are not passed on.
+var ownFields = []string{fieldStage, fieldKVFrom, fieldTarget, fieldVersion, fieldPriority, fieldDeadline}
+
+// innerFields are told by workers to the system alone.
+var innerFields = []string{fieldNotExecuted, fieldServerLoad}
+
+func isOneOf(name string, names []string) bool {
+	for _, other := range names {
+		if httpwire.EqualFold(name, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// without copies the fields that have none of the names, with room for more.
+func without(fields httpwire.Fields, names []string, room int) httpwire.Fields {
+	kept := make(httpwire.Fields, 0, len(fields)+room)
+	for _, field := range fields {
+		if !isOneOf(field.Name, names) {
+			kept = append(kept, field)
+		}
+	}
+	return kept
+}
+
+// parseDeadline reads how long the client waits, in whole milliseconds; fallback stands for a
+// field that is missing or cannot be read.
+func parseDeadline(value string, fallback time.Duration) time.Duration {
+	millis, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	if err != nil || millis < 0 || millis > int64(fallback/time.Millisecond) {
+		return fallback
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// parseTokenCount reads "IN,OUT"; what cannot be read is 0.
+func parseTokenCount(value string) (in, out int) {
+	first, second, _ := strings.Cut(value, ",")
+	return parseCount(first), parseCount(second)
+}
+
+func parseCount(text string) int {
+	count, err := strconv.ParseInt(strings.TrimSpace(text), 10, 32)
+	if err != nil || count < 0 {
+		return 0
+	}
+	return int(count)
+}
+
+// parsePrefix reads "HEXID:TOKENS,..."; it returns nil where any part cannot be read.
+func parsePrefix(value string) []selection.Part {
+	if value == "" {
+		return nil
+	}
+	parts := make([]selection.Part, 0, strings.Count(value, ",")+1)
+	for text := range strings.SplitSeq(value, ",") {
+		id, tokens, found := strings.Cut(strings.TrimSpace(text), ":")
+		number, err := strconv.ParseUint(id, 16, 64)
+		if !found || err != nil {
+			return nil
+		}
+		parts = append(parts, selection.Part{ID: number, Tokens: parseCount(tokens)})
+	}
+	return parts
+}
+
+// parseRetryAfter reads seconds, fractions included; 0 stands for what cannot be read.
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || seconds < 0 || seconds > maxRetryAfter.Seconds() {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+func formatMillis(d time.Duration) string {
+	return strconv.FormatInt(int64(d/time.Millisecond), 10)
+}
+
+// workerPriority is the value of a route's rank at workers.
+func workerPriority(rank int) int {
+	return min(lastPriority, firstPriority+priorityStep*max(rank, 0))
+}
+
+// plainHost is a host in lower case without its port.
+func plainHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/dispatch/guard.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/retrybudget"
+	"ospreybend/internal/selection"
+)
+
+// guard lets the requests' goroutines use the chooser and the budgets, one at a time.
+type guard struct {
+	now     func() time.Duration
+	mutex   sync.Mutex
+	chooser Chooser
+	budgets *retrybudget.Ledger
+}
+
+func (g *guard) setView(view *catalog.View) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.chooser.SetView(g.now(), view)
+	g.budgets.Keep(func(service string) bool { return view.Services[service] != nil })
+}
+
+// noteRequest counts a client's request for a service.
+func (g *guard) noteRequest(service string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.budgets.Request(g.now(), service)
+}
+
+// spend takes one call beyond the first of a request out of the budget.
+func (g *guard) spend(service string, nodes int) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.budgets.Spend(g.now(), service, nodes)
+}
+
+func (g *guard) choose(request *selection.Request, excluded []string) (selection.Choice, selection.Verdict) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.chooser.Choose(g.now(), request, excluded)
+}
+
+// sent notes a call that is made now.
+func (g *guard) sent(request *selection.Request, kind selection.CallKind, choice selection.Choice) *ticket {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return &ticket{guard: g, call: g.chooser.Sent(g.now(), request, kind, choice)}
+}
+
+// ticket is a call that the chooser knows of. The first of done, rejected, failed and
+// abandoned counts; what comes after it has no effect.
+type ticket struct {
+	guard *guard
+	call  *selection.Call
+	ended bool
+}
+
+func (t *ticket) firstEvent() {
+	t.guard.mutex.Lock()
+	defer t.guard.mutex.Unlock()
+	t.guard.chooser.FirstEvent(t.guard.now(), t.call)
+}
+
+func (t *ticket) done(load *selection.Load) {
+	t.end(func(now time.Duration) { t.guard.chooser.Done(now, t.call, load) })
+}
+
+func (t *ticket) rejected(load *selection.Load) {
+	t.end(func(now time.Duration) { t.guard.chooser.Rejected(now, t.call, load) })
+}
+
+func (t *ticket) failed(cause selection.Failure) {
+	t.end(func(now time.Duration) { t.guard.chooser.Failed(now, t.call, cause) })
+}
+
+func (t *ticket) abandoned() {
+	t.end(func(now time.Duration) { t.guard.chooser.Abandoned(now, t.call) })
+}
+
+func (t *ticket) end(tell func(now time.Duration)) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.guard.mutex.Lock()
+	defer t.guard.mutex.Unlock()
+	tell(t.guard.now())
+}
--- /dev/null
+++ b/internal/dispatch/handles.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/httpwire"
+)
+
+const (
+	// maxFreeing is the most calls under way at once that free handles. Beyond it handles lapse by themselves.
+	maxFreeing  = 64
+	freeTimeout = time.Second
+
+	handlePath   = "/-/kv-handle/"
+	methodDelete = "DELETE"
+	fieldHost    = "Host"
+)
+
+// freeHandle frees the memory of a handle that no worker took. It does not wait for the answer.
+func (t *try) freeHandle() {
+	held := t.held
+	if held == nil {
+		return
+	}
+	t.held = nil
+	t.d.free(held, t.request.Fields.Get(fieldRequestID))
+}
+
+func (d *Dispatcher) free(held *handle, requestID string) {
+	select {
+	case d.freeing <- struct{}{}:
+	default:
+		d.counts.handlesDropped.Add(1)
+		return
+	}
+	d.counts.handlesFreed.Add(1)
+	go func() {
+		defer func() { <-d.freeing }()
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		answer, _ := d.workers.Do(ctx, freeCall(held, requestID))
+		closeEvents(answer)
+	}()
+}
+
+func freeCall(held *handle, requestID string) *exchange.Call {
+	return &exchange.Call{
+		Address: held.worker.Address,
+		Method:  methodDelete,
+		Target:  handlePath + held.id,
+		Fields: httpwire.Fields{
+			{Name: fieldHost, Value: held.worker.Address},
+			{Name: fieldRequestID, Value: requestID},
+			{Name: fieldTarget, Value: held.worker.ID},
+		},
+	}
+}
+
+// closeEvents gives up the events of an answer that is not wanted.
+func closeEvents(answer *Answer) {
+	if answer != nil && answer.Events != nil {
+		answer.Events.Close()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/ports.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/selection"
+)
+
+// Responder takes the one answer to a request; *front.ResponseWriter is one.
+type Responder interface {
+	// Answer sends a whole answer.
+	Answer(status int, fields httpwire.Fields, body []byte) error
+	// Begin starts an answer that comes in pieces; its head is written with the first of them.
+	Begin(status int, fields httpwire.Fields) error
+	// Event writes one piece at once.
+	Event(piece []byte) error
+	// Finish ends the answer as complete, with a last piece that may be empty.
+	Finish(last []byte) error
+	// Break closes the connection so that the client sees that the answer is not complete.
+	Break()
+}
+
+// Workers makes calls to workers.
+type Workers interface {
+	// Do makes a call and returns its answer. It sends nothing a second time. The end of the context ends
+	// the call, also while Events are read.
+	Do(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure)
+}
+
+// Answer is a worker's answer.
+type Answer struct {
+	*exchange.Response
+	Events Events // the body of an event stream; nil: the body is whole
+}
+
+// Events is the body of an event stream.
+type Events interface {
+	// Next waits for the next events. It returns io.EOF after a batch with Last.
+	Next() (*exchange.Batch, error)
+	// Close gives the stream up.
+	Close()
+}
+
+// Chooser decides where requests go; *selection.Selector is one. The dispatcher calls it from one
+// goroutine at a time.
+type Chooser interface {
+	SetView(now time.Duration, view *catalog.View)
+	Choose(now time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.Verdict)
+	Sent(now time.Duration, request *selection.Request, kind selection.CallKind, choice selection.Choice) *selection.Call
+	FirstEvent(now time.Duration, call *selection.Call)
+	Done(now time.Duration, call *selection.Call, load *selection.Load)
+	Rejected(now time.Duration, call *selection.Call, load *selection.Load)
+	Failed(now time.Duration, call *selection.Call, cause selection.Failure)
+	Abandoned(now time.Duration, call *selection.Call)
+}
+
+// pooledWorkers makes calls over a pool of connections.
+type pooledWorkers struct{ pool *exchange.Pool }
+
+// OverPool returns the workers that a pool reaches.
+func OverPool(pool *exchange.Pool) Workers { return pooledWorkers{pool} }
+
+func (w pooledWorkers) Do(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+	response, failure := w.pool.Do(ctx, call)
+	if failure != nil {
+		return nil, failure
+	}
+	answer := &Answer{Response: response}
+	if response.Stream != nil {
+		answer.Events = response.Stream
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/dispatch/prefill_test.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/selection"
+)
+
+func (r *rig) mustFree(t *testing.T, handles ...string) {
+	t.Helper()
+	if len(r.deletes) != len(handles) {
+		t.Fatalf("%d handles freed, want %v", len(r.deletes), handles)
+	}
+	for i, handle := range handles {
+		entry := r.deletes[i]
+		if entry.call.Target != handlePath+handle || entry.field(fieldRequestID) != testID {
+			t.Fatalf("freed by %+v, want %s", entry.call, handle)
+		}
+	}
+}
+
+func TestHandOver(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("3fa09c41b7d5"))
+		r.plays("d1", streams(1, 3, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 3))
+		read, run := r.calls[0], r.calls[1]
+		if read.field(fieldStage) != "prefill" || read.field(fieldTarget) != "p1" || read.call.Events {
+			t.Fatalf("%+v", read.call)
+		}
+		if run.field(fieldKVFrom) != "p1:80/3fa09c41b7d5" || run.field(fieldStage) != "" || run.field(fieldTarget) != "d1" {
+			t.Fatalf("%+v", run.call)
+		}
+		r.mustFree(t)
+		r.chooser.mustEnd(t, "done", "done")
+	})
+}
+
+func TestRejectedPrefillGoesElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", rejects())
+		r.plays("p2", hands("h2"))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		r.chooser.mustEnd(t, "rejected", "done", "done")
+	})
+}
+
+func TestRejectedPrefillCountsAsAnAttempt(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 1
+		r.setRoute()
+		r.chooser.offers("p1>d1", "d1")
+		r.plays("p1", rejects())
+		r.ask(nil).mustPromise(t)
+		if r.workersCalled() != "p1 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestFirstPrefillIsFreeOfAttemptsAndBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 1
+		r.setRoute()
+		for r.dispatcher.guard.spend(testService, 1) {
+		}
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+	})
+}
+
+func TestBrokenPrefillIsFollowedByADecodeWorkerAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 1
+		r.setRoute()
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", breaks())
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "p1 d1 " || r.calls[1].field(fieldKVFrom) != "" {
+			t.Fatal(r.workersCalled())
+		}
+		r.chooser.mustEnd(t, failedBy(selection.FailureBroken), "done")
+	})
+}
+
+func TestSecondPrefillCountsAsAnAttempt(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 2
+		r.setRoute()
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", breaks())
+		r.plays("p2", hands("h2"))
+		r.plays("d1", rejects())
+		r.plays("d2", streams(1, 1, nil))
+		r.chooser.offers("d2")
+		r.ask(nil).mustPromise(t)
+		if r.workersCalled() != "p1 p2 d1 " {
+			t.Fatal(r.workersCalled())
+		}
+		r.mustFree(t, "h2")
+	})
+}
+
+func TestSilentPrefillIsGivenUp(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", silent())
+		r.plays("p2", hands("h2"))
+		r.plays("d1", streams(1, 1, nil))
+		c := r.ask(nil)
+		c.mustBe(t, 200, texts(1, 1))
+		if c.took != 610*time.Millisecond { // the objective of 400 ms + 200 ms, and the first event
+			t.Fatalf("took %v", c.took)
+		}
+		r.chooser.mustEnd(t, failedBy(selection.FailureSilence), "done", "done")
+	})
+}
+
+func TestUnreadablePrefillAnswerIsAFailure(t *testing.T) {
+	for _, body := range []string{"", "{", `{"prefillHandle":""}`, `{"prefillHandle":"a b"}`, `{"tokens":4}`} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			r.chooser.offers("p1>d1", "d1")
+			r.plays("p1", answers(200, body, nil))
+			r.plays("d1", streams(1, 1, nil))
+			r.ask(nil).mustBe(t, 200, texts(1, 1))
+			r.chooser.mustEnd(t, failedBy(selection.FailureStatus), "done")
+		})
+	}
+}
+
+func TestRunRejectedForWantOfPlaceKeepsTheHandle(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p2>d2")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", withLoad(rejects(), 64, 3, 64))
+		r.plays("d2", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "p1 d1 d2 " || r.calls[2].field(fieldKVFrom) != "p1:80/h1" {
+			t.Fatal(r.workersCalled())
+		}
+		r.chooser.mustEnd(t, "done", "rejected", "done")
+		r.mustFree(t)
+	})
+}
+
+func TestRunRejectedWithRoomMeansThatTheHandleIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 2
+		r.setRoute()
+		r.chooser.offers("p1>d1", "d2")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", withLoad(rejects(), 3, 0, 64))
+		r.plays("d2", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "p1 d1 d2 " || r.calls[2].field(fieldKVFrom) != "" {
+			t.Fatal(r.workersCalled())
+		}
+		r.chooser.mustEnd(t, "done", failedBy(selection.FailureHandover), "done")
+		r.mustFree(t, "h1")
+	})
+}
+
+func withLoad(inner script, running, waiting, slots int) script {
+	return func(ctx ctxt, call *exchange.Call) (*Answer, *exchange.Failure) {
+		answer, failure := inner(ctx, call)
+		answer.Load = &exchange.Load{Running: running, Waiting: waiting, Slots: slots}
+		return answer, failure
+	}
+}
+
+func TestHandleIsFreedWhereTheRunIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 1
+		r.setRoute()
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", rejects())
+		r.ask(nil).mustPromise(t)
+		r.mustFree(t, "h1")
+	})
+}
+
+func TestHandleIsFreedWhereTheRunBreaks(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", breaks())
+		r.ask(nil).mustBe(t, 502, "")
+		r.mustFree(t, "h1")
+	})
+}
+
+func TestHandleIsFreedWhereTheClientLeaves(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", silent())
+		c := &client{r: r}
+		time.AfterFunc(300*time.Millisecond, func() { c.cancel() })
+		r.askAs(c, nil)
+		r.mustFree(t, "h1")
+		r.chooser.mustEnd(t, "done", "abandoned")
+	})
+}
+
+func TestHandleIsFreedAtTheLimit(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", silent())
+		r.ask(nil).mustBe(t, 504, "")
+		r.mustFree(t, "h1")
+	})
+}
+
+func TestHandleIsKeptWhereTheDecodeWorkerCannotBeReached(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p2>d2")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", fails(exchange.NotSent, exchange.DialFailed))
+		r.plays("d2", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.calls[2].field(fieldKVFrom) != "p1:80/h1" {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestDecodeWorkerThatLeftWhileThePromptWasReadIsNotCalled(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p2>d2")
+		r.plays("p1", after(50*time.Millisecond, hands("h1")))
+		r.plays("d2", streams(1, 1, nil))
+		view := *r.view
+		view.Workers = map[string][]*catalogWorker{testService: {testWorker("d2"), testWorker("p1")}}
+		time.AfterFunc(20*time.Millisecond, func() { r.dispatcher.SetView(&view) })
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "p1 d2 " || r.calls[1].field(fieldKVFrom) != "p1:80/h1" {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestClientsCopyOfTheStageDoesNotMakeAPrefill(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(func(request *front.Request) {
+			request.Fields = append(request.Fields, httpwire.Field{Name: "X-Serving-Stage", Value: "decode"})
+		}).mustBe(t, 200, texts(1, 1))
+		if r.calls[0].call.Fields.Count(fieldStage) != 1 {
+			t.Fatal("two stages")
+		}
+	})
+}
--- /dev/null
+++ b/internal/dispatch/rig_test.go
@@ -0,0 +1,371 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreybend/coord/feed"
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/registry"
+	"ospreybend/internal/retrybudget"
+	"ospreybend/internal/selection"
+)
+
+const (
+	testID      = "9c41d07be2a35f68"
+	testHost    = "ficu95.example"
+	testPath    = "/lohu930/2f"
+	testService = "huvo11a"
+)
+
+// script is what a scripted worker does with one call. It runs on the fake clock.
+type script func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure)
+
+// seen is one call that reached a scripted worker.
+type seen struct {
+	worker string
+	call   *exchange.Call
+	at     time.Duration
+}
+
+func (s seen) field(name string) string { return s.call.Fields.Get(name) }
+
+// rig is a dispatcher among scripted parts on a fake clock.
+type rig struct {
+	t          *testing.T
+	started    time.Time
+	dispatcher *Dispatcher
+	view       *catalog.View
+	route      *configuration.Route
+	chooser    *scriptedChooser
+
+	mutex   sync.Mutex
+	scripts map[string][]script // by worker, one for each call
+	calls   []seen
+	deletes []seen
+}
+
+// inBubble runs a test on a fake clock.
+func inBubble(t *testing.T, test func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, newRig(t)) })
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, started: time.Now(), scripts: map[string][]script{}}
+	r.route = &configuration.Route{
+		Name: "r1", Hostname: testHost, PathPrefix: "/lohu930/", Type: configuration.Streaming,
+		Timeout: 4 * time.Second, TargetLatency: 400 * time.Millisecond, Priority: 1, MaxAttempts: 3,
+		Targets: []configuration.Target{{Service: testService, Weight: 1}}, GapObjective: 200 * time.Millisecond,
+	}
+	r.chooser = &scriptedChooser{ended: map[*selection.Call][]string{}}
+	r.dispatcher = New(Options{
+		Workers: r, Chooser: r.chooser, Now: r.now, Draw: func() float64 { return 0.5 },
+		Budget: retrybudget.Rules{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	})
+	time.Sleep(10 * time.Second) // of the fake clock: the budget's first window
+	r.view = testView(r.route)
+	r.dispatcher.SetView(r.view)
+	return r
+}
+
+func (r *rig) now() time.Duration { return time.Since(r.started) }
+
+// testView has workers p1, p2 (prefill) and d1, d2, d3 (decode).
+func testView(route *configuration.Route) *catalog.View {
+	service := &configuration.Service{Name: testService, Engine: &configuration.Engine{Slots: 64}}
+	other := &configuration.Service{Name: "other"}
+	view := catalogViewWith(route)
+	view.Generation = 1
+	view.Services = map[string]*configuration.Service{testService: service, "other": other}
+	view.Nodes = 1
+	view.Workers = map[string][]*catalog.Worker{testService: {
+		testWorker("d1"), testWorker("d2"), testWorker("d3"), testWorker("p1"), testWorker("p2")}}
+	return view
+}
+
+func testWorker(id string) *catalog.Worker {
+	return &catalog.Worker{Instance: registry.Instance{ID: id, Service: testService, Address: id + ":80"}}
+}
+
+// catalogViewWith makes a view that has one route, by way of the feed.
+func catalogViewWith(route *configuration.Route) *catalog.View {
+	builder := catalog.NewBuilder()
+	raw := `{"name":"r1","hostname":"` + testHost + `","pathPrefix":"/lohu930/","routeType":"streaming",` +
+		`"timeoutMs":4000,"targetLatencyMs":400,"priority":1,"service":"` + testService + `","maxAttempts":3}`
+	builder.ApplySnapshot(0, feed.Snapshot{Index: 1, Items: []feed.Item{
+		{Key: configuration.KeyGeneration, Value: []byte("1")},
+		{Key: configuration.KeyRoutePrefix + "r1", Value: []byte(raw)},
+		{Key: configuration.KeyServicePrefix + testService, Value: []byte(`{"name":"` + testService + `"}`)},
+	}})
+	view := *builder.View()
+	if found := view.Match(testHost, testPath); found != nil {
+		*found = *route
+	}
+	return &view
+}
+
+// plays gives a worker its scripts, one for each call to it.
+func (r *rig) plays(worker string, scripts ...script) {
+	r.scripts[worker] = append(r.scripts[worker], scripts...)
+}
+
+// Do is the calls' way to the scripted workers.
+func (r *rig) Do(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+	worker := call.Fields.Get(fieldTarget)
+	next := r.record(worker, call)
+	if next == nil {
+		return nil, &exchange.Failure{Result: exchange.NotSent, Reason: exchange.DialFailed}
+	}
+	return next(ctx, call)
+}
+
+func (r *rig) record(worker string, call *exchange.Call) script {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	entry := seen{worker: worker, call: call, at: r.now()}
+	if call.Method == methodDelete {
+		r.deletes = append(r.deletes, entry)
+		return answers(200, "", nil)
+	}
+	r.calls = append(r.calls, entry)
+	scripts := r.scripts[worker]
+	if len(scripts) == 0 {
+		return nil
+	}
+	r.scripts[worker] = scripts[1:]
+	return scripts[0]
+}
+
+// answers gives a whole answer.
+func answers(status int, body string, fields httpwire.Fields) script {
+	return func(context.Context, *exchange.Call) (*Answer, *exchange.Failure) {
+		all := append(httpwire.Fields{{Name: fieldRequestID, Value: testID}}, fields...)
+		result := exchange.Answered
+		if all.Has(fieldNotExecuted) {
+			result = exchange.NotExecuted
+		}
+		if status == statusMisdirected {
+			result = exchange.Misdirected
+		}
+		return &Answer{Response: &exchange.Response{Result: result, Status: status, Fields: all, Body: []byte(body)}}, nil
+	}
+}
+
+var (
+	signed      = httpwire.Fields{{Name: fieldSignature, Value: "3e1b"}}
+	notExecuted = httpwire.Fields{{Name: fieldNotExecuted, Value: "1"}, {Name: fieldSignature, Value: "ff"}}
+)
+
+func hands(handle string) script {
+	return answers(200, `{"prefillHandle":"`+handle+`","tokens":1460,"generation":1}`, nil)
+}
+
+func rejects() script { return answers(503, "full", notExecuted) }
+
+func fails(result exchange.Result, reason exchange.Reason) script {
+	return func(context.Context, *exchange.Call) (*Answer, *exchange.Failure) {
+		return nil, &exchange.Failure{Result: result, Reason: reason}
+	}
+}
+
+func breaks() script { return fails(exchange.Broken, exchange.ReadError) }
+
+// silent answers nothing until the call is given up.
+func silent() script {
+	return func(ctx context.Context, _ *exchange.Call) (*Answer, *exchange.Failure) {
+		<-ctx.Done()
+		return nil, &exchange.Failure{Result: exchange.Broken, Reason: exchange.Cancelled, Err: ctx.Err()}
+	}
+}
+
+// after waits on the fake clock before another script.
+func after(wait time.Duration, then script) script {
+	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+		select {
+		case <-time.After(wait):
+			return then(ctx, call)
+		case <-ctx.Done():
+			return silent()(ctx, call)
+		}
+	}
+}
+
+// scriptedEvents are the events of a stream, with what comes behind the last of them.
+type scriptedEvents struct {
+	ctx    context.Context
+	gap    time.Duration
+	events []exchange.Event
+	cut    bool // ends without the last chunk
+	hang   bool // says nothing more
+	closed bool
+}
+
+func (s *scriptedEvents) Next() (*exchange.Batch, error) {
+	if len(s.events) == 0 {
+		return s.end()
+	}
+	select {
+	case <-time.After(s.gap):
+	case <-s.ctx.Done():
+		return nil, &exchange.Failure{Result: exchange.Broken, Reason: exchange.Cancelled}
+	}
+	event := s.events[0]
+	s.events = s.events[1:]
+	return &exchange.Batch{Raw: event.Raw, Events: []exchange.Event{event}}, nil
+}
+
+func (s *scriptedEvents) end() (*exchange.Batch, error) {
+	switch {
+	case s.hang:
+		<-s.ctx.Done()
+		return nil, &exchange.Failure{Result: exchange.Broken, Reason: exchange.Cancelled}
+	case s.cut:
+		return nil, &exchange.Failure{Result: exchange.Broken, Reason: exchange.Ended, Partial: []byte("id: 9")}
+	case s.closed:
+		return nil, io.EOF
+	default:
+		return &exchange.Batch{Last: true}, nil
+	}
+}
+
+func (s *scriptedEvents) Close() { s.closed = true }
+
+func event(id int) exchange.Event {
+	text := strconv.Itoa(id)
+	return exchange.Event{Raw: []byte(eventText(id)), ID: text, HasID: true, Versions: -1}
+}
+
+func eventText(id int) string { return "id: " + strconv.Itoa(id) + "\ndata: x\n\n" }
+
+func texts(from, to int) string {
+	all := ""
+	for id := from; id <= to; id++ {
+		all += eventText(id)
+	}
+	return all
+}
+
+// streams answers with events from to to, 10 ms apart.
+func streams(from, to int, change func(*scriptedEvents)) script {
+	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+		answer, _ := answers(200, "", append(signed, httpwire.Field{Name: "Versions", Value: call.Fields.Get(fieldTarget)}))(ctx, call)
+		stream := &scriptedEvents{ctx: ctx, gap: 10 * time.Millisecond}
+		for id := from; id <= to; id++ {
+			stream.events = append(stream.events, event(id))
+		}
+		if change != nil {
+			change(stream)
+		}
+		answer.Events = stream
+		return answer, nil
+	}
+}
+
+func cut(s *scriptedEvents)  { s.cut = true }
+func hang(s *scriptedEvents) { s.hang = true }
+
+// client is what a client sees of its one answer.
+type client struct {
+	r        *rig
+	cancel   context.CancelFunc
+	status   int
+	fields   httpwire.Fields
+	body     string
+	answers  int
+	finished bool
+	broken   bool
+	leaves   bool // takes nothing more
+	took     time.Duration
+	pieces   []time.Duration
+}
+
+func (c *client) Answer(status int, fields httpwire.Fields, body []byte) error {
+	c.status, c.fields, c.body, c.finished = status, fields, string(body), true
+	c.answers++
+	return nil
+}
+
+func (c *client) Begin(status int, fields httpwire.Fields) error {
+	c.status, c.fields = status, fields
+	c.answers++
+	return nil
+}
+
+func (c *client) Event(piece []byte) error {
+	if c.leaves {
+		return front.ErrGone
+	}
+	c.body += string(piece)
+	c.pieces = append(c.pieces, c.r.now())
+	return nil
+}
+
+func (c *client) Finish(last []byte) error {
+	c.body += string(last)
+	c.finished = true
+	return nil
+}
+
+func (c *client) Break() { c.broken = true }
+
+// ask sends a request and waits for the end of its answer.
+func (r *rig) ask(change func(*front.Request)) *client {
+	c := &client{r: r}
+	r.askAs(c, change)
+	return c
+}
+
+func (r *rig) askAs(c *client, change func(*front.Request)) {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	defer cancel()
+	c.cancel = cancel
+	request := &front.Request{
+		Context: ctx, Method: "POST", Target: testPath + "?q=1", Path: testPath, Host: "Ficu95.example:8144",
+		Fields: httpwire.Fields{
+			{Name: "Host", Value: "Ficu95.example:8144"}, {Name: "x-request-id", Value: testID},
+			{Name: fieldModel, Value: "m"}, {Name: fieldTokenCount, Value: "1460,80"},
+			{Name: fieldPrefix, Value: "5c1e07a2:800,91bd3f06:660"}, {Name: fieldDeadline, Value: "3000"},
+		},
+		Body: []byte("prompt"),
+	}
+	if change != nil {
+		change(request)
+	}
+	start := r.now()
+	r.dispatcher.Serve(c, request)
+	c.took = r.now() - start
+	synctest.Wait()
+}
+
+// workersCalled lists who was called, in order.
+func (r *rig) workersCalled() string {
+	names := ""
+	for _, call := range r.calls {
+		names += call.worker + " "
+	}
+	return names
+}
+
+type (
+	catalogWorker = catalog.Worker
+	ctxt          = context.Context
+)
+
+// setRoute puts the rig's route in force as it is now.
+func (r *rig) setRoute() { *r.view.Match(testHost, testPath) = *r.route }
+
+// notSentAtEnd is a connection that does not come up until the call is given up.
+func notSentAtEnd(ctx context.Context, _ *exchange.Call) (*Answer, *exchange.Failure) {
+	<-ctx.Done()
+	return nil, &exchange.Failure{Result: exchange.NotSent, Reason: exchange.Cancelled, Err: ctx.Err()}
+}
--- /dev/null
+++ b/internal/dispatch/run_test.go
@@ -0,0 +1,408 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/selection"
+)
+
+func (c *client) mustBe(t *testing.T, status int, body string) {
+	t.Helper()
+	if c.status != status || c.body != body || c.answers > 1 {
+		t.Fatalf("answer %d %q (%d answers, finished %v, broken %v), want %d %q",
+			c.status, c.body, c.answers, c.finished, c.broken, status, body)
+	}
+	if c.fields.Has(fieldNotExecuted) {
+		t.Fatal("X-Not-Executed passed on")
+	}
+}
+
+// mustPromise checks a refusal: it says when to come back and carries no stamp.
+func (c *client) mustPromise(t *testing.T) {
+	t.Helper()
+	c.mustBe(t, http.StatusServiceUnavailable, "")
+	if c.fields.Get(fieldRetryAfter) == "" || c.fields.Has(fieldSignature) {
+		t.Fatalf("fields of the refusal: %v", c.fields)
+	}
+}
+
+func (c *client) mustBreak(t *testing.T, body string) {
+	t.Helper()
+	if !c.broken || c.finished || c.body != body {
+		t.Fatalf("broken %v, finished %v, body %q", c.broken, c.finished, c.body)
+	}
+}
+
+func TestUnknownRouteIs404(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.ask(func(request *front.Request) { request.Path = "/none/" }).mustBe(t, 404, "")
+	})
+}
+
+func TestMissingIDIs400(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.ask(func(request *front.Request) { request.Fields = request.Fields.Without(fieldRequestID) }).mustBe(t, 400, "")
+	})
+}
+
+func TestNoConfigurationIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.dispatcher.view.Store(nil)
+		r.ask(nil).mustPromise(t)
+	})
+}
+
+func TestRefusalIsAnsweredAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.refusal = 1250 * time.Millisecond
+		c := r.ask(nil)
+		c.mustPromise(t)
+		if c.fields.Get(fieldRetryAfter) != "1.250" || c.took != 0 {
+			t.Fatalf("fields %v after %v", c.fields, c.took)
+		}
+	})
+}
+
+func TestChoiceIsAskedWithWhatTheRequestTells(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.ask(nil)
+		asked := r.chooser.asked[0]
+		if asked.Service != testService || asked.Model != "m" || asked.PromptTokens != 1460 || asked.OutputTokens != 80 {
+			t.Fatalf("%+v", asked)
+		}
+		if len(asked.Prompt) != 2 || asked.Prompt[0] != (selection.Part{ID: 0x5c1e07a2, Tokens: 800}) {
+			t.Fatalf("%+v", asked.Prompt)
+		}
+		if asked.Objective-asked.Arrived != 400*time.Millisecond || asked.Deadline-asked.Arrived != 3*time.Second {
+			t.Fatalf("%+v", asked)
+		}
+	})
+}
+
+func TestCallCarriesTheSystemsFieldsAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", answers(200, "bytes", signed))
+		c := r.ask(func(request *front.Request) {
+			for _, name := range []string{"x-serving-stage", "kv-from", "X-TARGET-instance", "expect-version", "priority"} {
+				request.Fields = append(request.Fields, httpwire.Field{Name: name, Value: "evil"})
+			}
+			request.Fields = append(request.Fields, httpwire.Field{Name: "X-Other", Value: "kept"})
+		})
+		c.mustBe(t, 200, "bytes")
+		call := r.calls[0]
+		want := map[string]string{
+			fieldTarget: "d1", fieldPriority: "3", fieldDeadline: "3000", fieldRequestID: testID, "X-Other": "kept",
+			fieldStage: "", fieldKVFrom: "", fieldVersion: "",
+		}
+		for name, value := range want {
+			if call.field(name) != value {
+				t.Errorf("%s: %q, want %q", name, call.field(name), value)
+			}
+		}
+		if call.call.Fields.Count(fieldTarget) != 1 || call.call.Target != testPath+"?q=1" || string(call.call.Body) != "prompt" {
+			t.Fatalf("%+v", call.call)
+		}
+	})
+}
+
+func TestDeadlineOfTheCallIsWhatIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", after(150*time.Millisecond, hands("h1")))
+		r.plays("d1", streams(1, 2, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 2))
+		if r.calls[0].field(fieldDeadline) != "3000" || r.calls[1].field(fieldDeadline) != "2850" {
+			t.Fatalf("%q then %q", r.calls[0].field(fieldDeadline), r.calls[1].field(fieldDeadline))
+		}
+	})
+}
+
+func TestServiceWithoutEngineGetsNoPriority(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.view.Services[testService].Engine = nil
+		r.chooser.offers("d1")
+		r.plays("d1", answers(200, "", signed))
+		r.ask(nil)
+		if r.calls[0].call.Fields.Has(fieldPriority) {
+			t.Fatal("priority sent")
+		}
+	})
+}
+
+func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", answers(200, "bytes", nil))
+		r.ask(nil).mustBe(t, 502, "")
+		r.chooser.mustEnd(t, failedBy(selection.FailureBroken))
+	})
+}
+
+func TestEncodedAnswerIsNotPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", answers(200, "bytes", append(signed, httpwire.Field{Name: fieldEncoding, Value: "gzip"})))
+		r.ask(nil).mustBe(t, 502, "")
+	})
+}
+
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", answers(200, "bytes", signed))
+		r.ask(func(request *front.Request) {
+			request.Fields = request.Fields.With(fieldRequestID, "another")
+		}).mustBe(t, 502, "")
+	})
+}
+
+func TestWorkersOwnErrorIsPassedOnUnchanged(t *testing.T) {
+	for _, status := range []int{404, 500, 504} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			r.chooser.offers("d1", "d2")
+			r.plays("d1", answers(status, "mine", signed))
+			c := r.ask(nil)
+			c.mustBe(t, status, "mine")
+			if c.fields.Get(fieldSignature) == "" || len(r.calls) != 1 {
+				t.Fatalf("fields %v, calls %s", c.fields, r.workersCalled())
+			}
+		})
+	}
+}
+
+func TestPromiseOfAWorkerThatMayHaveRunIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{503, 429, 408} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			r.chooser.offers("d1", "d2")
+			r.plays("d1", answers(status, "busy", signed))
+			c := r.ask(nil)
+			c.mustBe(t, 502, "")
+			if len(r.calls) != 1 || c.fields.Has(fieldSignature) {
+				t.Fatalf("calls %s, fields %v", r.workersCalled(), c.fields)
+			}
+		})
+	}
+}
+
+func TestRunThatMayHaveRunIsNotRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", breaks())
+		r.plays("d2", answers(200, "again", signed))
+		r.ask(nil).mustBe(t, 502, "")
+		if r.workersCalled() != "d1 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestRunThatWasNotSentIsRepeatedFreely(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 1
+		r.setRoute()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", fails(exchange.NotSent, exchange.DialFailed))
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		r.chooser.mustEnd(t, failedBy(selection.FailureConnect), "done")
+	})
+}
+
+func TestRejectedRunGoesToAnotherWorker(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", rejects())
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		r.chooser.mustEnd(t, "rejected", "done")
+	})
+}
+
+func TestMisdirectedRunGoesToAnotherWorker(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", answers(421, "", nil))
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		r.chooser.mustEnd(t, failedBy(selection.FailureMisrouted), "done")
+	})
+}
+
+func TestRejectedEverywhereIsAPromise(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", rejects())
+		r.plays("d2", rejects())
+		r.ask(nil).mustPromise(t)
+	})
+}
+
+func TestNoMoreRunsThanAttempts(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.MaxAttempts = 2
+		r.setRoute()
+		r.chooser.offers("d1", "d2", "d3")
+		r.plays("d1", rejects())
+		r.plays("d2", rejects())
+		r.plays("d3", answers(200, "", signed))
+		r.ask(nil).mustPromise(t)
+		if len(r.calls) != 2 {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestRepeatNeedsBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		for r.dispatcher.guard.spend(testService, 1) {
+		}
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", rejects())
+		r.ask(nil).mustPromise(t)
+		if len(r.calls) != 1 {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestIdempotentRequestIsRepeatedAfterAnyFailure(t *testing.T) {
+	for name, first := range map[string]script{
+		"broken": breaks(), "own error": answers(500, "mine", signed), "unsigned": answers(200, "", nil),
+		"unclear promise": answers(503, "busy", nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *rig) {
+				r.route.Type = configuration.Idempotent
+				r.setRoute()
+				r.chooser.offers("d1", "d2")
+				r.plays("d1", first)
+				r.plays("d2", answers(200, "there", signed))
+				r.ask(nil).mustBe(t, 200, "there")
+			})
+		})
+	}
+}
+
+func TestIdempotentErrorIsPassedOnWhereNoRunIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type = configuration.Idempotent
+		r.setRoute()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", answers(500, "mine", signed))
+		r.plays("d2", rejects())
+		r.ask(nil).mustBe(t, 500, "mine")
+	})
+}
+
+func TestNoPromiseOnceARunMayHaveTakenPlace(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type = configuration.Idempotent
+		r.setRoute()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", breaks())
+		r.plays("d2", rejects())
+		r.ask(nil).mustBe(t, 502, "")
+	})
+}
+
+func TestSilentRunEndsWith504AtTheLimit(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", silent())
+		c := r.ask(nil)
+		c.mustBe(t, 504, "")
+		if c.took < 3*time.Second || c.took > 3010*time.Millisecond {
+			t.Fatalf("took %v", c.took)
+		}
+		r.chooser.mustEnd(t, failedBy(selection.FailureSilence))
+	})
+}
+
+func TestRouteTimeoutLimitsALongerDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Timeout = time.Second
+		r.setRoute()
+		r.chooser.offers("d1")
+		r.plays("d1", silent())
+		c := r.ask(nil)
+		c.mustBe(t, 504, "")
+		if c.took > 1010*time.Millisecond || r.calls[0].field(fieldDeadline) != "1000" {
+			t.Fatalf("took %v, told %s", c.took, r.calls[0].field(fieldDeadline))
+		}
+	})
+}
+
+func TestLimitBeforeAnythingRanIsAPromise(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", after(4*time.Second, nil))
+		r.scripts["d1"][0] = notSentAtEnd
+		c := r.ask(nil)
+		c.mustPromise(t)
+		if c.took > 3010*time.Millisecond {
+			t.Fatalf("took %v", c.took)
+		}
+	})
+}
+
+func TestSilentIdempotentRunIsGivenUpForAnother(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type = configuration.Idempotent
+		r.setRoute()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", silent())
+		r.plays("d2", answers(200, "there", signed))
+		c := r.ask(nil)
+		c.mustBe(t, 200, "there")
+		if c.took != 1100*time.Millisecond { // 3 x 100 ms predicted + 2 x 400 ms objective
+			t.Fatalf("took %v", c.took)
+		}
+	})
+}
+
+func TestSilentRunIsKeptWhereNoBudgetIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type = configuration.Idempotent
+		r.setRoute()
+		for r.dispatcher.guard.spend(testService, 1) {
+		}
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", after(2*time.Second, answers(200, "late", signed)))
+		r.ask(nil).mustBe(t, 200, "late")
+	})
+}
+
+func TestClientThatLeavesEndsTheCall(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", silent())
+		c := &client{r: r}
+		time.AfterFunc(300*time.Millisecond, func() { c.cancel() })
+		r.askAs(c, nil)
+		if !c.broken || c.answers != 0 || c.took != 300*time.Millisecond {
+			t.Fatalf("%+v", c)
+		}
+		r.chooser.mustEnd(t, "abandoned")
+	})
+}
+
+func TestWorkerThatLeftTheListIsNotCalled(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		view := *r.view
+		view.Workers = map[string][]*catalogWorker{testService: {testWorker("d2")}}
+		r.dispatcher.SetView(&view)
+		r.chooser.offers("d1", "d2")
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		if r.workersCalled() != "d2 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
--- /dev/null
+++ b/internal/dispatch/stream_test.go
@@ -0,0 +1,208 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/selection"
+)
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", streams(1, 5, nil))
+		c := r.ask(nil)
+		c.mustBe(t, 200, texts(1, 5))
+		if !c.finished || len(c.pieces) != 5 || r.chooser.firsts != 1 {
+			t.Fatalf("finished %v, pieces %v", c.finished, c.pieces)
+		}
+		for i := range c.pieces {
+			if want := c.pieces[0] + time.Duration(i)*10*time.Millisecond; c.pieces[i] != want {
+				t.Fatalf("piece %d at %v, want %v", i, c.pieces[i], want)
+			}
+		}
+		r.chooser.mustEnd(t, "done")
+	})
+}
+
+func TestStreamThatMayNotRunTwiceIsBrokenOff(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 2, cut))
+		r.plays("d2", streams(3, 4, nil))
+		r.ask(nil).mustBreak(t, texts(1, 2))
+		if r.workersCalled() != "d1 " {
+			t.Fatal(r.workersCalled())
+		}
+		r.chooser.mustEnd(t, failedBy(selection.FailureBroken))
+	})
+}
+
+func TestStreamCutBeforeItsFirstEventIs502(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", streams(1, 0, cut))
+		r.ask(nil).mustBe(t, 502, "")
+	})
+}
+
+func (r *rig) resumable() {
+	r.route.Resumable = true
+	r.setRoute()
+}
+
+func TestResumableStreamGoesOnAtAnotherWorker(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, cut))
+		r.plays("d2", streams(4, 6, nil))
+		c := r.ask(nil)
+		c.mustBe(t, 200, texts(1, 6))
+		if !c.finished || c.fields.Get("Versions") != "d1" {
+			t.Fatalf("finished %v, fields %v", c.finished, c.fields)
+		}
+		if r.calls[1].field(fieldLastEvent) != "3" || r.calls[0].call.Fields.Has(fieldLastEvent) {
+			t.Fatalf("taken up behind %q", r.calls[1].field(fieldLastEvent))
+		}
+	})
+}
+
+func TestResumedStreamRepeatsNoEvent(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, cut))
+		r.plays("d2", streams(1, 6, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 6))
+	})
+}
+
+func TestResumedStreamKeepsNewEventsWithoutID(t *testing.T) {
+	bare := exchange.Event{Raw: []byte("data: bare\n\n"), Versions: -1}
+	var relayed relay
+	relayed.begun = true
+	for id := 1; id <= 3; id++ {
+		e := event(id)
+		relayed.note(&e)
+	}
+	relayed.takeUp()
+	old := &exchange.Batch{Events: []exchange.Event{bare, event(3), bare}}
+	if got := relayed.fresh(old); len(got) != 0 {
+		t.Fatalf("passed on %q", got)
+	}
+	newer := &exchange.Batch{Events: []exchange.Event{event(4), bare}}
+	if got := string(relayed.fresh(newer)); got != eventText(4)+"data: bare\n\n" {
+		t.Fatalf("passed on %q", got)
+	}
+	if got := string(relayed.fresh(&exchange.Batch{Events: []exchange.Event{bare}})); got != "data: bare\n\n" {
+		t.Fatalf("passed on %q", got)
+	}
+}
+
+func TestResumableStreamThatCannotGoOnIsBrokenOff(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, cut))
+		r.plays("d2", rejects())
+		c := r.ask(nil)
+		c.mustBreak(t, texts(1, 3))
+		if c.answers != 1 {
+			t.Fatalf("%d answers", c.answers)
+		}
+	})
+}
+
+func TestResumeThatAnswersWithAnErrorIsNotPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, cut))
+		r.plays("d2", answers(500, "mine", signed))
+		r.ask(nil).mustBreak(t, texts(1, 3))
+	})
+}
+
+func TestClientsOwnResumeIsPassedOn(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 0, cut))
+		r.plays("d2", streams(8, 9, nil))
+		c := r.ask(func(request *front.Request) {
+			request.Fields = append(request.Fields, httpwire.Field{Name: "last-event-id", Value: "7"})
+		})
+		c.mustBe(t, 200, texts(8, 9))
+		if r.calls[0].field(fieldLastEvent) != "7" || r.calls[1].field(fieldLastEvent) != "7" {
+			t.Fatal("the client's own place was lost")
+		}
+	})
+}
+
+func TestEventsWithoutNumbersCannotBeTakenUp(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 2, func(s *scriptedEvents) {
+			s.cut = true
+			s.events[1] = exchange.Event{Raw: []byte("data: x\n\n")}
+		}))
+		r.plays("d2", streams(3, 4, nil))
+		r.ask(nil).mustBreak(t, eventText(1)+"data: x\n\n")
+	})
+}
+
+func TestSilentResumableStreamGoesOnElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.resumable()
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, hang))
+		r.plays("d2", streams(4, 5, nil))
+		c := r.ask(nil)
+		c.mustBe(t, 200, texts(1, 5))
+		if c.took != 30*time.Millisecond+time.Second+20*time.Millisecond { // 5 x 200 ms of silence
+			t.Fatalf("took %v", c.took)
+		}
+	})
+}
+
+func TestSilentStreamIsHeldToTheLimitWhereItCannotRepeat(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", streams(1, 3, hang))
+		c := r.ask(nil)
+		c.mustBreak(t, texts(1, 3))
+		if c.took < 3*time.Second || c.took > 3010*time.Millisecond {
+			t.Fatalf("took %v", c.took)
+		}
+	})
+}
+
+func TestClientThatTakesNoMoreEndsTheStream(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", streams(1, 50, nil))
+		c := &client{r: r, leaves: true}
+		r.askAs(c, nil)
+		if !c.broken || c.took > 20*time.Millisecond {
+			t.Fatalf("%+v", c)
+		}
+		r.chooser.mustEnd(t, "abandoned")
+	})
+}
+
+func TestEmptyStreamIsPassedOnAsComplete(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", streams(1, 0, nil))
+		c := r.ask(nil)
+		c.mustBe(t, 200, "")
+		if !c.finished {
+			t.Fatal("not finished")
+		}
+	})
+}
