--- a/internal/dispatch/prefill_test.go
+++ b/internal/dispatch/prefill_test.go
@@ -205,8 +205,7 @@
 		r.chooser.offers("p1>d1")
 		r.plays("p1", hands("h1"))
 		r.plays("d1", silent())
-		c := &client{r: r}
-		time.AfterFunc(300*time.Millisecond, func() { c.cancel() })
+		c := &client{r: r, leavesIn: 300 * time.Millisecond}
 		r.askAs(c, nil)
 		r.mustFree(t, "h1")
 		r.chooser.mustEnd(t, "done", "abandoned")
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -277,7 +277,7 @@
 // client is what a client sees of its one answer.
 type client struct {
 	r        *rig
-	cancel   context.CancelFunc
+	leavesIn time.Duration // 0: stays
 	status   int
 	fields   httpwire.Fields
 	body     string
@@ -328,7 +328,9 @@
 func (r *rig) askAs(c *client, change func(*front.Request)) {
 	ctx, cancel := context.WithCancel(r.t.Context())
 	defer cancel()
-	c.cancel = cancel
+	if c.leavesIn > 0 {
+		time.AfterFunc(c.leavesIn, cancel)
+	}
 	request := &front.Request{
 		Context: ctx, Method: "POST", Target: testPath + "?q=1", Path: testPath, Host: "Ficu95.example:8144",
 		Fields: httpwire.Fields{
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -383,8 +383,7 @@
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.chooser.offers("d1", "d2")
 		r.plays("d1", silent())
-		c := &client{r: r}
-		time.AfterFunc(300*time.Millisecond, func() { c.cancel() })
+		c := &client{r: r, leavesIn: 300 * time.Millisecond}
 		r.askAs(c, nil)
 		if !c.broken || c.answers != 0 || c.took != 300*time.Millisecond {
 			t.Fatalf("%+v", c)
