--- a/internal/catalog/builder.go
+++ b/internal/catalog/builder.go
@@ -148,16 +148,16 @@
 	b.dropConfiguration(key)
 }
 
-// putInstance replaces the worker of an instance.
+// putInstance replaces the worker of an instance. One whose record cannot be read is not sent to.
 func (b *Builder) putInstance(held *shardState, item feed.Item) {
+	if before, found := held.values[item.Key]; found {
+		b.dropInstance(item.Key, before)
+	}
 	instance, err := registry.DecodeItem(item.Value)
 	if err != nil {
 		b.unreadable++
 		return
 	}
-	if before, found := held.values[item.Key]; found {
-		b.dropInstance(item.Key, before)
-	}
 	if b.workers[instance.Service] == nil {
 		b.workers[instance.Service] = map[string]*Worker{}
 	}
