Join the proxy's parts into a process that drains and reloads

The edge needs one process that follows its agent's feed, serves clients and ends without losing what is in work. internal/proxy joins the parts; a view is published only once every shard has come.

--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/internal/front"
+	"ospreybend/internal/settings"
+)
+
+const (
+	// noticeTime is how long the platform may take to send no more connections: it asks each second,
+	// and two answers must be missed.
+	noticeTime = 2500 * time.Millisecond
+	// quietTime is how long no new connection may have come before the process ends.
+	quietTime = 500 * time.Millisecond
+	// endMargin is left of the platform's grace for ending.
+	endMargin = 700 * time.Millisecond
+	pollTime  = 100 * time.Millisecond
+)
+
+// drain tells the platform to send no more clients, and returns once nothing is in work and nothing new
+// comes, or the grace is nearly over.
+func (p *proxy) drain() {
+	p.draining.Store(true)
+	grace := max(settings.Seconds(p.settings.Load().Bounds.GraceS)-endMargin, 0)
+	p.log.Info("draining", zap.Duration("at most", grace))
+	p.front.Drain(min(noticeTime, grace))
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if awaitQuiet(ctx, p.front.Counts) {
+		_ = p.front.Wait(ctx)
+	}
+	p.log.Info("ending", zap.Int64("cut", p.front.Counts().InWork))
+}
+
+// awaitQuiet returns true once clients come no more and no request is in work, and false once ctx has ended.
+func awaitQuiet(ctx context.Context, read func() front.Counts) bool {
+	started := time.Now()
+	lastNew := started
+	seen := read().Accepted
+	for pause(ctx, pollTime) {
+		counts := read()
+		now := time.Now()
+		if counts.Accepted != seen {
+			seen = counts.Accepted
+			lastNew = now
+		}
+		noticed := now.Sub(started) >= noticeTime && now.Sub(lastNew) >= quietTime
+		if noticed && counts.InWork == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits, and returns false once ctx has ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watchSettings reads the settings file again at each SIGHUP, until the function that it returns is
+// called. Connections and requests stay as they are.
+func (p *proxy) watchSettings() func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	stopped := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				p.reload(settings.Path())
+			case <-stopped:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(stopped)
+	}
+}
+
+// reload takes over what may change while the process runs: the memory limit and the grace. A file
+// that cannot be read changes nothing.
+func (p *proxy) reload(path string) {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		p.log.Warn("settings not reloaded", zap.Error(err))
+		return
+	}
+	p.settings.Store(&loaded)
+	applyMemoryLimit(loaded.Limits)
+	p.log.Info("settings reloaded")
+}
--- /dev/null
+++ b/internal/proxy/follower.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"go.uber.org/zap"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/feedlink"
+)
+
+// follower makes views of what the feed tells, and publishes them. One goroutine calls it.
+type follower struct {
+	builder *catalog.Builder
+	publish func(*catalog.View)
+	log     *zap.Logger
+	changed bool // the newest view is not published
+	whole   bool // each shard has come as far as the server had it
+}
+
+func newFollower(publish func(*catalog.View), log *zap.Logger) *follower {
+	return &follower{builder: catalog.NewBuilder(), publish: publish, log: log}
+}
+
+// Snapshot implements feedlink.Handler.
+func (f *follower) Snapshot(shard shards.ID, snapshot feed.Snapshot) {
+	if f.builder.ApplySnapshot(shard, snapshot) {
+		f.changed = true
+	}
+}
+
+// Change implements feedlink.Handler.
+func (f *follower) Change(shard shards.ID, change feed.Change) {
+	if f.builder.ApplyChange(shard, change) {
+		f.changed = true
+	}
+}
+
+// BatchDone implements feedlink.BatchHandler.
+func (f *follower) BatchDone() { f.publishChanged() }
+
+// Status implements feedlink.Handler. The first one follows all that the server had of every shard:
+// no view is published before, since it would have routes and no workers.
+func (f *follower) Status(feedlink.Status) {
+	f.whole = true
+	f.publishChanged()
+}
+
+// Connected implements feedlink.Handler.
+func (f *follower) Connected(address string) {
+	f.log.Info("feed connected", zap.String("from", address))
+}
+
+// Disconnected implements feedlink.Handler.
+func (f *follower) Disconnected(err error) { f.log.Info("feed lost", zap.Error(err)) }
+
+func (f *follower) publishChanged() {
+	if !f.changed || !f.whole {
+		return
+	}
+	f.changed = false
+	f.publish(f.builder.View())
+}
--- /dev/null
+++ b/internal/proxy/parts_test.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/feed"
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/registry"
+	"ospreybend/internal/settings"
+)
+
+func worker(id, address string) *catalog.Worker {
+	return &catalog.Worker{Instance: registry.Instance{ID: id, Service: "s", Address: address}}
+}
+
+func viewOf(mostConnections, nodes int, workers ...*catalog.Worker) *catalog.View {
+	return &catalog.View{
+		Nodes:    nodes,
+		Services: map[string]*configuration.Service{"s": {Name: "s", MaxConnections: mostConnections}},
+		Workers:  map[string][]*catalog.Worker{"s": workers},
+	}
+}
+
+func TestNodesShareAWorkersConnections(t *testing.T) {
+	for _, c := range []struct{ most, nodes, want int }{{360, 8, 40}, {10, 8, 2}, {0, 8, 0}, {100, 0, 50}} {
+		var shares places
+		shares.set(viewOf(c.most, c.nodes, worker("a", "1:1")))
+		if got := shares.of("1:1"); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+	}
+}
+
+func TestAddressesThatNoWorkerHasAnyMoreAreNamed(t *testing.T) {
+	var shares places
+	if shares.of("1:1") != 0 || shares.set(viewOf(9, 1, worker("a", "1:1"), worker("b", "1:2"))) != nil {
+		t.Fatal("something before the first view")
+	}
+	gone := shares.set(viewOf(9, 1, worker("b", "1:2"), worker("c", "1:3")))
+	if !slices.Equal(gone, []string{"1:1"}) || shares.of("1:1") != 0 || shares.of("1:3") == 0 {
+		t.Fatal(gone)
+	}
+}
+
+func TestNoViewBeforeEveryShardHasCome(t *testing.T) {
+	var published []*catalog.View
+	f := newFollower(func(view *catalog.View) { published = append(published, view) }, zap.NewNop())
+	f.Snapshot(0, feed.Snapshot{Index: 3, Items: configurationItems("3")})
+	f.BatchDone()
+	if published != nil {
+		t.Fatal("published a configuration without the workers")
+	}
+	f.Status(feedlink.Status{})
+	if len(published) != 1 || published[0].Generation != 3 {
+		t.Fatalf("%d views", len(published))
+	}
+	f.Status(feedlink.Status{})
+	f.BatchDone()
+	if len(published) != 1 {
+		t.Fatal("published without a change")
+	}
+	f.Change(0, feed.Change{Index: 5, Put: []feed.Item{{Key: configuration.KeyGeneration, Value: []byte("5")}}})
+	f.BatchDone()
+	if len(published) != 2 || published[1].Generation != 5 {
+		t.Fatalf("%d views", len(published))
+	}
+}
+
+func TestAgentsPortIsTheSecondOfTheRange(t *testing.T) {
+	port, err := agentPort(&settings.Settings{PortRange: [2]int{7660, 7675}})
+	if err != nil || port != 7661 {
+		t.Fatal(port, err)
+	}
+}
+
+func TestMetricsAreOneToALine(t *testing.T) {
+	var text strings.Builder
+	appendMetrics(&text, "front", "{Accepted:3 InWork:0}")
+	if text.String() != "front_accepted 3\nfront_inwork 0\n" {
+		t.Fatal(text.String())
+	}
+}
+
+func TestDescriptorsAreShared(t *testing.T) {
+	for fds, want := range map[int]int{4100: 1950, 100: 1, 100000: mostClients} {
+		if got := clientConnections(settings.Limits{MaxFds: fds}); got != want {
+			t.Errorf("%d: %d", fds, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/dispatch"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/front"
+	"ospreybend/internal/retrybudget"
+	"ospreybend/internal/selection"
+	"ospreybend/internal/settings"
+)
+
+// Run serves until ctx ends, and then until what is in work is done. It returns an error only where
+// the process cannot do its work.
+func Run(ctx context.Context, loaded settings.Settings, log *zap.Logger) error {
+	p, err := start(loaded, log)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	reload := p.watchSettings()
+	defer reload()
+	select {
+	case <-ctx.Done():
+	case err := <-p.failed:
+		return err
+	}
+	p.drain()
+	return nil
+}
+
+// proxy is a running process.
+type proxy struct {
+	settings   atomic.Pointer[settings.Settings]
+	log        *zap.Logger
+	pool       *exchange.Pool
+	places     *places
+	dispatcher *dispatch.Dispatcher
+	front      *front.Server
+	readiness  *front.Server
+	draining   atomic.Bool
+	stopFeed   context.CancelFunc
+	failed     chan error
+}
+
+// start opens the listeners and begins to serve.
+func start(loaded settings.Settings, log *zap.Logger) (*proxy, error) {
+	frontListener, err := front.Listen(loaded.Listen.Front)
+	if err != nil {
+		return nil, eris.Wrap(err, "proxy: listen for clients")
+	}
+	readinessListener, err := front.Listen(loaded.Listen.Readiness)
+	if err != nil {
+		_ = frontListener.Close()
+		return nil, eris.Wrap(err, "proxy: listen for the readiness check")
+	}
+	return startOn(loaded, log, frontListener, readinessListener)
+}
+
+// startOn begins to serve on listeners that are open.
+func startOn(loaded settings.Settings, log *zap.Logger, frontListener, readinessListener net.Listener) (*proxy, error) {
+	port, err := agentPort(&loaded)
+	if err != nil {
+		return nil, err
+	}
+	applyMemoryLimit(loaded.Limits)
+	p := newProxy(loaded, log)
+	p.serve(p.front, frontListener)
+	p.serve(p.readiness, readinessListener)
+	p.followFeed(port)
+	log.Info("serving",
+		zap.Stringer("front", frontListener.Addr()), zap.Stringer("readiness", readinessListener.Addr()))
+	return p, nil
+}
+
+func newProxy(loaded settings.Settings, log *zap.Logger) *proxy {
+	p := &proxy{log: log, places: new(places), failed: make(chan error, 2), stopFeed: func() {}}
+	p.settings.Store(&loaded)
+	p.pool = exchange.New(exchange.Options{MaxConnections: p.places.of})
+	started := time.Now()
+	p.dispatcher = dispatch.New(dispatch.Options{
+		Workers: dispatch.OverPool(p.pool),
+		Chooser: selection.New(selection.Options{
+			Zone: loaded.Zone, Seed: rand.Uint64(), Again: settings.Seconds(loaded.Bounds.AgainS),
+		}),
+		Budget: budgetRules(loaded.Bounds),
+		Now:    func() time.Duration { return time.Since(started) },
+		Draw:   rand.Float64,
+		Log:    log,
+	})
+	p.front = p.newFront(loaded.Limits)
+	p.readiness = p.newReadiness()
+	return p
+}
+
+func budgetRules(bounds settings.Bounds) retrybudget.Rules {
+	return retrybudget.Rules{
+		Ratio:  bounds.RetryBudgetRatio,
+		Slack:  bounds.RetryBudgetSlack,
+		Window: settings.Seconds(bounds.BudgetWindowS),
+	}
+}
+
+// newFront makes the server towards clients.
+func (p *proxy) newFront(limits settings.Limits) *front.Server {
+	return front.New(front.Options{
+		Handler:        func(w *front.ResponseWriter, r *front.Request) { p.dispatcher.Serve(w, r) },
+		Limits:         p.clientLimits,
+		MaxConnections: clientConnections(limits),
+		BodyBudget:     bodyBudget(limits),
+		Log:            func(line string) { p.log.Warn("front", zap.String("what", line)) },
+	})
+}
+
+// clientLimits are the limits of the configuration in force.
+func (p *proxy) clientLimits() configuration.Limits {
+	view := p.dispatcher.View()
+	if view == nil {
+		return configuration.Limits{}
+	}
+	return view.Limits
+}
+
+// serve accepts connections in a goroutine. An error that lasts ends the process.
+func (p *proxy) serve(server *front.Server, listener net.Listener) {
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			p.failed <- eris.Wrap(err, "proxy: accept")
+		}
+	}()
+}
+
+// followFeed reads the feed of the machine's agent in a goroutine.
+func (p *proxy) followFeed(port int) {
+	loaded := p.settings.Load()
+	hello := feedlink.Hello{
+		Node: loaded.NodeName, Zone: loaded.Zone, Region: loaded.Region, IP: loaded.IP, Incarnation: rand.Uint64(),
+	}
+	client := feedlink.NewProxyClient(hello, port, newFollower(p.publish, p.log))
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stopFeed = cancel
+	go func() { _ = client.Run(ctx) }()
+}
+
+// close ends all that is still open.
+func (p *proxy) close() {
+	p.stopFeed()
+	_ = p.front.Close()
+	_ = p.readiness.Close()
+	p.pool.Close()
+}
+
+// agentPort is where the machine's agent serves the feed on loopback.
+func agentPort(loaded *settings.Settings) (int, error) {
+	_, port, err := net.SplitHostPort(loaded.FeedAddress())
+	if err != nil {
+		return 0, eris.Wrap(err, "proxy: address of the feed")
+	}
+	number, err := strconv.Atoi(port)
+	return number, eris.Wrap(err, "proxy: port of the feed")
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,298 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/front"
+	"ospreybend/internal/registry"
+	"ospreybend/internal/settings"
+)
+
+const (
+	testHost    = "ficu95.example"
+	patience    = 20 * time.Second
+	requestBody = "the prompt"
+)
+
+const (
+	testRoute = `{"name":"r1","hostname":"ficu95.example","pathPrefix":"/a/","routeType":"non_idempotent",` +
+		`"timeoutMs":4000,"targetLatencyMs":300,"priority":0,"service":"s","maxAttempts":2}`
+	testStreamRoute = `{"name":"r2","hostname":"ficu95.example","pathPrefix":"/stream/","routeType":"streaming",` +
+		`"timeoutMs":4000,"targetLatencyMs":300,"priority":0,"service":"s","maxAttempts":2,"resumable":true,"gap_aim_ms":200}`
+	testServiceItem = `{"name":"s","healthPath":"/health","maxConnections":100}`
+)
+
+func configurationItems(generation string) []feed.Item {
+	return []feed.Item{
+		{Key: configuration.KeyGeneration, Value: []byte(generation)},
+		{Key: configuration.KeyRoutePrefix + "r1", Value: []byte(testRoute)},
+		{Key: configuration.KeyRoutePrefix + "r2", Value: []byte(testStreamRoute)},
+		{Key: configuration.KeyServicePrefix + "s", Value: []byte(testServiceItem)},
+	}
+}
+
+// standInAgent is a feed with fixed items.
+type standInAgent struct{ snapshots map[shards.ID]feed.Snapshot }
+
+func (a *standInAgent) Shards() []shards.ID { return []shards.ID{0, 1} }
+
+func (a *standInAgent) Since(shard shards.ID, index uint64) ([]feed.Change, *feed.Snapshot) {
+	snapshot := a.snapshots[shard]
+	if index >= snapshot.Index {
+		return nil, nil
+	}
+	return nil, &snapshot
+}
+
+func (a *standInAgent) Status() feedlink.Status { return feedlink.Status{} }
+
+func (a *standInAgent) Subscribe(chan<- struct{}) func() { return func() {} }
+
+func (a *standInAgent) OnReport(feedlink.Hello, string, []byte) {}
+
+// serve answers proxies until the test ends.
+func (a *standInAgent) serve(t *testing.T, listener net.Listener) {
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go a.session(t.Context(), connection)
+		}
+	}()
+}
+
+func (a *standInAgent) session(ctx context.Context, connection net.Conn) {
+	_, body, err := feedlink.ReadFirstFrame(connection, patience)
+	if err != nil {
+		return
+	}
+	hello, err := feedlink.DecodeHello(body)
+	if err != nil {
+		return
+	}
+	_ = feedlink.Serve(ctx, connection, hello, a)
+}
+
+// standInWorker answers as a worker does.
+type standInWorker struct {
+	hold    chan struct{} // requests to /a/held wait for it
+	arrived chan struct{} // told of each of them
+}
+
+func (w *standInWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Header.Get("X-Target-Instance") != "w1" {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	writer.Header().Set("X-Response-Signature", "3e1b")
+	if request.URL.Path == "/a/held" {
+		w.arrived <- struct{}{}
+		<-w.hold
+	}
+	if strings.HasPrefix(request.URL.Path, "/stream/") {
+		streamEvents(writer, request)
+		return
+	}
+	body, _ := io.ReadAll(request.Body)
+	fmt.Fprintf(writer, "%s %s %s", request.Method, request.RequestURI, body)
+}
+
+// streamEvents sends five events, of a first call only three before it breaks off.
+func streamEvents(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	from, to := 1, 3
+	if last := request.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &from)
+		from, to = from+1, 5
+	}
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(writer, "id: %d\ndata: x\n\n", id)
+		writer.(http.Flusher).Flush()
+	}
+	if to < 5 && request.URL.Path == "/stream/cut" {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// system is a proxy among stand-ins on loopback.
+type system struct {
+	t         *testing.T
+	proxy     *proxy
+	worker    *standInWorker
+	front     string
+	readiness string
+	client    *http.Client
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, worker: &standInWorker{hold: make(chan struct{}), arrived: make(chan struct{}, 8)}}
+	server := httptest.NewServer(s.worker)
+	t.Cleanup(server.Close)
+	feedListener := listen(t)
+	agent := &standInAgent{snapshots: map[shards.ID]feed.Snapshot{
+		0: {Index: 4, Items: configurationItems("7")},
+		1: {Index: 9, Items: []feed.Item{workerItem("w1", server.Listener.Addr().String())}},
+	}}
+	agent.serve(t, feedListener)
+	s.startProxy(feedListener.Addr().(*net.TCPAddr).Port)
+	s.client = &http.Client{Timeout: patience, Transport: &http.Transport{}}
+	t.Cleanup(s.client.CloseIdleConnections)
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := front.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func workerItem(id, address string) feed.Item {
+	instance := registry.Instance{ID: id, Service: "s", Address: address, Slots: 8}
+	return feed.Item{Key: id, Value: registry.EncodeItem(instance)}
+}
+
+func (s *system) startProxy(feedPort int) {
+	loaded := settings.Defaults()
+	loaded.PortRange = [2]int{feedPort - 1, feedPort + 10}
+	loaded.Bounds.GraceS = 8
+	loaded.Bounds.BudgetWindowS = 0.001
+	loaded.Bounds.RetryBudgetSlack = 50
+	frontListener, readinessListener := listen(s.t), listen(s.t)
+	s.front, s.readiness = frontListener.Addr().String(), readinessListener.Addr().String()
+	started, err := startOn(loaded, zap.NewNop(), frontListener, readinessListener)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.proxy = started
+	s.t.Cleanup(started.close)
+}
+
+// await asks a condition again and again until it holds.
+func (s *system) await(what string, condition func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (s *system) readinessStatus() int {
+	response, err := s.client.Get("http://" + s.readiness + "/-/ready")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// ask sends a request and returns the status, the body, and the error of reading it.
+func (s *system) ask(path string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.front+path, strings.NewReader(requestBody))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = testHost
+	request.Header.Set("X-Request-Id", "9c41d07be2a35f68")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func (s *system) awaitReady() {
+	s.t.Helper()
+	s.await("ready", func() bool { return s.readinessStatus() == http.StatusOK })
+}
+
+func (s *system) mustAnswer(path string, status int, body string) {
+	s.t.Helper()
+	gotStatus, gotBody, err := s.ask(path)
+	if gotStatus != status || gotBody != body || err != nil {
+		s.t.Fatalf("%s: %d %q %v", path, gotStatus, gotBody, err)
+	}
+}
+
+func TestProxyForwardsOnceConfigured(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	s.mustAnswer("/a/x?y=1", 200, "POST /a/x?y=1 "+requestBody)
+	s.mustAnswer("/none/", 404, "")
+}
+
+func TestProxyTakesAStreamUpAgain(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	status, body, err := s.ask("/stream/whole")
+	want := "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+	if status != 200 || body != want || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if _, body, err := s.ask("/stream/cut"); err == nil || !strings.HasPrefix(want, body) {
+		t.Fatalf("a stream cut with no other worker ended as complete: %q", body)
+	}
+}
+
+func TestProxyIsNotReadyWithoutAConfiguration(t *testing.T) {
+	s := &system{t: t, client: &http.Client{Timeout: patience}}
+	unused := listen(t)
+	s.startProxy(unused.Addr().(*net.TCPAddr).Port)
+	if status := s.readinessStatus(); status != http.StatusServiceUnavailable {
+		t.Fatal(status)
+	}
+	if status, _, err := s.ask("/a/x"); status != http.StatusServiceUnavailable || err != nil {
+		t.Fatal(status, err)
+	}
+}
+
+func TestDrainingProxyIsNotReadyAndFinishesWhatIsInWork(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	answered := make(chan string, 1)
+	go func() {
+		_, body, _ := s.ask("/a/held")
+		answered <- body
+	}()
+	<-s.worker.arrived
+	drained := make(chan struct{})
+	go func() {
+		s.proxy.drain()
+		close(drained)
+	}()
+	s.await("not ready", func() bool { return s.readinessStatus() == http.StatusServiceUnavailable })
+	s.mustAnswer("/a/x", 200, "POST /a/x "+requestBody)
+	close(s.worker.hold)
+	if body := <-answered; body != "POST /a/held "+requestBody {
+		t.Fatalf("the request in work got %q", body)
+	}
+	<-drained
+	if cut := s.proxy.front.Counts().InWork; cut != 0 {
+		t.Fatalf("%d requests in work at the end", cut)
+	}
+}
