--- /dev/null
+++ b/internal/feedlink/choice_test.go
@@ -0,0 +1,259 @@
+package feedlink
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const feedPort = 7660
+
+var start = time.Unix(1000, 0)
+
+// script drives a choice on a clock of its own.
+type script struct {
+	t      *testing.T
+	choice *Choice
+	now    time.Time
+}
+
+func newScript(t *testing.T, seeds ...string) *script {
+	t.Helper()
+	options := ChoiceOptions{Node: "edge-1", Zone: "a", Region: "north", Seeds: seeds, FeedPort: feedPort}
+	return &script{t: t, choice: NewChoice(options, func() float64 { return 0.5 }), now: start}
+}
+
+func (s *script) next() string {
+	address, wait := s.choice.Next(s.now)
+	s.now = s.now.Add(wait)
+	return address
+}
+
+func (s *script) connect() string {
+	address := s.next()
+	s.choice.Connected(s.now)
+	return address
+}
+
+func (s *script) pass(span time.Duration) { s.now = s.now.Add(span) }
+
+func (s *script) status(current bool, keepers ...Keeper) {
+	s.choice.Heard(s.now)
+	s.choice.Status(s.now, Status{Shards: []ShardStatus{{Current: current}}, Keepers: keepers})
+}
+
+// followUntilLeft passes time in the steps of the choice's own deadlines, with a status at every
+// interval, until it leaves the server.
+func (s *script) followUntilLeft(current bool, longest time.Duration) (time.Duration, error) {
+	begun := s.now
+	for s.now.Sub(begun) < longest {
+		s.pass(StatusInterval / 4)
+		if s.now.Sub(begun)%StatusInterval == 0 {
+			s.status(current)
+		}
+		if reason := s.choice.Check(s.now); reason != nil {
+			return s.now.Sub(begun), reason
+		}
+	}
+	return longest, nil
+}
+
+func threeSeeds() []string { return []string{"10.0.0.1:8146", "10.0.0.2:8146", "10.0.0.3:8146"} }
+
+func TestAllSeedsAreTriedInTurn(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	tried := make(map[string]int)
+	for range 6 {
+		tried[s.next()]++
+		s.pass(DialLimit)
+		s.choice.Ended(s.now, errors.New("refused"))
+	}
+	if len(tried) != 3 {
+		t.Errorf("tried %v", tried)
+	}
+	for address, count := range tried {
+		if count != 2 {
+			t.Errorf("%s was tried %d times", address, count)
+		}
+	}
+	if elapsed := s.now.Sub(start); elapsed > 6*DialLimit+6*retryLongest {
+		t.Errorf("took %v", elapsed)
+	}
+}
+
+func TestWaitsGrowWithinTheirBounds(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	var last time.Duration
+	for attempt := range 10 {
+		_, wait := s.choice.Next(s.now)
+		if attempt == 0 && wait != 0 {
+			t.Errorf("the first attempt waits %v", wait)
+		}
+		if attempt > 0 && (wait < retryShortest || wait > retryLongest || wait < last) {
+			t.Errorf("attempt %d waits %v after %v", attempt, wait, last)
+		}
+		last = wait
+		s.choice.Ended(s.now, errors.New("refused"))
+	}
+}
+
+func TestASilentServerIsLeft(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	first := s.connect()
+	s.status(true)
+	if deadline := s.choice.Deadline(); !deadline.Equal(s.now.Add(SilentAfter)) {
+		t.Errorf("deadline %v after now", deadline.Sub(s.now))
+	}
+	s.pass(SilentAfter - time.Millisecond)
+	if reason := s.choice.Check(s.now); reason != nil {
+		t.Errorf("left early: %v", reason)
+	}
+	s.pass(time.Millisecond)
+	reason := s.choice.Check(s.now)
+	if !errors.Is(reason, ErrSilent) {
+		t.Fatalf("got %v", reason)
+	}
+	s.choice.Ended(s.now, reason)
+	if second := s.next(); second == first {
+		t.Errorf("went back to %s", second)
+	}
+}
+
+func TestAServerThatIsNotCurrentIsLeftWhereThereIsAnother(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	first := s.connect()
+	elapsed, reason := s.followUntilLeft(false, 10*time.Second)
+	if !errors.Is(reason, ErrNotCurrent) || elapsed != StaleAfter {
+		t.Fatalf("after %v: %v", elapsed, reason)
+	}
+	s.choice.Ended(s.now, reason)
+	if second := s.connect(); second == first {
+		t.Errorf("went back to %s", second)
+	}
+	if elapsed, reason := s.followUntilLeft(true, 10*time.Second); reason != nil {
+		t.Errorf("left a current server after %v: %v", elapsed, reason)
+	}
+}
+
+func TestTheOnlyServerIsKeptThoughNotCurrent(t *testing.T) {
+	s := newScript(t, "10.0.0.1:8146")
+	s.connect()
+	if elapsed, reason := s.followUntilLeft(false, 20*time.Second); reason != nil {
+		t.Errorf("left after %v: %v", elapsed, reason)
+	}
+}
+
+func TestPatienceWithServersThatAreNotCurrentIsBounded(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	for range 6 {
+		s.connect()
+		elapsed, reason := s.followUntilLeft(false, 10*time.Second)
+		if !errors.Is(reason, ErrNotCurrent) || elapsed > 2*StaleAfter {
+			t.Fatalf("after %v: %v", elapsed, reason)
+		}
+		s.choice.Ended(s.now, reason)
+	}
+}
+
+func TestAStallOfTheOwnProcessIsNoReasonToLeaveAtOnce(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	s.connect()
+	s.status(true)
+	s.pass(20 * time.Second)
+	if reason := s.choice.Check(s.now); reason != nil {
+		t.Fatalf("left: %v", reason)
+	}
+	s.now = s.choice.Deadline()
+	if s.now.Sub(start) > 20*time.Second+time.Second {
+		t.Errorf("the next deadline is %v after the start", s.now.Sub(start))
+	}
+	if reason := s.choice.Check(s.now); !errors.Is(reason, ErrSilent) {
+		t.Errorf("got %v", reason)
+	}
+}
+
+func keeper(ip int, zone, region string) Keeper {
+	return Keeper{Address: fmt.Sprintf("10.0.0.%d:8146", ip), Zone: zone, Region: region}
+}
+
+func TestANearerKeeperIsPreferredAfterAWhile(t *testing.T) {
+	s := newScript(t, "10.0.0.1:8146")
+	s.connect()
+	keepers := []Keeper{keeper(1, "b", "south"), keeper(2, "a", "north"), keeper(3, "c", "north")}
+	s.status(true, keepers...)
+	if reason := s.choice.Check(s.now); reason != nil {
+		t.Fatalf("left at once: %v", reason)
+	}
+	elapsed, reason := s.followUntilLeft(true, time.Minute)
+	if !errors.Is(reason, ErrOtherPreferred) || elapsed < nearerAfter || elapsed > 2*nearerAfter+StatusInterval {
+		t.Fatalf("after %v: %v", elapsed, reason)
+	}
+	s.choice.Ended(s.now, reason)
+	if address := s.connect(); address != "10.0.0.2:7660" {
+		t.Fatalf("went to %s", address)
+	}
+	s.status(true, keepers...)
+	if elapsed, reason := s.followUntilLeft(true, time.Minute); reason != nil {
+		t.Errorf("left the nearest after %v: %v", elapsed, reason)
+	}
+}
+
+func TestANearerKeeperThatFailsIsTriedLessAndLess(t *testing.T) {
+	s := newScript(t, "10.0.0.1:8146")
+	keepers := []Keeper{keeper(1, "b", "south"), keeper(2, "a", "north")}
+	failures := 0
+	for s.now.Sub(start) < 5*time.Minute {
+		if address := s.next(); address == "10.0.0.2:7660" {
+			failures++
+			s.pass(DialLimit)
+			s.choice.Ended(s.now, errors.New("no answer"))
+			continue
+		}
+		s.choice.Connected(s.now)
+		s.status(true, keepers...)
+		_, reason := s.followUntilLeft(true, time.Minute)
+		s.choice.Ended(s.now, reason)
+	}
+	if failures < 3 || failures > 10 {
+		t.Errorf("tried %d times in five minutes", failures)
+	}
+}
+
+func TestKeepersThatAreGoneAreForgotten(t *testing.T) {
+	s := newScript(t, "10.0.0.1:8146")
+	s.connect()
+	s.status(true, keeper(1, "", ""), keeper(2, "", ""))
+	s.status(true, keeper(1, "", ""))
+	if count := s.choice.candidates.len(); count != 1 {
+		t.Errorf("%d candidates", count)
+	}
+	s.status(true)
+	if count := s.choice.candidates.len(); count != 1 {
+		t.Errorf("%d candidates after an empty list", count)
+	}
+}
+
+func TestNodesSpreadOverKeepers(t *testing.T) {
+	const nodes = 300
+	chosen := make(map[string]int)
+	for node := range nodes {
+		options := ChoiceOptions{Node: fmt.Sprintf("edge-%d", node), Seeds: threeSeeds(), FeedPort: feedPort}
+		address, _ := NewChoice(options, func() float64 { return 0 }).Next(start)
+		chosen[address]++
+	}
+	for address, count := range chosen {
+		if count < nodes/3*7/10 || count > nodes/3*13/10 {
+			t.Errorf("%s has %d of %d", address, count, nodes)
+		}
+	}
+}
+
+func TestNoServerIsKnown(t *testing.T) {
+	s := newScript(t, "not an address")
+	address, wait := s.choice.Next(s.now)
+	if address != "" || wait <= 0 {
+		t.Errorf("got %q after %v", address, wait)
+	}
+	s.choice.Ended(s.now, ErrNoServer)
+}
--- a/internal/feedlink/codec.go
+++ b/internal/feedlink/codec.go
@@ -1,7 +1,9 @@
 package feedlink
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/hamba/avro/v2"
 
@@ -60,13 +62,31 @@
 
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
-func decode(kind Kind, schema avro.Schema, body []byte, into any) error {
-	if err := codec.Unmarshal(schema, body, into); err != nil {
-		return &DecodeError{Kind: kind, Cause: err}
+// readers are kept from one body to the next.
+var readers = sync.Pool{New: func() any { return avro.NewReader(nil, 0, avro.WithReaderConfig(codec)) }}
+
+// decode reads a body. Unlike the codec's own Unmarshal it fails for one that ends early; bytes after
+// the schema's last field are left alone, so that a later schema may have more fields.
+func decode(kind Kind, schema avro.Schema, body []byte, into any) (err error) {
+	reader := readers.Get().(*avro.Reader).Reset(body)
+	reader.Error = nil
+	defer func() {
+		if panicked := recover(); panicked != nil { // the codec does so for some false lengths
+			err = &DecodeError{Kind: kind, Cause: fmt.Errorf("%w: %v", errBadLength, panicked)}
+			return
+		}
+		reader.Reset(nil)
+		readers.Put(reader)
+	}()
+	reader.ReadVal(schema, into)
+	if reader.Error != nil {
+		return &DecodeError{Kind: kind, Cause: reader.Error}
 	}
 	return nil
 }
 
+var errBadLength = errors.New("feedlink: false length")
+
 func appendMessage(buffer []byte, kind Kind, schema avro.Schema, message any) ([]byte, error) {
 	body, err := codec.Marshal(schema, message)
 	if err != nil {
--- a/internal/feedlink/schemas.go
+++ b/internal/feedlink/schemas.go
@@ -50,5 +50,8 @@
 		{"name":"IP","type":"string"},{"name":"Suspected","type":"boolean"}]}`)
 )
 
+// maxElements bounds the elements of an array, so that a false count costs little memory.
+const maxElements = 1 << 18
+
 // codec admits strings and byte fields up to the length of a frame.
-var codec = avro.Config{MaxByteSliceSize: MaxFrameBytes}.Freeze()
+var codec = avro.Config{MaxByteSliceSize: MaxFrameBytes, MaxSliceAllocSize: maxElements}.Freeze()
--- a/internal/feedlink/server.go
+++ b/internal/feedlink/server.go
@@ -194,6 +194,9 @@
 	}
 	latest := s.writer.statusAt.Add(s.options.StatusInterval)
 	beyond := latest.Sub(processStart) % s.options.StatusInterval
+	if beyond < 0 {
+		beyond += s.options.StatusInterval
+	}
 	return latest.Add(-beyond).Sub(now)
 }
 
