Join replicas, peers, the API and the feed into the keeper

The control plane needs a process that holds the shards' replicas and takes the operator's and the workers' calls. internal/keeper opens a replica group for each shard, forms the groups from the seeds, takes in keepers that ask, hands calls to a shard's owner, keeps instances and edge nodes registered, and serves the feed.

--- /dev/null
+++ b/internal/keeper/calls.go
@@ -0,0 +1,153 @@
+package keeper
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/hamba/avro/v2"
+
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/peerlink"
+)
+
+// Kinds of calls between keepers.
+const (
+	callReplace    peerlink.CallKind = 1 // a whole configuration
+	callUpdate     peerlink.CallKind = 2 // a change of it
+	callRead       peerlink.CallKind = 3 // the newest configuration
+	callBeat       peerlink.CallKind = 4 // a worker's heartbeat
+	callNodes      peerlink.CallKind = 5 // heartbeats of edge nodes
+	callDeregister peerlink.CallKind = 6
+	callJoin       peerlink.CallKind = 7 // a keeper asks to be taken into groups
+	callCurrency   peerlink.CallKind = 8 // which shards a keeper could own
+)
+
+// call is what the owner of a shard is asked.
+type call struct {
+	Kind  peerlink.CallKind
+	Shard shards.ID
+	ID    string // of the instance
+	Base  uint64 // of a change to the configuration
+	Body  []byte
+}
+
+// answer is what the owner of a shard says.
+type answer struct {
+	NotOwner bool   // nothing was done; Leader is the address of the owner, if known
+	Leader   string // "ip:port" of the peer listener
+	Status   int    // of HTTP
+	Code     int    // of an error
+	Text     string
+	Body     []byte // of a success
+	Known    bool   // Deregister: the instance was known
+}
+
+// node is one edge node whose agent reads this keeper's feed.
+type node struct {
+	ID      string
+	Address string // "ip:port"
+	Zone    string
+}
+
+// groupState is how far a keeper is with one group.
+type groupState struct {
+	Shard    int
+	Voter    bool
+	Current  bool
+	Writable bool
+}
+
+// keeperInfo tells where a keeper is.
+type keeperInfo struct {
+	Address string // "ip:port" of the peer listener
+	Zone    string
+	Region  string
+}
+
+var (
+	callSchema = avro.MustParse(`{"type":"record","name":"Call","fields":[
+		{"name":"Kind","type":"int"},
+		{"name":"Shard","type":"long"},
+		{"name":"ID","type":"string"},
+		{"name":"Base","type":"long"},
+		{"name":"Body","type":"bytes"}]}`)
+
+	answerSchema = avro.MustParse(`{"type":"record","name":"Answer","fields":[
+		{"name":"NotOwner","type":"boolean"},
+		{"name":"Leader","type":"string"},
+		{"name":"Status","type":"int"},
+		{"name":"Code","type":"int"},
+		{"name":"Text","type":"string"},
+		{"name":"Body","type":"bytes"},
+		{"name":"Known","type":"boolean"}]}`)
+
+	nodesSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"Node","fields":[
+		{"name":"ID","type":"string"},
+		{"name":"Address","type":"string"},
+		{"name":"Zone","type":"string"}]}}`)
+
+	groupsSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"GroupState","fields":[
+		{"name":"Shard","type":"int"},
+		{"name":"Voter","type":"boolean"},
+		{"name":"Current","type":"boolean"},
+		{"name":"Writable","type":"boolean"}]}}`)
+
+	keepersSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"Keeper","fields":[
+		{"name":"Address","type":"string"},
+		{"name":"Zone","type":"string"},
+		{"name":"Region","type":"string"}]}}`)
+)
+
+// codec admits strings and byte fields up to the length of a frame.
+var codec = avro.Config{MaxByteSliceSize: feedlink.MaxFrameBytes}.Freeze()
+
+// wireCall mirrors callSchema.
+type wireCall struct {
+	Kind        int
+	Shard, Base int64
+	ID          string
+	Body        []byte
+}
+
+func encodeCall(c call) ([]byte, error) {
+	return codec.Marshal(callSchema, wireCall{
+		Kind: int(c.Kind), Shard: int64(c.Shard), Base: int64(c.Base), ID: c.ID, Body: c.Body,
+	})
+}
+
+func decodeCall(body []byte) (call, error) {
+	var wire wireCall
+	if err := codec.Unmarshal(callSchema, body, &wire); err != nil {
+		return call{}, fmt.Errorf("keeper: call: %w", err)
+	}
+	if wire.Shard < 0 || wire.Shard >= shards.Count {
+		return call{}, fmt.Errorf("keeper: call: no shard %d", wire.Shard)
+	}
+	return call{
+		Kind: peerlink.CallKind(wire.Kind), Shard: shards.ID(wire.Shard),
+		Base: uint64(wire.Base), ID: wire.ID, Body: wire.Body,
+	}, nil
+}
+
+func encodeAnswer(a answer) ([]byte, error) { return codec.Marshal(answerSchema, a) }
+
+func decodeAnswer(body []byte) (answer, error) {
+	var a answer
+	if err := codec.Unmarshal(answerSchema, body, &a); err != nil {
+		return answer{}, fmt.Errorf("keeper: answer: %w", err)
+	}
+	return a, nil
+}
+
+// succeeded is the answer to a call that was carried out.
+func succeeded(body []byte) answer { return answer{Status: http.StatusOK, Body: body} }
+
+// failed is the answer of one of this package's codes.
+func failed(code Code) answer {
+	entry := code.entry()
+	return answer{Status: entry.Status, Code: int(code), Text: entry.Text}
+}
+
+// notOwner is the answer of a keeper that does not lead the shard.
+func notOwner(leader string) answer { return answer{NotOwner: true, Leader: leader} }
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,187 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/peerlink"
+	"ospreybend/internal/settings"
+)
+
+// transport is what a keeper uses of the network of keepers.
+type transport interface {
+	Send(to agreement.Member, shard shards.ID, message agreement.Message)
+	Call(ctx context.Context, address string, kind peerlink.CallKind, body []byte) ([]byte, error)
+	LastHeard(address string) time.Time
+	Peers() []peerlink.PeerStatus
+}
+
+// Keeper is one process of the control plane.
+type Keeper struct {
+	settings  settings.Settings
+	log       *zap.Logger
+	self      agreement.Member
+	shards    [shards.Count]*shard
+	network   transport
+	directory *directory
+	nodes     *nodeTable
+
+	candidates    candidates
+	ownersChanged signal
+	readers       subscribers
+	metrics       metrics
+	leaving       atomic.Bool
+	opened        chan struct{} // closed once all groups are open
+	started       time.Time
+
+	workContext  context.Context // of what the keeper does by itself
+	feedContext  context.Context // of the feed's sessions
+	stopWork     context.CancelFunc
+	stopFeed     context.CancelFunc
+	background   sync.WaitGroup
+	mutex        sync.Mutex
+	lastMove     time.Time // of maintain alone: when leadership was last handed to a preferred owner
+	closeGroups  []func() error
+	closeNetwork func()
+}
+
+// newKeeper prepares a keeper that has no groups and no network yet.
+func newKeeper(config settings.Settings, self agreement.Member, log *zap.Logger) *Keeper {
+	k := &Keeper{
+		settings: config, log: log, self: self, nodes: newNodeTable(),
+		opened: make(chan struct{}), started: time.Now(),
+	}
+	place := keeperInfo{Address: self.Address, Zone: config.Zone, Region: config.Region}
+	k.directory = newDirectory(place, seedAddresses(config))
+	k.workContext, k.stopWork = context.WithCancel(context.Background())
+	k.feedContext, k.stopFeed = context.WithCancel(context.Background())
+	beat := time.Duration(config.HeartbeatMs) * time.Millisecond
+	for i := range k.shards {
+		k.shards[i] = &shard{id: shards.ID(i), machine: newMachine(shards.ID(i), beat)}
+	}
+	return k
+}
+
+func newMachine(id shards.ID, beat time.Duration) machine {
+	if id == shards.Configuration {
+		return newConfigurationMachine()
+	}
+	return newRegistryMachine(beat)
+}
+
+// ownAddress is where this keeper takes its peers: the IP of its control address, first port.
+func ownAddress(config settings.Settings) string {
+	control, err := netip.ParseAddrPort(config.Listen.Control)
+	if err != nil {
+		return config.PeerAddress()
+	}
+	return config.PeerAddressOf(control.Addr().String())
+}
+
+func seedAddresses(config settings.Settings) []string { return config.SeedPeerAddresses() }
+
+// openNetwork makes the connections' end of this keeper. It accepts nothing yet.
+func (k *Keeper) openNetwork() (*peerlink.Network, error) {
+	network, err := peerlink.New(peerlink.Options{
+		Self: peerlink.Hello{
+			Address: k.self.Address, Member: k.self.ID, Zone: k.settings.Zone, Region: k.settings.Region,
+		},
+		Handler: k, Logger: k.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	k.network, k.closeNetwork = network, network.Close
+	return network, nil
+}
+
+// openGroups opens all replicas. One that cannot be opened now, as with a full disk, is tried again
+// until ctx ends.
+func (k *Keeper) openGroups(ctx context.Context, founders []agreement.Member) error {
+	for _, shard := range k.shards {
+		for {
+			err := k.openGroup(shard, founders)
+			if err == nil {
+				break
+			}
+			k.log.Error("a replica cannot be opened", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+			if !pause(ctx, nil, openRetryInterval) {
+				return eris.Wrapf(err, "open the replica of shard %d", shard.id)
+			}
+		}
+	}
+	close(k.opened)
+	return nil
+}
+
+func (k *Keeper) openGroup(shard *shard, founders []agreement.Member) error {
+	group, err := replica.Open(replica.Options{
+		Shard:     shard.id,
+		Directory: filepath.Join(k.settings.DataDir, "shard-"+strconv.Itoa(int(shard.id))),
+		Self:      k.self,
+		Founders:  founders,
+		Machine:   shard.machine,
+		Send: func(to agreement.Member, message agreement.Message) {
+			k.network.Send(to, shard.id, message)
+		},
+		OnApplied:       func(uint64) { k.readers.wake() },
+		OnStatus:        func(status replica.Status) { k.onStatus(shard, status) },
+		ElectionTimeout: electionTimeout,
+		Heartbeat:       heartbeat,
+		Logger:          k.log,
+	})
+	if err != nil {
+		return err
+	}
+	shard.group = group
+	k.closeGroups = append(k.closeGroups, group.Close)
+	return nil
+}
+
+// Connected notes where a peer is.
+func (k *Keeper) Connected(peer peerlink.Hello) {
+	k.directory.learn(keeperInfo{Address: peer.Address, Zone: peer.Zone, Region: peer.Region})
+}
+
+// Messages hands agreement messages to their groups. Those for an earlier member with this
+// address are dropped.
+func (k *Keeper) Messages(_ peerlink.Hello, batch []peerlink.GroupMessage) {
+	for _, one := range batch {
+		if one.Message.To == k.self.ID {
+			k.shards[one.Shard].group.Step(one.Message)
+		}
+	}
+}
+
+// Call carries out what another keeper asks.
+func (k *Keeper) Call(ctx context.Context, peer peerlink.Hello, kind peerlink.CallKind, body []byte) ([]byte, error) {
+	switch kind {
+	case callJoin:
+		return k.takeJoin(peer, body)
+	case callCurrency:
+		return codec.Marshal(groupsSchema, k.groupStates())
+	}
+	c, err := decodeCall(body)
+	if err != nil {
+		return nil, err
+	}
+	return encodeAnswer(k.execute(ctx, c))
+}
+
+// listenPeers opens the listener for peers and agents.
+func (k *Keeper) listenPeers(ctx context.Context) (net.Listener, error) {
+	listener, err := peerlink.Listen(ctx, k.self.Address)
+	return listener, eris.Wrap(err, "listen for peers")
+}
--- /dev/null
+++ b/internal/keeper/machines.go
@@ -0,0 +1,201 @@
+package keeper
+
+import (
+	"sync"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/feed"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/registry"
+)
+
+// feedState is a shard's feed. The mutex also guards the store that the feed shows, so that both
+// are always at the same entry.
+type feedState struct {
+	mutex  sync.Mutex
+	buffer *feed.Buffer
+}
+
+func newFeedState() feedState { return feedState{buffer: feed.NewBuffer(feedBacklogBytes)} }
+
+// since returns what takes a reader on from index; both are nil if there is nothing above it.
+func (s *feedState) since(index uint64) ([]feed.Change, *feed.Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if index >= s.buffer.Index() {
+		return nil, nil
+	}
+	if changes, ok := s.buffer.Since(index); ok {
+		return changes, nil
+	}
+	snapshot := s.buffer.Snapshot()
+	return nil, &snapshot
+}
+
+func (s *feedState) index() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.buffer.Index()
+}
+
+// append takes the change of an entry. The caller holds the mutex. Entries come in the order of
+// their indexes, so the buffer cannot refuse one.
+func (s *feedState) append(change feed.Change) { _ = s.buffer.Append(change) }
+
+func (s *feedState) reset(index uint64, items []feed.Item) {
+	s.buffer.Reset(feed.Snapshot{Index: index, Items: items})
+}
+
+// configurationMachine is the state machine of shard 0.
+type configurationMachine struct {
+	feedState
+	store *configuration.Store
+}
+
+func newConfigurationMachine() *configurationMachine {
+	return &configurationMachine{feedState: newFeedState(), store: configuration.NewStore()}
+}
+
+// Apply carries out a change to the configuration; its result is a configuration.Outcome.
+func (m *configurationMachine) Apply(entry agreement.Entry) any {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	outcome, change := m.store.Apply(entry.Index, entry.Data)
+	m.append(change)
+	return outcome
+}
+
+// Snapshot returns the whole state.
+func (m *configurationMachine) Snapshot() []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.Snapshot()
+}
+
+// Restore replaces the state.
+func (m *configurationMachine) Restore(index uint64, data []byte) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.store.Restore(data); err != nil {
+		return err
+	}
+	m.reset(index, m.store.Items())
+	return nil
+}
+
+// document returns the configuration as JSON.
+func (m *configurationMachine) document() []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.Document()
+}
+
+func (m *configurationMachine) setLeading(uint64)                     {}
+func (m *configurationMachine) gained(time.Time, uint64)              {}
+func (m *configurationMachine) expired(time.Time) (commands [][]byte) { return nil }
+
+// registryMachine is the state machine of a shard of instances, with what its owner knows beside.
+type registryMachine struct {
+	feedState
+	store   *registry.Store
+	owner   *registry.Owner
+	leading uint64 // term in which this replica leads; 0: it does not
+	owned   bool   // it leads and has applied all that earlier owners acknowledged
+}
+
+func newRegistryMachine(beat time.Duration) *registryMachine {
+	return &registryMachine{
+		feedState: newFeedState(), store: registry.NewStore(),
+		owner: registry.NewOwner(beat, registry.OwnerOptions{}),
+	}
+}
+
+// Apply carries out a change to the instances; its result is a registry.Outcome.
+func (m *registryMachine) Apply(entry agreement.Entry) any {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	outcome, change := m.store.Apply(entry.Index, entry.Data)
+	m.append(change)
+	m.owner.Applied(time.Now(), change)
+	return outcome
+}
+
+// Snapshot returns the whole state.
+func (m *registryMachine) Snapshot() []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.Snapshot()
+}
+
+// Restore replaces the state.
+func (m *registryMachine) Restore(index uint64, data []byte) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.store.Restore(data); err != nil {
+		return err
+	}
+	m.reset(index, m.store.Items())
+	return nil
+}
+
+// setLeading notes the term in which this replica leads, 0 if it does not. Ownership ends with it.
+func (m *registryMachine) setLeading(term uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.leading == term {
+		return
+	}
+	m.leading = term
+	m.owned = false
+	m.owner.Lost()
+}
+
+// gained starts the ownership, unless leadership of the term has ended meanwhile.
+func (m *registryMachine) gained(now time.Time, term uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.leading != term || m.owned {
+		return
+	}
+	m.owned = true
+	m.owner.Gained(now, m.store.Instances(""))
+}
+
+// beat decides on a heartbeat. owned is false while this replica does not own the shard.
+func (m *registryMachine) beat(now time.Time, beat registry.Beat) (decision registry.Decision, owned bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.owned {
+		return registry.Decision{}, false
+	}
+	return m.owner.Beat(now, beat, m.store.Instance(beat.ID)), true
+}
+
+// deregister decides on a departure; known tells whether the instance is in the store.
+func (m *registryMachine) deregister(now time.Time, id string) (decision registry.Decision, known, owned bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.owned {
+		return registry.Decision{}, false, false
+	}
+	held := m.store.Instance(id)
+	return m.owner.Deregister(now, id, held), held != nil, true
+}
+
+// holds tells whether this replica knows an instance, and whether it knows that it is gone for good.
+func (m *registryMachine) holds(id string) (known, removed bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.Instance(id) != nil, m.store.Removed(id)
+}
+
+// expired returns the commands that remove instances which fell silent.
+func (m *registryMachine) expired(now time.Time) [][]byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.owned {
+		return nil
+	}
+	return m.owner.Expired(now)
+}
--- /dev/null
+++ b/internal/keeper/route.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ospreybend/coord/shards"
+	"ospreybend/internal/peerlink"
+)
+
+// errNoOwner: no owner of the shard was found before the context ended.
+var errNoOwner = errors.New("keeper: no owner of the shard is known")
+
+// avoidPauses is for how many pauses an owner that could not be reached is not tried again.
+const avoidPauses = 3
+
+// target is the keeper that a call goes to.
+type target struct {
+	self    bool
+	address string
+}
+
+// carry has the owner of the call's shard carry it out and returns the owner's answer. Where the
+// owner is unknown, was changed or cannot be reached, it waits for another one and tries again
+// until ctx ends; calls may therefore be carried out more than once.
+func (k *Keeper) carry(ctx context.Context, c call) answer {
+	hint, avoid, asked := "", "", false
+	for attempt := range maxOwnerAttempts {
+		to, err := k.awaitOwner(ctx, c.Shard, hint, avoid, attempt)
+		if err != nil {
+			break
+		}
+		hint, avoid = "", ""
+		reply, err := k.ask(ctx, to, c)
+		if err == nil && !reply.NotOwner {
+			return reply
+		}
+		if err != nil {
+			asked = asked || !errors.Is(err, peerlink.ErrNotSent)
+			avoid = to.address
+		}
+		hint = reply.Leader
+	}
+	if asked {
+		return failed(OutcomeUnknown)
+	}
+	return failed(NoOwner)
+}
+
+// ask has one keeper carry out a call.
+func (k *Keeper) ask(ctx context.Context, to target, c call) (answer, error) {
+	if to.self {
+		return k.execute(ctx, c), nil
+	}
+	body, err := encodeCall(c)
+	if err != nil {
+		return answer{}, err
+	}
+	reply, err := k.network.Call(ctx, to.address, c.Kind, body)
+	if err != nil {
+		return answer{}, err
+	}
+	return decodeAnswer(reply)
+}
+
+// awaitOwner returns the owner of a shard: the one that another keeper has named, or the one that the
+// local replica knows of, or, if that has lost its group, any other keeper. The address to avoid has just
+// failed. After the first attempt it gives a change of owner a little time.
+func (k *Keeper) awaitOwner(ctx context.Context, id shards.ID, hint, avoid string, attempt int) (target, error) {
+	if hint != "" && hint != k.self.Address {
+		return target{address: hint}, nil
+	}
+	for pauses := 0; ; pauses++ {
+		changed := k.ownersChanged.wait()
+		if pauses > avoidPauses {
+			avoid = ""
+		}
+		if attempt == 0 || pauses > 0 {
+			if to, found := k.owner(id, avoid, attempt); found {
+				return to, nil
+			}
+		}
+		if !pause(ctx, changed, ownerRetryPause) {
+			return target{}, errNoOwner
+		}
+	}
+}
+
+// owner returns the owner of a shard as far as the local replica knows.
+func (k *Keeper) owner(id shards.ID, avoid string, attempt int) (target, bool) {
+	status := k.shards[id].group.Status()
+	if status.IsLeader() {
+		return target{self: true}, true
+	}
+	if address := status.Leader.Address; address != "" {
+		return target{address: address}, address != avoid && address != k.self.Address
+	}
+	if len(status.Members) > 0 && status.ConfirmedAge <= lostContactAge {
+		return target{}, false
+	}
+	others := k.directory.others()
+	if len(others) == 0 {
+		return target{}, false
+	}
+	return target{address: others[attempt%len(others)]}, true
+}
+
+// pause waits for a change, at most for a time. It returns false once ctx has ended.
+func pause(ctx context.Context, changed <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/keeper/run.go
@@ -0,0 +1,172 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/internal/peerlink"
+	"ospreybend/internal/settings"
+)
+
+// Run works as a keeper until ctx ends; it then hands over what it leads, within about two seconds.
+// Errors: a listener or the disk cannot be used.
+func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
+	limitMemory(config.Limits.MemoryMb)
+	k, network, err := open(ctx, config, log)
+	if err != nil {
+		return err
+	}
+	defer k.close()
+	peers, err := k.listenPeers(ctx)
+	if err != nil {
+		return err
+	}
+	control, err := listenControl(ctx, config.Listen.Control)
+	if err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	return k.serve(ctx, network, peers, control)
+}
+
+// limitMemory has the collector work harder as the machine's memory fills.
+func limitMemory(memoryMb int) {
+	if memoryMb > 0 {
+		debug.SetMemoryLimit(int64(memoryMb) << 20 * memoryLimitPercent / 100)
+	}
+}
+
+// open prepares a keeper and opens its replicas.
+func open(ctx context.Context, config settings.Settings, log *zap.Logger) (*Keeper, *peerlink.Network, error) {
+	self, founders, err := identity(config, ownAddress(config))
+	if err != nil {
+		return nil, nil, err
+	}
+	k := newKeeper(config, self, log)
+	network, err := k.openNetwork()
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := k.openGroups(ctx, founders); err != nil {
+		k.close()
+		return nil, nil, err
+	}
+	log.Info("keeper opened", zap.String("address", self.Address), zap.Uint64("member", uint64(self.ID)),
+		zap.Bool("founder", founders != nil))
+	return k, network, nil
+}
+
+// serve runs all parts until ctx ends or one of them fails.
+func (k *Keeper) serve(ctx context.Context, network *peerlink.Network, peers, control net.Listener) error {
+	failed := make(chan error, 2)
+	k.runGroups()
+	k.background.Go(func() { k.join(k.workContext) })
+	k.background.Go(func() { k.beatNodes(k.workContext) })
+	k.background.Go(func() { k.maintain(k.workContext) })
+	k.background.Go(func() {
+		if err := network.Serve(peers); err != nil {
+			failed <- err
+		}
+	})
+	api := newAPI(k, control)
+	k.background.Go(func() {
+		if err := api.Run(); err != nil && !k.leaving.Load() {
+			failed <- err
+		}
+	})
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-failed:
+	}
+	k.leave(api)
+	_ = control.Close() // if the server had not begun to run
+	return failure
+}
+
+// running is what runGroups needs beside replicaGroup.
+type running interface {
+	Run(ctx context.Context) error
+}
+
+// runGroups starts the groups' loops; they end when the groups are closed.
+func (k *Keeper) runGroups() {
+	for _, shard := range k.shards {
+		group, ok := shard.group.(running)
+		if !ok {
+			continue
+		}
+		k.background.Go(func() {
+			if err := group.Run(context.Background()); err != nil {
+				k.log.Error("a replica has stopped", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+			}
+		})
+	}
+}
+
+// shutdowner is the end of the HTTP server.
+type shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// leave ends the feed's sessions, so that agents go elsewhere at once, hands over all leaderships
+// and stops the API, which until then takes calls.
+func (k *Keeper) leave(api shutdowner) {
+	k.leaving.Store(true)
+	k.stopFeed()
+	k.handOverAll()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownBudget)
+	defer cancel()
+	_ = api.Shutdown(ctx)
+	k.stopWork()
+}
+
+// handOverAll transfers the leadership of all shards that this keeper leads.
+func (k *Keeper) handOverAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), transferBudget)
+	defer cancel()
+	started := time.Now()
+	var waiting sync.WaitGroup
+	for _, shard := range k.shards {
+		if shard.group.Status().IsLeader() {
+			waiting.Go(func() { k.handOver(ctx, shard) })
+		}
+	}
+	waiting.Wait()
+	k.log.Info("leaving", zap.Duration("handed over in", time.Since(started)))
+}
+
+// handOver transfers the leadership of one shard, and tries again while the group refuses.
+func (k *Keeper) handOver(ctx context.Context, shard *shard) {
+	for {
+		err := shard.group.Transfer(ctx)
+		if err == nil || !shard.group.Status().IsLeader() {
+			return
+		}
+		if !pause(ctx, nil, ownerRetryPause) {
+			k.log.Warn("leadership is not handed over", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+			return
+		}
+	}
+}
+
+// close ends everything that open has begun.
+func (k *Keeper) close() {
+	k.leaving.Store(true)
+	k.stopWork()
+	k.stopFeed()
+	for _, closeGroup := range k.closeGroups {
+		if err := closeGroup(); err != nil {
+			k.log.Warn("a replica was not closed well", zap.Error(err))
+		}
+	}
+	if k.closeNetwork != nil {
+		k.closeNetwork()
+	}
+	k.background.Wait()
+}
--- /dev/null
+++ b/internal/keeper/shard.go
@@ -0,0 +1,72 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/feed"
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+)
+
+// replicaGroup is what a keeper uses of a replica.Group.
+type replicaGroup interface {
+	Step(message agreement.Message)
+	Propose(ctx context.Context, data []byte) (result any, index uint64, err error)
+	ReadBarrier(ctx context.Context) error
+	ChangeMembers(ctx context.Context, change replica.Change) error
+	Transfer(ctx context.Context) error
+	Status() replica.Status
+}
+
+// targetedTransfer is what a group offers that can hand leadership to a chosen voter.
+type targetedTransfer interface {
+	TransferTo(ctx context.Context, to agreement.MemberID) error
+}
+
+// machine is the part of a shard's state machine that does not depend on what it holds.
+type machine interface {
+	replica.Machine
+	since(index uint64) ([]feed.Change, *feed.Snapshot)
+	index() uint64
+	setLeading(term uint64)
+	gained(now time.Time, term uint64)
+	expired(now time.Time) [][]byte
+}
+
+// shard is a keeper's replica of one shard.
+type shard struct {
+	id      shards.ID
+	group   replicaGroup
+	machine machine
+
+	ledSince    time.Time // guarded by the keeper's mutex; zero: not leading
+	reconciling bool      // guarded by the keeper's mutex
+	expiring    bool      // guarded by the keeper's mutex
+	better      time.Time // of maintain alone: since when the preferred owner could take over
+}
+
+// current tells whether the replica is known not to be behind the shard's owner.
+func current(status replica.Status) bool { return status.ConfirmedAge <= currencyAge }
+
+// isVoter tells whether a member has a vote by the membership that this replica knows.
+func isVoter(status replica.Status, id agreement.MemberID) bool {
+	for _, member := range status.Members {
+		if member.ID == id {
+			return member.Voter
+		}
+	}
+	return false
+}
+
+// configuration returns the state machine of shard 0.
+func (k *Keeper) configuration() *configurationMachine {
+	return k.shards[shards.Configuration].machine.(*configurationMachine)
+}
+
+// instances returns the state machine of a shard of instances, or nil for shard 0.
+func (k *Keeper) instances(id shards.ID) *registryMachine {
+	machine, _ := k.shards[id].machine.(*registryMachine)
+	return machine
+}
--- /dev/null
+++ b/internal/keeper/status.go
@@ -0,0 +1,206 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+)
+
+// errorReport is the body of an error.
+type errorReport struct {
+	Error struct {
+		Code int    `json:"code"`
+		Text string `json:"text"`
+	} `json:"error"`
+}
+
+func errorBody(code int, text string) []byte {
+	var report errorReport
+	report.Error.Code, report.Error.Text = code, text
+	body, err := json.Marshal(report)
+	if err != nil {
+		return emptyObject
+	}
+	return body
+}
+
+// Reports of /-/status.
+type (
+	statusReport struct {
+		Address string        `json:"address"`
+		Member  string        `json:"member"` // hexadecimal
+		UptimeS int64         `json:"uptimeS"`
+		Leaving bool          `json:"leaving"`
+		Shards  []shardReport `json:"shards"`
+		Peers   []peerReport  `json:"peers"`
+		Agents  int           `json:"agents"`
+	}
+
+	shardReport struct {
+		Shard        int            `json:"shard"`
+		Role         string         `json:"role"`
+		Term         uint64         `json:"term"`
+		Leader       string         `json:"leader"` // address; empty: unknown
+		Applied      uint64         `json:"applied"`
+		Commit       uint64         `json:"commit"`
+		ConfirmedMs  int64          `json:"confirmedMs"` // -1: never
+		Current      bool           `json:"current"`
+		Writable     bool           `json:"writable"`
+		DiskBytes    int64          `json:"diskBytes"`
+		Members      []memberReport `json:"members"`
+		FeedPosition uint64         `json:"feedPosition"`
+	}
+
+	memberReport struct {
+		Member  string `json:"member"`
+		Address string `json:"address"`
+		Voter   bool   `json:"voter"`
+	}
+
+	peerReport struct {
+		Address   string `json:"address"`
+		Connected bool   `json:"connected"`
+		Accepted  bool   `json:"accepted"`
+		Queued    int    `json:"queued"`
+		Dropped   uint64 `json:"dropped"`
+		HeardMs   int64  `json:"heardMs"` // -1: never
+	}
+)
+
+func (k *Keeper) serveStatus(_ context.Context, c *app.RequestContext) {
+	body, err := json.Marshal(k.report())
+	if err != nil {
+		respond(c, failed(InternalFault))
+		return
+	}
+	c.Data(http.StatusOK, contentTypeJSON, body)
+}
+
+func (k *Keeper) report() statusReport {
+	report := statusReport{
+		Address: k.self.Address, Member: hexadecimal(k.self.ID), UptimeS: int64(time.Since(k.started).Seconds()),
+		Leaving: k.leaving.Load(), Agents: len(k.nodes.list()),
+	}
+	for _, shard := range k.shards {
+		report.Shards = append(report.Shards, reportShard(shard.group.Status(), shard.machine.index()))
+	}
+	for _, peer := range k.network.Peers() {
+		report.Peers = append(report.Peers, peerReport{
+			Address: peer.Address, Connected: peer.Connected, Accepted: peer.Accepted,
+			Queued: peer.Queued, Dropped: peer.Dropped, HeardMs: milliseconds(peer.HeardAge),
+		})
+	}
+	slices.SortFunc(report.Peers, func(a, b peerReport) int { return strings.Compare(a.Address, b.Address) })
+	return report
+}
+
+func reportShard(status replica.Status, position uint64) shardReport {
+	report := shardReport{
+		Shard: int(status.Shard), Role: roleName(status.Role), Term: status.Term, Leader: status.Leader.Address,
+		Applied: status.Applied, Commit: status.Commit, ConfirmedMs: milliseconds(status.ConfirmedAge),
+		Current: current(status), Writable: status.Writable, DiskBytes: status.DiskBytes, FeedPosition: position,
+	}
+	for _, member := range status.Members {
+		report.Members = append(report.Members, memberReport{
+			Member: hexadecimal(member.ID), Address: member.Address, Voter: member.Voter,
+		})
+	}
+	return report
+}
+
+func hexadecimal(id agreement.MemberID) string { return strconv.FormatUint(uint64(id), 16) }
+
+func milliseconds(age time.Duration) int64 {
+	if age < 0 || age == replica.NeverConfirmed {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+func roleName(role agreement.Role) string {
+	switch role {
+	case agreement.RoleLeader:
+		return "leader"
+	case agreement.RoleCandidate, agreement.RolePreCandidate:
+		return "candidate"
+	}
+	return "follower"
+}
+
+// metrics counts what the keeper does.
+type metrics struct {
+	feedSessions atomic.Int64
+	mutex        sync.Mutex
+	calls        map[callSeries]uint64
+}
+
+// callSeries is one line of the counted calls.
+type callSeries struct {
+	method string
+	status int
+}
+
+func (m *metrics) count(method string, status int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.calls == nil {
+		m.calls = make(map[callSeries]uint64)
+	}
+	m.calls[callSeries{method, status}]++
+}
+
+// lines returns the counted calls as text, sorted.
+func (m *metrics) lines() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	lines := make([]string, 0, len(m.calls))
+	for series, count := range m.calls {
+		lines = append(lines, fmt.Sprintf("keeper_calls_total{method=%q,status=\"%d\"} %d", series.method, series.status, count))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+func (k *Keeper) serveMetrics(_ context.Context, c *app.RequestContext) {
+	lines := k.metrics.lines()
+	lines = append(lines, fmt.Sprintf("keeper_feed_sessions %d", k.metrics.feedSessions.Load()))
+	for _, shard := range k.shards {
+		lines = append(lines, shardLines(shard.group.Status())...)
+	}
+	for _, peer := range k.network.Peers() {
+		lines = append(lines,
+			fmt.Sprintf("keeper_peer_connected{peer=%q} %d", peer.Address, oneIf(peer.Connected)),
+			fmt.Sprintf("keeper_peer_dropped_total{peer=%q} %d", peer.Address, peer.Dropped))
+	}
+	c.Data(http.StatusOK, contentTypeText, []byte(strings.Join(lines, "\n")+"\n"))
+}
+
+func shardLines(status replica.Status) []string {
+	label := fmt.Sprintf("{shard=\"%d\"}", status.Shard)
+	return []string{
+		fmt.Sprintf("keeper_shard_leads%s %d", label, oneIf(status.IsLeader())),
+		fmt.Sprintf("keeper_shard_current%s %d", label, oneIf(current(status))),
+		fmt.Sprintf("keeper_shard_term%s %d", label, status.Term),
+		fmt.Sprintf("keeper_shard_applied%s %d", label, status.Applied),
+		fmt.Sprintf("keeper_shard_disk_bytes%s %d", label, status.DiskBytes),
+	}
+}
+
+func oneIf(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/keeper/timing.go
@@ -0,0 +1,49 @@
+package keeper
+
+import "time"
+
+// Times of the replica groups.
+const (
+	heartbeat       = 120 * time.Millisecond
+	electionTimeout = 500 * time.Millisecond
+)
+
+// Times of calls. A caller moves on after a second of silence, later for large bodies.
+const (
+	smallCallBudget  = 850 * time.Millisecond
+	largeCallBudget  = 2500 * time.Millisecond
+	largeBodyBytes   = 64 << 10
+	ownerRetryPause  = 50 * time.Millisecond
+	maxOwnerAttempts = 6
+)
+
+// Bounds of the HTTP API.
+const (
+	maxBodyBytes   = 8 << 20
+	maxBeatBytes   = 64 << 10
+	maxHeaderBytes = 16 << 10
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+)
+
+// Times of what a keeper does by itself.
+const (
+	maintainInterval   = 500 * time.Millisecond // expiry, membership, spread
+	nodesInterval      = 1200 * time.Millisecond
+	joinInterval       = 300 * time.Millisecond
+	joinIdleInterval   = time.Second
+	currencyAge        = 800 * time.Millisecond // a replica confirmed longer ago is not current
+	lostContactAge     = 1500 * time.Millisecond
+	changeBudget       = 2 * time.Second // of one change of members
+	candidateFresh     = 2 * time.Second // a candidate asks every joinInterval
+	goneAfter          = 2 * time.Second // a voter that is silent so long gives way to a candidate
+	surplusGoneAfter   = 10 * time.Second
+	spreadCalm         = 5 * time.Second // how long a better owner must be current
+	spreadInterval     = 5 * time.Second // least time between two moves
+	transferBudget     = time.Second
+	shutdownBudget     = 300 * time.Millisecond
+	openRetryInterval  = 500 * time.Millisecond
+	proposalsAtOnce    = 16 // of one round of expiry or of nodes
+	feedBacklogBytes   = 2 << 20
+	memoryLimitPercent = 75 // of the machine's memory
+)
