Test the registry, its owner and the view, and mend what the tests found

Drawn tests found that a heartbeat without a number lowered the recorded one, so that an earlier word made a draining instance ready; an example found that avro takes a record that is cut off as whole. Lists of workers are merged, not sorted anew.

--- a/internal/catalog/builder.go
+++ b/internal/catalog/builder.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"maps"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -276,27 +276,48 @@
 
 // publishWorkers makes the list of one service anew; NodesService is only counted.
 func (b *Builder) publishWorkers(next *View, service string) {
-	ready := []*Worker{}
-	for _, worker := range b.workers[service] {
-		if worker.State == registry.Ready {
-			ready = append(ready, worker)
-		}
-	}
+	list := b.list(service, b.view.Workers[service])
 	if len(b.workers[service]) == 0 {
 		delete(b.workers, service)
 	}
 	if service == registry.NodesService {
-		next.Nodes = max(len(ready), smallestNodes)
+		next.Nodes = max(len(list), smallestNodes)
 		return
 	}
-	if len(ready) == 0 {
+	if len(list) == 0 {
 		delete(next.Workers, service)
 		return
 	}
-	sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
-	next.Workers[service] = ready
+	next.Workers[service] = list
+}
+
+// list merges those of before that are still the same with the ready ones that are new, in the
+// order of their IDs.
+func (b *Builder) list(service string, before []*Worker) []*Worker {
+	held := b.workers[service]
+	list := make([]*Worker, 0, len(held))
+	known := make(map[string]bool, len(before))
+	for _, worker := range before {
+		if held[worker.ID] == worker {
+			list = append(list, worker)
+			known[worker.ID] = true
+		}
+	}
+	kept := len(list)
+	for id, worker := range held {
+		if worker.State == registry.Ready && !known[id] {
+			list = append(list, worker)
+		}
+	}
+	slices.SortFunc(list[kept:], byID)
+	if kept > 0 && len(list) > kept && list[kept].ID < list[kept-1].ID {
+		slices.SortFunc(list, byID)
+	}
+	return list
 }
 
+func byID(left, right *Worker) int { return strings.Compare(left.ID, right.ID) }
+
 // View returns the state now. It never changes.
 func (b *Builder) View() *View { return b.view }
 
--- /dev/null
+++ b/internal/catalog/builder_test.go
@@ -0,0 +1,335 @@
+package catalog
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/registry"
+)
+
+const instanceShard shards.ID = 2
+
+func route(name, host, prefix string, timeout int) string {
+	return fmt.Sprintf(`{"name":%q,"hostname":%q,"pathPrefix":%q,"timeoutMs":%d,"service":"s"}`, name, host, prefix, timeout)
+}
+
+func whole(generation int, limits string, routes ...string) []byte {
+	return []byte(fmt.Sprintf(`{"generation":%d,"routes":[%s],"services":[{"name":"s"}]%s}`, generation, strings.Join(routes, ","), limits))
+}
+
+// source is a shard of the configuration that a builder follows.
+type source struct {
+	store *configuration.Store
+	index uint64
+}
+
+func (s *source) replace(t testing.TB, body []byte) feed.Change {
+	t.Helper()
+	s.index++
+	command := configuration.Command{Kind: configuration.Replace, Base: s.store.Generation(), Body: body}
+	outcome, change := s.store.Apply(s.index, configuration.EncodeCommand(command))
+	if outcome.Code != configuration.Accepted {
+		t.Fatalf("%+v", outcome)
+	}
+	return change
+}
+
+func instanceItem(id, service, stage string, state registry.State) feed.Item {
+	instance := registry.Instance{ID: id, Service: service, Address: "1.2.3.4:5", Stage: stage, State: state, Slots: 1}
+	return feed.Item{Key: id, Value: registry.EncodeItem(instance)}
+}
+
+func ids(workers []*Worker) []string {
+	var list []string
+	for _, worker := range workers {
+		list = append(list, worker.ID)
+	}
+	return list
+}
+
+func TestEmptyView(t *testing.T) {
+	builder := NewBuilder()
+	view := builder.View()
+	if builder.Ready() || view.Generation != 0 || view.Nodes != 1 || view.Match("h", "/") != nil {
+		t.Fatalf("%+v", view)
+	}
+	if view.Limits != configuration.DefaultLimits() || len(builder.Offsets()) != 0 {
+		t.Fatalf("%+v", view.Limits)
+	}
+}
+
+func TestConfigurationTakesHoldAtOneMoment(t *testing.T) {
+	builder := NewBuilder()
+	from := source{store: configuration.NewStore()}
+	first := from.replace(t, whole(1, `,"limits":{"maxBodyBytes":9}`, route("a", "h", "/a/", 1000), route("b", "h", "/b/", 1000)))
+	if !builder.ApplyChange(shards.Configuration, first) || !builder.Ready() {
+		t.Fatal("not ready")
+	}
+	before := builder.View()
+	if before.Limits.MaxBodyBytes != 9 || before.Services["s"].Name != "s" {
+		t.Fatalf("%+v", before)
+	}
+	kept := before.Match("h", "/b/")
+	builder.ApplyChange(shards.Configuration, from.replace(t, whole(4, "", route("c", "h", "/a/", 2000), route("b", "h", "/b/", 1000))))
+	after := builder.View()
+	if after.Generation != 4 || after.Match("h", "/a/x").Timeout != 2*time.Second || after.Limits != configuration.DefaultLimits() {
+		t.Fatalf("%+v", after)
+	}
+	if after.Match("h", "/b/") != kept {
+		t.Fatal("a route that did not change was read anew")
+	}
+	if before.Generation != 1 || before.Match("h", "/a/x").Name != "a" {
+		t.Fatal("a view changed after it was given out")
+	}
+}
+
+func TestIndicesOnlyRise(t *testing.T) {
+	builder := NewBuilder()
+	put := func(index uint64, id string) feed.Change {
+		return feed.Change{Index: index, Put: []feed.Item{instanceItem(id, "s", "", registry.Ready)}}
+	}
+	builder.ApplyChange(instanceShard, put(5, "a"))
+	for _, index := range []uint64{4, 5} {
+		if builder.ApplyChange(instanceShard, put(index, "b")) {
+			t.Fatal("an older change was taken")
+		}
+		if builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: index}) {
+			t.Fatal("an older snapshot was taken")
+		}
+	}
+	if !builder.ApplyChange(instanceShard+1, put(1, "c")) {
+		t.Fatal("shards have offsets of their own")
+	}
+	if builder.ApplyChange(instanceShard, feed.Change{Index: 7}) || builder.ApplyChange(instanceShard, put(8, "a")) {
+		t.Fatal("nothing changed")
+	}
+	expected := map[shards.ID]uint64{instanceShard: 8, instanceShard + 1: 1}
+	if !reflect.DeepEqual(builder.Offsets(), expected) {
+		t.Fatal(builder.Offsets())
+	}
+	if !builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 9}) || !reflect.DeepEqual(ids(builder.View().Workers["s"]), []string{"c"}) {
+		t.Fatal(ids(builder.View().Workers["s"]))
+	}
+}
+
+func TestWorkersAreReadyOnesInOrder(t *testing.T) {
+	builder := NewBuilder()
+	builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 1, Items: []feed.Item{
+		instanceItem("c", "s", "", registry.Ready),
+		instanceItem("a", "s", "", registry.Ready),
+		instanceItem("b", "s", "", registry.Draining),
+		instanceItem("d", "other", "", registry.Ready),
+	}})
+	view := builder.View()
+	if !reflect.DeepEqual(ids(view.Workers["s"]), []string{"a", "c"}) || !reflect.DeepEqual(ids(view.Workers["other"]), []string{"d"}) {
+		t.Fatal(view.Workers)
+	}
+	a, c := view.Workers["s"][0], view.Workers["s"][1]
+	builder.ApplyChange(instanceShard, feed.Change{Index: 2, Delete: []string{"d", "unknown"}, Put: []feed.Item{
+		instanceItem("c", "s", "prefill", registry.Ready),
+		instanceItem("a", "s", "", registry.Ready),
+	}})
+	next := builder.View()
+	if next.Workers["s"][0] != a || next.Workers["s"][1] == c || next.Workers["s"][1].Stage != "prefill" {
+		t.Fatal("identity follows the record")
+	}
+	if next.Workers["other"] != nil || len(view.Workers["other"]) != 1 || c.Stage != "" {
+		t.Fatal("views do not change")
+	}
+	builder.ApplyChange(instanceShard, feed.Change{Index: 3, Put: []feed.Item{instanceItem("a", "s", "", registry.Draining), instanceItem("c", "other", "", registry.Ready)}})
+	if moved := builder.View(); moved.Workers["s"] != nil || !reflect.DeepEqual(ids(moved.Workers["other"]), []string{"c"}) {
+		t.Fatal(moved.Workers)
+	}
+	held := builder.View().Workers["other"][0]
+	builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 4, Items: []feed.Item{
+		instanceItem("c", "other", "", registry.Ready),
+		instanceItem("b", "other", "", registry.Ready),
+	}})
+	if list := builder.View().Workers["other"]; !reflect.DeepEqual(ids(list), []string{"b", "c"}) || list[1] != held {
+		t.Fatal("a snapshot with the same record keeps the worker")
+	}
+}
+
+// TestWorkersFollowDrawnChanges compares lists with the plainest ones, on drawn changes with a
+// fixed seed.
+func TestWorkersFollowDrawnChanges(t *testing.T) {
+	random := rand.New(rand.NewSource(12))
+	builder := NewBuilder()
+	states := map[string]registry.Instance{}
+	for index := uint64(1); index <= 500; index++ {
+		change := feed.Change{Index: index}
+		for range random.Intn(4) {
+			id := fmt.Sprint("i", random.Intn(20))
+			if random.Intn(3) == 0 {
+				change.Delete = append(change.Delete, id)
+				delete(states, id)
+			}
+		}
+		for range random.Intn(4) {
+			id := fmt.Sprint("i", random.Intn(20))
+			item := instanceItem(id, []string{"s", "other"}[random.Intn(2)], "", registry.State(random.Intn(2)))
+			change.Put = append(change.Put, item)
+			states[id], _ = registry.DecodeItem(item.Value)
+		}
+		builder.ApplyChange(instanceShard, change)
+		for _, service := range []string{"s", "other"} {
+			var expected []string
+			for id, instance := range states {
+				if instance.Service == service && instance.State == registry.Ready {
+					expected = append(expected, id)
+				}
+			}
+			sort.Strings(expected)
+			if got := ids(builder.View().Workers[service]); !reflect.DeepEqual(got, expected) {
+				t.Fatalf("at %d: %v, not %v", index, got, expected)
+			}
+		}
+	}
+}
+
+func TestSnapshotKeepsIdentities(t *testing.T) {
+	builder := NewBuilder()
+	items := []feed.Item{instanceItem("a", "s", "", registry.Ready), instanceItem("b", "s", "", registry.Ready)}
+	builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 1, Items: items})
+	view := builder.View()
+	if builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 2, Items: items}) || builder.View() != view {
+		t.Fatal("the same items make no new view")
+	}
+}
+
+func TestNodesAreCounted(t *testing.T) {
+	builder := NewBuilder()
+	items := []feed.Item{}
+	for number := range 3 {
+		items = append(items, instanceItem(fmt.Sprint("n", number), registry.NodesService, "", registry.Ready))
+	}
+	builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 1, Items: items})
+	if view := builder.View(); view.Nodes != 3 || view.Workers[registry.NodesService] != nil {
+		t.Fatalf("%+v", view)
+	}
+	builder.ApplyChange(instanceShard, feed.Change{Index: 2, Delete: []string{"n0", "n1", "n2"}})
+	if builder.View().Nodes != 1 {
+		t.Fatal(builder.View().Nodes)
+	}
+}
+
+func TestUnreadableItemsArePassedOver(t *testing.T) {
+	builder := NewBuilder()
+	builder.ApplyChange(instanceShard, feed.Change{Index: 1, Put: []feed.Item{instanceItem("a", "s", "", registry.Ready)}})
+	builder.ApplyChange(instanceShard, feed.Change{Index: 2, Put: []feed.Item{{Key: "a", Value: []byte{9}}, {Key: "b"}}})
+	builder.ApplyChange(shards.Configuration, feed.Change{Index: 1, Put: []feed.Item{
+		{Key: "route/x", Value: []byte("{")}, {Key: "service/x", Value: []byte("{")}, {Key: "limits", Value: []byte("{")},
+		{Key: "generation", Value: []byte("x")}, {Key: "of_a_later_day", Value: []byte("x")},
+	}})
+	view := builder.View()
+	if len(view.Workers) != 0 || len(view.Services) != 0 || builder.Ready() || builder.Unreadable() != 6 {
+		t.Fatalf("%+v %d", view, builder.Unreadable())
+	}
+	builder.ApplyChange(instanceShard, feed.Change{Index: 3, Delete: []string{"b"}, Put: []feed.Item{instanceItem("a", "s", "", registry.Ready)}})
+	if len(builder.View().Workers["s"]) != 1 {
+		t.Fatal("a readable record after an unreadable one")
+	}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	builder := NewBuilder()
+	from := source{store: configuration.NewStore()}
+	builder.ApplyChange(shards.Configuration, from.replace(t, whole(1, "",
+		route("all", "H.example:80", "/", 1), route("a", "h.example", "/a/", 1), route("ab", "h.example", "/a/b/", 1),
+		route("other", "other.example", "/a/", 1))))
+	for place, expected := range map[[2]string]string{
+		{"h.example", "/"}:          "all",
+		{"h.example", "/a"}:         "all",
+		{"h.example", "/a/"}:        "a",
+		{"h.example", "/a/b"}:       "a",
+		{"h.example", "/a/b/"}:      "ab",
+		{"h.example", "/a/b/c/d"}:   "ab",
+		{"h.example", "/ab/"}:       "all",
+		{"h.example", "/a//b/"}:     "a",
+		{"other.example", "/a/x"}:   "other",
+		{"other.example", "/b/"}:    "",
+		{"h.example", ""}:           "",
+		{"h.example", "*"}:          "",
+		{"unknown.example", "/a/x"}: "",
+	} {
+		name := ""
+		if found := builder.View().Match(place[0], place[1]); found != nil {
+			name = found.Name
+		}
+		if name != expected {
+			t.Errorf("%v: %q, not %q", place, name, expected)
+		}
+	}
+}
+
+// TestMatchIsLikeTryingAll compares with the plainest search, on drawn routes with a fixed seed.
+func TestMatchIsLikeTryingAll(t *testing.T) {
+	random := rand.New(rand.NewSource(11))
+	path := func(parts int) string {
+		text := "/"
+		for range random.Intn(parts) {
+			text += strings.Repeat("a", random.Intn(3)) + "/"
+		}
+		return text
+	}
+	for range 200 {
+		routes := map[string]*configuration.Route{}
+		for number := range 6 {
+			prefix := path(4)
+			routes[prefix] = &configuration.Route{Name: fmt.Sprint(number), Hostname: "h", PathPrefix: prefix}
+		}
+		view := &View{routes: newRouteTable(routes)}
+		for range 20 {
+			asked := path(6) + strings.Repeat("a", random.Intn(2))
+			var expected *configuration.Route
+			for prefix, candidate := range routes {
+				if strings.HasPrefix(asked, prefix) && (expected == nil || len(prefix) > len(expected.PathPrefix)) {
+					expected = candidate
+				}
+			}
+			if view.Match("h", asked) != expected {
+				t.Fatalf("%s among %v", asked, routes)
+			}
+		}
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	routes := map[string]*configuration.Route{}
+	for number := range 400 {
+		prefix := fmt.Sprintf("/p%d/", number)
+		routes[prefix] = &configuration.Route{Hostname: "h", PathPrefix: prefix}
+	}
+	view := &View{routes: newRouteTable(routes)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if view.Match("h", "/p399/2f") == nil {
+			b.Fatal()
+		}
+	}
+}
+
+// BenchmarkOneWorkerOfMany applies a change of one worker among 1,000 of its service.
+func BenchmarkOneWorkerOfMany(b *testing.B) {
+	builder := NewBuilder()
+	items := []feed.Item{}
+	for number := range 1000 {
+		items = append(items, instanceItem(fmt.Sprintf("i%04d", number), "s", "", registry.Ready))
+	}
+	builder.ApplySnapshot(instanceShard, feed.Snapshot{Index: 1, Items: items})
+	index := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		index++
+		stage := []string{"prefill", "decode"}[index%2]
+		builder.ApplyChange(instanceShard, feed.Change{Index: index, Put: []feed.Item{instanceItem("i0500", "s", stage, registry.Ready)}})
+	}
+}
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/hamba/avro/v2"
@@ -26,9 +27,15 @@
 	operationRemove operation = 2
 )
 
-const commandFormat = 1
+const (
+	commandFormat = 1
+	longestArray  = 1 << 17 // elements of an array that is read from the log or a snapshot
+)
 
-var binary = avro.Config{}.Freeze()
+// errTrailingBytes is returned for a record that something follows.
+var errTrailingBytes = errors.New("something follows the record")
+
+var binary = avro.Config{MaxSliceAllocSize: longestArray}.Freeze()
 
 // The schemas of instances; a command holds one with its operation's fields.
 const instanceFields = `
@@ -137,7 +144,7 @@
 		return command{}, refuse(BadCommand, "it is empty")
 	}
 	var record commandRecord
-	if err := binary.Unmarshal(commandSchema, encoded, &record); err != nil {
+	if err := unmarshal(commandSchema, encoded, &record); err != nil {
 		return command{}, refuse(BadCommand, err.Error())
 	}
 	if record.Format != commandFormat {
@@ -164,7 +171,7 @@
 		return Instance{}, refuse(BadCommand, "the item is empty")
 	}
 	var record itemRecord
-	if err := binary.Unmarshal(itemSchema, value, &record); err != nil {
+	if err := unmarshal(itemSchema, value, &record); err != nil {
 		return Instance{}, refuse(BadCommand, err.Error())
 	}
 	return record.instance(), nil
@@ -178,3 +185,18 @@
 	}
 	return encoded
 }
+
+// unmarshal reads a record that must be all that encoded holds. The library's own Unmarshal takes
+// one that is cut off as whole.
+func unmarshal(schema avro.Schema, encoded []byte, into any) error {
+	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(binary)).Reset(encoded)
+	reader.ReadVal(schema, into)
+	if reader.Error != nil {
+		return reader.Error
+	}
+	reader.Peek()
+	if reader.Error == nil {
+		return errTrailingBytes
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/expiry_test.go
@@ -0,0 +1,267 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func TestSilentInstanceExpiresAfterTheSpan(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	s.register(list)
+	s.advance(span, list...)
+	s.advance(span-tick, list[1:]...)
+	if len(s.store.Instances("")) != 4 {
+		t.Fatal("it expired too early")
+	}
+	s.advance(tick, list[1:]...)
+	if len(s.store.Instances("")) != 3 || s.store.Instance("i00") != nil {
+		t.Fatal(s.store.Instances(""))
+	}
+	if action, code := s.beat(list[0], 0); action != Propose || code != Recorded {
+		t.Fatal("it must come back", action, code)
+	}
+}
+
+func TestSpanIsAtLeastItsBound(t *testing.T) {
+	for beat, expected := range map[time.Duration]time.Duration{
+		100 * time.Millisecond: defaultSilentAtLeast,
+		time.Second:            4 * time.Second,
+		3 * time.Second:        12 * time.Second,
+	} {
+		if owner := NewOwner(beat, OwnerOptions{}); owner.span != expected {
+			t.Errorf("%v: %v", beat, owner.span)
+		}
+	}
+}
+
+func TestNewOwnerGivesAFullSpan(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	for number, instance := range list {
+		s.beat(instance, uint64(5+number))
+	}
+	s.advance(span - tick)
+	s.gain()
+	s.advance(span-tick, list[1:]...)
+	if len(s.store.Instances("")) != 4 {
+		t.Fatal("it expired too early")
+	}
+	s.advance(tick, list[1:]...)
+	if len(s.store.Instances("")) != 3 {
+		t.Fatal("an instance whose numbers the new owner does not know must expire as well")
+	}
+}
+
+func TestNothingExpiresAfterTheOwnerStoodStill(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	s.register(list)
+	s.advance(span, list...)
+	s.now = s.now.Add(time.Minute)
+	if s.expire() != 0 {
+		t.Fatal("expired on waking")
+	}
+	s.advance(span-tick, list[1:]...)
+	if len(s.store.Instances("")) != 4 {
+		t.Fatal("expired within the span")
+	}
+	s.advance(tick, list[1:]...)
+	if len(s.store.Instances("")) != 3 {
+		t.Fatal("the silent one did not expire after the span")
+	}
+}
+
+func TestMostOfAServiceStays(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(10)
+	s.register(list)
+	s.advance(span, list...)
+	s.advance(10*span, list[6:]...)
+	if len(s.store.Instances("")) != 10 {
+		t.Fatal("6 of 10 expired")
+	}
+	s.advance(span, list[5:]...)
+	if len(s.store.Instances("")) != 5 {
+		t.Fatal("5 of 10 did not expire")
+	}
+}
+
+func TestTheOnlyInstanceStays(t *testing.T) {
+	s := newShard()
+	s.gain()
+	s.register(workers(1))
+	s.advance(5 * span)
+	if len(s.store.Instances("")) != 1 {
+		t.Fatal("it expired")
+	}
+	next := worker(2)
+	s.advance(span, next)
+	if s.store.Instance("i00") != nil {
+		t.Fatal("it stays beside its successor")
+	}
+}
+
+func TestServicesAreCountedApart(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	list[2].Service, list[3].Service = "other", "other"
+	s.register(list)
+	s.advance(span, list...)
+	s.advance(2*span, list[0], list[2])
+	if len(s.store.Instances("")) != 2 {
+		t.Fatal(s.store.Instances(""))
+	}
+}
+
+func TestDrainingOnesExpireRegardless(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	for number := range list[:3] {
+		list[number].State = Draining
+	}
+	s.register(list)
+	s.advance(2 * span)
+	if len(s.store.Instances("")) != 1 {
+		t.Fatal(s.store.Instances(""))
+	}
+}
+
+func TestNodesExpireAndComeBack(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	for number := range list {
+		list[number].Service = NodesService
+	}
+	s.register(list)
+	s.beat(list[0], 900)
+	if action, _ := s.beat(list[0], 3); action != Acknowledge {
+		t.Fatal(action)
+	}
+	s.advance(2*span, list[1:]...)
+	if len(s.store.Instances(NodesService)) != 3 {
+		t.Fatal(s.store.Instances(NodesService))
+	}
+	if action, code := s.beat(list[0], 4); action != Propose || code != Recorded {
+		t.Fatal(action, code)
+	}
+	s.deregister(list[0].ID)
+	if action, code := s.beat(list[0], 1); action != Propose || code != Recorded {
+		t.Fatal("a node may start again under its ID", action, code)
+	}
+}
+
+func TestRemovalIsProposedAgain(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	s.register(list)
+	s.advance(span, list...)
+	s.held = true
+	s.advance(span, list[1:]...)
+	if s.expire() != 0 {
+		t.Fatal("proposed twice within a span")
+	}
+	s.held = false
+	s.advance(span, list[1:]...)
+	if len(s.store.Instances("")) != 3 {
+		t.Fatal("a lost proposal was not made again")
+	}
+}
+
+func TestABeatGoesBeforeALostRemoval(t *testing.T) {
+	s := newShard()
+	s.gain()
+	list := workers(4)
+	s.register(list)
+	s.advance(span, list...)
+	s.held = true
+	s.advance(span, list[1:]...)
+	s.held = false
+	if action, code := s.beat(list[0], 0); action != Propose || code != Unchanged {
+		t.Fatal("while its removal is under way a beat must be an entry", action, code)
+	}
+	s.advance(2*span, list...)
+	if action, _ := s.beat(list[0], 0); action != Acknowledge || s.store.Instance("i00") == nil {
+		t.Fatal(action)
+	}
+}
+
+func TestTimeThatFallsIsPassedOver(t *testing.T) {
+	s := newShard()
+	s.gain()
+	s.register(workers(4))
+	if commands := s.owner.Expired(s.now.Add(-time.Hour)); commands != nil {
+		t.Fatal(commands)
+	}
+	s.now = s.now.Add(tick)
+	if s.expire() != 0 {
+		t.Fatal("it took the fall for a gap")
+	}
+}
+
+func TestAtMostHalfExpireWithinTheWindow(t *testing.T) {
+	total := 0
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(drawnSeed + 7))
+	properties.Property("whoever falls silent when", prop.ForAll(
+		func(count int, silences []uint16) bool {
+			s := newShard()
+			s.gain()
+			list := workers(count)
+			s.register(list)
+			silentFrom := map[int]time.Time{}
+			for position, silence := range silences {
+				number := position % count
+				silentFrom[number] = s.now.Add(time.Duration(silence%300) * tick)
+			}
+			var gone []time.Time
+			for round := 0; round < 400; round++ {
+				s.now = s.now.Add(tick)
+				for number, instance := range list {
+					if from, silent := silentFrom[number]; !silent || s.now.Before(from) {
+						s.beat(instance, 0)
+					}
+				}
+				before := len(s.store.Instances(""))
+				expired := s.expire()
+				for range expired {
+					gone = append(gone, s.now)
+				}
+				total += expired
+				within := 0
+				for _, at := range gone {
+					if s.now.Sub(at) <= defaultShareWindow {
+						within++
+					}
+				}
+				// Those that expired in the window were all there at its start.
+				if 2*within > before-expired+within {
+					return false
+				}
+			}
+			for number, instance := range list {
+				from, silent := silentFrom[number]
+				if (!silent || s.now.Before(from.Add(span))) && s.store.Instance(instance.ID) == nil {
+					return false
+				}
+			}
+			return true
+		},
+		gen.IntRange(1, 12), gen.SliceOf(gen.UInt16()),
+	))
+	properties.TestingRun(t)
+	if total < 50 {
+		t.Fatalf("only %d expired: the property says little", total)
+	}
+}
--- /dev/null
+++ b/internal/registry/owner_test.go
@@ -0,0 +1,178 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreybend/coord/feed"
+)
+
+const (
+	heartbeat = 1200 * time.Millisecond
+	span      = 4 * heartbeat
+	tick      = 200 * time.Millisecond
+)
+
+// shard plays the owner with its store: what is proposed is applied at once, unless held is set.
+type shard struct {
+	store    *Store
+	owner    *Owner
+	now      time.Time
+	index    uint64
+	held     bool
+	proposed int
+}
+
+func newShard() *shard {
+	return &shard{store: NewStore(), owner: NewOwner(heartbeat, OwnerOptions{}), now: time.Unix(1000, 0)}
+}
+
+func (s *shard) gain() { s.owner.Gained(s.now, s.store.Instances("")) }
+
+func (s *shard) apply(entry []byte) Outcome {
+	s.index++
+	s.proposed++
+	outcome, change := s.store.Apply(s.index, entry)
+	s.owner.Applied(s.now, change)
+	return outcome
+}
+
+func (s *shard) decide(decision Decision) (Action, Code) {
+	if decision.Action == Propose && !s.held {
+		return decision.Action, s.apply(decision.Command).Code
+	}
+	if decision.Action == Refuse {
+		return decision.Action, decision.Refusal.Code
+	}
+	return decision.Action, 0
+}
+
+func (s *shard) beat(instance Instance, sequence uint64) (Action, Code) {
+	beat := Beat{Instance: instance, Sequence: sequence}
+	return s.decide(s.owner.Beat(s.now, beat, s.store.Instance(instance.ID)))
+}
+
+func (s *shard) deregister(id string) (Action, Code) {
+	return s.decide(s.owner.Deregister(s.now, id, s.store.Instance(id)))
+}
+
+// advance lets time pass in ticks; each one heartbeats those that are alive and expires others.
+func (s *shard) advance(duration time.Duration, alive ...Instance) {
+	for end := s.now.Add(duration); s.now.Before(end); {
+		s.now = s.now.Add(tick)
+		for _, instance := range alive {
+			s.beat(instance, 0)
+		}
+		s.expire()
+	}
+}
+
+// expire applies what expires now and returns how many that were.
+func (s *shard) expire() int {
+	commands := s.owner.Expired(s.now)
+	for _, command := range commands {
+		if !s.held {
+			s.apply(command)
+		}
+	}
+	return len(commands)
+}
+
+// worker returns a numbered instance.
+func worker(number int) Instance {
+	return exampleInstance(fmt.Sprintf("i%02d", number), fmt.Sprintf("1.2.3.4:%d", 100+number))
+}
+
+func workers(count int) []Instance {
+	list := make([]Instance, 0, count)
+	for number := 0; number < count; number++ {
+		list = append(list, worker(number))
+	}
+	return list
+}
+
+func (s *shard) register(list []Instance) {
+	for _, instance := range list {
+		s.beat(instance, 0)
+	}
+}
+
+func TestBeatCostsAnEntryOnlyWhereItChangesSomething(t *testing.T) {
+	s := newShard()
+	s.gain()
+	instance := worker(1)
+	steps := []struct {
+		change   func()
+		sequence uint64
+		action   Action
+	}{
+		{func() {}, 1, Propose},
+		{func() {}, 2, Acknowledge},
+		{func() { instance.Stage = "prefill" }, 3, Propose},
+		{func() { instance.Models = []Model{{Name: "m", Generation: 2}} }, 4, Propose},
+		{func() { instance.Models = []Model{{Name: "m", Generation: 2, Adapters: []string{}}} }, 5, Acknowledge},
+		{func() { instance.State = Draining }, 6, Propose},
+		{func() { instance.State = Ready }, 5, Acknowledge},
+		{func() { instance.State = Draining }, 7, Acknowledge},
+	}
+	for position, step := range steps {
+		step.change()
+		if action, _ := s.beat(instance, step.sequence); action != step.action {
+			t.Fatalf("step %d: %v, not %v", position, action, step.action)
+		}
+	}
+	if s.store.Instance(instance.ID).State != Draining {
+		t.Fatal("a late beat made it ready")
+	}
+}
+
+func TestOwnershipIsNeeded(t *testing.T) {
+	s := newShard()
+	if action, code := s.beat(worker(1), 1); action != Refuse || code != NotOwner {
+		t.Fatal(action, code)
+	}
+	if action, code := s.deregister("i01"); action != Refuse || code != NotOwner {
+		t.Fatal(action, code)
+	}
+	s.gain()
+	s.register(workers(4))
+	s.owner.Lost()
+	s.now = s.now.Add(time.Hour)
+	if s.expire() != 0 {
+		t.Fatal("it expires without owning")
+	}
+}
+
+func TestDepartures(t *testing.T) {
+	s := newShard()
+	s.gain()
+	if action, _ := s.deregister("unknown"); action != Acknowledge {
+		t.Fatal(action)
+	}
+	s.beat(worker(1), 5)
+	if action, code := s.deregister("i01"); action != Propose || code != Removed {
+		t.Fatal(action, code)
+	}
+	if action, code := s.beat(worker(1), 9); action != Propose || code != Gone {
+		t.Fatal(action, code)
+	}
+	s.held = true
+	s.beat(worker(2), 1)
+	s.held = false
+	if action, code := s.deregister("i02"); action != Propose || code != Gone || !s.store.Removed("i02") {
+		t.Fatal("a departure before its registration is applied must hold", action, code)
+	}
+}
+
+func TestOwnerFollowsForeignChanges(t *testing.T) {
+	s := newShard()
+	s.gain()
+	s.apply(EncodePut(worker(1), 3))
+	s.apply(EncodePut(worker(2), 3))
+	s.owner.Applied(s.now, feed.Change{Put: []feed.Item{{Key: "i03", Value: []byte{1}}}})
+	s.advance(2*span, worker(2))
+	if len(s.store.Instances("")) != 1 {
+		t.Fatal(s.store.Instances(""))
+	}
+}
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -20,6 +20,7 @@
 	{"name":"tombstones","type":{"type":"array","items":{"type":"record","name":"tombstone","fields":[
 		{"name":"id","type":"string"},
 		{"name":"reason","type":"int"},
+		{"name":"draining","type":"boolean"},
 		{"name":"sequence","type":"long"}]}}}]}`)
 
 type heldRecord struct {
@@ -30,6 +31,7 @@
 type tombstoneRecord struct {
 	ID       string `avro:"id"`
 	Reason   int    `avro:"reason"`
+	Draining bool   `avro:"draining"`
 	Sequence int64  `avro:"sequence"`
 }
 
@@ -51,6 +53,7 @@
 		whole.Tombstones = append(whole.Tombstones, tombstoneRecord{
 			ID:       id,
 			Reason:   int(stone.reason),
+			Draining: stone.draining,
 			Sequence: int64(stone.sequence),
 		})
 	}
@@ -64,7 +67,7 @@
 		return fmt.Errorf("%w: it is empty", ErrSnapshot)
 	}
 	var whole snapshotRecord
-	if err := binary.Unmarshal(snapshotSchema, snapshot, &whole); err != nil {
+	if err := unmarshal(snapshotSchema, snapshot, &whole); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
 	if whole.Format != snapshotFormat {
@@ -79,7 +82,11 @@
 		restored.insert(&record{instance: &instance, value: held.Value, sequence: uint64(held.Sequence)})
 	}
 	for _, stone := range whole.Tombstones {
-		restored.bury(stone.ID, tombstone{reason: Reason(stone.Reason), sequence: uint64(stone.Sequence)})
+		restored.bury(stone.ID, tombstone{
+			reason:   Reason(stone.Reason),
+			draining: stone.Draining,
+			sequence: uint64(stone.Sequence),
+		})
 	}
 	*s = *restored
 	return nil
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -27,9 +27,15 @@
 // tombstone remembers a removed instance.
 type tombstone struct {
 	reason   Reason
+	draining bool
 	sequence uint64 // of the latest heartbeat that was known
 }
 
+// tombstone returns what is remembered of a record once it is removed.
+func (r *record) tombstone(reason Reason) tombstone {
+	return tombstone{reason: reason, draining: r.instance.State == Draining, sequence: r.sequence}
+}
+
 // Store is the replicated list of instances of one shard. It is not safe for concurrent use.
 type Store struct {
 	records    map[string]*record
@@ -81,7 +87,10 @@
 		held.sequence = max(held.sequence, sequence)
 		return Unchanged
 	}
+	// A word that is not numbered leaves the number that earlier words are told by.
+	sequence = max(sequence, s.tombstones[instance.ID].sequence)
 	if held != nil {
+		sequence = max(sequence, held.sequence)
 		s.forget(instance.ID)
 	}
 	s.evict(instance.Address, change)
@@ -92,8 +101,12 @@
 }
 
 // deadOrLate tells whether a heartbeat changes nothing: its instance is gone for good, or what is
-// known of it is newer.
+// known of it is newer. Of NodesService every word counts: its heartbeats have no order and an ID
+// may start again.
 func (s *Store) deadOrLate(instance Instance, sequence uint64) (Code, bool) {
+	if instance.Service == NodesService {
+		return Recorded, false
+	}
 	if stone, dead := s.tombstones[instance.ID]; dead {
 		return s.stillDead(instance, sequence, stone)
 	}
@@ -119,6 +132,9 @@
 	if sequence != unknownSequence && sequence <= stone.sequence {
 		return Late, true
 	}
+	if sequence == unknownSequence && stone.draining && instance.State == Ready {
+		return Late, true
+	}
 	if _, taken := s.byAddress[instance.Address]; taken {
 		return Gone, true
 	}
@@ -131,9 +147,9 @@
 	if !taken {
 		return
 	}
-	sequence := s.records[id].sequence
+	stone := s.records[id].tombstone(Superseded)
 	s.forget(id)
-	s.bury(id, tombstone{reason: Superseded, sequence: sequence})
+	s.bury(id, stone)
 	change.Delete = append(change.Delete, id)
 }
 
@@ -148,7 +164,8 @@
 	if decoded.reason == Expired && numbered && decoded.sequence < held.sequence {
 		return Late // it was heard after the removal was proposed
 	}
-	stone := tombstone{reason: decoded.reason, sequence: max(decoded.sequence, held.sequence)}
+	stone := held.tombstone(decoded.reason)
+	stone.sequence = max(stone.sequence, decoded.sequence)
 	s.forget(id)
 	s.bury(id, stone)
 	change.Delete = append(change.Delete, id)
@@ -161,8 +178,10 @@
 	if dead && stone.reason.final() || !decoded.reason.final() {
 		return Gone
 	}
+	stone.reason = decoded.reason
+	stone.sequence = max(stone.sequence, decoded.sequence)
 	s.exhume(id)
-	s.bury(id, tombstone{reason: decoded.reason, sequence: max(decoded.sequence, stone.sequence)})
+	s.bury(id, stone)
 	return Gone
 }
 
--- /dev/null
+++ b/internal/registry/store_test.go
@@ -0,0 +1,229 @@
+package registry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ospreybend/coord/feed"
+)
+
+const drawnSeed = 5150
+
+func apply(t *testing.T, store *Store, entry []byte, expected Code) feed.Change {
+	t.Helper()
+	outcome, change := store.Apply(1, entry)
+	if outcome.Code != expected {
+		t.Fatalf("%+v, not %v", outcome, expected)
+	}
+	return change
+}
+
+func empty(change feed.Change) bool { return len(change.Put)+len(change.Delete) == 0 }
+
+func TestPutIsRecordedOnce(t *testing.T) {
+	store := NewStore()
+	instance := exampleInstance("a", "1.2.3.4:5")
+	change := apply(t, store, EncodePut(instance, 3), Recorded)
+	if len(change.Put) != 1 || change.Put[0].Key != "a" {
+		t.Fatalf("%+v", change)
+	}
+	decoded, err := DecodeItem(change.Put[0].Value)
+	if err != nil || !reflect.DeepEqual(decoded, instance) || !reflect.DeepEqual(*store.Instance("a"), instance) {
+		t.Fatalf("%+v %v", decoded, err)
+	}
+	if change := apply(t, store, EncodePut(instance, 9), Unchanged); !empty(change) {
+		t.Fatalf("%+v", change)
+	}
+	instance.Stage = "prefill"
+	if change := apply(t, store, EncodePut(instance, 8), Late); !empty(change) {
+		t.Fatalf("%+v", change)
+	}
+	apply(t, store, EncodePut(instance, 10), Recorded)
+	if store.Instance("a").Stage != "prefill" || store.Instance("b") != nil {
+		t.Fatalf("%+v", store.Instance("a"))
+	}
+}
+
+func TestDrainingDoesNotReturnByALateBeat(t *testing.T) {
+	for _, numbered := range []bool{true, false} {
+		store := NewStore()
+		ready := exampleInstance("a", "1.2.3.4:5")
+		draining := ready
+		draining.State = Draining
+		sequences := [3]uint64{3, 4, 4}
+		if !numbered {
+			sequences = [3]uint64{}
+		}
+		apply(t, store, EncodePut(ready, sequences[0]), Recorded)
+		apply(t, store, EncodePut(draining, sequences[1]), Recorded)
+		apply(t, store, EncodePut(ready, sequences[2]), Late)
+		apply(t, store, EncodePut(ready, sequences[0]), Late)
+		if store.Instance("a").State != Draining {
+			t.Fatal("it is ready again")
+		}
+	}
+}
+
+func TestDeregisteredStaysGone(t *testing.T) {
+	store := NewStore()
+	instance := exampleInstance("a", "1.2.3.4:5")
+	apply(t, store, EncodePut(instance, 3), Recorded)
+	change := apply(t, store, EncodeRemove("a", Deregistered, 3), Removed)
+	if !reflect.DeepEqual(change.Delete, []string{"a"}) || !store.Removed("a") || store.Instance("a") != nil {
+		t.Fatalf("%+v", change)
+	}
+	apply(t, store, EncodePut(instance, 99), Gone)
+	apply(t, store, EncodeRemove("a", Deregistered, 3), Gone)
+	apply(t, store, EncodeRemove("never", Deregistered, 0), Gone)
+	apply(t, store, EncodePut(exampleInstance("never", "1.2.3.4:6"), 1), Gone)
+	if len(store.Items()) != 0 {
+		t.Fatal(store.Items())
+	}
+}
+
+func TestExpiredComesBackByALaterBeat(t *testing.T) {
+	store := NewStore()
+	instance := exampleInstance("a", "1.2.3.4:5")
+	apply(t, store, EncodePut(instance, 3), Recorded)
+	apply(t, store, EncodeRemove("a", Expired, 7), Removed)
+	apply(t, store, EncodePut(instance, 7), Late)
+	if store.Removed("a") {
+		t.Fatal("it may come back")
+	}
+	apply(t, store, EncodePut(instance, 8), Recorded)
+	apply(t, store, EncodeRemove("a", Expired, 7), Late)
+	apply(t, store, EncodeRemove("a", Expired, 0), Removed)
+	apply(t, store, EncodeRemove("a", Deregistered, 0), Gone)
+	apply(t, store, EncodePut(instance, 99), Gone)
+}
+
+func TestExpiredDoesNotTakeItsAddressBack(t *testing.T) {
+	store := NewStore()
+	apply(t, store, EncodePut(exampleInstance("a", "1.2.3.4:5"), 3), Recorded)
+	apply(t, store, EncodeRemove("a", Expired, 3), Removed)
+	apply(t, store, EncodePut(exampleInstance("b", "1.2.3.4:5"), 1), Recorded)
+	apply(t, store, EncodePut(exampleInstance("a", "1.2.3.4:5"), 4), Gone)
+	if store.Instance("b") == nil {
+		t.Fatal("b was removed")
+	}
+}
+
+func TestAddressIsUsedAgain(t *testing.T) {
+	store := NewStore()
+	apply(t, store, EncodePut(exampleInstance("a", "1.2.3.4:5"), 3), Recorded)
+	next := exampleInstance("b", "1.2.3.4:5")
+	next.Service = "other"
+	change := apply(t, store, EncodePut(next, 1), Recorded)
+	if !reflect.DeepEqual(change.Delete, []string{"a"}) || len(change.Put) != 1 || change.Put[0].Key != "b" {
+		t.Fatalf("%+v", change)
+	}
+	apply(t, store, EncodePut(exampleInstance("a", "1.2.3.4:5"), 9), Gone)
+	moved := next
+	moved.Address = "1.2.3.4:6"
+	apply(t, store, EncodePut(moved, 2), Recorded)
+	apply(t, store, EncodePut(exampleInstance("c", "1.2.3.4:5"), 1), Recorded)
+	if len(store.Instances("")) != 2 || len(store.Instances("other")) != 1 {
+		t.Fatal(store.Instances(""))
+	}
+}
+
+func TestTombstonesAreBounded(t *testing.T) {
+	store := NewStore()
+	for number := 0; number <= tombstonesKept; number++ {
+		apply(t, store, EncodeRemove(fmt.Sprint(number), Deregistered, 0), Gone)
+	}
+	if store.Removed("0") || !store.Removed("1") || len(store.tombstones) != tombstonesKept || len(store.buried) != tombstonesKept {
+		t.Fatal(len(store.tombstones), len(store.buried))
+	}
+}
+
+func TestUnreadableEntriesChangeNothing(t *testing.T) {
+	store := NewStore()
+	whole := EncodePut(exampleInstance("a", "1.2.3.4:5"), 3)
+	for _, entry := range [][]byte{nil, {}, {2}, {200, 3}, whole[:len(whole)-1], EncodeRemove("", Expired, 0)} {
+		apply(t, store, entry, BadCommand)
+	}
+	for _, wrong := range [][]byte{nil, {1}, {4, 0, 0}} {
+		if err := store.Restore(wrong); !errors.Is(err, ErrSnapshot) {
+			t.Error(err)
+		}
+	}
+	if _, err := DecodeItem(nil); err == nil {
+		t.Error("an empty item was read")
+	}
+}
+
+// drawnEntry turns a drawn number into a command about few instances at few addresses.
+func drawnEntry(number uint32) []byte {
+	id := fmt.Sprintf("i%d", number%5)
+	sequence := uint64(number / 5 % 16)
+	if number%7 == 0 {
+		return EncodeRemove(id, Reason(number/7%2+1), sequence)
+	}
+	instance := exampleInstance(id, fmt.Sprintf("1.2.3.4:%d", 1+number/80%4))
+	instance.State = State(number / 320 % 2)
+	return EncodePut(instance, sequence)
+}
+
+func TestReplicasAgree(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(drawnSeed))
+	properties.Property("snapshots, changes and items agree, and no address is had twice", prop.ForAll(
+		func(numbers []uint32) bool {
+			first, second := NewStore(), NewStore()
+			follower := feed.NewBuffer(0)
+			for position, number := range numbers {
+				entry := drawnEntry(number)
+				one, change := first.Apply(uint64(position+1), entry)
+				restored := NewStore()
+				if restored.Restore(second.Snapshot()) != nil {
+					return false
+				}
+				second = restored
+				other, otherChange := second.Apply(uint64(position+1), entry)
+				if one != other || !reflect.DeepEqual(change, otherChange) || !bytes.Equal(first.Snapshot(), second.Snapshot()) {
+					return false
+				}
+				if follower.Append(change) != nil || len(first.records) != len(first.byAddress) {
+					return false
+				}
+				if len(first.buried) != len(first.tombstones) {
+					return false
+				}
+			}
+			items := follower.Snapshot().Items
+			return len(items) == len(first.Items()) && (len(items) == 0 || reflect.DeepEqual(items, first.Items()))
+		},
+		gen.SliceOfN(60, gen.UInt32()),
+	))
+	properties.TestingRun(t)
+}
+
+func TestOnlyLaterWordsCount(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(drawnSeed + 1))
+	properties.Property("after a draining word, earlier words in any order leave it draining or gone", prop.ForAll(
+		func(numbers []uint32) bool {
+			store := NewStore()
+			const drainedAt = 20
+			draining := exampleInstance("i0", "1.2.3.4:9")
+			draining.State = Draining
+			store.Apply(1, EncodePut(draining, drainedAt))
+			for position, number := range numbers {
+				entry := drawnEntry(number)
+				store.Apply(uint64(position+2), entry)
+				if held := store.Instance("i0"); held != nil && held.State != Draining {
+					return false
+				}
+			}
+			return true
+		},
+		gen.SliceOfN(40, gen.UInt32()),
+	))
+	properties.TestingRun(t)
+}
