--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,278 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/membership"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/settings"
+)
+
+const (
+	keeperIP  = "127.0.0.2"
+	agentIP   = "127.0.0.3"
+	waitLimit = 20 * time.Second // generous: the machine may be busy
+)
+
+// keeperStandIn serves a store of the agent's own kind as a keeper would.
+type keeperStandIn struct {
+	*store
+	listener net.Listener
+	reports  chan feedlink.Report
+
+	mu       sync.Mutex
+	sessions []*feedlink.Session
+}
+
+func startKeeper(t *testing.T) (keeper *keeperStandIn, port int) {
+	t.Helper()
+	listener, err := feedlink.Listen(t.Context(), keeperIP+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keeper = &keeperStandIn{store: newStore(), listener: listener, reports: make(chan feedlink.Report, 10)}
+	go keeper.serve(t.Context())
+	t.Cleanup(func() { _ = listener.Close() })
+	return keeper, listener.Addr().(*net.TCPAddr).Port
+}
+
+func (k *keeperStandIn) serve(ctx context.Context) {
+	for {
+		connection, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		_, content, err := feedlink.ReadFirstFrame(connection, time.Second)
+		if err != nil {
+			continue
+		}
+		hello, err := feedlink.DecodeHello(content)
+		if err != nil {
+			continue
+		}
+		session := feedlink.NewSession(connection, hello, k, feedlink.SessionOptions{})
+		k.mu.Lock()
+		k.sessions = append(k.sessions, session)
+		k.mu.Unlock()
+		go func() { _ = session.Run(ctx) }()
+	}
+}
+
+func (k *keeperStandIn) OnReport(_ feedlink.Hello, topic string, body []byte) {
+	k.reports <- feedlink.Report{Topic: topic, Body: body}
+}
+
+func (k *keeperStandIn) commit(t *testing.T, shard shards.ID, index uint64, key, value string) {
+	t.Helper()
+	change := feed.Change{Index: index, Put: []feed.Item{{Key: key, Value: []byte(value)}}}
+	if err := k.change(shard, change); err != nil {
+		t.Fatal(err)
+	}
+	k.setCurrent([]feedlink.ShardStatus{{Shard: shard, Current: true}})
+	k.wakeAll()
+}
+
+func (k *keeperStandIn) broadcast(topic string, body []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, session := range k.sessions {
+		session.Send(topic, body)
+	}
+}
+
+// proxyStandIn tells a test what it receives.
+type proxyStandIn struct{ events chan string }
+
+func (p proxyStandIn) Snapshot(_ shards.ID, snapshot feed.Snapshot) {
+	for _, item := range snapshot.Items {
+		p.events <- item.Key + "=" + string(item.Value)
+	}
+}
+
+func (p proxyStandIn) Change(_ shards.ID, change feed.Change) {
+	p.Snapshot(0, feed.Snapshot{Items: change.Put})
+}
+
+func (p proxyStandIn) Status(status feedlink.Status) {
+	p.events <- "current " + strconv.FormatBool(status.Current())
+}
+
+func (p proxyStandIn) Connected(string) { p.events <- "connected" }
+
+func (p proxyStandIn) Disconnected(error) { p.events <- "disconnected" }
+
+func (p proxyStandIn) Report(report feedlink.Report) { p.events <- "report " + report.Topic }
+
+// expect waits for an event and passes over others.
+func (p proxyStandIn) expect(t *testing.T, wanted string) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	for {
+		select {
+		case event := <-p.events:
+			if event == wanted {
+				return
+			}
+		case <-limit:
+			t.Fatalf("%q did not come", wanted)
+		}
+	}
+}
+
+func agentSettings(feedPort int) settings.Settings {
+	return settings.Settings{
+		NodeName:  "edge-1",
+		IP:        agentIP,
+		Zone:      "a",
+		PortRange: [2]int{feedPort, feedPort + portsNeeded - 1},
+		Seeds:     []string{keeperIP + ":1"},
+		Limits:    settings.Limits{MemoryMb: 200},
+		Bounds:    settings.Bounds{GraceS: 8},
+	}
+}
+
+// startAgent runs an agent until stop is called; done tells how it ended.
+func startAgent(t *testing.T, config settings.Settings) (stop context.CancelFunc, done chan error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done = make(chan error, 1)
+	go func() { done <- Run(ctx, config, zap.NewNop()) }()
+	t.Cleanup(cancel)
+	return cancel, done
+}
+
+func startProxy(t *testing.T, agentPort int) (client *feedlink.Client, proxy proxyStandIn, stop func()) {
+	t.Helper()
+	proxy = proxyStandIn{events: make(chan string, 100)}
+	client = feedlink.NewProxyClient(feedlink.Hello{Node: "edge-1"}, agentPort, proxy)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = client.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return client, proxy, stop
+}
+
+func awaitEnd(t *testing.T, done <-chan error) {
+	t.Helper()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(waitLimit):
+		t.Fatal("the agent did not end")
+	}
+}
+
+func TestTheProxyGetsWhatTheKeeperCommits(t *testing.T) {
+	keeper, port := startKeeper(t)
+	keeper.commit(t, 0, 3, "route/a", "1")
+	stop, done := startAgent(t, agentSettings(port))
+	client, proxy, stopProxy := startProxy(t, port+proxyPortPlace)
+	proxy.expect(t, "route/a=1")
+	proxy.expect(t, "current true")
+
+	keeper.commit(t, 0, 5, "route/b", "2")
+	proxy.expect(t, "route/b=2")
+	keeper.broadcast("finding", nil)
+	proxy.expect(t, "report finding")
+	client.Report("budget", []byte("x"))
+	select {
+	case report := <-keeper.reports:
+		if report.Topic != "budget" || string(report.Body) != "x" {
+			t.Errorf("got %+v", report)
+		}
+	case <-time.After(waitLimit):
+		t.Error("the report did not come")
+	}
+
+	stop()
+	proxy.expect(t, "current false")
+	select {
+	case <-done:
+		t.Error("the agent ended before its proxy")
+	default:
+	}
+	stopProxy()
+	awaitEnd(t, done)
+}
+
+func TestAnAgentWithoutAProxyEndsAtOnce(t *testing.T) {
+	_, port := startKeeper(t)
+	stop, done := startAgent(t, agentSettings(port))
+	stop()
+	awaitEnd(t, done)
+}
+
+func TestPortsThatAreMissing(t *testing.T) {
+	config := agentSettings(7000)
+	config.PortRange[1] = 7001
+	if err := Run(t.Context(), config, zap.NewNop()); !errors.Is(err, ErrPorts) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestTheDrainEndsThoughTheProxyStays(t *testing.T) {
+	store := newStore()
+	front, err := newProxyFront(t.Context(), 0, store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go front.accept()
+	_, proxy, _ := startProxy(t, front.listener.Addr().(*net.TCPAddr).Port)
+	proxy.expect(t, "connected")
+	proxy.expect(t, "current false")
+	front.drain(time.Millisecond)
+	proxy.expect(t, "disconnected")
+}
+
+func TestProbesBetweenTwoAgents(t *testing.T) {
+	ips := []string{"127.0.0.3", "127.0.0.4"}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ips[0])})
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := socket.LocalAddr().(*net.UDPAddr).Port
+	_ = socket.Close()
+	stop, err := startProbing(t.Context(), ips[0], port, membership.Options{}, newStore(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	peer, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ips[1])}, &net.UDPAddr{IP: net.ParseIP(ips[0]), Port: port})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	question := membership.Packet{Kind: membership.Ping, Sequence: 42}
+	if _, err := peer.Write(question.Encode(nil)); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, packetBuffer)
+	_ = peer.SetReadDeadline(time.Now().Add(waitLimit))
+	count, err := peer.Read(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	packet, err := membership.DecodePacket(answer[:count])
+	if err != nil || packet.Kind != membership.Ack || packet.Sequence != question.Sequence {
+		t.Errorf("got %+v, %v", packet, err)
+	}
+}
--- /dev/null
+++ b/internal/feedlink/receiver_test.go
@@ -0,0 +1,131 @@
+package feedlink
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+)
+
+// takeFrames hands frames to a client as if they came over a connection.
+func takeFrames(t *testing.T, client *Client, frames ...[]byte) error {
+	t.Helper()
+	var sent []byte
+	for _, frame := range frames {
+		sent = append(sent, frame...)
+	}
+	return receiveAll(client, sent)
+}
+
+func changesFrame(t *testing.T, changes ...feed.Change) []byte {
+	t.Helper()
+	return must(t)(AppendChanges(nil, Changes{Shard: 1, Changes: changes}))
+}
+
+func partFrame(t *testing.T, part SnapshotPart) []byte {
+	t.Helper()
+	part.Shard = 1
+	return must(t)(AppendSnapshotPart(nil, part))
+}
+
+func items(key, value string) []feed.Item { return []feed.Item{{Key: key, Value: []byte(value)}} }
+
+func TestWhatIsNotAboveTheOffsetIsDropped(t *testing.T) {
+	handler := newRecorder()
+	client := propertyClient(handler)
+	err := takeFrames(t, client,
+		changesFrame(t, put(5, "k", "five")),
+		changesFrame(t, put(4, "k", "four"), put(5, "k", "five again"), put(6, "k", "six")),
+		partFrame(t, SnapshotPart{Index: 5, First: true, Last: true, Items: items("k", "lower")}),
+		partFrame(t, SnapshotPart{Index: 6, First: true, Last: true, Items: items("k", "same")}),
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{"k": "six"}
+	if !reflect.DeepEqual(handler.items[1], want) || handler.snapshots != 0 || len(handler.faults) > 0 {
+		t.Errorf("%v, %d snapshots, %v", handler.items[1], handler.snapshots, handler.faults)
+	}
+	if offsets := client.receiver.connected(); !reflect.DeepEqual(offsets, []Offset{{Shard: 1, Index: 6}}) {
+		t.Errorf("offsets %v", offsets)
+	}
+}
+
+func TestASnapshotTakesHoldWithItsLastPart(t *testing.T) {
+	handler := newRecorder()
+	client := propertyClient(handler)
+	first := partFrame(t, SnapshotPart{Index: 9, First: true, Items: items("a", "1")})
+	if err := takeFrames(t, client, changesFrame(t, put(2, "old", "x")), first); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := handler.items[1]["old"]; !ok || handler.snapshots != 0 {
+		t.Error("a part took hold")
+	}
+	last := partFrame(t, SnapshotPart{Index: 9, Last: true, Items: items("b", "2")})
+	if err := takeFrames(t, client, last); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{"a": "1", "b": "2"}
+	if !reflect.DeepEqual(handler.items[1], want) || handler.index[1] != 9 {
+		t.Errorf("%v at %d", handler.items[1], handler.index[1])
+	}
+}
+
+func TestPartsThatDoNotBelongTogether(t *testing.T) {
+	first := partFrame(t, SnapshotPart{Index: 9, First: true, Items: items("a", "1")})
+	other := partFrame(t, SnapshotPart{Index: 8, Last: true})
+	rest := partFrame(t, SnapshotPart{Index: 9, Last: true})
+	client := propertyClient(newRecorder())
+	if err := takeFrames(t, client, first, other); !errors.Is(err, ErrBrokenSnapshot) {
+		t.Errorf("another index: %v", err)
+	}
+	client = propertyClient(newRecorder())
+	if err := takeFrames(t, client, first); err != nil {
+		t.Fatal(err)
+	}
+	client.receiver.connected()
+	if err := takeFrames(t, client, rest); !errors.Is(err, ErrBrokenSnapshot) {
+		t.Errorf("parts of two connections: %v", err)
+	}
+}
+
+func TestAWriterSendsOnlyWhatIsAboveTheOffset(t *testing.T) {
+	connection := &capture{}
+	writer := newFeedWriter(connection, []Offset{{Shard: 1, Index: 5}}, WriteLimit)
+	snapshot := feed.Snapshot{Index: 5, Items: items("k", "v")}
+	changes := []feed.Change{put(4, "k", "4"), put(5, "k", "5")}
+	if err := writer.shard(shards.ID(1), changes, &snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if err := writer.flush(); err != nil || connection.written.Len() != 0 {
+		t.Errorf("%d bytes were sent, %v", connection.written.Len(), err)
+	}
+	if err := writer.shard(shards.ID(1), append(changes, put(6, "k", "6")), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := writer.flush(); err != nil {
+		t.Fatal(err)
+	}
+	sent, err := DecodeChanges(body(t, connection.written.Bytes(), KindChanges))
+	if err != nil || len(sent.Changes) != 1 || sent.Changes[0].Index != 6 {
+		t.Errorf("sent %+v, %v", sent, err)
+	}
+}
+
+func TestOldReportsAreDroppedWhereTooManyWait(t *testing.T) {
+	waiting := newOutbox()
+	for number := range outboxReports + 10 {
+		waiting.put(Report{Topic: "t", Body: []byte{byte(number)}})
+	}
+	reports := waiting.take()
+	if len(reports) != outboxReports || reports[0].Body[0] != 10 {
+		t.Errorf("%d reports, the first is %v", len(reports), reports[0])
+	}
+	waiting.put(Report{Body: make([]byte, outboxBytes)})
+	waiting.put(Report{Body: make([]byte, 1)})
+	if reports := waiting.take(); len(reports) != 1 || len(reports[0].Body) != 1 {
+		t.Errorf("%d reports", len(reports))
+	}
+}
