--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -46,7 +46,7 @@
 	if len(snapshot) == 0 {
 		return fmt.Errorf("%w: it is empty", ErrSnapshot)
 	}
-	if err := binary.Unmarshal(snapshotSchema, snapshot, &record); err != nil {
+	if err := unmarshal(snapshotSchema, snapshot, &record); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
 	if record.Format != snapshotFormat {
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -233,7 +233,7 @@
 func TestUnreadableEntryChangesNothing(t *testing.T) {
 	store := NewStore()
 	whole := EncodeCommand(replaceCommand(0, exampleWhole(7)))
-	for _, entry := range [][]byte{nil, {}, {1}, {200, 1, 2, 3}, whole[:len(whole)-1], EncodeCommand(Command{Kind: 9})} {
+	for _, entry := range [][]byte{nil, {}, {1}, {200, 1, 2, 3}, whole[:len(whole)-1], append(whole[:len(whole):len(whole)], 0), EncodeCommand(Command{Kind: 9})} {
 		if outcome, _ := store.Apply(1, entry); outcome.Code != BadCommand {
 			t.Errorf("%v: %+v", entry, outcome)
 		}
@@ -245,7 +245,7 @@
 	mustAccept(t, store, replaceCommand(0, exampleWhole(7)))
 	snapshot := store.Snapshot()
 	other := append([]byte{snapshotFormat*2 + 2}, snapshot[1:]...)
-	for _, wrong := range [][]byte{nil, {1}, snapshot[:20], other} {
+	for _, wrong := range [][]byte{nil, {1}, snapshot[:20], snapshot[:len(snapshot)-1], append(snapshot[:len(snapshot):len(snapshot)], 0), other} {
 		if err := store.Restore(wrong); !errors.Is(err, ErrSnapshot) {
 			t.Errorf("%v", err)
 		}
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -147,7 +147,7 @@
 func TestUnreadableEntriesChangeNothing(t *testing.T) {
 	store := NewStore()
 	whole := EncodePut(exampleInstance("a", "1.2.3.4:5"), 3)
-	for _, entry := range [][]byte{nil, {}, {2}, {200, 3}, whole[:len(whole)-1], EncodeRemove("", Expired, 0)} {
+	for _, entry := range [][]byte{nil, {}, {2}, {200, 3}, whole[:len(whole)-1], append(whole[:len(whole):len(whole)], 0), EncodeRemove("", Expired, 0)} {
 		apply(t, store, entry, BadCommand)
 	}
 	for _, wrong := range [][]byte{nil, {1}, {4, 0, 0}} {
