Test the dispatcher against workers that do anything, and keep spent budgets

A property test draws worker behaviour, routes and leaving clients (1500 cases a run) and checks runs, promises, attempts, handles, bodies and time.

--- a/internal/dispatch/chooser_test.go
+++ b/internal/dispatch/chooser_test.go
@@ -18,6 +18,7 @@
 	ended   map[*selection.Call][]string
 	order   []*selection.Call
 	firsts  int
+	draws   func(excluded []string) (selection.Choice, bool) // in place of choices
 }
 
 // offers adds choices, "p1>d1" for a pair and "d1" for a worker alone.
@@ -38,6 +39,10 @@
 
 func (c *scriptedChooser) Choose(_ time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.Verdict) {
 	c.asked = append(c.asked, *request)
+	if c.draws != nil {
+		choice, send := c.draws(excluded)
+		return choice, selection.Verdict{Send: send, RetryAfter: c.refusal}
+	}
 	for _, choice := range c.choices {
 		if slices.Contains(excluded, choice.Run.ID) {
 			continue
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -20,8 +20,9 @@
 func (g *guard) setView(view *catalog.View) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.chooser.SetView(g.now(), view)
-	g.budgets.Keep(func(service string) bool { return view.Services[service] != nil })
+	now := g.now()
+	g.chooser.SetView(now, view)
+	g.budgets.Keep(now, func(service string) bool { return view.Services[service] != nil })
 }
 
 // noteRequest counts a client's request for a service.
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -88,7 +88,7 @@
 	}
 	t.prefillReached()
 	id, readable := parseHandle(answer.Body)
-	if answer.Status != statusOK || !readable {
+	if answer.Status != statusOK || !readable || !t.answersThis(answer) {
 		t.exclude(choice.Prefill)
 		ticket.failed(selection.FailureStatus)
 		return false
--- a/internal/dispatch/prefill_test.go
+++ b/internal/dispatch/prefill_test.go
@@ -138,6 +138,18 @@
 	}
 }
 
+func TestHandleOfAnotherRequestIsNotUsed(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "d1")
+		r.plays("p1", hands("h1"))
+		r.plays("d1", breaks())
+		r.ask(func(request *front.Request) { request.Fields = request.Fields.With(fieldRequestID, "another") })
+		if r.workersCalled() != "p1 d1 " || r.calls[1].field(fieldKVFrom) != "" {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
 func TestRunRejectedForWantOfPlaceKeepsTheHandle(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.chooser.offers("p1>d1", "p2>d2")
--- /dev/null
+++ b/internal/dispatch/property_test.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/selection"
+)
+
+const lastEvent = 6
+
+// chaos lets workers do anything that the protocol knows of, and keeps what really happened.
+type chaos struct {
+	rig     *rig
+	random  *rand.Rand
+	ran     int             // runs that a worker began
+	arrived int             // counted calls that reached a worker
+	read    int             // prompts read
+	handles map[string]bool // handles given; true: taken
+}
+
+func newChaos(r *rig, seed int64) *chaos {
+	c := &chaos{rig: r, random: rand.New(rand.NewSource(seed)), handles: map[string]bool{}}
+	types := []configuration.RouteType{configuration.NonIdempotent, configuration.Idempotent, configuration.Streaming}
+	r.route.Type = types[c.random.Intn(len(types))]
+	r.route.Resumable = r.route.Type == configuration.Streaming && c.random.Intn(2) == 0
+	r.route.MaxAttempts = 1 + c.random.Intn(4)
+	r.setRoute()
+	r.others = c.script
+	r.chooser.draws = c.choose
+	return c
+}
+
+func (c *chaos) choose(excluded []string) (selection.Choice, bool) {
+	choice := selection.Choice{First: time.Duration(c.random.Intn(200)) * time.Millisecond}
+	runs := remaining([]string{"d1", "d2", "d3"}, excluded)
+	if len(runs) == 0 || c.random.Intn(12) == 0 {
+		return choice, false
+	}
+	choice.Run = testWorker(runs[c.random.Intn(len(runs))])
+	reads := remaining([]string{"p1", "p2"}, excluded)
+	if len(reads) > 0 && c.random.Intn(3) > 0 {
+		choice.Prefill = testWorker(reads[c.random.Intn(len(reads))])
+	}
+	return choice, true
+}
+
+func remaining(all, excluded []string) []string {
+	return slices.DeleteFunc(all, func(id string) bool { return slices.Contains(excluded, id) })
+}
+
+// script draws what a worker does with a call.
+func (c *chaos) script(_ string, call *exchange.Call) script {
+	var drawn script
+	if call.Fields.Get(fieldStage) == stagePrefill {
+		drawn = c.readScript()
+	} else {
+		drawn = c.runScript(call)
+	}
+	if c.random.Intn(3) == 0 {
+		drawn = after(time.Duration(c.random.Intn(900))*time.Millisecond, drawn)
+	}
+	return drawn
+}
+
+func (c *chaos) readScript() script {
+	switch c.random.Intn(8) {
+	case 0:
+		return fails(exchange.NotSent, exchange.DialFailed)
+	case 1:
+		return c.rejecting()
+	case 2:
+		return answers(421, "", nil)
+	case 3:
+		c.noteRead()
+		return breaks()
+	case 4:
+		c.noteRead()
+		return silent()
+	case 5:
+		c.noteRead()
+		return answers(200, "no answer", nil)
+	default:
+		c.noteRead()
+		return c.hand()
+	}
+}
+
+// rejecting counts a call once it is rejected; one that is given up before is dropped by the worker.
+func (c *chaos) rejecting() script {
+	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+		c.arrived++
+		return rejects()(ctx, call)
+	}
+}
+
+func (c *chaos) noteRead() {
+	if c.read > 0 {
+		c.arrived++
+	}
+	c.read++
+}
+
+// hand gives a new handle, once its answer is really given.
+func (c *chaos) hand() script {
+	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+		handle := "h" + strconv.Itoa(len(c.handles))
+		c.handles[handle] = false
+		return hands(handle)(ctx, call)
+	}
+}
+
+func (c *chaos) runScript(call *exchange.Call) script {
+	switch c.random.Intn(10) {
+	case 0:
+		return fails(exchange.NotSent, exchange.Full)
+	case 1:
+		return c.rejecting()
+	case 2:
+		return answers(421, "", nil)
+	}
+	c.arrived++
+	return c.running(call, c.begunScript(call))
+}
+
+// running notes that the run begins, and takes the handle.
+func (c *chaos) running(call *exchange.Call, then script) script {
+	c.ran++
+	if _, handle, found := strings.Cut(call.Fields.Get(fieldKVFrom), "/"); found {
+		c.handles[handle] = true
+	}
+	return then
+}
+
+func (c *chaos) begunScript(call *exchange.Call) script {
+	switch c.random.Intn(9) {
+	case 0:
+		return breaks()
+	case 1:
+		return silent()
+	case 2:
+		return answers(500, "own error", signed)
+	case 3:
+		return answers(503, "unclear", signed)
+	case 4:
+		return answers(200, "unsigned", nil)
+	}
+	if !call.Events {
+		return answers(200, "whole", signed)
+	}
+	from, _ := strconv.Atoi(call.Fields.Get(fieldLastEvent))
+	return c.stream(from + 1)
+}
+
+func (c *chaos) stream(from int) script {
+	to := from + c.random.Intn(lastEvent-from+2) - 1
+	if c.random.Intn(2) == 0 {
+		to = lastEvent
+	}
+	from = max(1, from-c.random.Intn(2)) // a worker may repeat events
+	if to >= lastEvent && c.random.Intn(4) > 0 {
+		return streams(from, lastEvent, nil)
+	}
+	if c.random.Intn(2) == 0 {
+		return streams(from, min(to, lastEvent), cut)
+	}
+	return streams(from, min(to, lastEvent), hang)
+}
+
+// fault names the rule that the answer of a client breaks; empty: none.
+func (c *chaos) fault(t *testing.T, seen *client) string {
+	route := c.rig.route
+	repeatable := route.Type == configuration.Idempotent || route.Resumable
+	promise := slices.Contains([]int{503, 429, 408, 421}, seen.status)
+	switch {
+	case !repeatable && c.ran > 1:
+		return "ran twice"
+	case promise && c.ran > 0:
+		return "a promise, and it ran"
+	case c.arrived > route.MaxAttempts:
+		return fmt.Sprintf("%d counted calls of %d", c.arrived, route.MaxAttempts)
+	case seen.answers > 1 || seen.answers == 0 && !seen.broken:
+		return fmt.Sprintf("%d answers", seen.answers)
+	case seen.finished && seen.broken:
+		return "complete and broken off"
+	case seen.took > 3*time.Second+20*time.Millisecond:
+		return "held too long: " + seen.took.String()
+	}
+	if body := c.bodyFault(seen); body != "" {
+		return body
+	}
+	c.rig.chooser.endings(t)
+	return c.handleFault()
+}
+
+func (c *chaos) bodyFault(seen *client) string {
+	switch {
+	case seen.status == 200 && seen.fields.Get(fieldSignature) == "":
+		return "a success without stamp"
+	case seen.status == 200 && seen.body != "whole" && !strings.HasPrefix(texts(1, lastEvent), seen.body):
+		return "pieces lost or repeated: " + seen.body
+	case seen.status == 200 && seen.finished && seen.body != "whole" && seen.body != texts(1, lastEvent):
+		return "ended as complete: " + seen.body
+	default:
+		return ""
+	}
+}
+
+// handleFault names a handle that was given and neither taken nor freed.
+func (c *chaos) handleFault() string {
+	for handle, taken := range c.handles {
+		freed := slices.ContainsFunc(c.rig.deletes, func(call seen) bool { return call.call.Target == handlePath+handle })
+		if !taken && !freed {
+			return "handle left: " + handle
+		}
+	}
+	return ""
+}
+
+func TestRulesHoldWhateverWorkersDo(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 1500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no rule is broken", prop.ForAll(func(seed int64) string {
+		found := ""
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			c := newChaos(r, seed)
+			asked := &client{r: r}
+			if c.random.Intn(6) == 0 {
+				asked.leavesIn = time.Duration(1+c.random.Intn(1500)) * time.Millisecond
+			}
+			r.askAs(asked, nil)
+			found = c.fault(t, asked)
+		})
+		return found
+	}, gen.Int64()))
+	properties.TestingRun(t)
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -166,10 +166,7 @@
 // sound tells whether an answer can be passed on: a success needs the worker's signature, a body that
 // is known to be whole, and no encoding.
 func (t *try) sound(answer *Answer) bool {
-	if answer.Fields.Has(fieldEncoding) {
-		return false
-	}
-	if id := answer.Fields.Get(fieldRequestID); id != t.request.Fields.Get(fieldRequestID) {
+	if answer.Fields.Has(fieldEncoding) || !t.answersThis(answer) {
 		return false
 	}
 	success := answer.Status >= 200 && answer.Status < 300
@@ -179,6 +176,11 @@
 	return answer.Fields.Get(fieldSignature) != "" && !answer.ToEnd
 }
 
+// answersThis tells whether an answer carries the request's own ID.
+func (t *try) answersThis(answer *Answer) bool {
+	return answer.Fields.Get(fieldRequestID) == t.request.Fields.Get(fieldRequestID)
+}
+
 func (t *try) runCall(worker *catalog.Worker) *exchange.Call {
 	fields := t.workerFields(worker, 2)
 	if t.held != nil {
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -367,6 +367,23 @@
 	})
 }
 
+func TestGivingUpASilentRunPaysForItsRepeatOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type = configuration.Idempotent
+		r.setRoute()
+		for range 39 { // of 0.8 x 50
+			r.dispatcher.guard.spend(testService, 1)
+		}
+		r.chooser.offers("d1", "d2")
+		r.plays("d1", silent())
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		if r.dispatcher.guard.spend(testService, 1) {
+			t.Fatal("the repeat was not paid")
+		}
+	})
+}
+
 func TestSilentRunIsKeptWhereNoBudgetIsLeft(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.route.Type = configuration.Idempotent
--- a/internal/retrybudget/ledger.go
+++ b/internal/retrybudget/ledger.go
@@ -24,10 +24,11 @@
 	return l.account(service).Spend(now, nodes)
 }
 
-// Keep drops the accounts of services that are not wanted any more.
-func (l *Ledger) Keep(wanted func(service string) bool) {
-	for service := range l.accounts {
-		if !wanted(service) {
+// Keep drops the accounts of services that are not wanted any more. One with calls in the last window stays,
+// since the service may come back.
+func (l *Ledger) Keep(now time.Duration, wanted func(service string) bool) {
+	for service, account := range l.accounts {
+		if !wanted(service) && account.Spent(now) == 0 {
 			delete(l.accounts, service)
 		}
 	}
