--- /dev/null
+++ b/cmd/ospreyfleet/demo.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/modelworker"
+)
+
+const (
+	demoKeepers  = 3
+	demoEdges    = 2
+	demoWorkers  = 4
+	demoTimeout  = 30 * time.Second
+	demoPoll     = 50 * time.Millisecond
+	demoDeadline = 4000 // ms
+	demoSlots    = 8
+)
+
+// demoConfiguration has one route to each of the two services of the demonstration.
+const demoConfiguration = `{"generation":1,"routes":[
+{"name":"chat","hostname":"demo.example","pathPrefix":"/chat/","routeType":"streaming","timeoutMs":4000,"targetLatencyMs":500,"priority":0,"service":"model","maxAttempts":2,"sessionAffinity":true,"resumable":true,"gap_aim_ms":200},
+{"name":"files","hostname":"demo.example","pathPrefix":"/files/","routeType":"non_idempotent","timeoutMs":2000,"targetLatencyMs":300,"priority":1,"service":"store","maxAttempts":1}],
+"services":[{"name":"model","healthPath":"/health","maxConnections":100,"engine":{"slots":8,"kvTokens":100000,"kvTokenBytes":1000,"linkMbps":10000,"stride":1,"handleTtlS":5,"switchS":1,"models":[{"name":"m"}]}},
+{"name":"store","healthPath":"/health","maxConnections":100}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// demoCommand are the flags of demo.
+type demoCommand struct {
+	Requests int  `arg:"--requests" default:"12" help:"requests to send"`
+	Keep     bool `arg:"--keep" help:"keep the directory with settings, data and logs"`
+}
+
+// demonstration is one run of the command.
+type demonstration struct {
+	out     io.Writer
+	fleet   *localfleet.Fleet
+	pool    *exchange.Pool
+	workers []*modelworker.Worker
+	handles modelworker.Handles
+}
+
+// run starts a whole fleet on loopback, sends requests through it and shows what became of each.
+func (c *demoCommand) run(out, errors io.Writer) int {
+	directory, err := os.MkdirTemp("", "ospreyfleet-demo-")
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitFault
+	}
+	if c.Keep {
+		fmt.Fprintln(out, "settings, data and logs:", directory)
+	} else {
+		defer os.RemoveAll(directory)
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitFault
+	}
+	fleet, err := localfleet.New(localfleet.Layout{Binary: binary, Directory: directory, Keepers: demoKeepers, Edges: demoEdges})
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitFault
+	}
+	defer fleet.StopAll()
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	demo := demonstration{out: out, fleet: fleet, pool: exchange.New(exchange.Options{})}
+	if err := demo.play(ctx, c.Requests); err != nil {
+		fmt.Fprintln(errors, "demo:", err)
+		return exitFault
+	}
+	return exitOK
+}
+
+// play does the steps of the demonstration.
+func (d *demonstration) play(ctx context.Context, requests int) error {
+	started := time.Now()
+	if err := d.fleet.StartAll(); err != nil {
+		return err
+	}
+	fmt.Fprintf(d.out, "%d keepers, %d agents and %d proxies started\n", demoKeepers, demoEdges, demoEdges)
+	if err := d.startWorkers(ctx); err != nil {
+		return err
+	}
+	if err := localfleet.Await(ctx, demoPoll, func() bool { return d.configure(ctx) }); err != nil {
+		return fmt.Errorf("the configuration was not accepted: %w", err)
+	}
+	fmt.Fprintf(d.out, "configuration accepted after %s\n", since(started))
+	for edge := range demoEdges {
+		if err := localfleet.Await(ctx, demoPoll, func() bool { return d.ready(ctx, edge) }); err != nil {
+			return fmt.Errorf("a proxy is not ready: %w", err)
+		}
+	}
+	if err := localfleet.Await(ctx, demoPoll, func() bool { return d.serves(ctx) }); err != nil {
+		return fmt.Errorf("no worker became known: %w", err)
+	}
+	fmt.Fprintf(d.out, "all proxies ready and workers known after %s\n", since(started))
+	for number := range requests {
+		d.ask(ctx, number)
+	}
+	d.summary()
+	return nil
+}
+
+// startWorkers starts two workers that read prompts, two that make tokens and one plain one.
+func (d *demonstration) startWorkers(ctx context.Context) error {
+	for i := range demoWorkers + 1 {
+		options := modelworker.Options{ID: fmt.Sprintf("worker-%d", i+1), Zone: localfleet.Zone(i), Service: "model",
+			Stage: []string{"prefill", "decode"}[i%2], Address: d.fleet.Worker(i), Slots: demoSlots, Control: d.fleet.Control(),
+			Heartbeat: time.Second, ReadPace: 40, TokenTime: 6 * time.Millisecond, PlainTime: 30 * time.Millisecond, Handles: &d.handles}
+		if i == demoWorkers {
+			options.Service, options.Stage = "store", ""
+		}
+		worker, err := modelworker.Start(ctx, options)
+		if err != nil {
+			return err
+		}
+		d.workers = append(d.workers, worker)
+	}
+	return nil
+}
+
+// configure sends the configuration to one keeper and tells whether it was accepted.
+func (d *demonstration) configure(ctx context.Context) bool {
+	control := d.fleet.Control()[0]
+	response, failure := d.pool.Do(ctx, &exchange.Call{Address: control, Method: "POST", Target: "/-/Config.Replace",
+		Fields: httpwire.Fields{{Name: "Host", Value: control}, {Name: "X-Base-Version", Value: "0"},
+			{Name: "Content-Type", Value: "application/json"}}, Body: []byte(demoConfiguration)})
+	return failure == nil && response.Status == 200
+}
+
+// ready asks a proxy for its readiness.
+func (d *demonstration) ready(ctx context.Context, edge int) bool {
+	address := d.fleet.Readiness(edge)
+	response, failure := d.pool.Do(ctx, &exchange.Call{Address: address, Method: "GET", Target: "/-/ready",
+		Fields: httpwire.Fields{{Name: "Host", Value: address}}})
+	return failure == nil && response.Status == 200
+}
+
+// serves tells whether each proxy answers on both routes.
+func (d *demonstration) serves(ctx context.Context) bool {
+	for edge := range demoEdges {
+		for kind := range 2 {
+			if status, _ := d.send(ctx, edge, kind, "probe"); status != 200 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// ask sends one request and prints what became of it.
+func (d *demonstration) ask(ctx context.Context, number int) {
+	edge, kind := number%demoEdges, number%3/2
+	started := time.Now()
+	status, events := d.send(ctx, edge, kind, fmt.Sprintf("demo-%d", number))
+	what := "file"
+	if kind == 0 {
+		what = fmt.Sprintf("chat, %d events", events)
+	}
+	fmt.Fprintf(d.out, "request %2d by proxy %d: %d in %s (%s)\n", number+1, edge+1, status, since(started), what)
+}
+
+// send sends one request and returns its status and how many events came; status 0 stands for a broken answer.
+func (d *demonstration) send(ctx context.Context, edge, kind int, id string) (status, events int) {
+	call := &exchange.Call{Address: d.fleet.Front(edge), Method: "POST", Target: []string{"/chat/talk", "/files/one"}[kind],
+		Fields: httpwire.Fields{{Name: "Host", Value: "demo.example"}, {Name: "X-Request-Id", Value: fmt.Sprintf("%s-%d-%d", id, edge, kind)},
+			{Name: "X-Request-Deadline", Value: fmt.Sprint(demoDeadline)}}, Body: []byte("{}"), Events: true}
+	if kind == 0 {
+		call.Fields = append(call.Fields, httpwire.Field{Name: "X-Model", Value: "m"},
+			httpwire.Field{Name: "X-Token-Count", Value: "1200,8"},
+			httpwire.Field{Name: "X-Prompt-Prefix", Value: "a1:800,b" + fmt.Sprint(edge) + ":400"})
+	}
+	response, failure := d.pool.Do(ctx, call)
+	if failure != nil {
+		return 0, 0
+	}
+	if response.Stream == nil {
+		return response.Status, 0
+	}
+	for {
+		batch, err := response.Stream.Next()
+		if err == io.EOF {
+			return response.Status, events
+		}
+		if err != nil {
+			return 0, events
+		}
+		events += len(batch.Events)
+	}
+}
+
+// summary prints what the workers did.
+func (d *demonstration) summary() {
+	for i, worker := range d.workers {
+		counts := worker.Counts()
+		fmt.Fprintf(d.out, "worker %d: %d prompts read, %d runs, %d turned away\n", i+1, counts.Prefills, counts.Runs, counts.Rejected)
+	}
+	fmt.Fprintf(d.out, "handles left over: %d\n", d.handles.Open())
+}
+
+func since(started time.Time) time.Duration { return time.Since(started).Round(time.Millisecond) }
--- /dev/null
+++ b/internal/modelworker/worker.go
@@ -0,0 +1,281 @@
+// Package modelworker is a stand-in for a model worker: it speaks the workers' side of the protocol
+// (heartbeats, prompts read, hand-overs, event streams, orders) with simple timing and no model.
+package modelworker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+)
+
+// Header fields of the protocol that a worker reads or writes.
+const (
+	fieldRequestID  = "X-Request-Id"
+	fieldTarget     = "X-Target-Instance"
+	fieldInstance   = "X-Instance-Id"
+	fieldStage      = "X-Serving-Stage"
+	fieldHandle     = "Kv-From"
+	fieldTokens     = "X-Token-Count"
+	fieldLastEvent  = "Last-Event-Id"
+	fieldSignature  = "X-Response-Signature"
+	fieldLoad       = "X-Server-Load"
+	fieldNotRun     = "X-Not-Executed"
+	stagePrefill    = "prefill"
+	stageDecode     = "decode"
+	handlePath      = "/-/kv-handle/"
+	defaultOutput   = 8 // tokens, where the request names none
+	handleDigits    = 12
+	stopGrace       = 500 * time.Millisecond
+	statusOK        = 200
+	statusNotFound  = 404
+	statusMisrouted = 421
+	statusFull      = 503
+)
+
+// Options describe a worker.
+type Options struct {
+	ID        string
+	Service   string
+	Zone      string
+	Stage     string // "prefill", "decode", or empty for a plain service
+	Address   string // "ip:port" to listen on
+	Slots     int
+	Control   []string // control addresses of the fleet, tried in turn
+	Heartbeat time.Duration
+	ReadPace  float64       // prompt tokens read in a millisecond
+	TokenTime time.Duration // time between two tokens
+	PlainTime time.Duration // time of a plain request
+	Handles   *Handles      // shared by workers that hand prompts over to each other
+}
+
+// Counts tell what a worker has done.
+type Counts struct{ Prefills, Runs, Rejected, Misrouted, Deleted int64 }
+
+// Worker is one incarnation.
+type Worker struct {
+	options  Options
+	server   *front.Server
+	running  atomic.Int64
+	prefills atomic.Int64
+	runs     atomic.Int64
+	rejected atomic.Int64
+	strays   atomic.Int64
+	deleted  atomic.Int64
+}
+
+// Handles are the handles that the workers of one process have given out and nobody has taken yet.
+type Handles struct {
+	mutex sync.Mutex
+	open  map[string]bool // by "ip:port/handle"
+	next  int
+}
+
+// give makes a handle for the worker at an address.
+func (h *Handles) give(address string) string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.next++
+	handle := fmt.Sprintf("%0*x", handleDigits, h.next)
+	if h.open == nil {
+		h.open = map[string]bool{}
+	}
+	h.open[address+"/"+handle] = true
+	return handle
+}
+
+// take removes a handle and tells whether it was there.
+func (h *Handles) take(handle string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.open[handle]
+	delete(h.open, handle)
+	return known
+}
+
+// Open returns how many handles nobody has taken or deleted.
+func (h *Handles) Open() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.open)
+}
+
+// Start listens and begins to send heartbeats. It ends with the context.
+func Start(ctx context.Context, options Options) (*Worker, error) {
+	listener, err := net.Listen("tcp4", options.Address)
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{options: options}
+	w.server = front.New(front.Options{Handler: w.serve, Limits: func() configuration.Limits { return configuration.Limits{} }})
+	go func() { _ = w.server.Serve(listener) }()
+	go w.register(ctx)
+	go func() {
+		<-ctx.Done()
+		_ = w.server.Close()
+	}()
+	return w, nil
+}
+
+// Counts returns what the worker has done so far.
+func (w *Worker) Counts() Counts {
+	return Counts{Prefills: w.prefills.Load(), Runs: w.runs.Load(), Rejected: w.rejected.Load(),
+		Misrouted: w.strays.Load(), Deleted: w.deleted.Load()}
+}
+
+// serve answers one request.
+func (w *Worker) serve(answer *front.ResponseWriter, request *front.Request) {
+	if strings.HasPrefix(request.Path, handlePath) {
+		w.free(answer, strings.TrimPrefix(request.Path, handlePath))
+		return
+	}
+	if target := request.Fields.Get(fieldTarget); target != "" && target != w.options.ID {
+		w.strays.Add(1)
+		w.turnAway(answer, request, statusMisrouted)
+		return
+	}
+	if w.running.Add(1) > int64(w.options.Slots) {
+		w.running.Add(-1)
+		w.rejected.Add(1)
+		w.turnAway(answer, request, statusFull)
+		return
+	}
+	defer w.running.Add(-1)
+	switch {
+	case w.options.Stage == "":
+		w.plain(answer, request)
+	case request.Fields.Get(fieldStage) == stagePrefill:
+		w.prefill(answer, request)
+	default:
+		w.run(answer, request)
+	}
+}
+
+// turnAway answers that the request was not run.
+func (w *Worker) turnAway(answer *front.ResponseWriter, request *front.Request, status int) {
+	fields := w.fields(request)
+	fields = append(fields, httpwire.Field{Name: fieldNotRun, Value: "1"})
+	_ = answer.Answer(status, fields, nil)
+}
+
+// fields are those of each answer.
+func (w *Worker) fields(request *front.Request) httpwire.Fields {
+	fields := make(httpwire.Fields, 0, 8)
+	fields = append(fields, httpwire.Field{Name: fieldRequestID, Value: request.Fields.Get(fieldRequestID)})
+	fields = append(fields, httpwire.Field{Name: fieldInstance, Value: w.options.ID})
+	fields = append(fields, httpwire.Field{Name: fieldLoad, Value: fmt.Sprintf("%d,0,%d", w.running.Load(), w.options.Slots)})
+	return fields
+}
+
+// plain answers a request of a service without stages.
+func (w *Worker) plain(answer *front.ResponseWriter, request *front.Request) {
+	if !pause(request.Context, w.options.PlainTime) {
+		return
+	}
+	w.runs.Add(1)
+	_ = answer.Answer(statusOK, w.signed(request), []byte("done by "+w.options.ID+"\n"))
+}
+
+// prefill reads a prompt and hands out a handle.
+func (w *Worker) prefill(answer *front.ResponseWriter, request *front.Request) {
+	in, _ := tokens(request)
+	if !pause(request.Context, w.readTime(in, 1)) {
+		return
+	}
+	w.prefills.Add(1)
+	handle := w.options.Handles.give(w.options.Address)
+	fields := w.fields(request)
+	fields = append(fields, httpwire.Field{Name: "Content-Type", Value: "application/json"})
+	body := fmt.Sprintf(`{"prefillHandle":%q,"tokens":%d,"generation":1}`, handle, in)
+	_ = answer.Answer(statusOK, fields, []byte(body))
+}
+
+// run streams tokens, from a handle or after reading the prompt at half the pace.
+func (w *Worker) run(answer *front.ResponseWriter, request *front.Request) {
+	in, out := tokens(request)
+	if w.options.Stage != stageDecode {
+		w.strays.Add(1)
+		w.turnAway(answer, request, statusMisrouted)
+		return
+	}
+	handle := request.Fields.Get(fieldHandle)
+	if handle != "" && !w.options.Handles.take(handle) {
+		w.rejected.Add(1)
+		w.turnAway(answer, request, statusFull)
+		return
+	}
+	if handle == "" && !pause(request.Context, w.readTime(in, 2)) {
+		return
+	}
+	w.runs.Add(1)
+	fields := w.signed(request)
+	fields = append(fields, httpwire.Field{Name: "Content-Type", Value: "text/event-stream"})
+	if answer.Begin(statusOK, fields) != nil {
+		return
+	}
+	first, _ := strconv.Atoi(request.Fields.Get(fieldLastEvent))
+	for id := first + 1; id <= out; id++ {
+		if !pause(request.Context, w.options.TokenTime) {
+			return
+		}
+		if answer.Event(fmt.Appendf(nil, "id: %d\ndata: token %d\n\n", id, id)) != nil {
+			return
+		}
+	}
+	_ = answer.Finish(nil)
+}
+
+func (w *Worker) signed(request *front.Request) httpwire.Fields {
+	fields := w.fields(request)
+	fields = append(fields, httpwire.Field{Name: fieldSignature, Value: "standin." + w.options.ID})
+	return fields
+}
+
+// free drops a handle.
+func (w *Worker) free(answer *front.ResponseWriter, handle string) {
+	if !w.options.Handles.take(w.options.Address + "/" + handle) {
+		_ = answer.Answer(statusNotFound, nil, nil)
+		return
+	}
+	w.deleted.Add(1)
+	_ = answer.Answer(statusOK, nil, nil)
+}
+
+// readTime is how long a prompt takes to read, at a part of the pace.
+func (w *Worker) readTime(tokens, slower int) time.Duration {
+	if w.options.ReadPace <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens*slower) / w.options.ReadPace * float64(time.Millisecond))
+}
+
+// tokens reads how many tokens a request's prompt has and how many it asks for at most.
+func tokens(request *front.Request) (in, out int) {
+	before, after, _ := strings.Cut(request.Fields.Get(fieldTokens), ",")
+	in, _ = strconv.Atoi(strings.TrimSpace(before))
+	out, _ = strconv.Atoi(strings.TrimSpace(after))
+	if out <= 0 {
+		out = defaultOutput
+	}
+	return in, out
+}
+
+// pause waits and tells whether the context still stands.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
