--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -28,9 +28,10 @@
 	return framedBody(h, rules)
 }
 
-// ResponseBody starts on the body of a response whose head has been read.
+// ResponseBody starts on the body of a response whose head has been read. Interim responses (1xx) have none: they are to be passed
+// over before.
 func ResponseBody(h *Head, rules *Rules) BodyReader {
-	if h.Status < 200 || h.Status == 204 || h.Status == 304 || h.Length == 0 {
+	if h.Status == 204 || h.Status == 304 || h.Length == 0 {
 		return BodyReader{BodyState{Over: true}, rules}
 	}
 	return framedBody(h, rules)
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -226,15 +226,12 @@
 }
 
 func (h *Head) contentLength(value []byte, rules *Rules) *Fault {
-	if h.Length != LengthNone {
-		return Bad("the body is framed twice")
-	}
 	n, err := strconv.ParseUint(string(value), 10, 31)
 	switch {
-	case err == nil:
+	case err == nil && h.Length == LengthNone:
 		h.Length = int(n)
 		return nil
-	case rules.Strict && areDigits(value) && len(value) <= maxLengthDigits:
+	case err != nil && rules.Strict && areDigits(value) && len(value) <= maxLengthDigits:
 		return &Fault{413, "the body is too long"}
 	}
 	return Bad("the length is malformed")
--- a/internal/httpwire/scan.go
+++ b/internal/httpwire/scan.go
@@ -16,6 +16,9 @@
 // Start returns where the start line begins.
 func (r *HeadReader) Start() int { return r.start }
 
+// At returns how far the head has been read.
+func (r *HeadReader) At() int { return r.at }
+
 // Begun tells whether a byte other than an empty line's has come.
 func (r *HeadReader) Begun(in []byte) bool { return len(in) > r.start }
 
--- a/internal/protocol/answers.go
+++ b/internal/protocol/answers.go
@@ -20,7 +20,7 @@
 	}
 	c.trip = nil
 	c.owner.settle(t, c)
-	if c.head && c.body.toEnd && !c.told && c.status != 200 {
+	if c.head && c.body.ToEnd && !c.told && c.status != 200 {
 		c.conclude(t) // the body ended with the connection
 		return
 	}
@@ -54,7 +54,7 @@
 	for conn.Open() {
 		if !c.head {
 			var m Message
-			n, err := parseHead(in[used:], &m, statusLine)
+			n, err := parseResponse(in[used:], &m)
 			if err != nil {
 				return c.broken(in, err)
 			}
@@ -67,7 +67,7 @@
 			}
 			c.begin(&m)
 		}
-		data, n, err := c.body.next(in[used:])
+		data, n, err := c.body.Next(in[used:])
 		if err != nil {
 			return c.broken(in, err)
 		}
@@ -76,7 +76,7 @@
 		if !conn.Open() {
 			return len(in)
 		}
-		if c.body.over {
+		if c.body.Over {
 			c.finish()
 			return len(in)
 		}
@@ -114,7 +114,7 @@
 	c.declined = string(m.Header("Srv-Declined")) == "1"
 	c.load = append(c.load[:0], m.Header("Srv-Load")...)
 	c.body = newBody(m)
-	c.last = c.last || c.body.toEnd
+	c.last = c.last || c.body.ToEnd
 }
 
 // news is one line of an answer.
--- a/internal/protocol/carry.go
+++ b/internal/protocol/carry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ospreybend/balance"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
@@ -135,7 +136,7 @@
 
 // release takes a request in work out of the core and the destinations.
 func (f *Front) release(to *Destinations, ref slot.Ref, c *Call, sockets []*os.File) (*CallPart, []*os.File) {
-	part := &CallPart{Last: c.last, Old: c.old}
+	part := &CallPart{Last: c.last, Old: c.Old}
 	part.Carried = f.core.Release(ref, func(try int, step slot.Ref) (moved, begun bool) {
 		s, socket, begun := to.release(step)
 		if socket != nil {
@@ -172,7 +173,7 @@
 func (f *Front) resume(to *Destinations, s *frontSocket, p *Parcel, conns []*transport.Conn) {
 	part := p.Call
 	c := &Call{socket: s, last: part.Last || f.stopping, id: part.Carried.Operation.Work.ID, size: p.Size}
-	c.old = part.Old
+	c.Old = part.Old
 	s.call = c
 	f.held += c.size
 	ref, steps := f.core.Adopt(part.Carried, f)
@@ -213,8 +214,8 @@
 	c.lost()
 	delete(d.trips, step)
 	return StepPart{Name: t.to.name, Address: t.to.address, Rest: rest, Head: c.head, Status: c.status, Declined: c.declined,
-		Load: c.load, Line: c.line, Last: c.last, Kept: c.kept, Left: c.body.left, Chunked: c.body.chunked, ToEnd: c.body.toEnd,
-		Over: c.body.over}, socket, true
+		Load: c.load, Line: c.line, Last: c.last, Kept: c.kept, Left: c.body.Left, Chunked: c.body.Chunked, ToEnd: c.body.ToEnd,
+		Over: c.body.Over}, socket, true
 }
 
 // adopt takes over a connection at work on a step.
@@ -227,7 +228,7 @@
 	}
 	c := &destinationConn{owner: d, to: to, conn: conn, process: to.process, head: p.Head, status: p.Status, declined: p.Declined,
 		load: p.Load, line: p.Line, last: p.Last, kept: p.Kept,
-		body: bodyReader{left: p.Left, chunked: p.Chunked, toEnd: p.ToEnd, over: p.Over}}
+		body: httpwire.BodyReader{Rules: &rules, BodyState: httpwire.BodyState{Left: p.Left, Chunked: p.Chunked, ToEnd: p.ToEnd, Over: p.Over}}}
 	t := &trip{step: step, id: w.ID, once: w.Once, to: to, conn: c, sentAt: d.loop.Now()}
 	c.trip = t
 	d.trips[step] = t
--- a/internal/protocol/destinations.go
+++ b/internal/protocol/destinations.go
@@ -11,6 +11,7 @@
 	"ospreybend/balance"
 	"ospreybend/internal/due"
 	"ospreybend/internal/fault"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
@@ -88,7 +89,7 @@
 	status   int
 	declined bool
 	load     []byte
-	body     bodyReader
+	body     httpwire.BodyReader
 	last     bool   // no further exchange on this connection
 	line     []byte // the part of a line that is in
 	deadline *due.Deadline
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -10,6 +10,7 @@
 	"ospreybend/balance"
 	"ospreybend/internal/byhand"
 	"ospreybend/internal/due"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/transport"
 )
@@ -103,7 +104,7 @@
 	head    bool
 	status  int
 	last    bool
-	body    bodyReader
+	body    httpwire.BodyReader
 	text    []byte
 }
 
@@ -357,7 +358,7 @@
 // Closed is the pool config's end of the connection.
 func (c *call) Closed(*transport.Conn) {
 	c.conn = nil
-	if c.head && c.body.toEnd && c.asked {
+	if c.head && c.body.ToEnd && c.asked {
 		c.finish()
 		return
 	}
@@ -372,7 +373,7 @@
 	for conn.Open() {
 		if !c.head {
 			var m Message
-			n, err := parseHead(in[used:], &m, statusLine)
+			n, err := parseResponse(in[used:], &m)
 			if err != nil {
 				c.fail(err.Text)
 				return len(in)
@@ -383,7 +384,7 @@
 			used += n
 			c.head, c.status, c.last, c.body = true, m.Status, m.Close, newBody(&m)
 		}
-		data, n, err := c.body.next(in[used:])
+		data, n, err := c.body.Next(in[used:])
 		if err != nil {
 			c.fail(err.Text)
 			return len(in)
@@ -393,7 +394,7 @@
 			c.fail("the list is too long")
 			return len(in)
 		}
-		if c.body.over {
+		if c.body.Over {
 			c.finish()
 			return used
 		}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ospreybend/balance"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/routing"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
@@ -128,7 +129,7 @@
 		return op, bad(idempotencyKey + " is too long")
 	case op.Work.ID == "":
 		return op, bad("Req-Id is missing")
-	case len(op.Work.ID) > maxID || !token([]byte(op.Work.ID)):
+	case len(op.Work.ID) > maxID || !httpwire.IsToken(op.Work.ID):
 		return op, bad("Req-Id is malformed")
 	}
 	if v := m.Header("Req-Deadline"); v != nil {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ospreybend/internal/due"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
 )
@@ -214,7 +215,7 @@
 		f.close()
 		return
 	}
-	f.refuse(&Fault{408, "the request did not come in time"})
+	f.refuse(&Fault{Status: 408, Text: "the request did not come in time"})
 }
 
 func (f *frontSocket) close() {
@@ -388,11 +389,12 @@
 // It tells whether the client can read one: a client of HTTP/1.0 cannot.
 func (c *Call) Begin(status int, extra string) bool {
 	f := c.socket
-	if f.call != c || c.parts || c.old {
+	if f.call != c || c.parts || c.Old {
 		return false
 	}
 	c.parts = true
-	head := []byte("HTTP/1.1 " + strconv.Itoa(status) + " " + statusText[status] + "\r\nTransfer-Encoding: chunked\r\n" + extra)
+	head := httpwire.AppendStatusLine(nil, status)
+	head = append(head, "Transfer-Encoding: chunked\r\n"+extra...)
 	if c.last {
 		head = append(head, "Connection: close\r\n"...)
 	}
