Leave an owner that another replaced, and set fewer write deadlines

A call to an owner behind a cut waited for its whole budget although the next owner was known. It is broken off now when the local replica learns of another leader, and sent there. A write deadline that leaves half of its time stands, and a keeper that is not needed asks less often to be taken in.

--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -51,7 +51,7 @@
 func (k *Keeper) join(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	started := time.Now()
+	started, asked := time.Now(), 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -59,14 +59,24 @@
 		case <-timer.C:
 		}
 		if !k.needsGroups(time.Since(started)) {
+			asked = 0
 			timer.Reset(joinIdleInterval)
 			continue
 		}
 		k.askToJoin(ctx)
-		timer.Reset(joinInterval)
+		asked++
+		timer.Reset(joinPause(asked))
 	}
 }
 
+// joinPause is the pause after so many requests in a row: one that is not needed just now asks less often.
+func joinPause(asked int) time.Duration {
+	if asked > joinEagerRequests {
+		return joinIdleInterval
+	}
+	return joinInterval
+}
+
 // needsGroups tells whether any group has not taken this keeper in, as far as it knows.
 func (k *Keeper) needsGroups(running time.Duration) bool {
 	for _, shard := range k.shards {
--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
 )
 
@@ -64,6 +65,7 @@
 // onStatus follows a group's role and members. Called by the group's loop: it must not block.
 func (k *Keeper) onStatus(shard *shard, status replica.Status) {
 	k.directory.setMembers(shard.id, status.Members)
+	k.noteLeader(shard, status.Leader)
 	leading := uint64(0)
 	if status.IsLeader() {
 		leading = status.Term
@@ -77,6 +79,30 @@
 	k.readers.wake()
 }
 
+// noteLeader ends the calls that wait for an owner of the shard who is no longer the leader.
+func (k *Keeper) noteLeader(shard *shard, leader agreement.Member) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if shard.leader == leader && shard.leaderContext != nil {
+		return
+	}
+	if shard.leaderGone != nil {
+		shard.leaderGone()
+	}
+	shard.leader = leader
+	shard.leaderContext, shard.leaderGone = context.WithCancel(context.Background())
+}
+
+// leaderContext ends when the leader of the shard is another one.
+func (k *Keeper) leaderContext(shard *shard) context.Context {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if shard.leaderContext == nil {
+		return context.Background()
+	}
+	return shard.leaderContext
+}
+
 // noteLeading records whether a shard is led, and tells whether that has just begun.
 func (k *Keeper) noteLeading(shard *shard, leads bool) (begun bool) {
 	k.mutex.Lock()
@@ -94,7 +120,11 @@
 // takeOwnership waits until this replica has applied all that earlier leaders acknowledged, and
 // then starts to own the shard, unless it no longer leads in the term.
 func (k *Keeper) takeOwnership(shard *shard, term uint64) {
-	<-k.opened
+	select {
+	case <-k.opened:
+	case <-k.workContext.Done():
+		return
+	}
 	for k.workContext.Err() == nil {
 		err := k.barrier(shard)
 		status := shard.group.Status()
--- a/internal/keeper/route.go
+++ b/internal/keeper/route.go
@@ -19,6 +19,7 @@
 type target struct {
 	self    bool
 	address string
+	known   bool // by the local replica: the call is broken off if that learns of another leader
 }
 
 // carry has the owner of the call's shard carry it out and returns the owner's answer. Where the
@@ -57,6 +58,12 @@
 	if err != nil {
 		return answer{}, err
 	}
+	if to.known {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(k.leaderContext(k.shards[c.Shard]), cancel)()
+	}
 	reply, err := k.network.Call(ctx, to.address, c.Kind, body)
 	if err != nil {
 		return answer{}, err
@@ -94,7 +101,7 @@
 		return target{self: true}, true
 	}
 	if address := status.Leader.Address; address != "" {
-		return target{address: address}, address != avoid && address != k.self.Address
+		return target{address: address, known: true}, address != avoid && address != k.self.Address
 	}
 	if len(status.Members) > 0 && status.ConfirmedAge <= lostContactAge {
 		return target{}, false
--- a/internal/keeper/route_test.go
+++ b/internal/keeper/route_test.go
@@ -56,17 +56,25 @@
 	mutex sync.Mutex
 	asked []string
 	reply func(address string, attempt int) (answer, error)
+
+	hang    string        // calls to this address end with their context only
+	hanging chan struct{} // one token for each of them
 }
 
 func (n *scriptedNetwork) Send(agreement.Member, shards.ID, agreement.Message) {}
 func (n *scriptedNetwork) LastHeard(string) time.Time                          { return time.Time{} }
 func (n *scriptedNetwork) Peers() []peerlink.PeerStatus                        { return nil }
 
-func (n *scriptedNetwork) Call(_ context.Context, address string, _ peerlink.CallKind, _ []byte) ([]byte, error) {
+func (n *scriptedNetwork) Call(ctx context.Context, address string, _ peerlink.CallKind, _ []byte) ([]byte, error) {
 	n.mutex.Lock()
 	n.asked = append(n.asked, address)
 	attempt := len(n.asked)
 	n.mutex.Unlock()
+	if address == n.hang {
+		n.hanging <- struct{}{}
+		<-ctx.Done()
+		return nil, peerlink.ErrOutcomeUnknown
+	}
 	reply, err := n.reply(address, attempt)
 	if err != nil {
 		return nil, err
@@ -150,6 +158,22 @@
 	}
 }
 
+func TestCarryLeavesAnOwnerThatAnotherReplaced(t *testing.T) {
+	k, groups, network := scripted(t)
+	network.hang, network.hanging = "b", make(chan struct{})
+	network.reply = func(string, int) (answer, error) { return succeeded(nil), nil }
+	groups[0].set(followerOf("b"))
+	k.onStatus(k.shards[0], followerOf("b"))
+	replies := make(chan answer, 1)
+	go func() { replies <- k.carry(limited(t), change) }()
+	<-network.hanging
+	groups[0].set(followerOf("c"))
+	k.onStatus(k.shards[0], followerOf("c"))
+	if reply := <-replies; reply.Status != http.StatusOK || strings.Join(network.asked, "") != "bc" {
+		t.Fatal(reply, network.asked)
+	}
+}
+
 func TestCarryWithoutAnOwnerEndsInTime(t *testing.T) {
 	k, groups, network := scripted(t)
 	status := followerOf("")
--- a/internal/keeper/shard.go
+++ b/internal/keeper/shard.go
@@ -41,10 +41,14 @@
 	group   replicaGroup
 	machine machine
 
-	ledSince    time.Time // guarded by the keeper's mutex; zero: not leading
-	reconciling bool      // guarded by the keeper's mutex
-	expiring    bool      // guarded by the keeper's mutex
-	better      time.Time // of maintain alone: since when the preferred owner could take over
+	better time.Time // of maintain alone: since when the preferred owner could take over
+
+	// Guarded by the keeper's mutex.
+	ledSince      time.Time        // zero: not leading
+	reconciling   bool             // changes of members are under way
+	leader        agreement.Member // as the group's last status said
+	leaderContext context.Context  // ends when that is no longer the leader
+	leaderGone    context.CancelFunc
 }
 
 // current tells whether the replica is known not to be behind the shard's owner.
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -32,6 +32,7 @@
 	nodesInterval      = 1200 * time.Millisecond
 	joinInterval       = 300 * time.Millisecond
 	joinIdleInterval   = time.Second
+	joinEagerRequests  = 40                     // so many go out at joinInterval, the further ones at joinIdleInterval
 	currencyAge        = 800 * time.Millisecond // a replica confirmed longer ago is not current
 	lostContactAge     = 1500 * time.Millisecond
 	changeBudget       = 2 * time.Second // of one change of members
--- a/internal/peerlink/write.go
+++ b/internal/peerlink/write.go
@@ -10,7 +10,7 @@
 
 // Sizes of writes.
 const (
-	writePieceBytes = 64 << 10  // the write deadline is renewed for each piece
+	writePieceBytes = 64 << 10  // the write deadline is looked at before each piece
 	gatherBytes     = 64 << 10  // frames up to this length are gathered into one write
 	keepBufferBytes = 256 << 10 // a larger buffer is not kept for the next write
 )
@@ -19,6 +19,7 @@
 type frameWriter struct {
 	connection net.Conn
 	buffer     []byte
+	deadline   time.Time // of writes, as it was set last
 }
 
 // add gathers a frame; one that is long is written at once, after what was gathered.
@@ -53,10 +54,21 @@
 	return err
 }
 
+// renewDeadline gives the next piece at least half of writeTimeout. A deadline that leaves so much
+// stands, since setting it costs more than a small write.
+func (w *frameWriter) renewDeadline() error {
+	now := time.Now()
+	if w.deadline.Sub(now) >= writeTimeout/2 {
+		return nil
+	}
+	w.deadline = now.Add(writeTimeout)
+	return w.connection.SetWriteDeadline(w.deadline)
+}
+
 func (w *frameWriter) write(data []byte) error {
 	for len(data) > 0 {
 		piece := data[:min(len(data), writePieceBytes)]
-		if err := w.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := w.renewDeadline(); err != nil {
 			return err
 		}
 		if _, err := w.connection.Write(piece); err != nil {
