Drive a replica group: loop, log writer, proposals, reads, compaction

The keeper needs groups that it can propose to and read from. One loop owns node and machine, one writer owns the log and writes all that waits with one sync; a stalled or refusing disk makes the node hand over.

--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -1,59 +1,224 @@
 // Package replica drives one replica group: it owns the group's agreement node, its state machine
 // and its log on disk, and takes proposals, reads and changes of members from the process.
+//
+// One goroutine, the loop, owns node and machine; a second one owns the log and writes all that
+// waits with one sync. Between events both sleep: the loop until the node's next timeout.
 package replica
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"time"
 
 	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
 )
 
-// Change adds or removes one member. A member that is added with Voter set where it already is a
-// learner becomes a voter.
-type Change struct {
-	Add    *agreement.Member  // nil: none
-	Remove agreement.MemberID // 0: none
-}
-
 // Group is the local replica of one group. All methods may be called by any goroutine.
-type Group struct{}
+type Group struct {
+	loop   *loop
+	writer *writer
+	inbox  *inbox
+
+	mutex   sync.Mutex
+	started bool
+	closed  bool
+	stop    chan struct{} // closed by Close
+	running sync.WaitGroup
+}
 
 // Open reads the group's disk, forms the group if Founders are given and the disk is empty, and
-// restores the machine. Run must be called after it.
-func Open(options Options) (*Group, error) { return &Group{}, nil }
+// restores the machine. Run must be called after it, and Close at the end. Errors: those of
+// seglog.Open, agreement.ErrStored, the machine's and those of the file system.
+func Open(options Options) (*Group, error) {
+	options = options.withDefaults()
+	log, stored, err := openLog(&options)
+	if err != nil {
+		return nil, err
+	}
+	group, err := start(&options, log, stored)
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	return group, nil
+}
 
-// Run works until ctx ends or Close is called. Every waiting call then ends with ErrClosed.
-func (g *Group) Run(ctx context.Context) {}
+func start(options *Options, log storage, stored agreement.Stored) (*Group, error) {
+	if err := stored.Check(); err != nil {
+		return nil, err
+	}
+	group := &Group{inbox: newInbox(), stop: make(chan struct{})}
+	group.writer = newWriter(log, func(report diskEvent) { group.inbox.post(report) })
+	node := newNode(options, stored, options.Clock.Now())
+	group.loop = newLoop(options, node, group.writer.submit)
+	group.loop.disk.logBytes, group.loop.disk.diskBytes = log.LogBytes(), log.DiskBytes()
+	group.loop.turn(nil)
+	return group, group.loop.failure
+}
+
+// openLog reads the disk and writes the founding state to an empty one if it is to found the group.
+func openLog(options *Options) (*seglog.Log, agreement.Stored, error) {
+	log, stored, err := seglog.Open(seglog.Options{FileSystem: options.FileSystem, Directory: options.Directory})
+	if err != nil || len(options.Founders) == 0 || !isEmpty(&stored) {
+		return log, stored, err
+	}
+	stored = agreement.Founding(options.Founders, options.Machine.Snapshot())
+	founding := agreement.Persist{HardState: &stored.HardState, Snapshot: &stored.Snapshot}
+	if err := log.Save([]*agreement.Persist{&founding}); err != nil {
+		return nil, agreement.Stored{}, errors.Join(err, log.Close())
+	}
+	return log, stored, nil
+}
+
+func isEmpty(stored *agreement.Stored) bool {
+	return stored.HardState == agreement.HardState{} && stored.Snapshot.Index == 0 && len(stored.Entries) == 0
+}
+
+// Run works until ctx ends or Close is called. Every waiting call then ends with ErrClosed or
+// ErrUnknownOutcome. The error is the machine's if it could not take a snapshot.
+func (g *Group) Run(ctx context.Context) error {
+	if !g.begin() {
+		return ErrClosed
+	}
+	defer g.running.Done()
+	ended := make(chan struct{})
+	defer close(ended)
+	g.running.Go(func() { g.writer.run(ended) })
+	g.work(ctx)
+	g.loop.stop(g.inbox.close())
+	return g.loop.failure
+}
+
+// begin returns false if the group is closed or runs already.
+func (g *Group) begin() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed || g.started {
+		return false
+	}
+	g.started = true
+	g.running.Add(1)
+	return true
+}
+
+func (g *Group) work(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for g.loop.failure == nil {
+		if !g.wait(ctx, timer) {
+			return
+		}
+		g.loop.turn(g.inbox.take())
+	}
+}
+
+// wait returns at the next event or timeout, and false at the end.
+func (g *Group) wait(ctx context.Context, timer *time.Timer) bool {
+	var timeout <-chan time.Time
+	if next := g.loop.next(); next != never {
+		timer.Reset(next - g.loop.options.Clock.Now())
+		timeout = timer.C
+	}
+	select {
+	case <-g.inbox.signal:
+		return true
+	case <-timeout:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-g.stop:
+		return false
+	}
+}
 
 // Step takes a message of another member. It does not block; messages beyond a bound are dropped.
-func (g *Group) Step(message agreement.Message) {}
+// The message must not be changed afterwards.
+func (g *Group) Step(message agreement.Message) { g.inbox.post(messageEvent{message}) }
 
 // Propose adds a command to the log and returns the machine's result and the entry's index once it
 // is committed and applied here. Errors: ErrNotLeader, ErrUnknownOutcome, ErrClosed,
-// agreement.ErrBusy and agreement.ErrTransferring. All but ErrUnknownOutcome and ErrClosed mean
-// that the command is not in the log and never will be.
+// agreement.ErrBusy and agreement.ErrTransferring. All but ErrUnknownOutcome mean that the command
+// is not in the log and never will be.
 func (g *Group) Propose(ctx context.Context, data []byte) (result any, index uint64, err error) {
-	return nil, 0, ErrClosed
+	done := newDone()
+	if !g.inbox.post(proposeEvent{data: data, done: done}) {
+		return nil, 0, ErrClosed
+	}
+	answered := waitFor(ctx, done, ErrUnknownOutcome)
+	return answered.result, answered.index, answered.err
 }
 
 // ReadBarrier returns once the machine has applied all that was acknowledged, by any member, before
 // the call. Only the leader can; errors: ErrNotLeader, ErrClosed and the context's.
-func (g *Group) ReadBarrier(ctx context.Context) error { return ErrClosed }
+func (g *Group) ReadBarrier(ctx context.Context) error {
+	done := newDone()
+	return g.call(ctx, readEvent{done}, done, nil)
+}
 
 // ChangeMembers returns once the change is committed and applied here. Errors: those of Propose and
 // agreement.ErrMemberChange.
-func (g *Group) ChangeMembers(ctx context.Context, change Change) error { return ErrClosed }
+func (g *Group) ChangeMembers(ctx context.Context, change Change) error {
+	done := newDone()
+	return g.call(ctx, changeEvent{change: change, done: done}, done, ErrUnknownOutcome)
+}
 
 // Transfer hands leadership to the most current other voter and returns once this replica leads no
-// more. Errors: ErrNotLeader, ErrTransferFailed, ErrClosed and the context's.
-func (g *Group) Transfer(ctx context.Context) error { return ErrClosed }
-
-// Status returns the last published state, without waiting for the loop.
-func (g *Group) Status() Status { return Status{} }
+// more. Errors: ErrNotLeader, ErrTransferFailed, ErrClosed, agreement.ErrTransferring,
+// agreement.ErrNoSuccessor and the context's.
+func (g *Group) Transfer(ctx context.Context) error {
+	done := newDone()
+	return g.call(ctx, transferEvent{done}, done, nil)
+}
 
 // Do runs a function inside the loop, where the machine may be read, and returns after it.
 // The function must not call the group. Error: ErrClosed.
-func (g *Group) Do(function func()) error { return ErrClosed }
+func (g *Group) Do(function func()) error {
+	done := newDone()
+	return g.call(context.Background(), callEvent{function: function, done: done}, done, nil)
+}
+
+func (g *Group) call(ctx context.Context, one event, done chan outcome, late error) error {
+	if !g.inbox.post(one) {
+		return ErrClosed
+	}
+	return waitFor(ctx, done, late).err
+}
+
+// waitFor returns the answer, or an error if the context ends first: late, or the context's if late is nil.
+func waitFor(ctx context.Context, done chan outcome, late error) outcome {
+	select {
+	case answered := <-done:
+		return answered
+	case <-ctx.Done():
+	}
+	if late == nil {
+		late = ctx.Err()
+	}
+	return outcome{err: late}
+}
+
+// Status returns the last published state, without waiting for the loop.
+func (g *Group) Status() Status { return g.loop.read() }
+
+// Close ends Run, waits for the write in hand and closes the files.
+func (g *Group) Close() error {
+	if !g.end() {
+		return nil
+	}
+	g.running.Wait()
+	g.loop.stop(g.inbox.close())
+	return g.writer.log.Close()
+}
 
-// Close ends Run, waits for the writes in hand and closes the files.
-func (g *Group) Close() error { return nil }
+// end returns false if the group was closed before.
+func (g *Group) end() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return false
+	}
+	g.closed = true
+	close(g.stop)
+	return true
+}
--- /dev/null
+++ b/coord/replica/node.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"time"
+
+	"ospreybend/coord/agreement"
+)
+
+// decider is what the loop needs of agreement.Node. Tests put a scripted one in its place.
+type decider interface {
+	Tick(now time.Duration)
+	NextTick() time.Duration
+	Step(now time.Duration, message agreement.Message)
+	Propose(now time.Duration, data []byte) (term, index uint64, err error)
+	ChangeMembers(now time.Duration, change agreement.Change) error
+	Read(now time.Duration, id uint64) error
+	Transfer(now time.Duration, to agreement.MemberID) error
+	SetWritable(now time.Duration, writable bool)
+	Take() agreement.Ready
+	Persisted(now time.Duration, sequence uint64)
+	SnapshotAt(index uint64, data []byte) (agreement.Snapshot, bool)
+	Compact(index uint64, members []agreement.Member, data []byte)
+	Status() agreement.Status
+}
+
+var _ decider = (*agreement.Node)(nil)
+
+// Change adds, alters or removes one member.
+type Change = agreement.Change
+
+// Bounds of what a leader has under way with one member.
+const (
+	maxAppendBytes = 256 << 10
+	maxInflight    = 16
+)
+
+func newNode(options *Options, stored agreement.Stored, now time.Duration) decider {
+	config := agreement.Config{
+		ID:              options.Self.ID,
+		ElectionTimeout: options.ElectionTimeout,
+		Heartbeat:       options.Heartbeat,
+		MaxAppendBytes:  maxAppendBytes,
+		MaxInflight:     maxInflight,
+		Seed:            uint64(options.Self.ID) + uint64(options.Shard),
+	}
+	return agreement.New(config, stored, now)
+}
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -40,9 +40,11 @@
 	// may be lost. Address is empty where the group does not know the receiver as a member yet: the
 	// transport then looks it up by ID, or drops the message. The message must not be changed.
 	Send func(to agreement.Member, message agreement.Message)
-	// OnApplied is called by the loop after the machine has applied all up to index. May be nil.
+	// OnApplied is called by the loop, and by Open, after the machine has applied all up to index. It
+	// must not call the group. May be nil.
 	OnApplied func(index uint64)
-	// OnStatus is called by the loop when role, term, leader, members or writability have changed. May be nil.
+	// OnStatus is called by the loop when role, term, leader, members or writability have changed, and
+	// once by Open. It must not call the group. May be nil.
 	OnStatus func(Status)
 
 	ElectionTimeout time.Duration // 0: DefaultElectionTimeout
@@ -74,5 +76,22 @@
 	DiskBytes    int64
 }
 
-// IsLeader tells whether this replica leads the group.
-func (s Status) IsLeader() bool { return s.Role == agreement.RoleLeader }
+// withDefaults fills in what may be left out.
+func (o Options) withDefaults() Options {
+	if o.FileSystem == nil {
+		o.FileSystem = seglog.OSFileSystem{}
+	}
+	if o.ElectionTimeout == 0 {
+		o.ElectionTimeout = DefaultElectionTimeout
+	}
+	if o.Heartbeat == 0 {
+		o.Heartbeat = DefaultHeartbeat
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Clock == nil {
+		o.Clock = newSteadyClock()
+	}
+	return o
+}
--- /dev/null
+++ b/coord/replica/status.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"ospreybend/coord/agreement"
+)
+
+// publish makes the state visible to other goroutines and reports what has changed.
+func (l *loop) publish() {
+	l.sharedAge.Store(int64(l.status.Confirmed))
+	l.sharedWeight.Store(l.disk.diskBytes)
+	l.handOver.ended(l.status)
+	changed := l.hasChanged()
+	if !changed && l.published.Applied == l.applied && l.published.Commit == l.status.Commit {
+		return
+	}
+	l.published = l.describe()
+	copied := l.published
+	l.shared.Store(&copied)
+	if changed && l.options.OnStatus != nil {
+		l.options.OnStatus(withAge(copied, l.status.Confirmed, l.now))
+	}
+}
+
+// hasChanged tells whether anything but progress has changed.
+func (l *loop) hasChanged() bool {
+	before := &l.published
+	return before.Role != l.status.Role ||
+		before.Term != l.status.Term ||
+		before.Leader != l.leader() ||
+		before.Writable != l.disk.writable ||
+		!slices.Equal(before.Members, l.status.Members)
+}
+
+func (l *loop) describe() Status {
+	return Status{
+		Shard:     l.options.Shard,
+		Role:      l.status.Role,
+		Term:      l.status.Term,
+		Leader:    l.leader(),
+		Members:   slices.Clone(l.status.Members),
+		Applied:   l.applied,
+		Commit:    l.status.Commit,
+		Writable:  l.disk.writable,
+		DiskBytes: l.disk.diskBytes,
+	}
+}
+
+// read returns the last published state. Any goroutine may call it.
+func (l *loop) read() Status {
+	status := *l.shared.Load()
+	status.DiskBytes = l.sharedWeight.Load()
+	return withAge(status, time.Duration(l.sharedAge.Load()), l.options.Clock.Now())
+}
+
+func withAge(status Status, confirmed, now time.Duration) Status {
+	status.ConfirmedAge = NeverConfirmed
+	if confirmed > 0 {
+		status.ConfirmedAge = max(now-confirmed, 0)
+	}
+	return status
+}
+
+// IsLeader tells whether this replica leads the group.
+func (s Status) IsLeader() bool { return s.Role == agreement.RoleLeader }
--- a/coord/seglog/seglogtest/file.go
+++ b/coord/seglog/seglogtest/file.go
@@ -161,3 +161,6 @@
 	}
 	return change{offset: c.offset + int64(cut), data: c.data[cut:]}.apply(data)
 }
+
+// NewRandom returns the draws of a seed, the same ones each time.
+func NewRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
