Read no prompt apart that names no tokens, and free handles without a request ID

Only requests that name their tokens are read apart now, and a signed answer or a success without a handle counts as a run. TestUnreadablePrefillAnswerIsAFailure is replaced by a stricter one: a success without a handle is a run.

--- a/internal/dispatch/handles.go
+++ b/internal/dispatch/handles.go
@@ -25,10 +25,10 @@
 		return
 	}
 	t.held = nil
-	t.d.free(held, t.request.Fields.Get(fieldRequestID))
+	t.d.free(held)
 }
 
-func (d *Dispatcher) free(held *handle, requestID string) {
+func (d *Dispatcher) free(held *handle) {
 	select {
 	case d.freeing <- struct{}{}:
 	default:
@@ -40,7 +40,7 @@
 		defer func() { <-d.freeing }()
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		answer, _ := d.workers.Do(ctx, freeCall(held, requestID))
+		answer, _ := d.workers.Do(ctx, freeCall(held))
 		closeEvents(answer)
 	}()
 }
@@ -56,14 +56,15 @@
 	}
 }
 
-func freeCall(held *handle, requestID string) *exchange.Call {
+// freeCall makes the call that frees a handle. It carries no X-Request-Id: a worker takes a call with one for the
+// request itself and answers 421.
+func freeCall(held *handle) *exchange.Call {
 	return &exchange.Call{
 		Address: held.worker.Address,
 		Method:  methodDelete,
 		Target:  handlePath + held.id,
 		Fields: httpwire.Fields{
 			{Name: fieldHost, Value: held.worker.Address},
-			{Name: fieldRequestID, Value: requestID},
 			{Name: fieldTarget, Value: held.worker.ID},
 		},
 	}
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -20,6 +20,15 @@
 	statusOK = 200
 )
 
+// prefillOutcome is what a call to read a prompt led to.
+type prefillOutcome uint8
+
+const (
+	prefillNone prefillOutcome = iota // no handle; another step is to follow
+	prefillDone                       // there is a handle
+	prefillRan                        // the worker ran the request, and the client has its answer
+)
+
 // handle names the memory of a prompt at the worker that read it.
 type handle struct {
 	id     string
@@ -35,8 +44,8 @@
 	return t.account.pay(1)
 }
 
-// prefill has the prompt read and tells whether there is a handle. If not, the worker is not chosen again.
-func (t *try) prefill(choice selection.Choice) bool {
+// prefill has the prompt read. Without a handle the worker is not chosen again.
+func (t *try) prefill(choice selection.Choice) prefillOutcome {
 	w := newWatch(t.ctx, t.prefillSilence(choice), always)
 	defer w.stop()
 	t.d.counts.prefills.Add(1)
@@ -44,9 +53,9 @@
 	answer, failure := t.d.workers.Do(w.ctx, t.prefillCall(choice.Prefill))
 	if failure != nil {
 		t.prefillFailed(ticket, choice, failure)
-		return false
+		return prefillNone
 	}
-	return t.prefillAnswered(ticket, choice, answer)
+	return t.prefillAnswered(ticket, w, choice, answer)
 }
 
 func always() bool { return true }
@@ -71,31 +80,56 @@
 	t.prefillTaken = true
 }
 
-func (t *try) prefillAnswered(ticket *ticket, choice selection.Choice, answer *Answer) bool {
+func (t *try) prefillAnswered(ticket *ticket, w *watch, choice selection.Choice, answer *Answer) prefillOutcome {
 	closeEvents(answer)
-	switch answer.Result {
-	case exchange.NotExecuted:
-		t.account.reached()
-		t.exclude(choice.Prefill)
-		t.noteRetryAfter(answer)
-		ticket.rejected(loadOf(answer))
-		return false
-	case exchange.Misdirected:
-		t.account.arrived()
+	if answer.Result != exchange.Answered {
+		t.prefillTurnedAway(ticket, choice, answer)
+		return prefillNone
+	}
+	id, readable := parseHandle(answer.Body)
+	if answer.Fields.Has(fieldSignature) || answer.Status == statusOK && !readable {
 		t.exclude(choice.Prefill)
-		ticket.failed(selection.FailureMisrouted)
-		return false
+		return t.prefillWasRun(ticket, w, answer)
 	}
 	t.prefillReached()
-	id, readable := parseHandle(answer.Body)
-	if answer.Status != statusOK || !readable || !t.answersThis(answer) {
+	if answer.Status != statusOK || !t.answersThis(answer) {
 		t.exclude(choice.Prefill)
 		ticket.failed(selection.FailureStatus)
-		return false
+		return prefillNone
 	}
 	ticket.done(loadOf(answer))
 	t.held = &handle{id: id, worker: choice.Prefill}
-	return true
+	return prefillDone
+}
+
+// prefillTurnedAway follows an answer that says that the worker did not take the call up.
+func (t *try) prefillTurnedAway(ticket *ticket, choice selection.Choice, answer *Answer) {
+	t.exclude(choice.Prefill)
+	if answer.Result == exchange.Misdirected {
+		t.account.arrived()
+		ticket.failed(selection.FailureMisrouted)
+		return
+	}
+	t.account.reached()
+	t.noteRetryAfter(answer)
+	ticket.rejected(loadOf(answer))
+}
+
+// prefillWasRun follows a signed answer, or a success without a handle: the worker ran the request
+// instead of reading its prompt.
+func (t *try) prefillWasRun(ticket *ticket, w *watch, answer *Answer) prefillOutcome {
+	t.account.reached()
+	again := false
+	if t.sound(answer) {
+		again = t.runWhole(ticket, w, answer)
+	} else {
+		ticket.failed(selection.FailureBroken)
+		again = t.afterLoss(w)
+	}
+	if again {
+		return prefillNone
+	}
+	return prefillRan
 }
 
 func (t *try) prefillCall(worker *catalog.Worker) *exchange.Call {
--- a/internal/dispatch/prefill_test.go
+++ b/internal/dispatch/prefill_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"ospreybend/internal/configuration"
 	"ospreybend/internal/exchange"
 	"ospreybend/internal/front"
 	"ospreybend/internal/httpwire"
@@ -18,7 +19,7 @@
 	}
 	for i, handle := range handles {
 		entry := r.deletes[i]
-		if entry.call.Target != handlePath+handle || entry.field(fieldRequestID) != testID {
+		if entry.call.Target != handlePath+handle || entry.call.Fields.Has(fieldRequestID) {
 			t.Fatalf("freed by %+v, want %s", entry.call, handle)
 		}
 	}
@@ -127,18 +128,40 @@
 	})
 }
 
-func TestUnreadablePrefillAnswerIsAFailure(t *testing.T) {
+func TestPrefillAnswerWithoutAReadableHandleIsARun(t *testing.T) {
 	for _, body := range []string{"", "{", `{"prefillHandle":""}`, `{"prefillHandle":"a b"}`, `{"tokens":4}`} {
 		inBubble(t, func(t *testing.T, r *rig) {
 			r.chooser.offers("p1>d1", "d1")
 			r.plays("p1", answers(200, body, nil))
 			r.plays("d1", streams(1, 1, nil))
-			r.ask(nil).mustBe(t, 200, texts(1, 1))
-			r.chooser.mustEnd(t, failedBy(selection.FailureStatus), "done")
+			r.ask(nil).mustBe(t, 502, "")
+			r.chooser.mustEnd(t, failedBy(selection.FailureBroken))
 		})
 	}
 }
 
+func TestPrefillAnswerWithoutAHandleIsRepeatedWhereTheRequestMayRunTwice(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Resumable = true
+		r.setRoute()
+		r.chooser.offers("p1>d1", "d1")
+		r.plays("p1", answers(200, "{", nil))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		r.chooser.mustEnd(t, failedBy(selection.FailureBroken), "done")
+	})
+}
+
+func TestUnsignedErrorOfAPrefillIsNoRun(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "d1")
+		r.plays("p1", answers(500, "", nil))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		r.chooser.mustEnd(t, failedBy(selection.FailureStatus), "done")
+	})
+}
+
 func TestHandleOfAnotherRequestIsNotUsed(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.chooser.offers("p1>d1", "d1")
@@ -263,6 +286,27 @@
 	})
 }
 
+func TestPrefillThatTheWorkerRanIsTheAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("p1", answers(200, "bytes", signed))
+		r.ask(nil).mustBe(t, 200, "bytes")
+		if r.workersCalled() != "p1 " {
+			t.Fatal(r.workersCalled())
+		}
+		r.chooser.mustEnd(t, "done")
+	})
+}
+
+func TestPrefillThatTheWorkerRanInVainIsNotRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "d1")
+		r.plays("p1", answers(500, "mine", signed))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 500, "mine")
+	})
+}
+
 func TestClientsCopyOfTheStageDoesNotMakeAPrefill(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.chooser.offers("p1>d1")
@@ -309,3 +353,29 @@
 		}
 	})
 }
+
+func TestRequestWithoutTokensIsNotReadApart(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1")
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(func(request *front.Request) {
+			request.Fields = request.Fields.Without(fieldTokenCount)
+		}).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "d1 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
+
+func TestSignedAnswerToPrefillIsARun(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Type, r.route.Resumable = configuration.NonIdempotent, false
+		r.setRoute()
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", answers(200, "done", httpwire.Fields{{Name: fieldSignature, Value: "s"}}))
+		r.ask(nil).mustBe(t, 200, "done")
+		if r.workersCalled() != "p1 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -91,14 +91,20 @@
 		c.noteRead()
 		return silent()
 	case 5:
-		c.noteRead()
-		return answers(200, "no answer", nil)
+		return c.mistakenRun()
 	default:
 		c.noteRead()
 		return c.hand()
 	}
 }
 
+// mistakenRun runs a request that was to be read alone, and answers without stamp.
+func (c *chaos) mistakenRun() script {
+	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+		return c.running(call, answers(200, "no handle", nil))(ctx, call)
+	}
+}
+
 // rejecting counts a call once it is rejected; one that is given up before is dropped by the worker.
 func (c *chaos) rejecting() script {
 	return func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
@@ -132,12 +138,12 @@
 	case 2:
 		return answers(421, "", nil)
 	}
-	c.arrived++
 	return c.running(call, c.begunScript(call))
 }
 
 // running notes that the run begins, and takes the handle.
 func (c *chaos) running(call *exchange.Call, then script) script {
+	c.arrived++
 	c.ran++
 	if _, handle, found := strings.Cut(call.Fields.Get(fieldKVFrom), "/"); found {
 		c.handles[handle] = true
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -94,7 +94,7 @@
 // step makes one choice and the calls that follow from it. It tells whether another step is to follow;
 // otherwise the request is answered.
 func (t *try) step() bool {
-	if t.steps >= maxSteps || !t.alive() {
+	if t.steps >= maxSteps || !t.alive() || t.mayHaveRun && !t.repeatable() {
 		t.conclude()
 		return false
 	}
@@ -108,19 +108,26 @@
 		t.exclude(choice.Run)
 		return true
 	}
-	if choice.Prefill != nil && t.held == nil && t.payPrefill() {
+	if choice.Prefill != nil && t.held == nil && t.splittable() && t.payPrefill() {
 		return t.prefillThenRun(choice)
 	}
 	return t.run(choice)
 }
 
+// splittable tells whether the prompt can be read apart from the run. A worker runs a request that names no tokens at
+// once and in full, whatever stage it is asked for.
+func (t *try) splittable() bool { return t.ask.PromptTokens > 0 }
+
 // prefillThenRun has the prompt read, and runs the request if that worked.
 func (t *try) prefillThenRun(choice selection.Choice) bool {
 	if !t.listed(choice.Prefill) {
 		t.exclude(choice.Prefill)
 		return true
 	}
-	if !t.prefill(choice) || !t.alive() {
+	switch outcome := t.prefill(choice); {
+	case outcome == prefillRan:
+		return false
+	case outcome == prefillNone || !t.alive():
 		return true
 	}
 	if !t.listed(choice.Run) {
