Test the shared parser against the standard library, at every cut

What a front reads as one request, a worker must not read as two. Tests and fuzz seeds for the parser; an answer with two ids is nobody's; clients that linger make room before new ones are turned away.

--- a/internal/exchange/trip.go
+++ b/internal/exchange/trip.go
@@ -219,9 +219,9 @@
 	}
 }
 
-// isOwn tells whether the answer carries the id of the request, or as the request none.
+// isOwn tells whether the answer carries the id of the request, or as the request none. One with two ids is nobody's.
 func (t *trip) isOwn() bool {
-	return t.fields.Get(requestID) == t.call.Fields.Get(requestID)
+	return t.fields.Count(requestID) <= 1 && t.fields.Get(requestID) == t.call.Fields.Get(requestID)
 }
 
 func (t *trip) body() httpwire.BodyReader {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -33,15 +33,15 @@
 	looked bool           // the last look at a deadline was taken
 
 	// under Server.mu
-	state     connState
-	idleSince time.Time
-	deadline  time.Time // of reading; zero: none
-	ahead     int       // bytes of in while a request is in work
-	woken     bool      // the deadline is there to wake the goroutine that reads
+	state    connState
+	since    time.Time // it is in the state
+	deadline time.Time // of reading; zero: none
+	ahead    int       // bytes of in while a request is in work
+	woken    bool      // the deadline is there to wake the goroutine that reads
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
-	return &conn{server: s, socket: socket, idleSince: s.now()}
+	return &conn{server: s, socket: socket, since: s.now()}
 }
 
 // serve reads and serves one request after the other.
@@ -74,7 +74,6 @@
 // enterIdle makes the connection idle. The caller holds the server's lock.
 func (c *conn) enterIdle(timeout time.Duration) {
 	c.enter(idle)
-	c.idleSince = c.server.now()
 	rest := timeout + idleMargin
 	if c.server.draining.Load() {
 		rest = min(rest, c.server.drainFor)
@@ -112,6 +111,7 @@
 		c.server.addBusy(delta)
 	}
 	c.state = state
+	c.since = c.server.now()
 }
 
 func (s connState) isBusy() bool { return s == working || s == lingering }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -159,16 +159,17 @@
 	s.mu.Unlock()
 }
 
-// evict closes the connection that has been idle for longest, if one has been for long enough.
+// evict closes the connection that has been idle, or that a client has kept after its last answer, for longest, if one has been
+// for long enough.
 func (s *Server) evict() bool {
 	now := s.now()
 	s.mu.Lock()
 	var oldest *conn
 	for c := range s.conns {
-		if c.state != idle || now.Sub(c.idleSince) < freshFor {
+		if c.state != idle && c.state != lingering || now.Sub(c.since) < freshFor {
 			continue
 		}
-		if oldest == nil || c.idleSince.Before(oldest.idleSince) {
+		if oldest == nil || c.since.Before(oldest.since) {
 			oldest = c
 		}
 	}
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -41,7 +41,7 @@
 // Options of a server. Handler and Limits are required.
 type Options struct {
 	Handler Handler
-	// Limits returns the limits in force. A figure of zero or below stands for its default.
+	// Limits returns the limits in force; it is called several times for each request. A figure of zero or below stands for its default.
 	Limits func() configuration.Limits
 	// MaxConnections is the most connections held at once; 0 stands for DefaultMaxConnections.
 	MaxConnections int
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,210 @@
+package httpwire
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+var strict = Rules{HeadBytes: 4 << 10, BodyBytes: 4 << 10, Strict: true}
+
+// message is what was read of one message.
+type message struct {
+	head  string
+	body  string
+	used  int
+	whole bool
+	fault *Fault
+}
+
+func (m message) String() string {
+	return fmt.Sprintf("%s %q %d %v %v", m.head, m.body, m.used, m.whole, m.fault)
+}
+
+// readCut reads a message that comes in pieces with the given ends.
+func readCut(kind Kind, text string, ends []int) message {
+	reader := HeadReader{Kind: kind, Rules: strict}
+	var h Head
+	var body BodyReader
+	var m message
+	headed := false
+	for _, end := range ends {
+		in := bytes.Clone([]byte(text[:end])) // each time at another place in memory
+		if !headed {
+			used, fault := reader.Read(in, &h)
+			if fault != nil {
+				return message{fault: fault}
+			}
+			if used == 0 {
+				continue
+			}
+			headed = true
+			m.used = used
+			m.head = fmt.Sprintf("%s %s %d %d %v %q", h.Method, h.Target, h.Status, h.Length, h.Close, h.Fields())
+			body = RequestBody(&h, &strict)
+			if kind == Response {
+				body = ResponseBody(&h, &strict)
+			}
+		}
+		for !body.Over {
+			data, used, fault := body.Next(in[m.used:])
+			if fault != nil {
+				return message{fault: fault}
+			}
+			if used == 0 {
+				break
+			}
+			m.body += string(data)
+			m.used += used
+		}
+		m.whole = body.Over
+		if m.whole {
+			break
+		}
+	}
+	return m
+}
+
+var texts = []struct {
+	kind Kind
+	text string
+}{
+	{Request, "\r\nPOST /a?x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"},
+	{Request, "POST /a HTTP/1.1\r\nHost: h:80\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n0a\r\n0123456789\r\n0\r\nT: x\r\n\r\nGET"},
+	{Request, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n"},
+	{Request, "GET /a HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n"},
+	{Request, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi!\r\n0\r\n\r\n"},
+	{Request, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+	{Response, "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 2\r\n\r\nhi"},
+	{Response, "HTTP/1.1 503\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+	{Response, "HTTP/1.1 204 None\r\n\r\nGET"},
+	{Response, "HTTP/1.1 20 OK\r\n\r\n"},
+}
+
+func wholeEnd(text string) []int { return []int{len(text)} }
+
+// A message is the same wherever what comes is cut, up to its end or its fault.
+func TestEveryCut(t *testing.T) {
+	for _, c := range texts {
+		want := readCut(c.kind, c.text, wholeEnd(c.text)).String()
+		var all []int
+		for at := 1; at <= len(c.text); at++ {
+			all = append(all, at)
+			if got := readCut(c.kind, c.text, []int{at, len(c.text)}).String(); got != want {
+				t.Errorf("%q cut at %d: %s, not %s", c.text, at, got, want)
+			}
+		}
+		if got := readCut(c.kind, c.text, all).String(); got != want {
+			t.Errorf("%q byte by byte: %s, not %s", c.text, got, want)
+		}
+	}
+}
+
+// What is read as a request, the standard library reads alike or refuses: nothing can hide between the two.
+func FuzzRequestAgainstStandard(f *testing.F) {
+	for _, c := range texts {
+		f.Add(c.text, 3, 40)
+	}
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n", 9, 10)
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\tchunked\r\n\r\n1\r\n\n\r\n00\r\n\r\n", 9, 10)
+	f.Fuzz(func(t *testing.T, text string, one, two int) {
+		got := readCut(Request, text, wholeEnd(text))
+		one = min(max(one, 1), len(text))
+		two = min(max(two, one), len(text))
+		if len(text) > 0 {
+			if cut := readCut(Request, text, []int{one, two, len(text)}); cut.String() != got.String() {
+				t.Fatalf("%s, in pieces %s", got, cut)
+			}
+		}
+		if got.used < 0 || got.used > len(text) || len(got.body) > len(text) {
+			t.Fatalf("%s of %d bytes", got, len(text))
+		}
+		if !got.whole {
+			return
+		}
+		left := bufio.NewReaderSize(strings.NewReader(text), 16)
+		for strings.HasPrefix(text, "\r\n") { // the library does not pass over empty lines
+			_, _ = left.Discard(2)
+			text = text[2:]
+		}
+		r, err := http.ReadRequest(left)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || r.Method == "PRI" {
+			return
+		}
+		rest, _ := io.ReadAll(left)
+		if string(body) != got.body || len(rest) > 0 && !strings.HasSuffix(text, string(rest)) {
+			t.Errorf("%q, the library %q", got.body, body)
+		}
+		whole := strings.TrimSuffix(text, string(rest))
+		if again := readCut(Request, whole, wholeEnd(whole)); !again.whole || again.used != len(whole) {
+			t.Errorf("%s, the library uses %d bytes", got, len(whole))
+		}
+	})
+}
+
+func FuzzResponse(f *testing.F) {
+	for _, c := range texts {
+		f.Add(c.text, 3, 40)
+	}
+	f.Fuzz(func(t *testing.T, text string, one, two int) {
+		got := readCut(Response, text, wholeEnd(text))
+		if got.used < 0 || got.used > len(text) {
+			t.Fatalf("%s of %d bytes", got, len(text))
+		}
+		one = min(max(one, 1), len(text))
+		two = min(max(two, one), len(text))
+		if len(text) == 0 {
+			return
+		}
+		if cut := readCut(Response, text, []int{one, two, len(text)}); cut.String() != got.String() {
+			t.Fatalf("%s, in pieces %s", got, cut)
+		}
+	})
+}
+
+func TestHops(t *testing.T) {
+	fields := Fields{{"Host", "h"}, {"connection", "a, Host ,keep-alive"}, {"A", "1"}, {"B", "2"}, {"Proxy-", "3"},
+		{"proxy-x", "4"}, {"Upgrade", "5"}, {"Connection", "c"}, {"C", "6"}, {"Trailer", "7"}}
+	var names []string
+	for _, f := range HopsOf(fields).Strip(fields) {
+		names = append(names, f.Name)
+	}
+	if got := strings.Join(names, " "); got != "Host B Proxy-" {
+		t.Error(got)
+	}
+}
+
+func TestFields(t *testing.T) {
+	fields := Fields{{"A", "1"}, {"b", "2"}, {"a", "3"}}
+	with := fields.With("B", "4")
+	if fields.Get("a") != "1" || fields.Get("c") != "" || fields.Count("A") != 2 || fields.Has("C") ||
+		fmt.Sprint(with) != "[{A 1} {a 3} {B 4}]" || fmt.Sprint(fields.Without("a")) != "[{b 2}]" || len(fields) != 3 {
+		t.Error(fields, with)
+	}
+}
+
+func TestInput(t *testing.T) {
+	var in Input
+	text := strings.Repeat("0123456789", 3000)
+	for left := text; len(left) > 0; {
+		n := copy(in.Space(), left[:min(len(left), 777)])
+		in.Took(n)
+		left = left[n:]
+	}
+	in.Drop(1)
+	if string(in.Bytes()) != text[1:] {
+		t.Error("the bytes are others")
+	}
+	in.Drop(in.Len())
+	if in.Len() != 0 || len(in.Space()) > keepInput {
+		t.Error("the array is kept")
+	}
+}
