--- /dev/null
+++ b/internal/front/rig_test.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+)
+
+const patience = 5 * time.Second // of a test for what must come
+
+// world is a server on loopback with one handler.
+type world struct {
+	t       *testing.T
+	server  *Server
+	address string
+}
+
+func start(t *testing.T, options Options) *world {
+	t.Helper()
+	if options.Limits == nil {
+		options.Limits = func() configuration.Limits { return configuration.Limits{} }
+	}
+	listener, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t, New(options), listener.Addr().String()}
+	served := make(chan error, 1)
+	go func() { served <- w.server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = w.server.Close()
+		if err := <-served; err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+	})
+	return w
+}
+
+// await returns when the connections are in states that hold.
+func (w *world) await(holds func(map[connState]int) bool) {
+	w.t.Helper()
+	until := time.Now().Add(patience)
+	for time.Now().Before(until) {
+		states := map[connState]int{}
+		w.server.mu.Lock()
+		for c := range w.server.conns {
+			states[c.state]++
+		}
+		w.server.mu.Unlock()
+		if holds(states) {
+			return
+		}
+		runtime.Gosched()
+	}
+	w.t.Fatal("the connections are not in the states that the test waits for")
+}
+
+func echo(w *ResponseWriter, r *Request) {
+	_ = w.Answer(200, nil, fmt.Appendf(nil, "%s %s %s", r.Method, r.Target, r.Body))
+}
+
+func (w *world) dial() *peer {
+	w.t.Helper()
+	socket, err := net.Dial("tcp4", w.address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { socket.Close() })
+	_ = socket.SetDeadline(time.Now().Add(patience))
+	return &peer{w.t, socket.(*net.TCPConn), bufio.NewReader(socket)}
+}
+
+// peer is a client that a test scripts.
+type peer struct {
+	t      *testing.T
+	socket *net.TCPConn
+	in     *bufio.Reader
+}
+
+func (p *peer) send(text string) {
+	p.t.Helper()
+	if _, err := p.socket.Write([]byte(text)); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *peer) answer() (*http.Response, string) {
+	p.t.Helper()
+	response, err := http.ReadResponse(p.in, nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func (p *peer) expect(status int, body string) *http.Response {
+	p.t.Helper()
+	response, got := p.answer()
+	if response.StatusCode != status || got != body {
+		p.t.Fatalf("%d %q, not %d %q", response.StatusCode, got, status, body)
+	}
+	return response
+}
+
+// rest reads what comes up to the connection's end.
+func (p *peer) rest() string {
+	p.t.Helper()
+	rest, err := io.ReadAll(p.in)
+	if err != nil {
+		p.t.Fatalf("%q, then %v", rest, err)
+	}
+	return string(rest)
+}
