Tell apart load by others, let stale load fade, and test the selection

Change: load told by answers fades, an answer's own request is left out, 5% are sent whatever the prediction; hand-overs' pace is pooled by a window that expires; shared tokens read again cost more. Tests of each mechanism by table and property.

--- a/internal/selection/admission.go
+++ b/internal/selection/admission.go
@@ -7,13 +7,14 @@
 )
 
 const (
-	calmTaken    = 0.5 // part of the slots under which nothing is refused
-	calmWaiting  = 1.  // requests waiting at each worker under which nothing is refused
-	urgentLeeway = 0.9 // part of its slack that the most urgent request may wait
-	leastLeeway  = 0.6 // the same for the least urgent
-	refuseAll    = 1.4 // times the bound at which all are refused; fewer below, down to none at the bound
-	deadlinePart = 0.9 // part of the time to its deadline that a request's first event must be predicted in
-	lateSlackOf  = 0.1 // part of its objective that a request may wait once it is late anyway
+	calmTaken    = 0.5  // part of the slots under which nothing is refused
+	calmWaiting  = 1.   // requests waiting at each worker under which nothing is refused
+	urgentLeeway = 0.75 // part of its slack that the most urgent request may wait
+	leastLeeway  = 0.5  // the same for the least urgent
+	refuseAll    = 1.4  // times the bound at which all are refused; fewer below, down to none at the bound
+	mostRefused  = 0.95 // part that is refused at most: with no answers, nothing would be learned
+	deadlinePart = 0.9  // part of the time to its deadline that a request's first event must be predicted in
+	lateSlackOf  = 0.1  // part of its objective that a request may wait once it is late anyway
 	leastRetry   = 100 * time.Millisecond
 	longestRetry = 1500 * time.Millisecond
 	rankLife     = 30 * time.Second // for which a priority counts after its last request
@@ -53,8 +54,9 @@
 	}
 	a.seen[rankOf(r.Priority)] = now + 1
 	mean := stat.Of(a.solo, r.Route)
-	mean.Add(alone, soloMemory)
-	return mean.Or(alone, 1)
+	usual := mean.Or(alone, 0) // without its own size, which must not decide
+	mean.Add(min(alone, usual*oddRatio), soloMemory)
+	return usual
 }
 
 func rankOf(priority int) int { return min(max(priority, 0), priorities-1) }
@@ -90,7 +92,7 @@
 		bound = min(bound, deadlinePart*(r.Deadline-now).Seconds()-usual)
 	}
 	excess := (best.waits - bound) / max(bound*(refuseAll-1), leastSeconds)
-	if excess <= 0 || s.selector.random.Float64() >= excess {
+	if s.selector.random.Float64() >= min(excess, mostRefused) {
 		return Verdict{Send: true}
 	}
 	return Verdict{RetryAfter: retryAfter(best.waits - bound)}
--- /dev/null
+++ b/internal/selection/bench_test.go
@@ -0,0 +1,24 @@
+package selection
+
+import (
+	"testing"
+	"time"
+)
+
+func BenchmarkChoose90(b *testing.B) {
+	f := newModelFleet(90, 90, 5, 1, byDesign)
+	for _, k := range usualKinds {
+		f.traffic(k, 6)
+	}
+	f.clock.run(10 * time.Second)
+	s := f.selectors[0]
+	requests := make([]*Request, 256)
+	for i := range requests {
+		requests[i] = f.request(usualKinds[i%len(usualKinds)])
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s.Choose(f.clock.now, requests[i%len(requests)], nil)
+	}
+}
--- a/internal/selection/calls.go
+++ b/internal/selection/calls.go
@@ -16,9 +16,9 @@
 	prompt   []Part
 	memory   float64
 	output   float64 // tokens that may be made
-	running  float64 // requests that the worker was answering when this began
 	sent     time.Duration
 	first    time.Duration
+	others   counts // this node's other calls there when the answer began
 	begun    bool
 	ended    bool
 }
@@ -79,19 +79,15 @@
 	if call.ended {
 		return
 	}
-	call.service.hear(now, call.worker, &load, call)
+	call.service.hear(now, call.worker, &load, call.worker.besides(call))
 }
 
 // begin learns from an answer's beginning.
 func (c *Call) begin(now time.Duration) {
 	s, w := c.service, c.worker
 	s.learn(now, c, (now - c.sent).Seconds())
+	c.others = w.besides(c)
 	c.begun, c.first = true, now
-	for _, other := range w.calls {
-		if other.begun {
-			c.running++
-		}
-	}
 	w.kept.add(c.prompt, s.selector.nodes, s.held(w, load{}))
 	if c.class == classDecode {
 		s.pools[classDecode].memory.Add(c.memory, poolMemory)
@@ -115,7 +111,7 @@
 		call.begin(now)
 	}
 	if at > w.told.at || !w.told.known {
-		svc.hear(at, w, load, call)
+		svc.hear(at, w, load, call.others)
 	}
 	w.health.succeed()
 	call.end()
@@ -128,7 +124,7 @@
 	}
 	ratio := (now - c.first).Seconds() / (c.output * tokenTime)
 	ratio = min(max(ratio, 1/oddRatio), oddRatio)
-	c.worker.delays[classDecode].AddProcess(now, restBucket, c.running, ratio)
+	c.worker.delays[classDecode].AddProcess(now, restBucket, c.forecast.load.running, ratio)
 }
 
 // Rejected ends a call that the worker did not run. Its round trip is no processing, and the worker
@@ -143,7 +139,7 @@
 		svc.learnTransfer(now, call, min(trip, f.transfer*oddRatio))
 	}
 	w.told.fullUntil = now + fullLife
-	svc.hear(now, w, load, call)
+	svc.hear(now, w, load, w.besides(call))
 	call.end()
 }
 
--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -8,12 +8,12 @@
 
 const (
 	shortlist     = 6     // workers of each side that are combined, besides the best of each zone
-	unfinished    = 0.25  // part of its processing time that each unfinished request at a reader counts as
+	unfinished    = 1.    // part of its processing time that each unfinished request at a reader counts as
 	restWeight    = 0.05  // a second of making tokens against one before the first event
 	disturbance   = 0.02  // what reading counts as for each stream that it holds up
 	usualGap      = 0.15  // seconds between events from which a decode worker is avoided
 	gapCost       = 2.    // seconds for each second beyond it
-	rereadPrice   = 2e-6  // seconds that reading a shared token again counts as
+	rereadPrice   = 6e-5  // seconds that reading a shared token again counts as
 	tieSeconds    = 0.001 // totals as near as this are ties
 	tieShare      = 0.02  // and as near as this part of the least
 	noWorkerRetry = 500 * time.Millisecond
@@ -87,7 +87,8 @@
 	return best, crowd, found
 }
 
-// candidates are the workers of a class that may be sent to: those in good health, or the least bad one.
+// candidates are the workers of a class that may be sent to: those in good health, or the least bad one
+// of a class that cannot be done without.
 func (s *service) candidates(now time.Duration, c class, excluded []string) []*worker {
 	list := s.scratch.list[:0]
 	var least *worker
@@ -97,6 +98,8 @@
 		}
 		if w.health.available(now, len(w.calls)) {
 			list = append(list, w)
+		} else if c == classPrefill {
+			continue // a decode worker can do without
 		} else if least == nil || w.health.until < least.health.until {
 			least = w
 		}
@@ -152,11 +155,11 @@
 
 // extra is the work of this node's unfinished requests at a worker.
 func (s *service) extra(w *worker, f forecast) float64 {
-	waiting, running := w.own()
+	own := w.own()
 	if w.class == classPrefill {
-		return waiting * unfinished * f.run
+		return own.waiting * unfinished * f.run
 	}
-	return (waiting + running) * f.run / s.slotsOf(w)
+	return (own.waiting + own.running) * f.run / s.slotsOf(w)
 }
 
 // rereading is what shared parts count as that are read though others keep them.
@@ -228,7 +231,7 @@
 	first := from.f.total() + to.hand.total() + move
 	score := from.score + to.handed + move
 	score += s.movePrice(from.worker, to.worker, to.missing) + s.linkCost(now, from.worker, to.worker)
-	score += chance * first // a hand-over that fails is done again
+	score += first * chance / (1 - chance) // a hand-over that fails is done again
 	return option{from, to, score, first, from.f.wait + to.hand.wait}
 }
 
--- a/internal/selection/failures.go
+++ b/internal/selection/failures.go
@@ -12,8 +12,8 @@
 // weights of failures: at 1 the worker is shunned.
 var failureWeight = [...]float64{
 	FailureConnect:   1,
-	FailureBroken:    0.5,
-	FailureSilence:   0.7,
+	FailureBroken:    0.6,
+	FailureSilence:   1,
 	FailureStatus:    0.2,
 	FailureHandover:  0, // counts against the pair
 	FailureMisrouted: 1,
--- a/internal/selection/fleet_test.go
+++ b/internal/selection/fleet_test.go
@@ -44,6 +44,7 @@
 	counts    []map[string]int // by node: own calls at a worker
 	policy    policy
 
+	onFirst          func(*Request)
 	firsts           []float64
 	sent, inTime     int
 	refused, alone   int
@@ -173,6 +174,9 @@
 }
 
 func (f *modelFleet) answered(k kind, r *Request) {
+	if f.onFirst != nil {
+		f.onFirst(r)
+	}
 	f.firsts = append(f.firsts, (f.clock.now - r.Arrived).Seconds())
 	if f.clock.now <= r.Objective {
 		f.inTime++
--- /dev/null
+++ b/internal/selection/homes_test.go
@@ -0,0 +1,154 @@
+package selection
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/estimate"
+)
+
+// homeOf is the first home of a key.
+func homeOf(key uint64, list []*worker) string {
+	best := list[0]
+	for _, w := range list {
+		if estimate.Nearness(key, w.number, len(list)) < estimate.Nearness(key, best.number, len(list)) {
+			best = w
+		}
+	}
+	return best.entry.ID
+}
+
+func TestPropertiesOfHomes(t *testing.T) {
+	p := properties(t)
+	p.Property("nodes agree", prop.ForAll(func(key uint64) bool {
+		one, _ := rig(4, 5, 1)
+		other, _ := rig(4, 5, 77)
+		return homeOf(key, one.services["m"].byClass[classPrefill]) == homeOf(key, other.services["m"].byClass[classPrefill])
+	}, gen.UInt64()))
+	p.Property("a home moves only if its worker goes", prop.ForAll(func(key uint64, gone int) bool {
+		s, _ := rig(6, 2, 1)
+		list := s.services["m"].byClass[classPrefill]
+		before := homeOf(key, list)
+		rest := append(append([]*worker{}, list[:gone]...), list[gone+1:]...)
+		after := homeOf(key, rest)
+		return after == before || before == list[gone].entry.ID
+	}, gen.UInt64(), gen.IntRange(0, 5)))
+	p.TestingRun(t)
+}
+
+func TestNodesSendAKeyToTheSameReader(t *testing.T) {
+	agreed := 0
+	for key := range uint64(40) {
+		seen := map[string]int{}
+		for node := range uint64(5) {
+			s, _ := rig(4, 5, node)
+			c, _ := s.Choose(0, ask(0, key+1, 8000, 2000), nil)
+			seen[idOf(c.Prefill)]++
+		}
+		for _, n := range seen {
+			if n == 5 {
+				agreed++
+			}
+		}
+	}
+	if agreed < 36 {
+		t.Errorf("all nodes agree on %d of 40 keys", agreed)
+	}
+}
+
+func TestAKeptPromptIsReadWhereItIsKept(t *testing.T) {
+	s, _ := rig(3, 3, 1)
+	svc := s.services["m"]
+	r := ask(0, 5, 9600, 64)
+	c, _ := s.Choose(0, r, nil)
+	call := s.Sent(0, r, CallRun, Choice{Run: c.Run})
+	s.FirstEvent(time.Second/4, call)
+	s.Done(time.Second/3, call, nil)
+	again := ask(time.Second, 5, 9600, 64)
+	next, _ := s.Choose(time.Second, again, nil)
+	if next.Run != c.Run || next.Prefill != nil {
+		t.Errorf("read at %s, then sent to %s after %s", idOf(c.Run), idOf(next.Run), idOf(next.Prefill))
+	}
+	if kept := svc.workers[c.Run.ID].kept.prefix(again.Prompt); kept != 9600 {
+		t.Errorf("%v tokens kept", kept)
+	}
+}
+
+func TestKeptParts(t *testing.T) {
+	a, b, own := Part{1, 40}, Part{2, 50}, Part{3, 30}
+	cases := []struct {
+		name   string
+		kept   []Part
+		prompt []Part
+		want   float64
+	}{
+		{"nothing", nil, []Part{a, b}, 0},
+		{"whole blocks of all", []Part{a, b, own}, []Part{a, b, own}, 112},
+		{"up to the first that is not kept", []Part{a, own}, []Part{a, b, own}, 32},
+		{"not without those before", []Part{b, own}, []Part{a, b, own}, 0},
+	}
+	for _, c := range cases {
+		k := kept{capacity: 1000}
+		k.add(c.kept, 1, 0)
+		if got := k.prefix(c.prompt); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestPartsUnusedLongestGiveWay(t *testing.T) {
+	k := kept{capacity: 100}
+	k.add([]Part{{1, 40}, {2, 20}}, 1, 0)
+	k.add([]Part{{1, 40}, {3, 20}}, 1, 0)
+	k.add([]Part{{1, 40}, {4, 30}}, 1, 0)
+	if !k.has(1) || k.has(2) || !k.has(3) || !k.has(4) {
+		t.Errorf("1 %v, 2 %v, 3 %v, 4 %v", k.has(1), k.has(2), k.has(3), k.has(4))
+	}
+	if k.add([]Part{{5, 10}}, 5, 0); k.has(3) || !k.has(5) {
+		t.Errorf("a request's own part weighs for all nodes: 3 %v, 5 %v", k.has(3), k.has(5))
+	}
+	if k.trim(0); k.used != 0 || len(k.byID) != 0 {
+		t.Errorf("%v used by %d", k.used, len(k.byID))
+	}
+}
+
+func TestPopularKeysHaveMoreHomes(t *testing.T) {
+	s, _ := rig(8, 2, 1)
+	list := s.services["m"].byClass[classPrefill]
+	inHomes := func(share float64) (n int) {
+		j := job{key: 42, share: share}
+		reach := homes(&j, list)
+		for _, w := range list {
+			if estimate.Nearness(42, w.number, len(list)) <= reach {
+				n++
+			}
+		}
+		return n
+	}
+	if rare, popular := inHomes(0), inHomes(0.6); rare != 1 || popular < 4 {
+		t.Errorf("%d homes of a rare key, %d of a popular one", rare, popular)
+	}
+}
+
+func TestSetViewKeepsStateAndPutsOldWindowsAway(t *testing.T) {
+	s, view := rig(2, 2, 1)
+	w := s.services["m"].workers["wa"]
+	w.delays[classPrefill].AddProcess(0, 1, 0, 2)
+	changed := &catalog.View{Nodes: 4, Services: view.Services, Workers: map[string][]*catalog.Worker{"m": {
+		entry(0, "decode"), view.Workers["m"][1], view.Workers["m"][2], view.Workers["m"][3]}}}
+	s.SetView(0, changed)
+	if s.services["m"].workers["wa"] != w || w.class != classDecode {
+		t.Fatalf("the worker's state is gone, or its class is %v", w.class)
+	}
+	if got := w.delays[classDecode].Process(0, 1, 0, 1); got != 1 {
+		t.Errorf("a window of the old stage counts in the new one: %v", got)
+	}
+	s.SetView(0, view)
+	if got := w.delays[classPrefill].Process(0, 1, 0, 1); got <= 1 {
+		t.Errorf("the old stage's window is gone: %v", got)
+	}
+}
--- a/internal/selection/links.go
+++ b/internal/selection/links.go
@@ -20,6 +20,9 @@
 	handoverLife = 5 * time.Second // in which the outcomes of hand-overs fall by e
 	handoverOdds = 0.01            // of a failure, until shown
 	handoverHold = 4.              // outcomes that this counts as
+	mostChance   = 0.95            // that a hand-over is taken to fail with
+	moveHold     = 0.05            // seconds of moving that the configuration's word counts as
+	mostRatio    = 100.            // times longer than told that a hand-over counts as taking at most
 	movedPrice   = 0.006           // seconds that moving a gigabyte within a zone counts as
 	farPrice     = 3.              // times as dear between zones
 	sentPrice    = 1e-6            // seconds that sending a token to another zone counts as
@@ -56,6 +59,15 @@
 	return bytes * 8 / bits
 }
 
+// moveTold is what moving takes by the configuration, in seconds.
+func (s *service) moveTold(size float64) float64 { return moveSetup + size*s.moveToken() }
+
+// moveRatio is how many times longer hand-overs take than that, over all workers.
+func (s *service) moveRatio(now time.Duration) float64 {
+	all := s.moved.Fit(now, sampleLife, 0)
+	return (all.SumY + moveHold) / (all.SumX + moveHold)
+}
+
 // moveSize is the tokens to be moved between two workers, weighed by distance.
 func moveSize(from, to *worker, tokens float64) float64 {
 	if from.zone != to.zone {
@@ -67,12 +79,14 @@
 // moveOf predicts what a worker's part of a hand-over takes, in seconds.
 func (s *service) moveOf(now time.Duration, w *worker, size float64) float64 {
 	line := w.moved.Fit(now, sampleLife, 1)
-	prior := moveSetup + size*s.moveToken()
+	prior := s.moveTold(size) * s.moveRatio(now)
 	return estimate.Blend(line.At(size), line.N, prior, estimate.PriorSamples)
 }
 
 // learnMove takes in how long a hand-over took, at both of its ends.
 func (s *service) learnMove(now time.Duration, call *Call, seconds float64) {
+	told := s.moveTold(call.forecast.size)
+	s.moved.Add(now, told, min(seconds, told*mostRatio), windowLength)
 	for _, w := range []*worker{call.worker, call.source} {
 		w.moved.Add(now, call.forecast.size, seconds, windowLength)
 	}
@@ -101,7 +115,7 @@
 
 // handoverChance is the chance that a hand-over fails.
 func (s *service) handoverChance(now time.Duration) float64 {
-	return s.handover.all.Chance(now, handoverLife, handoverOdds, handoverHold)
+	return min(mostChance, s.handover.all.Chance(now, handoverLife, handoverOdds, handoverHold))
 }
 
 // movePrice is what moving memory counts as, in seconds, by its amount and distance.
--- a/internal/selection/load.go
+++ b/internal/selection/load.go
@@ -8,12 +8,16 @@
 const (
 	toldLife    = 1500 * time.Millisecond // in which what a worker told of others falls by e towards the mean
 	toldMemory  = 64.                     // answers over which the mean load by others forgets
+	poolLife    = 3 * time.Second         // in which the mean load falls by e once no answer tells of any
 	fullLife    = 400 * time.Millisecond  // for which a worker that turned a call away counts as full
 	lateFactor  = 3.                      // a call this many times overdue means that its worker stands still
 	lateSlack   = 0.05                    // seconds that any call may be late
 	leastRemain = 0.15                    // part of a call's work that remains until it is answered
 )
 
+// counts is a number of requests by what the worker does with them.
+type counts struct{ waiting, running float64 }
+
 // told is the load at a worker that is not this node's, by the worker's latest answer.
 type told struct {
 	at               time.Duration
@@ -24,36 +28,43 @@
 }
 
 // hear takes in the load that an answer told, at the instant when it was told.
-func (s *service) hear(at time.Duration, w *worker, load *Load, except *Call) {
+// Whether an answer counts its own request is seen from the answers: none that does tells of none.
+func (s *service) hear(at time.Duration, w *worker, load *Load, own counts) {
 	if load == nil || load.Running < 0 || load.Waiting < 0 {
 		return
 	}
-	waiting, running := w.own()
-	if except != nil && except.begun {
-		running--
-	} else if except != nil {
-		waiting--
+	pool, t := &s.pools[w.class], &w.told
+	if load.Running+load.Waiting == 0 {
+		pool.leavesOut = true
+	}
+	if !pool.leavesOut {
+		own.running++
+	}
+	t.running = float64(load.Running) - own.running
+	t.waiting = float64(load.Waiting) - own.waiting
+	if t.running < 0 || t.waiting < 0 || w.class == classPrefill { // one that it calls waiting may run here
+		total := max(0, t.running+t.waiting)
+		t.waiting = min(max(0, t.waiting), total)
+		t.running = total - t.waiting
 	}
-	t := &w.told
-	t.running = max(0, float64(load.Running)-running)
-	t.waiting = max(0, float64(load.Waiting)-waiting)
 	if w.class == classPrefill { // its requests run as soon as they are being read
-		t.running, t.waiting = 0, max(0, float64(load.Running+load.Waiting)-running-waiting)
+		t.running, t.waiting = 0, t.running+t.waiting
 	}
 	if load.Slots > 0 {
 		t.slots = float64(load.Slots)
 	}
 	t.at, t.known = at, true
-	pool := &s.pools[w.class]
 	pool.running.Add(t.running, toldMemory)
 	pool.waiting.Add(t.waiting, toldMemory)
+	pool.heard = at
 }
 
 // others estimates the load at a worker that is not this node's: what it told, the less the older, and
 // the mean over workers for the rest.
 func (s *service) others(now time.Duration, w *worker) (waiting, running float64) {
 	pool := &s.pools[w.class]
-	waiting, running = pool.waiting.Or(0, 1), pool.running.Or(0, 1)
+	recent := math.Exp(-max(0, now-pool.heard).Seconds() / poolLife.Seconds())
+	waiting, running = pool.waiting.Or(0, 1)*recent, pool.running.Or(0, 1)*recent
 	if w.told.known {
 		fresh := math.Exp(-max(0, now-w.told.at).Seconds() / toldLife.Seconds())
 		waiting += (w.told.waiting - waiting) * fresh
--- a/internal/selection/memory.go
+++ b/internal/selection/memory.go
@@ -10,8 +10,8 @@
 // held estimates the tokens that the running requests of a worker hold: this node's are known, those
 // of other nodes are of the usual size.
 func (s *service) held(w *worker, l load) float64 {
-	waiting, running := w.own()
-	others := max(0, l.running+l.waiting-waiting-running)
+	own := w.own()
+	others := max(0, l.running+l.waiting-own.running-own.waiting)
 	return w.memory + others*s.pools[classDecode].memory.Or(heldTokens, memorySamples)
 }
 
--- a/internal/selection/selector.go
+++ b/internal/selection/selector.go
@@ -6,6 +6,7 @@
 
 	"ospreybend/internal/catalog"
 	"ospreybend/internal/configuration"
+	"ospreybend/internal/stat"
 )
 
 // Options fixes what a Selector does not learn.
@@ -36,6 +37,7 @@
 	pools    [classes]pool
 	shared   popularity
 	handover outcomes
+	moved    stat.Window // hand-overs of all pairs: what they took against what they should, in seconds
 	admitted admission
 	scratch  scratch
 }
--- a/internal/selection/windows.go
+++ b/internal/selection/windows.go
@@ -30,19 +30,23 @@
 	leastSeconds = 1e-4
 	bucketBase   = 4. // size buckets grow by this factor, so that few of them starve
 	bucketTokens = 64.
-	restBucket   = -1 // the window of the time between tokens
-	handBucket   = 0  // the window of first events of what another worker has read
+	handWait     = 0.3 // part of the wait of one that reads
+	restBucket   = -1  // the window of the time between tokens
+	handBucket   = 0   // the window of first events of what another worker has read
 )
 
 // pool is what the workers of one class have shown together.
 type pool struct {
 	ratio            stat.Mean   // running time for each second that it should take
+	handRatio        stat.Mean   // the same for first events of what another worker has read
 	wait             stat.Pooled // queue wait against the load, with its sign turned
 	nearTrip         stat.Mean   // transfer of calls to the own zone, beyond what moving takes
 	farTrip          stat.Mean
-	solo             stat.Mean // time that a call should take by itself
-	running, waiting stat.Mean // load at a worker by others
-	memory           stat.Mean // tokens that a running request holds
+	solo             stat.Mean     // time that a call should take by itself
+	running, waiting stat.Mean     // load at a worker by others
+	memory           stat.Mean     // tokens that a running request holds
+	heard            time.Duration // when an answer last told of load
+	leavesOut        bool          // an answer does not count its own request
 }
 
 // usualSolo is the time that a usual call takes by itself.
@@ -119,8 +123,8 @@
 	f := forecast{task: t, load: l}
 	pool := &s.pools[w.class]
 	run, wait := pool.speedOf(now, w)*t.solo, s.waitOf(w, l)
-	if t.moving {
-		wait = 0 // moves wait for one another; reading does not hold them up
+	if t.moving { // its first token goes with a step that may read for others too
+		run, wait = pool.handRatio.Or(1, poolPrior)*t.solo, wait*handWait
 	}
 	process := w.delays[w.class].Process(now, t.bucket, l.at(w.class), (run+wait)/t.solo) * t.solo
 	scale := process / max(run+wait, leastSeconds)
@@ -149,15 +153,21 @@
 	transfer, run, wait := f.transfer*scale, f.run*scale, f.wait*scale
 	pool := &s.pools[w.class]
 	s.learnTransfer(now, call, transfer)
-	usual := pool.ratio.Or(1, poolPrior)
-	ratio := min(max(run/f.solo, usual/oddRatio), usual*oddRatio)
+	w.delays[w.class].AddProcess(now, f.bucket, f.load.at(w.class), (run+wait)/f.solo)
+	if f.moving {
+		pool.handRatio.Add(near(run/f.solo, pool.handRatio.Or(1, poolPrior)), poolMemory)
+		return
+	}
+	ratio := near(run/f.solo, pool.ratio.Or(1, poolPrior))
 	w.speed[w.class].Add(now, f.solo, ratio*f.solo, windowLength)
 	pool.ratio.Weigh(ratio, min(1, f.solo/pool.usualSolo(w.class)), poolMemory)
-	if !f.moving {
-		pool.solo.Add(f.solo, poolMemory)
-		pool.wait.Weigh(-f.load.at(w.class), wait, 1, poolMemory)
-	}
-	w.delays[w.class].AddProcess(now, f.bucket, f.load.at(w.class), (run+wait)/f.solo)
+	pool.solo.Add(f.solo, poolMemory)
+	pool.wait.Weigh(-f.load.at(w.class), wait, 1, poolMemory)
+}
+
+// near bounds an odd ratio by the usual one.
+func near(ratio, usual float64) float64 {
+	return min(max(ratio, usual/oddRatio), usual*oddRatio)
 }
 
 // learnTransfer takes in a transfer delay.
--- a/internal/selection/worker.go
+++ b/internal/selection/worker.go
@@ -64,15 +64,27 @@
 }
 
 // own counts this node's requests that the worker has not begun to answer, and those it is answering.
-func (w *worker) own() (waiting, running float64) {
+func (w *worker) own() counts {
+	var c counts
 	for _, call := range w.calls {
 		if call.begun {
-			running++
+			c.running++
 		} else {
-			waiting++
+			c.waiting++
 		}
 	}
-	return waiting, running
+	return c
+}
+
+// besides counts this node's requests at the worker but one.
+func (w *worker) besides(call *Call) counts {
+	c := w.own()
+	if call.begun {
+		c.running--
+	} else {
+		c.waiting--
+	}
+	return c
 }
 
 // open takes in a call.
