--- a/coord/agreement/replication.go
+++ b/coord/agreement/replication.go
@@ -149,6 +149,7 @@
 
 // sendSnapshot sends the last snapshot to a peer that is reachable.
 func (n *Node) sendSnapshot(peer *progress) {
+	peer.probe(peer.next)
 	peer.probed = true
 	if peer.round == 0 || n.now < peer.snapshotAgain {
 		return
