Fail, fill and stop the log's disk in tests; drop what they show to be redundant

Trials on a scratch copy that took out one step each showed that a segment's first hard state and a sync before the cut protect nothing: gone. Chained check values had no test: they have. Each other step taken out (14) fails a test.

--- /dev/null
+++ b/coord/seglog/log_test.go
@@ -0,0 +1,172 @@
+package seglog_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"path/filepath"
+	"testing"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+	"ospreybend/coord/seglog/seglogtest"
+)
+
+// TestOneSyncForEachBatch counts the syncs of files once the segment is there.
+func TestOneSyncForEachBatch(t *testing.T) {
+	disk := seglogtest.NewDisk()
+	log, _, err := seglog.Open(seglog.Options{FileSystem: disk, Directory: directory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := newHistory(emptyDisk)
+	saveEntries(t, log, record, 1, 1)
+	before := disk.SyncCount
+	saveEntries(t, log, record, 2, 50)
+	if disk.SyncCount != before+1 {
+		t.Fatalf("%d syncs", disk.SyncCount-before)
+	}
+}
+
+// TestBounded compacts again and again: the disk holds no more than the last segments.
+func TestBounded(t *testing.T) {
+	disk := seglogtest.NewDisk()
+	log, stored := mustOpen(t, disk)
+	record := newHistory(stored)
+	greatest := int64(0)
+	for first := uint64(1); first < 5000; first += 10 {
+		saveEntries(t, log, record, first, first+9)
+		snapshot := agreement.Snapshot{Index: first + 9, Term: 1, Data: []byte("state")}
+		if err := log.Compact(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		record = newHistory(compacted(record.last(), snapshot))
+		greatest = max(greatest, log.DiskBytes())
+	}
+	if limit := int64(4 * smallSegmentBytes); greatest > limit {
+		t.Fatalf("%d bytes, more than %d", greatest, limit)
+	}
+	onDisk := int64(0)
+	for _, data := range contents(t, disk) {
+		onDisk += int64(len(data))
+	}
+	if onDisk != log.DiskBytes() {
+		t.Fatalf("%d bytes on disk, %d told", onDisk, log.DiskBytes())
+	}
+	_, recovered := mustOpen(t, disk)
+	if err := record.check(recovered); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOtherFormatRefused changes the format number of each file; nothing on disk may change then.
+func TestOtherFormatRefused(t *testing.T) {
+	written := writeWithSnapshot(t)
+	for name, data := range written.files {
+		other := append([]byte(nil), data...)
+		binary.LittleEndian.PutUint32(other[4:], seglog.FormatNumber+1)
+		check := crc32.Checksum(other[:8], crc32.MakeTable(crc32.Castagnoli))
+		binary.LittleEndian.PutUint32(other[8:], check)
+		disk := written.with(name, other)
+		before := contents(t, disk)
+		var refused seglog.ErrFormat
+		if _, _, err := open(disk); !errors.As(err, &refused) || refused.File != name || refused.Found != seglog.FormatNumber+1 {
+			t.Fatalf("%s: got %v", name, err)
+		}
+		after := contents(t, disk)
+		for file := range before {
+			if string(before[file]) != string(after[file]) {
+				t.Fatalf("%s was changed", file)
+			}
+		}
+	}
+}
+
+func TestClosedLog(t *testing.T) {
+	log, _ := mustOpen(t, seglogtest.NewDisk())
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Save(nil); !errors.Is(err, seglog.ErrClosed) {
+		t.Fatal(err)
+	}
+	if err := log.Compact(agreement.Snapshot{Index: 1}); !errors.Is(err, seglog.ErrClosed) {
+		t.Fatal(err)
+	}
+}
+
+// TestOperatingSystem runs drawn calls on the real file system and opens it again.
+func TestOperatingSystem(t *testing.T) {
+	options := seglog.Options{Directory: filepath.Join(t.TempDir(), "one", "two"), SegmentBytes: smallSegmentBytes}
+	random := newRandom(7)
+	record := newHistory(emptyDisk)
+	for range 5 {
+		log, stored, err := seglog.Open(options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := record.check(stored); err != nil {
+			t.Fatal(err)
+		}
+		record = newHistory(stored)
+		if err := runUntilFailure(log, workload{random: random}, record, workloadCalls); err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestMemberIDLasts loses power before each operation of the first start.
+func TestMemberIDLasts(t *testing.T) {
+	for operations := int64(0); ; operations++ {
+		disk := seglogtest.NewDisk()
+		disk.Operations = operations
+		id, created, err := drawMember(disk, 11)
+		if err == nil && (id != 11 || !created) {
+			t.Fatal(id, created)
+		}
+		disk.LosePower(newRandom(uint64(operations)))
+		again, _, failure := drawMember(disk, 22)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		if err == nil && again != 11 {
+			t.Fatalf("the ID %d became %d", id, again)
+		}
+		disk.LosePower(newRandom(uint64(operations)))
+		if third, created, err := drawMember(disk, 33); err != nil || created || third != again {
+			t.Fatal(third, created, err)
+		}
+		if err == nil {
+			return
+		}
+	}
+}
+
+func drawMember(disk *seglogtest.Disk, drawn agreement.MemberID) (agreement.MemberID, bool, error) {
+	return seglog.MemberID(disk, directory, func() agreement.MemberID { return drawn })
+}
+
+// TestDamagedMemberID cuts and changes the file at each byte.
+func TestDamagedMemberID(t *testing.T) {
+	disk := seglogtest.NewDisk()
+	if _, _, err := drawMember(disk, 11); err != nil {
+		t.Fatal(err)
+	}
+	name := seglogtest.OnlyFile(disk, directory)
+	whole, _ := disk.ReadFile(name)
+	for cut := range whole {
+		disk.WriteFile(name, whole[:cut])
+		if _, _, err := drawMember(disk, 22); !errors.Is(err, seglog.ErrDamaged) {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		data := append([]byte(nil), whole...)
+		data[cut] ^= 0x41
+		disk.WriteFile(name, data)
+		if _, _, err := drawMember(disk, 22); !errors.Is(err, seglog.ErrDamaged) {
+			t.Fatalf("byte %d changed: %v", cut, err)
+		}
+	}
+}
--- a/coord/seglog/recovery.go
+++ b/coord/seglog/recovery.go
@@ -246,18 +246,15 @@
 	return nil
 }
 
-// removeDropped removes the segments after the cut, durably before the cut itself: with the damage
-// gone they would count again.
+// removeDropped removes the segments after the cut. Those that come back before the directory is
+// synced do not follow the one that was cut, and so never count again.
 func (r *recovery) removeDropped() error {
-	if r.kept == len(r.segments) {
-		return nil
-	}
 	for _, dropped := range r.segments[r.kept:] {
 		if err := r.log.fileSystem.Remove(filepath.Join(r.log.directory, dropped.name)); err != nil {
 			return err
 		}
 	}
-	return r.log.fileSystem.SyncDirectory(r.log.directory)
+	return nil
 }
 
 // openLast opens the last segment that counts for writes, and seals those before it.
--- a/coord/seglog/seglog.go
+++ b/coord/seglog/seglog.go
@@ -3,14 +3,14 @@
 //
 // A directory holds segments and a snapshot. A segment is a file of records that is only appended
 // to; it is named by a number that only grows. A record is an entry or a hard state. An entry replaces all stored entries from its index on, so nothing is
-// ever rewritten. Each segment starts with the hard state of that moment, so that older segments
-// can be removed. A record's check value is computed from the one before it, so that what is left
+// ever rewritten. A record's check value is computed from the one before it, so that what is left
 // of a failed write is never taken for a continuation of what was written over it; a segment's
 // header has that of the last record of the segment before.
 //
 // A snapshot is a file of its own: written under a temporary name, synced, renamed, the directory
 // synced; only then the one before it and the segments that it covers are removed. It names the
-// first segment that counts beside it, so that segments whose removal was lost are known as void.
+// first segment that counts beside it, so that segments whose removal was lost are known as void,
+// and holds the hard state of its moment, which may stand in one of these.
 //
 // Recovery reads the newest snapshot and then the segments in order, up to the first record that is
 // incomplete, damaged or does not follow. From there on everything is dropped: only writes that
--- a/coord/seglog/seglogtest/disk.go
+++ b/coord/seglog/seglogtest/disk.go
@@ -57,6 +57,7 @@
 	Room       int64 // bytes that writes may still add
 	Operations int64 // changing operations left until the power goes
 	Refuse     bool  // every change fails
+	FailIn     int64 // this many changing operations from now, one fails; 0: none
 	SyncCount  int   // syncs of files so far
 	OnSync     func()
 }
@@ -111,12 +112,21 @@
 		return ErrNoPower
 	}
 	d.Operations--
-	if d.Refuse {
+	if d.Refuse || d.failsNow() {
 		return ErrRefused
 	}
 	return nil
 }
 
+// failsNow counts down to the one operation that fails.
+func (d *Disk) failsNow() bool {
+	if d.FailIn == 0 {
+		return false
+	}
+	d.FailIn--
+	return d.FailIn == 0
+}
+
 // MakeDirectory makes a directory, durably.
 func (d *Disk) MakeDirectory(directory string) error {
 	d.mutex.Lock()
--- a/coord/seglog/seglogtest/file.go
+++ b/coord/seglog/seglogtest/file.go
@@ -20,8 +20,12 @@
 func (f *file) Write(data []byte) (int, error) {
 	f.disk.mutex.Lock()
 	defer f.disk.mutex.Unlock()
+	if f.generation != f.disk.generation {
+		return 0, ErrNoPower
+	}
 	if err := f.begin(); err != nil {
-		return 0, err
+		f.content.write(append([]byte(nil), data[:len(data)/2]...))
+		return len(data) / 2, err
 	}
 	fits := min(int64(len(data)), max(f.disk.Room, 0))
 	f.disk.Room -= fits
@@ -117,6 +121,7 @@
 		one.losePower(random, allLost)
 		d.names[path] = one
 	}
+	d.changes = nil
 	d.restart()
 }
 
@@ -124,14 +129,13 @@
 func (d *Disk) Restart() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.generation++
-	d.Room, d.Operations, d.Refuse = Unlimited, Unlimited, false
+	d.restart()
 }
 
 func (d *Disk) restart() {
-	d.changes = nil
 	d.generation++
-	d.Room, d.Operations, d.Refuse = Unlimited, Unlimited, false
+	d.Room, d.Operations = Unlimited, Unlimited
+	d.Refuse, d.FailIn = false, 0
 }
 
 func (c *content) losePower(random *rand.Rand, allLost bool) {
--- a/coord/seglog/segment.go
+++ b/coord/seglog/segment.go
@@ -106,7 +106,6 @@
 	writer := recordWriter{chain: l.current.chain}
 	if l.current.good == 0 {
 		writer.header(l.current.sequence, l.last+1, l.current.previous)
-		writer.hardState(l.hardState)
 	}
 	state := batchState{hardState: l.hardState, last: l.last, greatest: l.current.greatest}
 	for _, persist := range batch {
--- /dev/null
+++ b/coord/shards/shards_test.go
@@ -0,0 +1,103 @@
+package shards
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func addresses(count int) []string {
+	var all []string
+	for i := range count {
+		all = append(all, fmt.Sprintf("10.%d.0.%d:7660", i%4, 10+i))
+	}
+	return all
+}
+
+// TestOfSpreads expects each shard to get its part of many names, within a tenth.
+func TestOfSpreads(t *testing.T) {
+	const names = 40000
+	counts := map[ID]int{}
+	for i := range names {
+		counts[Of(fmt.Sprint("service-", i))]++
+	}
+	if len(counts) != ServiceShards {
+		t.Fatalf("%d shards", len(counts))
+	}
+	for shard := ID(1); shard <= ServiceShards; shard++ {
+		if share := names / ServiceShards; counts[shard] < share*9/10 || counts[shard] > share*11/10 {
+			t.Errorf("shard %d has %d of %d names", shard, counts[shard], names)
+		}
+	}
+}
+
+// TestOfLasts holds values that stored data rests on.
+func TestOfLasts(t *testing.T) {
+	for name, want := range map[string]ID{"@nodes": 1, "chat": 1, "": 2} {
+		if got := Of(name); got != want {
+			t.Errorf("%q is in shard %d, was in %d", name, got, want)
+		}
+	}
+}
+
+func TestGroupIgnoresOrderAndRepeats(t *testing.T) {
+	members := addresses(9)
+	want := Group(3, members, 5)
+	backwards := slices.Clone(members)
+	slices.Reverse(backwards)
+	if got := Group(3, append(backwards, members[0]), 5); !slices.Equal(got, want) {
+		t.Fatalf("%v, not %v", got, want)
+	}
+	if !slices.Equal(members, addresses(9)) {
+		t.Fatal("the argument was changed")
+	}
+}
+
+func TestGroupSizes(t *testing.T) {
+	members := addresses(3)
+	for size, want := range map[int]int{-1: 0, 0: 0, 1: 1, 3: 3, 5: 3} {
+		if got := Group(0, members, size); len(got) != want {
+			t.Errorf("size %d: %v", size, got)
+		}
+	}
+	if got := Group(0, nil, 3); len(got) != 0 {
+		t.Errorf("without members: %v", got)
+	}
+}
+
+// TestGroupSpreads expects each member to be in its part of many groups, within a fifth.
+func TestGroupSpreads(t *testing.T) {
+	const groups, size, count = 6000, 3, 9
+	counts := map[string]int{}
+	for shard := range ID(groups) {
+		for _, address := range Group(shard, addresses(count), size) {
+			counts[address]++
+		}
+	}
+	for _, address := range addresses(count) {
+		if share := groups * size / count; counts[address] < share*4/5 || counts[address] > share*6/5 {
+			t.Errorf("%s is in %d groups, its part is %d", address, counts[address], share)
+		}
+	}
+}
+
+// TestGroupStable adds and removes each member: only its own places change.
+func TestGroupStable(t *testing.T) {
+	members := addresses(8)
+	for shard := range ID(200) {
+		before := Group(shard, members, 3)
+		for i, removed := range members {
+			after := Group(shard, slices.Delete(slices.Clone(members), i, i+1), 3)
+			checkPlaces(t, before, after, removed)
+		}
+	}
+}
+
+// checkPlaces expects after to have all of before but the removed one, in the same order.
+func checkPlaces(t *testing.T, before, after []string, removed string) {
+	t.Helper()
+	kept := slices.DeleteFunc(slices.Clone(before), func(address string) bool { return address == removed })
+	if !slices.Equal(after[:len(kept)], kept) {
+		t.Fatalf("without %s: %v became %v", removed, before, after)
+	}
+}
