Write a link's hello by itself, and bound the memory that the keeper keeps

The acceptor gives the first frame two seconds, and a hello waited for the encoding of what came after it. It is flushed at once now, and a write may stand still up to three seconds (at least 1.5). Links log why they end at debug level, and the tests show that log.

--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -64,6 +64,7 @@
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxKeepBodySize(keepBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -36,9 +36,11 @@
 
 // limitMemory has the collector work harder as the machine's memory fills.
 func limitMemory(memoryMb int) {
-	if memoryMb > 0 {
-		debug.SetMemoryLimit(int64(memoryMb) << 20 * memoryLimitPercent / 100)
+	if memoryMb <= 0 {
+		return
 	}
+	debug.SetGCPercent(collectorPercent)
+	debug.SetMemoryLimit(int64(memoryMb) << 20 * memoryLimitPercent / 100)
 }
 
 // open prepares a keeper and opens its replicas.
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -21,6 +21,7 @@
 const (
 	maxBodyBytes   = 8 << 20
 	maxBeatBytes   = 64 << 10
+	keepBodyBytes  = 64 << 10 // a larger body's memory is not kept for the next call
 	maxHeaderBytes = 16 << 10
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
@@ -47,4 +48,5 @@
 	proposalsAtOnce    = 16 // of one round of expiry or of nodes
 	feedBacklogBytes   = 2 << 20
 	memoryLimitPercent = 75 // of the machine's memory
+	collectorPercent   = 50 // growth of the heap between two collections; memory is priced at its peak
 )
--- a/internal/peerlink/accept.go
+++ b/internal/peerlink/accept.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/coord/shards"
 	"ospreybend/internal/feedlink"
 )
@@ -72,6 +74,7 @@
 	defer stop()
 	kind, body, err := feedlink.ReadFirstFrame(connection, firstFrameTime)
 	if err != nil {
+		n.options.Logger.Debug("connection not identified", zap.Error(err))
 		_ = connection.Close()
 		return
 	}
@@ -129,6 +132,7 @@
 	for {
 		kind, body, err := feedlink.ReadFrame(reader)
 		if err != nil {
+			in.network.options.Logger.Debug("peer's connection ended", zap.String("peer", in.peer.Address), zap.Error(err))
 			return
 		}
 		in.network.noteHeard(in.peer.Address)
--- a/internal/peerlink/exchange.go
+++ b/internal/peerlink/exchange.go
@@ -48,6 +48,9 @@
 	if err := writer.add(l.network.hello); err != nil {
 		return err
 	}
+	if err := writer.flush(); err != nil { // the peer waits for it, and what follows may take long to encode
+		return err
+	}
 	for {
 		if err := l.writeQueued(writer); err != nil {
 			return err
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/shards"
 )
@@ -135,6 +137,7 @@
 	for l.awaitWork() {
 		connection, err := l.connect()
 		if err != nil {
+			l.network.options.Logger.Debug("peer not reached", zap.String("peer", l.address), zap.Error(err))
 			l.setDown()
 			if !l.sleep(jitter(pause)) {
 				return
--- a/internal/peerlink/network_test.go
+++ b/internal/peerlink/network_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap/zaptest"
+
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/shards"
 	"ospreybend/internal/feedlink"
@@ -60,7 +62,7 @@
 // start opens a network that serves the listener until the test ends.
 func start(t *testing.T, listener net.Listener, member agreement.MemberID, handler Handler) *Network {
 	t.Helper()
-	network, err := New(Options{Self: Hello{Address: listener.Addr().String(), Member: member, Zone: "z"}, Handler: handler})
+	network, err := New(Options{Self: Hello{Address: listener.Addr().String(), Member: member, Zone: "z"}, Handler: handler, Logger: zaptest.NewLogger(t)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -275,3 +277,30 @@
 		t.Fatal(batch)
 	}
 }
+
+// The acceptor waits only so long for the first frame; it must not wait for the encoding of the next.
+func TestHelloIsWrittenByItself(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	self := Hello{Address: "127.0.0.1:1", Member: 1}
+	dial := func(context.Context, string) (net.Conn, error) { return near, nil }
+	network, err := New(Options{Self: self, Handler: newRecorder(), Dial: dial, Logger: zaptest.NewLogger(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer network.Close()
+	network.Send(agreement.Member{ID: 2, Address: "127.0.0.1:2"}, 0, agreement.Message{Term: 1})
+	buffer := make([]byte, 4096)
+	count, err := far.Read(buffer) // a pipe hands over what one Write was given
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bytes.NewReader(buffer[:count])
+	kind, body, err := feedlink.ReadFrame(reader)
+	if err != nil || kind != kindHello || reader.Len() != 0 {
+		t.Fatalf("kind %d, %d bytes more, %v", kind, reader.Len(), err)
+	}
+	if hello, err := decodeHello(body); err != nil || hello != self {
+		t.Fatal(hello, err)
+	}
+}
--- a/internal/peerlink/socket.go
+++ b/internal/peerlink/socket.go
@@ -13,7 +13,7 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	userTimeout    = 1500 * time.Millisecond // unacknowledged data ends the connection
-	writeTimeout   = 2 * time.Second         // for each piece of writePieceBytes; at times down to half
+	writeTimeout   = 3 * time.Second         // for each piece of writePieceBytes; at times down to half
 	firstFrameTime = 2 * time.Second
 	probeIdle      = 2 * time.Second
 	probeInterval  = time.Second
