Weigh what reading at a decode worker holds up, and test that size does not decide

Cause: prompts read between the tokens of others held these up, which the estimate left out; a request's own size leaked into its route's usual time.

--- a/internal/selection/fleet_test.go
+++ b/internal/selection/fleet_test.go
@@ -49,13 +49,14 @@
 	sent, inTime     int
 	refused, alone   int
 	byKind, timeKind map[string]int
+	sizes            map[string][]sized
 }
 
 func zoneName(i int) string { return fmt.Sprintf("z%d", i) }
 
 func newModelFleet(nodes, workers, zones int, seed uint64, p policy) *modelFleet {
 	f := &modelFleet{random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*modelWorker{}, policy: p,
-		byKind: map[string]int{}, timeKind: map[string]int{}}
+		byKind: map[string]int{}, timeKind: map[string]int{}, sizes: map[string][]sized{}}
 	speeds := []float64{1, 1, 1.3}
 	for i := range workers {
 		stage := "decode"
@@ -116,6 +117,7 @@
 	c, ok := f.policy(f, node, r)
 	f.sent++
 	f.byKind[k.name]++
+	f.sizes[k.name] = append(f.sizes[k.name], sized{r.PromptTokens, ok})
 	if !ok {
 		f.refused++
 		return
@@ -189,6 +191,7 @@
 	Mean, P95, InTime, Refused, Alone float64
 	Read, Reread, Moved               float64 // thousands of tokens
 	Kinds                             string
+	Largest                           float64 // served among the largest tenth of a kind against all of it, the least
 }
 
 func (f *modelFleet) figures() figures {
@@ -204,7 +207,9 @@
 		w := f.workers[c.ID]
 		out.Read, out.Reread, out.Moved = out.Read+w.read/1000, out.Reread+w.reread/1000, out.Moved+w.moved/1000
 	}
+	out.Largest = 1
 	for _, k := range usualKinds {
+		out.Largest = min(out.Largest, largest(f.sizes[k.name]))
 		out.Kinds += fmt.Sprintf("%s %.3f ", k.name, float64(f.timeKind[k.name])/float64(max(1, f.byKind[k.name])))
 	}
 	return out
@@ -257,3 +262,24 @@
 	}
 	return Choice{Prefill: pick(f.split("prefill")), Run: pick(f.split("decode"))}, true
 }
+
+// sized is a request's size and whether it was sent.
+type sized struct {
+	tokens int
+	served bool
+}
+
+// largest compares how often the largest tenth is served with how often all are.
+func largest(all []sized) float64 {
+	sort.Slice(all, func(i, k int) bool { return all[i].tokens > all[k].tokens })
+	share := func(some []sized) float64 {
+		n := 0.
+		for _, one := range some {
+			if one.served {
+				n++
+			}
+		}
+		return n / float64(len(some))
+	}
+	return share(all[:max(1, len(all)/10)]) / share(all)
+}
--- a/internal/selection/model_test.go
+++ b/internal/selection/model_test.go
@@ -18,6 +18,7 @@
 		{"small, usual", 7, 9, 4, 1},
 		{"small, high", 7, 9, 4, 1.8},
 		{"middle, usual", 8, 18, 3, 1.6},
+		{"small, too much", 7, 9, 4, 3},
 		{"large, usual", 45, 45, 5, 5},
 	}
 	for _, c := range cases {
@@ -33,6 +34,9 @@
 				t.Errorf("mean first event: design %.3f s, random %.3f s, least outstanding %.3f s",
 					design.Mean, random.Mean, least.Mean)
 			}
+			if design.Largest < 0.7 {
+				t.Errorf("the largest tenth of a kind is served %.2f times as often as all of it", design.Largest)
+			}
 			if design.InTime <= max(random.InTime, least.InTime) {
 				t.Errorf("in time: design %.3f, random %.3f, least %.3f", design.InTime, random.InTime, least.InTime)
 			}
--- a/internal/selection/windows.go
+++ b/internal/selection/windows.go
@@ -8,17 +8,17 @@
 
 // Facts of the engines that the interface describes, as priors; all are in seconds, or seconds a token.
 const (
-	prefillToken = 1. / 40000      // a prefill worker's time to read a token
-	aloneToken   = 1.4 * 2 / 40000 // a decode worker's: half the pace, between the tokens of others
-	pairTime     = 0.5e-9          // reading a token, for each token before it
-	prefillBase  = 0.006           // answering a call that reads nothing
-	decodeBase   = 0.015           // a first event
-	plainRun     = 0.05            // answering a request of a service without stages
-	tokenTime    = 0.007           // making one token
-	roundTrip    = 0.002           // within a zone
-	farTrip      = 0.004           // between zones
-	sendToken    = 2e-8            // sending a token of the prompt
-	usualPrompt  = 1500            // tokens, where a request tells none
+	prefillToken = 1. / 40000     // a prefill worker's time to read a token
+	aloneToken   = 2. * 2 / 40000 // a decode worker's: half the pace, between the tokens of others
+	pairTime     = 0.5e-9         // reading a token, for each token before it
+	prefillBase  = 0.006          // answering a call that reads nothing
+	decodeBase   = 0.015          // a first event
+	plainRun     = 0.05           // answering a request of a service without stages
+	tokenTime    = 0.007          // making one token
+	roundTrip    = 0.002          // within a zone
+	farTrip      = 0.004          // between zones
+	sendToken    = 2e-8           // sending a token of the prompt
+	usualPrompt  = 1500           // tokens, where a request tells none
 )
 
 const (
