Give silent workers longer rests, and price reading again by its span

Cause: a trial of a silent worker may cost a request, and the span in which reading again is priced was not used.

--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -13,7 +13,8 @@
 	disturbance   = 0.3   // what reading counts as for each stream that it holds up
 	usualGap      = 0.15  // seconds between events from which a decode worker is avoided
 	gapCost       = 2.    // seconds for each second beyond it
-	rereadPrice   = 6e-5  // seconds that reading a shared token again counts as
+	rereadHold    = 3e-5  // seconds that reading a shared token again counts as, for what it holds up
+	rereadPrice   = 6e-5  // the same for its price, if it was used within the span that is priced
 	tieSeconds    = 0.001 // totals as near as this are ties
 	tieShare      = 0.02  // and as near as this part of the least
 	noWorkerRetry = 500 * time.Millisecond
@@ -168,7 +169,8 @@
 	for _, part := range j.shared {
 		shared += part.Tokens
 	}
-	return max(0, float64(shared)-kept) * rereadPrice
+	uses := unseenHits + j.share*s.shared.rate()*float64(s.selector.nodes)*s.selector.options.Again.Seconds()
+	return max(0, float64(shared)-kept) * (rereadHold + rereadPrice*uses/(1+uses))
 }
 
 // afterFirst is what making tokens adds to a decode worker's estimate.
--- a/internal/selection/failures.go
+++ b/internal/selection/failures.go
@@ -52,6 +52,9 @@
 		return
 	}
 	h.strikes.count = 0
+	if cause == FailureSilence { // each trial may cost a request, and a long wait
+		h.level = max(h.level, 1)
+	}
 	h.until = now + min(firstShun<<h.level, longestShun)
 	h.ramp = 1
 	if cause != FailureMisrouted && firstShun<<h.level < longestShun {
--- a/internal/selection/model_test.go
+++ b/internal/selection/model_test.go
@@ -43,3 +43,31 @@
 		})
 	}
 }
+
+// Two of nine workers answer nothing for 10 of 30 s, and no node is told.
+func TestSilentWorkersAreFoundOut(t *testing.T) {
+	play := func(p policy) (*modelFleet, int) {
+		f := newModelFleet(7, 9, 4, 3, p)
+		f.dark = func(id string) bool {
+			in := f.clock.now > 10*time.Second && f.clock.now < 20*time.Second
+			return in && (id == "i-000" || id == "i-003")
+		}
+		for _, k := range usualKinds {
+			f.traffic(k, 1)
+		}
+		f.clock.run(22 * time.Second)
+		before := f.workers["i-000"].read + f.workers["i-003"].read
+		f.clock.run(30 * time.Second)
+		after := f.workers["i-000"].read + f.workers["i-003"].read
+		return f, int(after - before)
+	}
+	design, read := play(byDesign)
+	least, _ := play(byOutstanding)
+	t.Logf("lost: design %d, least outstanding %d of %d", design.lost, least.lost, design.sent)
+	if design.lost*2 > least.lost {
+		t.Errorf("lost: design %d, least outstanding %d", design.lost, least.lost)
+	}
+	if read < 20000 {
+		t.Errorf("once they answer again they read %d tokens in 8 s", read)
+	}
+}
