--- a/internal/selection/calls.go
+++ b/internal/selection/calls.go
@@ -10,8 +10,7 @@
 	service  *service
 	worker   *worker
 	source   *worker // of the hand-over; nil: none
-	kind     CallKind
-	class    class // that the worker had
+	class    class   // that the worker had
 	forecast forecast
 	prompt   []Part
 	memory   float64
@@ -26,7 +25,7 @@
 // Sent opens a call that is being sent: to c.Prefill (CallPrefill) or c.Run. Its worker must be of the
 // view; otherwise the call counts for nothing.
 func (s *Selector) Sent(now time.Duration, r *Request, kind CallKind, c Choice) *Call {
-	call := &Call{kind: kind, sent: now, prompt: r.Prompt}
+	call := &Call{sent: now, prompt: r.Prompt}
 	target, svc := c.Run, s.services[r.Service]
 	if kind == CallPrefill {
 		target = c.Prefill
--- a/internal/selection/selector.go
+++ b/internal/selection/selector.go
@@ -29,7 +29,6 @@
 // service is what is known of the workers of one service.
 type service struct {
 	selector *Selector
-	name     string
 	engine   *configuration.Engine // nil: plain HTTP workers
 	workers  map[string]*worker
 	byClass  [classes][]*worker // in the order of their IDs
@@ -78,7 +77,7 @@
 func (s *Selector) serviceOf(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{selector: s, name: name, workers: map[string]*worker{}, zones: map[string]int{}}
+		svc = &service{selector: s, workers: map[string]*worker{}, zones: map[string]int{}}
 		s.services[name] = svc
 	}
 	return svc
