Let a member whose removal is not committed campaign, and end an endless refusal

A leader that removed itself and lost its term before the commit held the longest log and could not campaign: nobody could be elected. A peer that refuses what it once acknowledged (lost disk, old ID) was probed without pause.

--- a/coord/agreement/election.go
+++ b/coord/agreement/election.go
@@ -8,9 +8,14 @@
 	return len(n.members()) == 0 && n.holds(RuleEmptySilent)
 }
 
-// mayCampaign reports whether the member may ask for votes.
+// mayCampaign reports whether the member may ask for votes. One whose removal is not committed may: it may be the
+// only one that holds the removal, so that no other could be elected.
 func (n *Node) mayCampaign() bool {
-	return n.writable && n.isVoter(n.config.ID)
+	if !n.writable {
+		return false
+	}
+	committed, known := findMember(n.membersAt(n.commit), n.config.ID)
+	return n.isVoter(n.config.ID) || (known && n.votes(committed))
 }
 
 // hearsLeader reports whether a leader was heard within the election timeout, so that votes for
--- a/coord/agreement/persist.go
+++ b/coord/agreement/persist.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// trailingEntries is how many entries before a snapshot are kept for members that are a little behind.
+// trailingEntries is how many entries before a snapshot are kept unless the configuration says otherwise.
 const trailingEntries = 256
 
 // trailingBytes bounds them, in bytes.
@@ -140,8 +140,12 @@
 
 // trailingStart returns the index up to which entries are dropped after a snapshot at index.
 func (n *Node) trailingStart(index uint64) uint64 {
+	keep := n.config.Trailing
+	if keep == 0 {
+		keep = trailingEntries
+	}
 	size, count := 0, 0
-	for index > n.log.base && count < trailingEntries {
+	for index > n.log.base && count < keep {
 		size += entrySize(&n.log.entries[index-n.log.base-1])
 		if size > trailingBytes {
 			break
--- a/coord/agreement/replication.go
+++ b/coord/agreement/replication.go
@@ -182,11 +182,12 @@
 	n.noteHeld(peer, message.LogIndex, message.HintIndex)
 }
 
-// goBack lowers a peer's next entry to where the logs may agree.
+// goBack lowers a peer's next entry to where the logs may agree. A peer that refuses what it acknowledged lost its
+// disk without a new ID: it gets no more than the probes with heartbeats.
 func (n *Node) goBack(peer *progress, message Message) {
 	stale := message.LogIndex <= peer.match || message.LogIndex >= peer.next
 	if peer.flow == flowProbe {
-		stale = message.LogIndex != peer.next-1
+		stale = message.LogIndex != peer.next-1 || message.LogIndex <= peer.match
 	}
 	if stale || peer.flow == flowSnapshot {
 		return
@@ -228,7 +229,7 @@
 		peer.next = shared + 1
 		peer.inflight = nil
 		peer.marked = 0
-		peer.snapshotPause = 0
+		peer.snapshotAgain, peer.snapshotPause = 0, 0
 	}
 	n.advanceCommit()
 }
--- a/coord/agreement/types.go
+++ b/coord/agreement/types.go
@@ -104,6 +104,7 @@
 	MaxAppendBytes  int           // most bytes of entries in one message
 	MaxInflight     int           // most unanswered Append messages for a member
 	Seed            uint64        // of the draws of election timeouts
+	Trailing        int           // entries kept before a snapshot for members a little behind; 0: 256, negative: none
 	Omit            []Rule        // checks left out, by tests alone
 }
 
