--- a/coord/replica/loop.go
+++ b/coord/replica/loop.go
@@ -101,8 +101,7 @@
 
 // carryOut does what the node wants done.
 func (l *loop) carryOut(ready agreement.Ready) {
-	l.status = l.node.Status()
-	l.know(l.status.Members)
+	l.readNode()
 	if ready.Persist != nil {
 		l.write(job{persist: ready.Persist})
 	}
@@ -156,6 +155,12 @@
 	}
 }
 
+// readNode takes over the node's state.
+func (l *loop) readNode() {
+	l.status = l.node.Status()
+	l.know(l.status.Members)
+}
+
 // know remembers members' addresses, also of those that are removed later.
 func (l *loop) know(members []agreement.Member) {
 	for _, member := range members {
--- a/coord/replica/proposals.go
+++ b/coord/replica/proposals.go
@@ -52,7 +52,7 @@
 	if !errors.Is(err, agreement.ErrNotLeader) {
 		return err
 	}
-	l.status = l.node.Status()
+	l.readNode()
 	return ErrNotLeader{Leader: l.leader()}
 }
 
