Play groups under drawn faults, and show for each rule of the core the harm without it

The core needs proof under loss, power cuts, lost disks, freezes and changes of members. Each rule has a scenario; a drawn simulation checks one leader a term, agreement, kept acknowledgements, reads and recovery.

--- /dev/null
+++ b/coord/agreement/node_test.go
@@ -0,0 +1,285 @@
+package agreement
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestCheckRefusesUnusableState(t *testing.T) {
+	gap := storedLog(2, 2)
+	gap.Entries = gap.Entries[1:]
+	falling := storedLog(3, 2)
+	for name, stored := range map[string]Stored{
+		"gap":              gap,
+		"falling terms":    falling,
+		"without snapshot": {Entries: []Entry{{Term: 1, Index: 1}}},
+	} {
+		if err := stored.Check(); !errors.Is(err, ErrStored) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, stored := range map[string]Stored{"empty": {}, "founding": storedLog(), "entries": storedLog(2, 3)} {
+		if err := stored.Check(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestTermIsAtLeastThatOfTheLastEntry(t *testing.T) {
+	stored := storedLog(2, 7)
+	stored.HardState = HardState{Term: 6, Vote: 3}
+	n := newRuleNode(t, stored)
+	if term := n.Status().Term; term != 7 {
+		t.Fatalf("term %d", term)
+	}
+	ready := n.Take()
+	if ready.Persist == nil || ready.Persist.HardState.Term != 7 || ready.Persist.HardState.Vote != 0 {
+		t.Fatalf("persist %+v", ready.Persist)
+	}
+}
+
+func TestVotesForOthersAreIgnoredWhileALeaderIsHeard(t *testing.T) {
+	for name, test := range map[string]struct {
+		pause  time.Duration
+		forced bool
+		want   bool
+	}{
+		"heard":          {pause: testElection / 2},
+		"silent":         {pause: testElection, want: true},
+		"planned change": {pause: testElection / 2, forced: true, want: true},
+	} {
+		n := newRuleNode(t, storedLog())
+		n.step(Message{Kind: MessageHeartbeat, From: 2, Term: 3})
+		n.saved()
+		n.now = test.pause
+		n.step(Message{Kind: MessageVote, From: 3, Term: 4, LogIndex: 9, LogTerm: 3, Forced: test.forced})
+		if got := has(n.saved().Messages, MessageVoteReply, 3, false); got != test.want {
+			t.Errorf("%s: voted %v", name, got)
+		}
+	}
+}
+
+func TestPreVoteChangesNoTerm(t *testing.T) {
+	n := newRuleNode(t, storedLog(2))
+	for _, request := range []Message{
+		{Kind: MessagePreVote, From: 2, Term: 9, LogIndex: 2, LogTerm: 2},
+		{Kind: MessagePreVote, From: 3, Term: 9, LogIndex: 2, LogTerm: 2},
+	} {
+		n.step(request)
+	}
+	ready := n.Take()
+	if ready.Persist != nil || n.Status().Term != 2 {
+		t.Fatalf("persist %+v, term %d", ready.Persist, n.Status().Term)
+	}
+	if !has(ready.Messages, MessagePreVoteReply, 2, false) || !has(ready.Messages, MessagePreVoteReply, 3, false) {
+		t.Fatalf("messages %+v", ready.Messages)
+	}
+}
+
+func TestLeaderWithoutAMajorityStepsDown(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	first := g.leader()
+	if err := leader.Read(g.now, 1); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range g.others(first) {
+		g.members[id].down = true
+	}
+	g.run(testElection + 2*testHeartbeat)
+	if leader.Status().Role == RoleLeader {
+		t.Fatal("leads without a majority")
+	}
+	if reads := g.members[first].reads; len(reads) != 1 || reads[0].OK {
+		t.Fatalf("reads %v", reads)
+	}
+}
+
+func TestLeaderThatWasFrozenStepsDownBeforeItActs(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	late := g.now + 2*testElection
+	if err := leader.Read(late, 1); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("read: %v", err)
+	}
+	if _, _, err := leader.Propose(late, nil); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("propose: %v", err)
+	}
+}
+
+func TestLeaderCommitsWhileItsOwnDiskStalls(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	first := g.leader()
+	g.members[first].stalled = true
+	g.propose("a")
+	g.propose("b")
+	for _, id := range g.order {
+		g.wantApplied(id, "a", "b")
+	}
+	if held := len(g.members[first].held); held < 2 {
+		t.Fatalf("%d writes under way", held)
+	}
+	last := g.members[first].held[len(g.members[first].held)-1]
+	leader := g.members[first].node
+	leader.Persisted(g.now, last.Sequence)
+	if stable, _ := leader.Matched(first); stable != leader.Status().Last {
+		t.Fatalf("durable up to %d of %d", stable, leader.Status().Last)
+	}
+}
+
+func TestFollowerAcknowledgesNothingThatATruncationTookAway(t *testing.T) {
+	n := newRuleNode(t, storedLog())
+	old := []Entry{{Term: 2, Index: 2}, {Term: 2, Index: 3}, {Term: 2, Index: 4}}
+	n.step(Message{Kind: MessageAppend, From: 2, Term: 2, LogIndex: 1, LogTerm: 1, Entries: old})
+	first := n.Take()
+	n.step(Message{Kind: MessageAppend, From: 3, Term: 3, LogIndex: 1, LogTerm: 1, Entries: []Entry{{Term: 3, Index: 2}, {Term: 3, Index: 3}}})
+	second := n.Take()
+	n.Persisted(0, first.Persist.Sequence)
+	if got := n.ackable(); got > 1 {
+		t.Fatalf("acknowledges %d by the old batch", got)
+	}
+	n.Persisted(0, second.Persist.Sequence)
+	if got := n.ackable(); got != 3 {
+		t.Fatalf("acknowledges %d, want 3", got)
+	}
+}
+
+func TestLeaderRemovesItselfAfterTheCommit(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	first := g.leader()
+	g.run(testElection)
+	g.change(Change{Remove: first})
+	if leader.Status().Role == RoleLeader || leader.NextTick() != NoTick {
+		t.Fatalf("removed leader goes on: %+v", leader.Status())
+	}
+	if g.leader() == 0 {
+		t.Fatal("no successor")
+	}
+	g.propose("a")
+	for _, id := range g.others(first) {
+		g.wantApplied(id, "a")
+	}
+}
+
+func TestRemovedMemberLearnsOfItsRemoval(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	g.run(testElection)
+	removed := g.others(g.leader())[0]
+	g.change(Change{Remove: removed})
+	if members := g.members[removed].node.Status().Members; len(members) != 2 {
+		t.Fatalf("members %v", members)
+	}
+	g.run(4 * testElection)
+	if status := g.members[removed].node.Status(); status.Role != RoleFollower {
+		t.Fatalf("removed member campaigns: %+v", status)
+	}
+}
+
+func TestMemberWhoseRemovalIsNotCommittedMayCampaign(t *testing.T) {
+	stored := storedLog(2)
+	stored.Entries[0].Kind, stored.Entries[0].Members = EntryMembers, testVoters(2, 3)
+	n := newRuleNode(t, stored)
+	if n.NextTick() == NoTick {
+		t.Fatal("never campaigns")
+	}
+	n.now = n.NextTick()
+	n.Tick(n.now)
+	if !has(n.Take().Messages, MessagePreVote, 2, false) {
+		t.Fatal("asks for no votes")
+	}
+}
+
+func TestChangesThatAreNotAllowed(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	g.run(testElection)
+	first := g.leader()
+	others := g.others(first)
+	for name, change := range map[string]Change{
+		"voter at once":        {Add: &Member{ID: 9, Voter: true}},
+		"no ID":                {Add: &Member{}},
+		"two changes":          {Add: &Member{ID: 9}, Remove: others[0]},
+		"last reachable voter": {Remove: first},
+	} {
+		if name == "last reachable voter" {
+			g.members[others[0]].down, g.members[others[1]].down = true, true
+			g.now += testElection * 9 / 10
+			leader.leading.since = g.now
+			g.now += testElection / 2
+		}
+		if err := leader.ChangeMembers(g.now, change); !errors.Is(err, ErrMemberChange) {
+			t.Errorf("%s: %v", name, err)
+		}
+		g.members[others[0]].down, g.members[others[1]].down = false, false
+		g.run(2 * testHeartbeat)
+	}
+}
+
+func TestProposalsThatWaitAreBounded(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	for range maxWaitingEntries {
+		if _, _, err := leader.Propose(g.now, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := leader.Propose(g.now, nil); !errors.Is(err, ErrBusy) {
+		t.Fatalf("propose: %v", err)
+	}
+	g.settle()
+	if _, _, err := leader.Propose(g.now, nil); err != nil {
+		t.Fatalf("propose after the commit: %v", err)
+	}
+}
+
+func TestLostMessagesAreSentAgain(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	g.elect()
+	g.run(testElection)
+	lost := 0
+	g.drop = func(message Message) bool {
+		drop := (message.Kind == MessageAppend || message.Kind == MessageAppendReply) && lost < 6
+		if drop {
+			lost++
+		}
+		return drop
+	}
+	g.propose("a")
+	g.run(10 * testHeartbeat)
+	for _, id := range g.order {
+		g.wantApplied(id, "a")
+	}
+}
+
+func TestPeerThatRefusesWhatItAcknowledgedIsNotAskedWithoutPause(t *testing.T) {
+	n := newRuleNode(t, storedLog())
+	n.lead()
+	n.saved()
+	n.hold(2, 2)
+	n.saved()
+	for range 5 {
+		n.step(Message{Kind: MessageAppendReply, From: 2, Term: 2, Reject: true, LogIndex: 2})
+	}
+	if sent := n.Take().Messages; len(sent) > 1 {
+		t.Fatalf("%d messages", len(sent))
+	}
+}
+
+func TestReadsBetweenTwoTakesShareARound(t *testing.T) {
+	g := newTestGroup(t, 1, 2, 3)
+	leader := g.elect()
+	g.sent = 0
+	for id := range uint64(50) {
+		if err := leader.Read(g.now, id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.settle()
+	if got := len(g.members[g.leader()].reads); got != 50 || g.sent > 4 {
+		t.Fatalf("%d reads by %d messages", got, g.sent)
+	}
+}
--- /dev/null
+++ b/coord/agreement/rules_test.go
@@ -0,0 +1,228 @@
+package agreement
+
+import (
+	"testing"
+	"time"
+)
+
+// ruleNode is a member that is played by hand.
+type ruleNode struct {
+	*Node
+	t   *testing.T
+	now time.Duration
+}
+
+// storedLog is the state of a founder of members 1 to 3 whose log goes on with commands of the given terms.
+func storedLog(terms ...uint64) Stored {
+	stored := Founding(testVoters(1, 2, 3), nil)
+	for at, term := range terms {
+		stored.Entries = append(stored.Entries, Entry{Term: term, Index: uint64(at) + 2, Data: []byte("x")})
+		stored.HardState.Term = term
+	}
+	return stored
+}
+
+func newRuleNode(t *testing.T, stored Stored, omit ...Rule) *ruleNode {
+	config := testConfig(1)
+	config.Omit = omit
+	return &ruleNode{Node: New(config, stored, 0), t: t}
+}
+
+// saved takes all that is to be done and reports it durable.
+func (n *ruleNode) saved() Ready {
+	ready := n.Take()
+	if ready.Persist != nil {
+		n.Persisted(n.now, ready.Persist.Sequence)
+	}
+	released := n.Take()
+	ready.Messages = append(ready.Messages, released.Messages...)
+	ready.Committed = append(ready.Committed, released.Committed...)
+	ready.Reads = append(ready.Reads, released.Reads...)
+	return ready
+}
+
+func (n *ruleNode) step(message Message) {
+	message.To = 1
+	n.Step(n.now, message)
+}
+
+// lead makes the member leader of the next term by member 2's vote.
+func (n *ruleNode) lead() {
+	n.t.Helper()
+	n.now = n.NextTick()
+	n.Tick(n.now)
+	n.step(Message{Kind: MessagePreVoteReply, From: 2, Term: n.Status().Term + 1})
+	n.saved()
+	n.step(Message{Kind: MessageVoteReply, From: 2, Term: n.Status().Term})
+	if n.Status().Role != RoleLeader {
+		n.t.Fatalf("no leader: %+v", n.Status())
+	}
+}
+
+// hold has a peer acknowledge the log up to an index.
+func (n *ruleNode) hold(peer MemberID, index uint64) {
+	n.step(Message{Kind: MessageAppendReply, From: peer, Term: n.Status().Term, LogIndex: index, HintIndex: index})
+}
+
+// answer has a peer answer the last round of heartbeats.
+func (n *ruleNode) answer(peer MemberID) {
+	n.step(Message{Kind: MessageHeartbeatReply, From: peer, Term: n.Status().Term, Context: n.leading.lastRound})
+}
+
+func has(messages []Message, kind MessageKind, to MemberID, reject bool) bool {
+	for _, message := range messages {
+		if message.Kind == kind && message.To == to && message.Reject == reject {
+			return true
+		}
+	}
+	return false
+}
+
+// ruleScenarios tell for each rule a course of events that does harm without it.
+var ruleScenarios = map[Rule]func(t *testing.T, omit ...Rule) (harm bool){
+	RuleVoteOnce: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 4})
+		n.saved()
+		n.step(Message{Kind: MessageVote, From: 3, Term: 5, LogIndex: 9, LogTerm: 4})
+		return has(n.saved().Messages, MessageVoteReply, 3, false)
+	},
+	RuleVoteLog: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(2), omit...)
+		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 1})
+		return has(n.saved().Messages, MessageVoteReply, 2, false)
+	},
+	RuleVoteDurable: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 4})
+		return has(n.Take().Messages, MessageVoteReply, 2, false)
+	},
+	RuleCandidateDurable: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.now = n.NextTick()
+		n.Tick(n.now)
+		n.step(Message{Kind: MessagePreVoteReply, From: 2, Term: 2})
+		return has(n.Take().Messages, MessageVote, 2, false)
+	},
+	RuleAppendTerm: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(4), omit...)
+		n.step(Message{Kind: MessageAppend, From: 2, Term: 3, LogIndex: 1, LogTerm: 1,
+			Entries: []Entry{{Term: 3, Index: 2}, {Term: 3, Index: 3}}})
+		return n.Status().Last == 3
+	},
+	RuleAppendMatch: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(4), omit...)
+		n.step(Message{Kind: MessageAppend, From: 2, Term: 5, LogIndex: 2, LogTerm: 5, Entries: []Entry{{Term: 5, Index: 3}}})
+		return n.Status().Last == 3
+	},
+	RuleAppendDurable: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.step(Message{Kind: MessageAppend, From: 2, Term: 5, LogIndex: 1, LogTerm: 1, Entries: []Entry{{Term: 5, Index: 2}}})
+		for _, message := range n.Take().Messages {
+			if message.Kind == MessageAppendReply && message.LogIndex >= 2 {
+				return true
+			}
+		}
+		return false
+	},
+	RuleLeaderDurable: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.lead()
+		n.Take()
+		n.hold(2, 2)
+		return n.Status().Commit == 2
+	},
+	RuleCommitMajority: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.lead()
+		n.saved()
+		return n.Status().Commit == 2
+	},
+	RuleCommitOwnTerm: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(2), omit...)
+		n.lead()
+		n.saved()
+		n.hold(2, 2)
+		return n.Status().Commit == 2
+	},
+	RuleCommitVerified: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(2), omit...)
+		n.step(Message{Kind: MessageHeartbeat, From: 2, Term: 5, Commit: 2})
+		return n.Status().Commit == 2
+	},
+	RuleReadConfirmed: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.lead()
+		n.saved()
+		n.hold(2, 2)
+		n.Read(n.now, 7)
+		return len(n.Take().Reads) > 0
+	},
+	RuleReadOwnTerm: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(2), omit...)
+		n.lead()
+		n.Read(n.now, 7)
+		n.saved()
+		n.answer(2)
+		return len(n.Take().Reads) > 0
+	},
+	RuleMembersOneByOne: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.lead()
+		n.saved()
+		n.hold(2, 2)
+		n.answer(2)
+		if err := n.ChangeMembers(n.now, Change{Add: &Member{ID: 4}}); err != nil {
+			t.Fatal(err)
+		}
+		return n.ChangeMembers(n.now, Change{Add: &Member{ID: 5}}) == nil
+	},
+	RuleMembersOwnTerm: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(2), omit...)
+		n.lead()
+		n.saved()
+		n.answer(2)
+		return n.ChangeMembers(n.now, Change{Add: &Member{ID: 4}}) == nil
+	},
+	RuleMembersRollBack: func(t *testing.T, omit ...Rule) bool {
+		stored := storedLog(2)
+		stored.Entries[0].Kind, stored.Entries[0].Members = EntryMembers, testVoters(1, 2, 3, 4)
+		n := newRuleNode(t, stored, omit...)
+		n.step(Message{Kind: MessageAppend, From: 2, Term: 5, LogIndex: 1, LogTerm: 1, Entries: []Entry{{Term: 5, Index: 2}}})
+		return len(n.Status().Members) == 4
+	},
+	RuleLearnerNoMajority: func(t *testing.T, omit ...Rule) bool {
+		stored := storedLog()
+		stored.Snapshot.Members = append(stored.Snapshot.Members, Member{ID: 4}, Member{ID: 5})
+		n := newRuleNode(t, stored)
+		n.lead()
+		for _, rule := range omit {
+			n.omitted[rule] = true
+		}
+		n.saved()
+		n.hold(4, 2)
+		n.hold(5, 2)
+		return n.Status().Commit == 2
+	},
+	RuleEmptySilent: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, Stored{}, omit...)
+		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 4})
+		return has(n.saved().Messages, MessageVoteReply, 2, false)
+	},
+}
+
+func TestEachRulePreventsHarm(t *testing.T) {
+	for _, rule := range Rules() {
+		scenario := ruleScenarios[rule]
+		if scenario == nil {
+			t.Errorf("%s: no scenario", rule)
+			continue
+		}
+		if scenario(t) {
+			t.Errorf("%s: harm although the rule holds", rule)
+		}
+		if !scenario(t, rule) {
+			t.Errorf("%s: no harm without the rule", rule)
+		}
+	}
+}
--- /dev/null
+++ b/coord/agreement/simulation/checks.go
@@ -0,0 +1,141 @@
+package simulation
+
+import (
+	"fmt"
+
+	"ospreybend/coord/agreement"
+)
+
+// foundingChain stands for the state at a group's formation.
+const foundingChain = 1
+
+// firstIndex is the index of the founding snapshot.
+const firstIndex = 1
+
+// agreed is an entry as the first state machine took it.
+type agreed struct {
+	term  uint64
+	chain uint64 // of the state after it
+}
+
+// checks holds what a history has shown so far.
+type checks struct {
+	seed         uint64
+	violations   []Violation
+	leaders      map[uint64]agreement.MemberID // by term
+	agreed       []agreed                      // by index, from firstIndex on
+	acknowledged []uint64                      // indexes
+}
+
+func newChecks(seed uint64) checks {
+	return checks{
+		seed:    seed,
+		leaders: make(map[uint64]agreement.MemberID),
+		agreed:  []agreed{{term: 1, chain: foundingChain}},
+	}
+}
+
+func (c *checks) fail(check Check, text string) {
+	c.violations = append(c.violations, Violation{Seed: c.seed, Check: check, Text: text})
+}
+
+// last returns the highest index that any state machine has taken.
+func (c *checks) last() uint64 {
+	return firstIndex + uint64(len(c.agreed)) - 1
+}
+
+// nextChain returns a number that stands for the state after an entry (FNV-1a over its parts).
+func nextChain(chain uint64, entry agreement.Entry) uint64 {
+	const prime = 1099511628211
+	chain = (chain ^ entry.Index) * prime
+	chain = (chain ^ entry.Term) * prime
+	for _, part := range entry.Data {
+		chain = (chain ^ uint64(part)) * prime
+	}
+	for _, member := range entry.Members {
+		chain = (chain ^ uint64(member.ID)) * prime
+	}
+	return chain
+}
+
+// claim checks a message that only the leader of its term may send.
+func (c *checks) claim(message agreement.Message) {
+	switch message.Kind {
+	case agreement.MessageAppend, agreement.MessageHeartbeat, agreement.MessageSnapshot:
+		c.leader(message.Term, message.From)
+	}
+}
+
+func (c *checks) leader(term uint64, id agreement.MemberID) {
+	known, found := c.leaders[term]
+	if found && known != id {
+		c.fail(CheckOneLeader, fmt.Sprintf("term %d: leaders %d and %d", term, known, id))
+	}
+	c.leaders[term] = id
+}
+
+// leads checks that a new leader holds all that was acknowledged.
+func (c *checks) leads(h *host, term uint64, log agreement.Stored) {
+	c.leader(term, h.id)
+	for _, index := range c.acknowledged {
+		want := c.agreed[index-firstIndex].term
+		if want < term && !holds(log, index, want) {
+			c.fail(CheckKept, fmt.Sprintf("leader %d of term %d lacks entry %d of term %d", h.id, term, index, want))
+			return
+		}
+	}
+}
+
+// holds reports whether a log has an entry, or a snapshot in its place.
+func holds(log agreement.Stored, index, term uint64) bool {
+	base := log.Snapshot.Index
+	if index <= base {
+		return true
+	}
+	at := index - base - 1
+	return at < uint64(len(log.Entries)) && log.Entries[at].Term == term
+}
+
+// applied checks an entry that a state machine takes.
+func (c *checks) applied(h *host, entry agreement.Entry) {
+	if entry.Index != h.applied+1 {
+		c.fail(CheckOrder, fmt.Sprintf("member %d takes entry %d after %d", h.id, entry.Index, h.applied))
+		return
+	}
+	chain := nextChain(h.chain, entry)
+	if entry.Index > c.last() {
+		c.agreed = append(c.agreed, agreed{term: entry.Term, chain: chain})
+		return
+	}
+	known := c.agreed[entry.Index-firstIndex]
+	if known.chain != chain {
+		c.fail(CheckAgreement, fmt.Sprintf("member %d takes entry %d of term %d, another took one of term %d",
+			h.id, entry.Index, entry.Term, known.term))
+	}
+}
+
+// restored checks a snapshot that a state machine takes.
+func (c *checks) restored(h *host, snapshot agreement.Snapshot) {
+	if snapshot.Index > c.last() {
+		c.fail(CheckAgreement, fmt.Sprintf("member %d takes a snapshot at %d, applied is %d", h.id, snapshot.Index, c.last()))
+		return
+	}
+	if c.agreed[snapshot.Index-firstIndex].chain != h.chain {
+		c.fail(CheckAgreement, fmt.Sprintf("member %d takes another state at %d", h.id, snapshot.Index))
+	}
+}
+
+// read checks an index that confirms a read.
+func (c *checks) read(h *host, floor, index uint64) {
+	if index < floor {
+		c.fail(CheckRead, fmt.Sprintf("member %d reads at %d, entry %d was applied before", h.id, index, floor))
+	}
+}
+
+// termOf returns the term of an entry that a state machine has taken.
+func (c *checks) termOf(index uint64) (uint64, bool) {
+	if index < firstIndex || index > c.last() {
+		return 0, false
+	}
+	return c.agreed[index-firstIndex].term, true
+}
