--- a/coord/seglog/encoding.go
+++ b/coord/seglog/encoding.go
@@ -57,12 +57,12 @@
 		{"name":"firstSegment","type":"long"}]}`
 )
 
-// Schemas are parsed at their first use, so that programs without a log do not pay for it.
+// Schemas and codec are made at their first use, so that programs without a log do not pay for it.
 var (
 	entrySchema     = schemaOf(entrySchemaText)
 	hardStateSchema = schemaOf(hardStateSchemaText)
 	snapshotSchema  = schemaOf(snapshotSchemaText)
-	codec           = avro.Config{MaxByteSliceSize: maxRecord}.Freeze()
+	codec           = sync.OnceValue(func() avro.API { return avro.Config{MaxByteSliceSize: maxRecord}.Freeze() })
 )
 
 func schemaOf(text string) func() avro.Schema {
@@ -79,7 +79,7 @@
 }
 
 func encodeEntry(entry *agreement.Entry) ([]byte, error) {
-	return codec.Marshal(entrySchema(), wireEntry{
+	return codec().Marshal(entrySchema(), wireEntry{
 		Term:    int64(entry.Term),
 		Index:   int64(entry.Index),
 		Kind:    int(entry.Kind),
@@ -90,7 +90,7 @@
 
 func decodeEntry(body []byte) (agreement.Entry, error) {
 	var wire wireEntry
-	if err := codec.Unmarshal(entrySchema(), body, &wire); err != nil {
+	if err := codec().Unmarshal(entrySchema(), body, &wire); err != nil {
 		return agreement.Entry{}, err
 	}
 	return agreement.Entry{
@@ -103,12 +103,12 @@
 }
 
 func encodeHardState(state agreement.HardState) ([]byte, error) {
-	return codec.Marshal(hardStateSchema(), hardStateToWire(state))
+	return codec().Marshal(hardStateSchema(), hardStateToWire(state))
 }
 
 func decodeHardState(body []byte) (agreement.HardState, error) {
 	var wire wireHardState
-	err := codec.Unmarshal(hardStateSchema(), body, &wire)
+	err := codec().Unmarshal(hardStateSchema(), body, &wire)
 	return hardStateFromWire(wire), err
 }
 
--- a/coord/seglog/record.go
+++ b/coord/seglog/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"sync"
 
 	"ospreybend/coord/agreement"
 )
@@ -34,9 +35,10 @@
 	recordHardState
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+// castagnoli is made at its first use, like the schemas.
+var castagnoli = sync.OnceValue(func() *crc32.Table { return crc32.MakeTable(crc32.Castagnoli) })
 
-func checksum(chain uint32, data []byte) uint32 { return crc32.Update(chain, castagnoli, data) }
+func checksum(chain uint32, data []byte) uint32 { return crc32.Update(chain, castagnoli(), data) }
 
 // appendPreamble adds the kind of the file, the format number and the check value of both.
 func appendPreamble(data []byte, magic string) []byte {
--- a/coord/seglog/snapshot.go
+++ b/coord/seglog/snapshot.go
@@ -101,7 +101,7 @@
 }
 
 func encodeSnapshot(snapshot agreement.Snapshot, hardState agreement.HardState, firstSegment uint64) ([]byte, error) {
-	body, err := codec.Marshal(snapshotSchema(), wireSnapshot{
+	body, err := codec().Marshal(snapshotSchema(), wireSnapshot{
 		Index:        int64(snapshot.Index),
 		Term:         int64(snapshot.Term),
 		Members:      membersToWire(snapshot.Members),
@@ -144,7 +144,7 @@
 		return storedSnapshot{}, damaged
 	}
 	var wire wireSnapshot
-	if err := codec.Unmarshal(snapshotSchema(), body, &wire); err != nil {
+	if err := codec().Unmarshal(snapshotSchema(), body, &wire); err != nil {
 		return storedSnapshot{}, damaged
 	}
 	return storedSnapshot{
