--- /dev/null
+++ b/coord/seglog/benchmark_test.go
@@ -0,0 +1,32 @@
+package seglog_test
+
+import (
+	"testing"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+)
+
+// benchmarkEntryBytes is the size of a command in the benchmark.
+const benchmarkEntryBytes = 200
+
+// BenchmarkSaveOne makes one entry durable on the real file system.
+func BenchmarkSaveOne(b *testing.B) {
+	log, _, err := seglog.Open(seglog.Options{Directory: b.TempDir()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := make([]byte, benchmarkEntryBytes)
+	b.ReportAllocs()
+	index := uint64(0)
+	for b.Loop() {
+		index++
+		entries := []agreement.Entry{{Term: 1, Index: index, Data: data}}
+		if err := log.Save([]*agreement.Persist{{Entries: entries}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := log.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
