--- /dev/null
+++ b/deploy/days/main.go
@@ -0,0 +1,99 @@
+// Command days draws days of the bench on which troubles of the core cross each other, one file for each seed.
+//
+//	go run ./deploy/days -out DIRECTORY -first 1 -count 40 [-closing KIND]
+//
+// The same seed always gives the same day. README.md tells how they are played.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+func main() {
+	log.SetFlags(0)
+	out := flag.String("out", ".", "the directory that takes the files")
+	first := flag.Uint64("first", 1, "the first seed")
+	count := flag.Uint64("count", 1, "how many days")
+	closing := flag.String("closing", "", "the final fault of all days; empty: drawn")
+	flag.Parse()
+	if err := writeAll(*out, *first, *count, *closing); err != nil {
+		log.Fatal(err)
+	}
+}
+
+func writeAll(directory string, first, count uint64, closing string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
+	for seed := first; seed < first+count; seed++ {
+		path := filepath.Join(directory, fmt.Sprintf("core-%d.toml", seed))
+		if err := os.WriteFile(path, []byte(draw(seed, closing)), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// draw returns the day of a seed.
+func draw(seed uint64, closing string) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var day strings.Builder
+	fmt.Fprintf(&day, "[[day]]\nname = \"core-%d\"\nseed = %d\n", seed, seed)
+	if closing == "" {
+		closing = pick(random, closings)
+	}
+	if closing != "none" {
+		fmt.Fprintf(&day, "closing = { kind = %s, down_s = %.2f }\n", closing, between(random, 0.6, 1.8))
+	}
+	writeList(&day, "plan", changes(random))
+	writeList(&day, "faults", troubles(random))
+	return day.String()
+}
+
+func writeList(day *strings.Builder, name string, lines []string) {
+	fmt.Fprintf(day, "%s = [\n", name)
+	for _, line := range lines {
+		fmt.Fprintf(day, "  { %s },\n", line)
+	}
+	day.WriteString("]\n")
+}
+
+// changes keeps orders coming all day, so that each trouble meets some, and adds other planned work.
+func changes(random *rand.Rand) []string {
+	lines := []string{
+		fmt.Sprintf(`at = 1.5, kind = "config_storm", for_s = 31.0, gap_s = %.2f`, between(random, 0.25, 0.9)),
+		fmt.Sprintf(`at = 3.0, kind = "config_race", count = %d, gap_s = %.2f`, 4+random.IntN(8), between(random, 0.7, 2.5)),
+	}
+	for range 1 + random.IntN(3) {
+		lines = append(lines, fmt.Sprintf("at = %.2f, %s", between(random, 2, 28), pick(random, planned)))
+	}
+	return lines
+}
+
+// troubles draws two or three groups of troubles; those of a group cross each other.
+func troubles(random *rand.Rand) []string {
+	var lines []string
+	at := between(random, 2, 6)
+	for range 2 + random.IntN(2) {
+		for range 2 + random.IntN(2) {
+			lines = append(lines, fmt.Sprintf("at = %.2f, %s", at+between(random, 0, 3), pick(random, faults)))
+		}
+		at += between(random, 5, 11)
+	}
+	if random.IntN(2) == 0 {
+		lines = append(lines, fmt.Sprintf(`at = %.2f, kind = "ack_lost", x = 0.7, for_s = 12.0`, between(random, 2, 20)))
+	}
+	return lines
+}
+
+func pick(random *rand.Rand, from []string) string { return from[random.IntN(len(from))] }
+
+func between(random *rand.Rand, least, most float64) float64 {
+	return least + random.Float64()*(most-least)
+}
