Hand a group's leadership to a chosen voter

The keeper's planned spread of leadership needs it (targetedTransfer); the node could do it, the group could not. Transfer is TransferTo of no one. Tests: each of five members in turn is chosen and leads; a stranger and the leader itself are refused with ErrNoSuccessor.

--- a/coord/replica/drawn_test.go
+++ b/coord/replica/drawn_test.go
@@ -90,7 +90,7 @@
 	case 4:
 		p.disk.Room = seglogtest.Unlimited
 	case 5:
-		p.group.inbox.post(transferEvent{newDone()})
+		p.group.inbox.post(transferEvent{done: newDone()})
 	case 6:
 		r.read(p)
 	default:
--- a/coord/replica/events.go
+++ b/coord/replica/events.go
@@ -24,7 +24,10 @@
 
 type readEvent struct{ done chan outcome }
 
-type transferEvent struct{ done chan outcome }
+type transferEvent struct {
+	to   agreement.MemberID // 0: the most current voter
+	done chan outcome
+}
 
 type callEvent struct {
 	function func()
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -167,8 +167,15 @@
 // more. Errors: ErrNotLeader, ErrTransferFailed, ErrClosed, agreement.ErrTransferring,
 // agreement.ErrNoSuccessor and the context's.
 func (g *Group) Transfer(ctx context.Context) error {
+	return g.TransferTo(ctx, 0)
+}
+
+// TransferTo hands leadership to a chosen voter, or to the most current other one if the ID is 0, and
+// returns once this replica leads no more; another voter may have been elected then. Errors: those of Transfer;
+// agreement.ErrNoSuccessor also if the member chosen is no voter, or this one.
+func (g *Group) TransferTo(ctx context.Context, to agreement.MemberID) error {
 	done := newDone()
-	return g.call(ctx, transferEvent{done}, done, nil)
+	return g.call(ctx, transferEvent{to: to, done: done}, done, nil)
 }
 
 // Do runs a function inside the loop, where the machine may be read, and returns after it.
--- a/coord/replica/group_test.go
+++ b/coord/replica/group_test.go
@@ -102,7 +102,7 @@
 	c := newCluster(t, 3)
 	leader := c.awaitLeader()
 	done := newDone()
-	leader.group.inbox.post(transferEvent{done})
+	leader.group.inbox.post(transferEvent{done: done})
 	if err := c.await(done).err; err != nil {
 		t.Fatal(err)
 	}
@@ -111,6 +111,39 @@
 	}
 }
 
+func TestTransferToChosenVoter(t *testing.T) {
+	c := newCluster(t, 5)
+	leader := c.awaitLeader()
+	for _, chosen := range c.peers {
+		if chosen == leader {
+			continue
+		}
+		done := newDone()
+		leader.group.inbox.post(transferEvent{to: chosen.member.ID, done: done})
+		if err := c.await(done).err; err != nil {
+			t.Fatal(err)
+		}
+		if leader = c.awaitLeader(); leader != chosen {
+			t.Fatalf("member %d leads, not %d", leader.member.ID, chosen.member.ID)
+		}
+	}
+}
+
+func TestTransferToNoVoter(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.awaitLeader()
+	for _, to := range []agreement.MemberID{leader.member.ID, 99} {
+		done := newDone()
+		leader.group.inbox.post(transferEvent{to: to, done: done})
+		if err := c.await(done).err; !errors.Is(err, agreement.ErrNoSuccessor) {
+			t.Fatalf("to %d: %v", to, err)
+		}
+	}
+	if !leader.group.Status().IsLeader() {
+		t.Fatal("leadership is lost")
+	}
+}
+
 func TestStalledDiskHandsOver(t *testing.T) {
 	c := newCluster(t, 3)
 	leader := c.awaitLeader()
--- a/coord/replica/scripted_test.go
+++ b/coord/replica/scripted_test.go
@@ -174,7 +174,7 @@
 func TestTransferFails(t *testing.T) {
 	s := newScript()
 	done := newDone()
-	s.turn(0, transferEvent{done})
+	s.turn(0, transferEvent{done: done})
 	timeout := transferTimeouts * DefaultElectionTimeout
 	if next := s.loop.next(); next != s.clock.now+timeout {
 		t.Fatalf("wakes in %v", next-s.clock.now)
