--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -4,16 +4,12 @@
 package localfleet
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,8 +21,6 @@
 	portFront     = 21144
 	portReadiness = 21140
 	portControl   = 21146
-	portInner     = 21160 // first of the range that the fleet's processes use among themselves
-	portsInner    = 16
 	PortWorker    = 21080 // of stand-in workers
 )
 
@@ -34,13 +28,15 @@
 const (
 	networkKeepers = 1
 	networkEdges   = 2
-	networkWorkers = 3
+	networkWorkers = 3 // and those above
 )
 
 const (
 	zonesMost   = 3
-	stopTimeout = 12 * time.Second // after SIGTERM, before SIGKILL
 	hostsMost   = 250
+	keepersMost = 16
+	edgesMost   = 16
+	seedsMost   = 3 // of the keepers' addresses in the settings
 )
 
 // Layout says how large a fleet is and how it is run.
@@ -49,43 +45,35 @@
 	Directory string // settings files and data go below it
 	Keepers   int
 	Edges     int // machines with a proxy and an agent each
-	Network   int // second byte of all addresses, so that several fleets can run side by side
 	LogLevel  string
 }
 
-// Process is one running child.
-type Process struct {
-	Role    string
-	Node    string
-	Address string // of the machine
-	command *exec.Cmd
-	done    chan struct{}
-	err     error
-}
-
 // Fleet is a running fleet.
 type Fleet struct {
 	layout Layout
+	place  *place
 	mutex  sync.Mutex
 	all    map[string]*Process // by role and node
+	relays []*relay
 }
 
-// New prepares a fleet; nothing runs yet.
+// New prepares a fleet; nothing runs yet. StopAll gives back what it has reserved.
 func New(layout Layout) (*Fleet, error) {
-	if layout.Keepers < 1 || layout.Keepers > hostsMost || layout.Edges > hostsMost {
-		return nil, eris.Errorf("a local fleet has 1 to %d keepers and at most %d edges", hostsMost, hostsMost)
+	if layout.Keepers < 1 || layout.Keepers > keepersMost || layout.Edges < 0 || layout.Edges > edgesMost {
+		return nil, eris.Errorf("a local fleet has 1 to %d keepers and at most %d edges", keepersMost, edgesMost)
 	}
-	if layout.Network == 0 {
-		layout.Network = 77
+	reserved, err := reserve()
+	if err != nil {
+		return nil, err
 	}
-	return &Fleet{layout: layout, all: map[string]*Process{}}, nil
+	return &Fleet{layout: layout, place: reserved, all: map[string]*Process{}}, nil
 }
 
 // Zone names the zone of the i-th machine of a class.
 func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zonesMost+1) }
 
 func (f *Fleet) address(network, host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", f.layout.Network, network, host+1)
+	return fmt.Sprintf("127.%d.%d.%d", f.place.network(), network, host+1)
 }
 
 // Control returns the control addresses of all keepers.
@@ -109,7 +97,16 @@
 
 // Worker returns the address for the i-th stand-in worker.
 func (f *Fleet) Worker(i int) string {
-	return fmt.Sprintf("%s:%d", f.address(networkWorkers, i), PortWorker)
+	return fmt.Sprintf("%s:%d", f.address(networkWorkers+i/hostsMost, i%hostsMost), PortWorker)
+}
+
+// Peers returns the addresses that keepers take each other and agents at.
+func (f *Fleet) Peers() []string {
+	addresses := make([]string, f.layout.Keepers)
+	for i := range addresses {
+		addresses[i] = fmt.Sprintf("%s:%d", f.address(networkKeepers, i), f.place.ports(0)[0])
+	}
+	return addresses
 }
 
 // StartKeeper starts the i-th keeper. bootstrap is true at the fleet's first start only.
@@ -117,19 +114,35 @@
 	s := f.base(networkKeepers, i, "keeper", bootstrap)
 	s.Listen.Control = fmt.Sprintf("%s:%d", s.IP, portControl)
 	s.MachineClass, s.CountsForQuorum = "core", true
-	s.DataDir = filepath.Join(f.layout.Directory, s.NodeName, "data")
+	s.DataDir = f.data(i)
 	return f.start(s)
 }
 
+// WipeKeeper removes what the i-th keeper, which must have ended, has on its disk.
+func (f *Fleet) WipeKeeper(i int) error {
+	return eris.Wrap(os.RemoveAll(f.data(i)), "wipe")
+}
+
+// data is where the i-th keeper has its disk.
+func (f *Fleet) data(i int) string {
+	return filepath.Join(f.layout.Directory, nodeName(networkKeepers, i), "data")
+}
+
 // StartAgent starts the agent of the i-th edge.
 func (f *Fleet) StartAgent(i int) (*Process, error) {
-	return f.start(f.base(networkEdges, i, "agent", false))
+	if err := f.openRelays(i); err != nil {
+		return nil, err
+	}
+	s := f.base(networkEdges, i, "agent", false)
+	s.PortRange = f.place.ports(i)
+	return f.start(s)
 }
 
 // StartProxy starts the proxy of the i-th edge.
 func (f *Fleet) StartProxy(i int) (*Process, error) {
 	s := f.base(networkEdges, i, "proxy", false)
 	s.Listen.Front, s.Listen.Readiness = f.Front(i), f.Readiness(i)
+	s.PortRange = f.place.ports(i)
 	return f.start(s)
 }
 
@@ -151,18 +164,20 @@
 	return nil
 }
 
+func nodeName(network, i int) string { return fmt.Sprintf("machine-%d-%d", network, i+1) }
+
 // base returns the settings that all roles have.
 func (f *Fleet) base(network, i int, role string, bootstrap bool) settings.Settings {
 	s := settings.Defaults()
 	s.Role, s.IP, s.Zone, s.Region = role, f.address(network, i), Zone(i), "local"
-	s.NodeName = fmt.Sprintf("machine-%d-%d", network, i+1)
+	s.NodeName = nodeName(network, i)
 	s.MachineClass = "edge"
 	s.Zones = map[string]string{}
 	for zone := range zonesMost {
 		s.Zones[Zone(zone)] = "local"
 	}
-	s.PortRange = [2]int{portInner, portInner + portsInner - 1}
-	s.Seeds = f.Control()[:min(3, f.layout.Keepers)]
+	s.PortRange = f.place.ports(0)
+	s.Seeds = f.Control()[:min(seedsMost, f.layout.Keepers)]
 	s.Bootstrap = bootstrap
 	s.FaultTolerance.Machines = (f.layout.Keepers - 1) / 2
 	return s
@@ -197,91 +212,3 @@
 	}
 	return f.watch(s, command), nil
 }
-
-// watch remembers a process and waits for its end.
-func (f *Fleet) watch(s settings.Settings, command *exec.Cmd) *Process {
-	process := &Process{Role: s.Role, Node: s.NodeName, Address: s.IP, command: command, done: make(chan struct{})}
-	f.mutex.Lock()
-	f.all[s.Role+" "+s.NodeName] = process
-	f.mutex.Unlock()
-	go func() {
-		process.err = command.Wait()
-		close(process.done)
-	}()
-	return process
-}
-
-// Processes returns all processes started last under their role and node, ended ones included.
-func (f *Fleet) Processes() []*Process {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	all := make([]*Process, 0, len(f.all))
-	for _, process := range f.all {
-		all = append(all, process)
-	}
-	return all
-}
-
-// PID is the process's number.
-func (p *Process) PID() int { return p.command.Process.Pid }
-
-// Kill ends the process by SIGKILL and waits for its end.
-func (p *Process) Kill() {
-	_ = p.command.Process.Kill()
-	<-p.done
-}
-
-// Stop ends the process by SIGTERM, after a while by SIGKILL, and returns how it ended.
-func (p *Process) Stop() error {
-	_ = p.command.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(stopTimeout):
-		p.Kill()
-		return eris.Errorf("%s did not end within %s of SIGTERM", p.Role, stopTimeout)
-	}
-	return p.err
-}
-
-// Ended tells whether the process has ended.
-func (p *Process) Ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// StopAll ends all processes at once.
-func (f *Fleet) StopAll() {
-	var group sync.WaitGroup
-	for _, process := range f.Processes() {
-		group.Go(func() { _ = process.Stop() })
-	}
-	group.Wait()
-}
-
-// Await calls check until it is true or the context ends, with a pause between calls.
-func Await(ctx context.Context, pause time.Duration, check func() bool) error {
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
-	for !check() {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-// Listens tells whether something accepts connections at an address.
-func Listens(address string) bool {
-	connection, err := net.DialTimeout("tcp4", address, time.Second)
-	if err != nil {
-		return false
-	}
-	_ = connection.Close()
-	return true
-}
--- /dev/null
+++ b/internal/localfleet/operator.go
@@ -0,0 +1,108 @@
+package localfleet
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/httpwire"
+)
+
+// Times of the operator's calls.
+const (
+	operatorCallTimeout = 3 * time.Second
+	operatorRetryPause  = 50 * time.Millisecond
+)
+
+const (
+	statusOK           = 200
+	statusServerFaults = 500 // and above
+)
+
+// Operator makes calls of the operator's API as the protocol has it: a call without a clear answer is sent
+// again, unchanged, to the next keeper.
+type Operator struct {
+	pool    *exchange.Pool
+	control []string
+	turn    atomic.Uint64
+}
+
+// NewOperator makes an operator that knows some control addresses.
+func NewOperator(control []string) *Operator {
+	return &Operator{pool: exchange.New(exchange.Options{}), control: control}
+}
+
+// Close closes the operator's connections.
+func (o *Operator) Close() { o.pool.Close() }
+
+// ErrRefused is the answer to a call that was understood and refused.
+type ErrRefused struct {
+	Status int
+	Body   string
+}
+
+func (e ErrRefused) Error() string { return "refused: " + strconv.Itoa(e.Status) + " " + e.Body }
+
+// Replace sends a whole configuration until it is accepted or refused, or the context ends.
+func (o *Operator) Replace(ctx context.Context, base uint64, body []byte) error {
+	_, err := o.call(ctx, "POST", "/-/Config.Replace", base, body)
+	return err
+}
+
+// Update sends a change of the configuration until it is accepted or refused, or the context ends.
+func (o *Operator) Update(ctx context.Context, base uint64, body []byte) error {
+	_, err := o.call(ctx, "POST", "/-/Config.Update", base, body)
+	return err
+}
+
+// Read returns the configuration in force.
+func (o *Operator) Read(ctx context.Context) ([]byte, error) {
+	return o.call(ctx, "GET", "/-/Config.Read", 0, nil)
+}
+
+// call tries one keeper after the other.
+func (o *Operator) call(ctx context.Context, method, target string, base uint64, body []byte) ([]byte, error) {
+	for {
+		address := o.control[o.turn.Load()%uint64(len(o.control))]
+		response, err := o.Ask(ctx, address, method, target, base, body)
+		switch {
+		case err == nil && response.Status == statusOK:
+			return response.Body, nil
+		case err == nil && response.Status < statusServerFaults:
+			return nil, ErrRefused{Status: response.Status, Body: string(response.Body)}
+		}
+		o.turn.Add(1)
+		if !pause(ctx, operatorRetryPause) {
+			return nil, eris.Wrap(ctx.Err(), "no keeper has answered clearly")
+		}
+	}
+}
+
+// Ask makes one call of one address and returns its answer, whatever that is.
+func (o *Operator) Ask(ctx context.Context, address, method, target string, base uint64, body []byte) (*exchange.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
+	defer cancel()
+	response, failure := o.pool.Do(ctx, &exchange.Call{Address: address, Method: method, Target: target, Body: body,
+		Fields: httpwire.Fields{{Name: "Host", Value: address}, {Name: "Content-Type", Value: "application/json"},
+			{Name: "X-Base-Version", Value: strconv.FormatUint(base, 10)}}})
+	if failure != nil {
+		return nil, failure
+	}
+	return response, nil
+}
+
+// pause waits and tells whether the context still stands.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/localfleet/relay.go
@@ -0,0 +1,129 @@
+package localfleet
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// relay takes connections at one address and passes their bytes on to another. Agents look for keepers at
+// the first port of their own range, which in a local fleet differs from edge to edge.
+//
+// The monitoring of agents (UDP) is not relayed: edges but the first one of a local fleet get no answers to
+// their probes. Such findings remove nobody.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mutex  sync.Mutex
+	closed bool
+	open   map[net.Conn]struct{}
+}
+
+// openRelays makes the keepers reachable at the port where the i-th edge looks for them.
+func (f *Fleet) openRelays(i int) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	port := f.place.ports(i)[0]
+	if port == f.place.ports(0)[0] || f.hasRelays(port) {
+		return nil
+	}
+	for keeper, target := range f.Peers() {
+		opened, err := newRelay(fmt.Sprintf("%s:%d", f.address(networkKeepers, keeper), port), target)
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, opened)
+	}
+	return nil
+}
+
+func (f *Fleet) hasRelays(port int) bool {
+	for _, one := range f.relays {
+		if one.listener.Addr().(*net.TCPAddr).Port == port {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) closeRelays() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, one := range f.relays {
+		one.close()
+	}
+	f.relays = nil
+}
+
+func newRelay(address, target string) (*relay, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "relay to a keeper")
+	}
+	r := &relay{listener: listener, target: target, open: map[net.Conn]struct{}{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) accept() {
+	for {
+		connection, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(connection)
+	}
+}
+
+// pass joins a connection with one to the target until either ends.
+func (r *relay) pass(connection net.Conn) {
+	defer r.forget(connection)
+	if !r.remember(connection) {
+		return
+	}
+	onward, err := net.Dial("tcp4", r.target)
+	if err != nil {
+		return
+	}
+	defer r.forget(onward)
+	if !r.remember(onward) {
+		return
+	}
+	ended := make(chan struct{}, 2)
+	join := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		ended <- struct{}{}
+	}
+	go join(onward, connection)
+	go join(connection, onward)
+	<-ended
+}
+
+// remember tells whether the relay is still open.
+func (r *relay) remember(connection net.Conn) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.open[connection] = struct{}{}
+	return !r.closed
+}
+
+func (r *relay) forget(connection net.Conn) {
+	_ = connection.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.open, connection)
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closed = true
+	for connection := range r.open {
+		_ = connection.Close()
+	}
+}
