Log each request's workers, times and told load at level debug

Late requests could not be followed through the proxy: the log told only status and runs. It now names the reader and its time, the runner, its first event, the prediction and the load told.

--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -50,7 +50,9 @@
 	defer w.stop()
 	t.d.counts.prefills.Add(1)
 	ticket := t.d.guard.sent(&t.ask, selection.CallPrefill, choice)
+	begun := t.d.now()
 	answer, failure := t.d.workers.Do(w.ctx, t.prefillCall(choice.Prefill))
+	t.trace.read = t.d.now() - begun
 	if failure != nil {
 		t.prefillFailed(ticket, choice, failure)
 		return prefillNone
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -99,6 +99,7 @@
 		}
 		if first && len(batch.Events) > 0 {
 			first = false
+			t.trace.noteFirst(t.d.now())
 			ticket.firstEvent()
 		}
 		if !t.passBatch(answer, batch) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -41,6 +41,7 @@
 	w := newWatch(t.ctx, t.runSilence(choice), t.mayGiveUp())
 	defer w.stop()
 	ticket := t.d.guard.sent(&t.ask, selection.CallRun, choice)
+	t.trace.sent = t.d.now()
 	answer, failure := t.d.workers.Do(w.ctx, t.runCall(choice.Run))
 	w.pause()
 	if failure != nil {
@@ -91,6 +92,7 @@
 
 // runAnswered follows an answer.
 func (t *try) runAnswered(ticket *ticket, w *watch, answer *Answer) bool {
+	t.trace.noteLoad(answer, true)
 	switch answer.Result {
 	case exchange.NotExecuted:
 		return t.runRejected(ticket, answer)
@@ -147,6 +149,7 @@
 		return t.afterLoss(w)
 	default:
 		t.held = nil
+		t.trace.noteFirst(t.d.now())
 		ticket.done(loadOf(answer))
 		t.passOn(answer)
 		return false
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
 	"ospreybend/internal/catalog"
 	"ospreybend/internal/configuration"
 	"ospreybend/internal/front"
@@ -48,6 +45,7 @@
 	retryAfter   time.Duration
 	relay        relay
 	status       int // of the answer; 0: none, or broken off
+	trace        trace
 }
 
 func newTry(d *Dispatcher, responder Responder, request *front.Request, view *catalog.View,
@@ -108,6 +106,7 @@
 		t.exclude(choice.Run)
 		return true
 	}
+	t.trace.choice = choice
 	if choice.Prefill != nil && t.held == nil && t.splittable() && t.payPrefill() {
 		return t.prefillThenRun(choice)
 	}
@@ -212,17 +211,3 @@
 func (t *try) spend() bool {
 	return t.d.guard.spend(t.service.Name, t.d.view.Load().Nodes)
 }
-
-func (t *try) logEnd() {
-	entry := t.d.log.Check(zapcore.DebugLevel, "request")
-	if entry == nil {
-		return
-	}
-	entry.Write(
-		zap.String("id", t.request.Fields.Get(fieldRequestID)),
-		zap.String("route", t.route.Name),
-		zap.Int("status", t.status),
-		zap.Int("runs", t.runs),
-		zap.Bool("read apart", t.prefillTaken),
-		zap.Duration("took", t.d.now()-t.ask.Arrived))
-}
