Send the heartbeats of all groups of a process together

Each group's leader ticked at a time of its own, so that nothing met in a batch of the link. Leaders are now told the time at whole multiples of the heartbeat on one clock of the process, and a link lets other ready goroutines run before it takes its batch.

--- a/coord/replica/clock.go
+++ b/coord/replica/clock.go
@@ -5,10 +5,11 @@
 // clockStart keeps a steady clock above 0.
 const clockStart = time.Second
 
-// steadyClock is the process's monotonic clock.
-type steadyClock struct{ start time.Time }
+// processStart is when the process began. The clocks of all groups count from it, so that they show the same time.
+var processStart = time.Now()
 
-func newSteadyClock() steadyClock { return steadyClock{start: time.Now()} }
+// steadyClock is the process's monotonic clock.
+type steadyClock struct{}
 
-// Now returns the time since the clock was made, and a second.
-func (c steadyClock) Now() time.Duration { return clockStart + time.Since(c.start) }
+// Now returns the time since the process began, and a second.
+func (steadyClock) Now() time.Duration { return clockStart + time.Since(processStart) }
--- a/coord/replica/loop.go
+++ b/coord/replica/loop.go
@@ -56,7 +56,7 @@
 	for _, one := range events {
 		l.handle(one)
 	}
-	if l.now >= l.node.NextTick() {
+	if l.now >= l.nextTick() {
 		l.node.Tick(l.now)
 	}
 	l.checkDisk()
@@ -91,7 +91,7 @@
 // next returns when turn must be called at the latest.
 func (l *loop) next() time.Duration {
 	return min(
-		l.node.NextTick(),
+		l.nextTick(),
 		l.waiting.deadline(),
 		l.handOver.next(),
 		l.disk.nextCheck(),
@@ -99,6 +99,17 @@
 	)
 }
 
+// nextTick returns when the node must be told the time. A leader is told at whole multiples of the heartbeat, so that
+// the heartbeats of all groups of the process go out together, and in one batch to each peer.
+func (l *loop) nextTick() time.Duration {
+	next := l.node.NextTick()
+	if l.status.Role != agreement.RoleLeader || next == agreement.NoTick {
+		return next
+	}
+	beat := l.options.Heartbeat
+	return (next + beat - 1) / beat * beat
+}
+
 // carryOut does what the node wants done.
 func (l *loop) carryOut(ready agreement.Ready) {
 	l.readNode()
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -34,11 +34,15 @@
 	maxInflight    = 16
 )
 
+// heartbeatMargin is the part of the pause between two heartbeats, one in so many, by which a heartbeat may be late
+// without costing the next one its place on the grid of time.
+const heartbeatMargin = 6
+
 func newNode(options *Options, stored agreement.Stored, now time.Duration) decider {
 	config := agreement.Config{
 		ID:              options.Self.ID,
 		ElectionTimeout: options.ElectionTimeout,
-		Heartbeat:       options.Heartbeat,
+		Heartbeat:       options.Heartbeat - options.Heartbeat/heartbeatMargin,
 		MaxAppendBytes:  maxAppendBytes,
 		MaxInflight:     maxInflight,
 		Seed:            uint64(options.Self.ID) + uint64(options.Shard),
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -91,7 +91,7 @@
 		o.Logger = zap.NewNop()
 	}
 	if o.Clock == nil {
-		o.Clock = newSteadyClock()
+		o.Clock = steadyClock{}
 	}
 	return o
 }
--- a/coord/replica/scripted_test.go
+++ b/coord/replica/scripted_test.go
@@ -171,6 +171,39 @@
 	answeredWith(t, done, nil)
 }
 
+func TestLeaderTicksOnGrid(t *testing.T) {
+	s := newScript()
+	s.turn(0)
+	s.node.nextTick = 10*DefaultHeartbeat + 1
+	grid := 11 * DefaultHeartbeat
+	if next := s.loop.next(); next != grid {
+		t.Fatalf("wakes at %v, not at %v", next, grid)
+	}
+	s.clock.now = grid - 1
+	s.turn(0)
+	if s.node.ticks != 0 {
+		t.Fatal("ticked between two moments of the grid")
+	}
+	s.turn(1)
+	if s.node.ticks != 1 {
+		t.Fatalf("ticked %d times", s.node.ticks)
+	}
+	s.node.nextTick = grid // on the grid already
+	if next := s.loop.next(); next != grid {
+		t.Fatalf("wakes at %v, not at %v", next, grid)
+	}
+}
+
+func TestFollowerTicksOffGrid(t *testing.T) {
+	s := newScript()
+	s.node.status.Role = agreement.RoleFollower
+	s.turn(0)
+	s.node.nextTick = 10*DefaultHeartbeat + 1
+	if next := s.loop.next(); next != s.node.nextTick {
+		t.Fatalf("wakes at %v, not at %v", next, s.node.nextTick)
+	}
+}
+
 func TestTransferFails(t *testing.T) {
 	s := newScript()
 	done := newDone()
--- a/internal/peerlink/exchange.go
+++ b/internal/peerlink/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"runtime"
 
 	"go.uber.org/zap"
 
@@ -66,6 +67,7 @@
 // writeQueued writes until nothing is queued.
 func (l *link) writeQueued(writer *frameWriter) error {
 	for {
+		runtime.Gosched() // groups that are about to send at this moment go first: their messages join the batch
 		batch, calls := l.takeQueued()
 		if len(batch) == 0 && len(calls) == 0 {
 			return writer.flush()
