End a replica group although its disk hangs

Close waited for the write in hand without end, so a keeper on a hung disk ended only by SIGKILL. It now waits half a second and says ErrDiskHangs; the keeper closes its groups at the same time. Test: a log whose write never ends; Run returns and Close refuses to wait.

--- a/coord/replica/errors.go
+++ b/coord/replica/errors.go
@@ -26,6 +26,8 @@
 	ErrUnknownOutcome = errors.New("replica: the outcome of the proposal is unknown")
 	// ErrClosed: the group has ended. What was proposed before may still be committed by the others.
 	ErrClosed = errors.New("replica: the group is closed")
+	// ErrDiskHangs: the disk has not ended a write, so the group's files are still open.
+	ErrDiskHangs = errors.New("replica: the disk has not ended a write")
 	// ErrTransferFailed: leadership was not taken over in time.
 	ErrTransferFailed = errors.New("replica: no other member took over leadership in time")
 )
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -208,12 +208,29 @@
 // Status returns the last published state, without waiting for the loop.
 func (g *Group) Status() Status { return g.loop.read() }
 
-// Close ends Run, waits for the write in hand and closes the files.
-func (g *Group) Close() error {
+// closeBudget bounds the wait for the write in hand at the end.
+const closeBudget = 500 * time.Millisecond
+
+// Close ends Run, waits for the write in hand and closes the files. Error ErrDiskHangs: that write does not end, and the
+// files stay open until the process ends; what it was writing was never reported as durable.
+func (g *Group) Close() error { return g.closeWithin(closeBudget) }
+
+func (g *Group) closeWithin(budget time.Duration) error {
 	if !g.end() {
 		return nil
 	}
-	g.running.Wait()
+	ended := make(chan struct{})
+	go func() {
+		g.running.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(budget)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		return ErrDiskHangs
+	}
 	g.loop.stop(g.inbox.close())
 	return g.writer.log.Close()
 }
--- a/coord/replica/writer_test.go
+++ b/coord/replica/writer_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -128,3 +130,39 @@
 		t.Fatal("waits after the end")
 	}
 }
+
+// hungLog has writes that end only when they are released.
+type hungLog struct {
+	scriptedLog
+	began, released chan struct{}
+}
+
+func (l *hungLog) Save([]*agreement.Persist) error {
+	close(l.began)
+	<-l.released
+	return nil
+}
+
+func TestCloseDoesNotWaitForHungDisk(t *testing.T) {
+	log := &hungLog{began: make(chan struct{}), released: make(chan struct{})}
+	options := Options{
+		Self: testMember(1, true), Machine: &listMachine{}, Send: func(agreement.Member, agreement.Message) {},
+	}.withDefaults()
+	group, err := start(&options, log, agreement.Founding([]agreement.Member{testMember(1, true)}, []byte("{}")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run(ctx) }()
+	<-log.began // the only member campaigns, and its vote is being written
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if err := group.closeWithin(0); !errors.Is(err, ErrDiskHangs) {
+		t.Fatal(err)
+	}
+	close(log.released)
+	group.running.Wait()
+}
--- a/coord/seglog/member.go
+++ b/coord/seglog/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"path/filepath"
 
@@ -40,6 +41,65 @@
 	return id, false, fileSystem.SyncDirectory(directory)
 }
 
+// ForgetMember removes the member ID of a disk, durably. The disk then counts as lost: RemoveOrphans removes its replicas, and
+// MemberID draws a new ID.
+func ForgetMember(fileSystem FileSystem, directory string) error {
+	if fileSystem == nil {
+		fileSystem = OSFileSystem{}
+	}
+	if err := fileSystem.Remove(filepath.Join(directory, memberName)); err != nil && !isMissing(err) {
+		return err
+	}
+	return fileSystem.SyncDirectory(directory)
+}
+
+// RemoveOrphans removes the replicas of a disk whose member ID is missing or damaged, and a damaged ID: nobody knows any
+// more what they promised in whose name. lost tells whether there was anything of the kind. It is to be called
+// before MemberID. Errors: ErrFormat and those of the file system.
+func RemoveOrphans(fileSystem FileSystem, directory string, replicas []string) (lost bool, err error) {
+	if fileSystem == nil {
+		fileSystem = OSFileSystem{}
+	}
+	data, err := fileSystem.ReadFile(filepath.Join(directory, memberName))
+	if err == nil {
+		_, err = decodeMemberID(data)
+	}
+	switch {
+	case errors.Is(err, ErrDamaged):
+		lost = true
+		if err := ForgetMember(fileSystem, directory); err != nil {
+			return lost, err
+		}
+	case !isMissing(err):
+		return false, err
+	}
+	for _, replica := range replicas {
+		removed, err := removeFiles(fileSystem, replica)
+		lost = lost || removed
+		if err != nil {
+			return lost, err
+		}
+	}
+	return lost, nil
+}
+
+// removeFiles removes all files of a directory, which may be missing, and tells whether there were any.
+func removeFiles(fileSystem FileSystem, directory string) (removed bool, err error) {
+	files, err := fileSystem.List(directory)
+	if isMissing(err) || (err == nil && len(files) == 0) {
+		return false, nil
+	}
+	for _, file := range files {
+		if err := fileSystem.Remove(filepath.Join(directory, file.Name)); err != nil {
+			return true, err
+		}
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, fileSystem.SyncDirectory(directory)
+}
+
 func encodeMemberID(id agreement.MemberID) []byte {
 	data := appendPreamble(nil, memberMagic)
 	data = binary.LittleEndian.AppendUint64(data, uint64(id))
--- a/internal/keeper/identity.go
+++ b/internal/keeper/identity.go
@@ -3,13 +3,16 @@
 import (
 	"encoding/binary"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/seglog"
+	"ospreybend/coord/shards"
 	"ospreybend/internal/settings"
 )
 
@@ -22,11 +25,29 @@
 	return agreement.MemberID(max(hash, 1))
 }
 
+// replicaDirectory is where the replica of a shard has its files.
+func replicaDirectory(dataDirectory string, id shards.ID) string {
+	return filepath.Join(dataDirectory, "shard-"+strconv.Itoa(int(id)))
+}
+
+func replicaDirectories(dataDirectory string) []string {
+	directories := make([]string, 0, shards.Count)
+	for _, id := range allShards {
+		directories = append(directories, replicaDirectory(dataDirectory, id))
+	}
+	return directories
+}
+
 // identity returns this disk's member ID, which a first start draws and writes, and the founders of the
-// groups if this process is one of them. A founder is a seed at the system's first start.
+// groups if this process is one of them. A founder is a seed at the system's first start. A disk with replicas whose
+// member ID is missing or damaged counts as lost: the replicas are removed, and the new ID founds nothing.
 func identity(config settings.Settings, address string) (agreement.Member, []agreement.Member, error) {
 	seeds := seedAddresses(config)
-	founds := config.Bootstrap && slices.Contains(seeds, address)
+	lost, err := seglog.RemoveOrphans(nil, config.DataDir, replicaDirectories(config.DataDir))
+	if err != nil {
+		return agreement.Member{}, nil, eris.Wrap(err, "replicas without a member ID")
+	}
+	founds := config.Bootstrap && !lost && slices.Contains(seeds, address)
 	draw := func() agreement.MemberID {
 		if founds {
 			return memberID(address, foundingNonce)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
-	"path/filepath"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
+	"ospreybend/coord/seglog"
 	"ospreybend/coord/shards"
 	"ospreybend/internal/peerlink"
 	"ospreybend/internal/settings"
@@ -108,7 +108,7 @@
 }
 
 // openGroups opens all replicas. One that cannot be opened now, as with a full disk, is tried again
-// until ctx ends.
+// until ctx ends; one that is damaged gives seglog.ErrDamaged.
 func (k *Keeper) openGroups(ctx context.Context, founders []agreement.Member) error {
 	for _, shard := range k.shards {
 		for {
@@ -116,6 +116,9 @@
 			if err == nil {
 				break
 			}
+			if errors.Is(err, seglog.ErrDamaged) {
+				return eris.Wrapf(err, "open the replica of shard %d", shard.id)
+			}
 			k.log.Error("a replica cannot be opened", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
 			if !pause(ctx, nil, openRetryInterval) {
 				return eris.Wrapf(err, "open the replica of shard %d", shard.id)
@@ -129,7 +132,7 @@
 func (k *Keeper) openGroup(shard *shard, founders []agreement.Member) error {
 	group, err := replica.Open(replica.Options{
 		Shard:     shard.id,
-		Directory: filepath.Join(k.settings.DataDir, "shard-"+strconv.Itoa(int(shard.id))),
+		Directory: replicaDirectory(k.settings.DataDir, shard.id),
 		Self:      k.self,
 		Founders:  founders,
 		Machine:   shard.machine,
--- /dev/null
+++ b/internal/keeper/lost_test.go
@@ -0,0 +1,95 @@
+package keeper
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+	"ospreybend/internal/settings"
+)
+
+// storedMember returns the member ID of a data directory.
+func storedMember(t *testing.T, directory string) agreement.MemberID {
+	t.Helper()
+	id, created, err := seglog.MemberID(nil, directory, func() agreement.MemberID { return 1 })
+	if err != nil || created {
+		t.Fatal(created, err)
+	}
+	return id
+}
+
+func TestDamagedMemberFoundsNothing(t *testing.T) {
+	config := settings.Defaults()
+	config.Bootstrap, config.DataDir = true, t.TempDir()
+	config.PortRange = [2]int{7000, 7015}
+	config.Seeds = []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+	address := seedAddresses(config)[0]
+	before, founders, err := identity(config, address)
+	if err != nil || len(founders) != 3 {
+		t.Fatal(before, founders, err)
+	}
+	if again, founders, err := identity(config, address); err != nil || again != before || len(founders) != 3 {
+		t.Fatal(again, founders, err)
+	}
+	if err := os.WriteFile(filepath.Join(config.DataDir, "member"), []byte("?"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	after, founders, err := identity(config, address)
+	if err != nil || after.ID == before.ID || founders != nil {
+		t.Fatalf("member %d after %d, founders %v, %v", after.ID, before.ID, founders, err)
+	}
+}
+
+func TestDamagedReplicaCountsAsLostDisk(t *testing.T) {
+	f := newFleet(t, 3)
+	for i := range 3 {
+		f.start(i)
+	}
+	f.await("formation", func() bool { return f.settled(0, 3) && f.settled(1, 3) && f.settled(2, 3) })
+	status, content := f.insist(0, http.MethodPost, "/-/Config.Replace", 0, configurationOf(1))
+	f.expect(http.StatusOK, status, content)
+	f.finish(2)
+	directory := f.processes[2].config.DataDir
+	before := storedMember(t, directory)
+	damageSnapshot(t, replicaDirectory(directory, 1))
+	f.processes[2].config.Bootstrap = false
+	f.start(2)
+	for i := range 3 {
+		f.await("repair", func() bool { return f.settled(i, 3) })
+	}
+	if after := storedMember(t, directory); after == before {
+		t.Fatal("the member that lost a replica came back under its old ID")
+	}
+	f.finish(0) // the new member counts
+	status, content = f.insist(2, http.MethodPost, "/-/Config.Replace", 1, configurationOf(2))
+	f.expect(http.StatusOK, status, content)
+}
+
+// damageSnapshot changes the last byte of a replica's snapshot.
+func damageSnapshot(t *testing.T, directory string) {
+	t.Helper()
+	files, err := os.ReadDir(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		if !strings.HasSuffix(file.Name(), ".snapshot") {
+			continue
+		}
+		path := filepath.Join(directory, file.Name())
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data[len(data)-1] ^= 0xff
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	t.Fatal("no snapshot")
+}
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"ospreybend/coord/seglog"
 	"ospreybend/internal/peerlink"
 	"ospreybend/internal/settings"
 )
@@ -43,8 +44,22 @@
 	debug.SetMemoryLimit(int64(memoryMb) << 20 * memoryLimitPercent / 100)
 }
 
-// open prepares a keeper and opens its replicas.
+// open prepares a keeper and opens its replicas. If one of them is damaged, the disk counts as lost: the keeper takes
+// a new member ID and begins without any replica, since what it may have promised is not known any more.
 func open(ctx context.Context, config settings.Settings, log *zap.Logger) (*Keeper, *peerlink.Network, error) {
+	for {
+		k, network, err := openReplicas(ctx, config, log)
+		if !errors.Is(err, seglog.ErrDamaged) {
+			return k, network, err
+		}
+		log.Error("this disk counts as lost", zap.Error(err))
+		if err := seglog.ForgetMember(nil, config.DataDir); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+func openReplicas(ctx context.Context, config settings.Settings, log *zap.Logger) (*Keeper, *peerlink.Network, error) {
 	self, founders, err := identity(config, ownAddress(config))
 	if err != nil {
 		return nil, nil, err
@@ -157,16 +172,25 @@
 	}
 }
 
+// closeAllGroups closes the replicas at the same time, since each may wait for a disk that hangs.
+func (k *Keeper) closeAllGroups() {
+	var closing sync.WaitGroup
+	for _, closeGroup := range k.closeGroups {
+		closing.Go(func() {
+			if err := closeGroup(); err != nil {
+				k.log.Warn("a replica was not closed well", zap.Error(err))
+			}
+		})
+	}
+	closing.Wait()
+}
+
 // close ends everything that open has begun.
 func (k *Keeper) close() {
 	k.leaving.Store(true)
 	k.stopWork()
 	k.stopFeed()
-	for _, closeGroup := range k.closeGroups {
-		if err := closeGroup(); err != nil {
-			k.log.Warn("a replica was not closed well", zap.Error(err))
-		}
-	}
+	k.closeAllGroups()
 	if k.closeNetwork != nil {
 		k.closeNetwork()
 	}
