--- a/cmd/ospreyfleet/main.go
+++ b/cmd/ospreyfleet/main.go
@@ -29,11 +29,12 @@
 
 // arguments is the command line.
 type arguments struct {
-	Proxy  *roleCommand  `arg:"subcommand:proxy" help:"take clients' requests and forward them to workers"`
-	Agent  *roleCommand  `arg:"subcommand:agent" help:"keep the link to the control plane for the proxy beside it"`
-	Keeper *roleCommand  `arg:"subcommand:keeper" help:"hold the control plane's state and serve its API"`
-	Check  *checkCommand `arg:"subcommand:check" help:"check a settings file or a configuration and exit"`
-	Demo   *demoCommand  `arg:"subcommand:demo" help:"run a whole fleet with stand-in workers on loopback and send requests through it"`
+	Proxy   *roleCommand    `arg:"subcommand:proxy" help:"take clients' requests and forward them to workers"`
+	Agent   *roleCommand    `arg:"subcommand:agent" help:"keep the link to the control plane for the proxy beside it"`
+	Keeper  *roleCommand    `arg:"subcommand:keeper" help:"hold the control plane's state and serve its API"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file or a configuration and exit"`
+	Measure *measureCommand `arg:"subcommand:measure" help:"measure the fleet on this machine"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole fleet with stand-in workers on loopback and send requests through it"`
 }
 
 // roleCommand are the flags of a process.
@@ -81,8 +82,10 @@
 		return parsed.Check.run(out, errors)
 	case parsed.Demo != nil:
 		return parsed.Demo.run(out, errors)
+	case parsed.Measure != nil && parsed.Measure.Scale != nil:
+		return parsed.Measure.Scale.run(out, errors)
 	}
-	parser.WriteHelp(out)
+	_ = parser.WriteHelpForSubcommand(errors, parser.SubcommandNames()...)
 	return exitUsage
 }
 
--- /dev/null
+++ b/cmd/ospreyfleet/main_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/keeper"
+	"ospreybend/internal/registry"
+)
+
+// call runs the command line and returns its exit code and what it wrote.
+func call(line ...string) (code int, out, errors string) {
+	var written, faults bytes.Buffer
+	code = run(line, &written, &faults)
+	return code, written.String(), faults.String()
+}
+
+func TestHelpOfEachCommand(t *testing.T) {
+	for _, words := range [][]string{{}, {"proxy"}, {"agent"}, {"keeper"}, {"check"}, {"demo"}, {"measure"}, {"measure", "scale"}} {
+		code, out, faults := call(append(words, "--help")...)
+		usage := strings.Join(append([]string{"Usage: ospreyfleet"}, words...), " ")
+		if code != exitOK || !strings.Contains(out, usage) || faults != "" {
+			t.Errorf("%v: exit %d, no %q in %q, errors %q", words, code, usage, out, faults)
+		}
+	}
+}
+
+func TestUsageErrorsSayWhatIsWrong(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"nodeName":"a","ip":"nonsense"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		line []string
+		says string
+	}{
+		{[]string{}, "Usage: ospreyfleet"},
+		{[]string{"measure"}, "Usage: ospreyfleet measure"},
+		{[]string{"nonsense"}, "nonsense"},
+		{[]string{"keeper", "--nonsense"}, "--nonsense"},
+		{[]string{"keeper", "--settings", filepath.Join(t.TempDir(), "none.json")}, "no such file"},
+		{[]string{"proxy", "--settings", bad}, "ip:"},
+		{[]string{"check"}, "--settings or --configuration"},
+		{[]string{"measure", "scale", "--sizes", "many"}, "NODESxWORKERS"},
+		{[]string{"measure", "scale", "--windows", "0"}, "windows must be positive"},
+		{[]string{"measure", "scale", "--far-loss", "1"}, "far-loss"},
+	}
+	for _, one := range cases {
+		code, _, faults := call(one.line...)
+		if code != exitUsage || !strings.Contains(faults, one.says) {
+			t.Errorf("%v: exit %d, no %q in %q", one.line, code, one.says, faults)
+		}
+	}
+}
+
+// settingsExample are valid settings of a keeper.
+const settingsExample = `{"nodeName":"core-a-1","role":"keeper","ip":"127.0.0.1","zone":"a","listen":{"control":"127.0.0.1:8146"},
+"portRange":[7660,7675],"seeds":["127.0.0.1:8146"],"dataDir":"data","limits":{"memoryMb":280,"maxFds":4096}}`
+
+func TestCheck(t *testing.T) {
+	directory := t.TempDir()
+	file := func(name, content string) string {
+		path := filepath.Join(directory, name)
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	valid := file("settings.json", settingsExample)
+	whole := file("configuration.json", demoConfiguration)
+	cases := []struct {
+		name string
+		line []string
+		code int
+		says string
+	}{
+		{"both valid", []string{"--settings", valid, "--configuration", whole}, exitOK, "settings: valid\nconfiguration: valid\n"},
+		{"no settings", []string{"--settings", filepath.Join(directory, "none")}, exitFault, "no such file"},
+		{"bad settings", []string{"--settings", file("bad.json", strings.Replace(settingsExample, "127.0.0.1\"", "x\"", 1))}, exitFault, "ip:"},
+		{"no configuration", []string{"--configuration", filepath.Join(directory, "none")}, exitFault, "no such file"},
+		{"unknown service", []string{"--configuration", file("unknown.json", strings.Replace(demoConfiguration, `"service":"store"`, `"service":"other"`, 1))},
+			exitFault, "1026 "},
+		{"no JSON", []string{"--configuration", file("none.json", "{")}, exitFault, "1020 "},
+	}
+	for _, one := range cases {
+		code, out, faults := call(append([]string{"check"}, one.line...)...)
+		if code != one.code || !strings.Contains(out+faults, one.says) {
+			t.Errorf("%s: exit %d, no %q in %q", one.name, code, one.says, out+faults)
+		}
+	}
+}
+
+// numbered is a line of a table of codes.
+var numbered = regexp.MustCompile(`^\| \d{4} \|`)
+
+// TestErrorsPageListsEveryCode holds the page against the tables of codes, both ways.
+func TestErrorsPageListsEveryCode(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "ERRORS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wanted []string
+	row := func(code int, name string, status int, text string) {
+		wanted = append(wanted, fmt.Sprintf("| %d | `%s` | %d | %s |", code, name, status, text))
+	}
+	for _, entry := range configuration.Codes() {
+		row(int(entry.Code), entry.Name, entry.Status, entry.Text)
+	}
+	for _, entry := range registry.Codes() {
+		row(int(entry.Code), entry.Name, entry.Status, entry.Text)
+	}
+	for _, entry := range keeper.Codes() {
+		row(int(entry.Code), entry.Name, entry.Status, entry.Text)
+	}
+	listed := map[string]bool{}
+	for line := range strings.Lines(string(page)) {
+		if numbered.MatchString(line) {
+			listed[strings.TrimSpace(line)] = true
+		}
+	}
+	for _, line := range wanted {
+		if !listed[line] {
+			t.Errorf("the page has no line %s", line)
+		}
+		delete(listed, line)
+	}
+	for line := range listed {
+		t.Errorf("the page lists what is no code: %s", line)
+	}
+}
--- /dev/null
+++ b/cmd/ospreyfleet/measure.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/scale"
+	"ospreybend/internal/scale/trial"
+)
+
+const scaleHeartbeat = time.Second // of the hollow workers; the keepers' settings have the same
+
+// measureCommand are the measurements.
+type measureCommand struct {
+	Scale *scaleCommand `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
+}
+
+// scaleCommand are the flags of measure scale.
+type scaleCommand struct {
+	Sizes    string        `arg:"--sizes" default:"30x60,100x200,360x600,30x600,360x60" help:"NODESxWORKERS joined by commas; sizes in other proportions tell what a node costs from what a worker costs"`
+	Target   string        `arg:"--target" default:"360x600" help:"size that the figures are carried to"`
+	Keepers  int           `arg:"--keepers" default:"3" help:"control machines, each a process"`
+	Edges    int           `arg:"--edges" default:"1" help:"nodes with a real agent and proxy, each a process; the others are hollow"`
+	Routes   int           `arg:"--routes" default:"3700" help:"routes of the configuration, as many as tenants"`
+	Settle   time.Duration `arg:"--settle" default:"20s" help:"after the start of a size, before it is measured"`
+	Window   time.Duration `arg:"--window" default:"10s" help:"of a measurement at rest"`
+	Windows  int           `arg:"--windows" default:"3" help:"measurements at rest for each size"`
+	Changes  int           `arg:"--changes" default:"12" help:"changes of the configuration for each size"`
+	FarEvery int           `arg:"--far-every" default:"3" help:"each so-manieth hollow agent is behind a slow link; 0: none"`
+	FarDelay time.Duration `arg:"--far-delay" default:"100ms" help:"of the slow link, one way"`
+	FarLoss  float64       `arg:"--far-loss" default:"0.01" help:"share of the slow link's segments that are lost at first"`
+	Limit    time.Duration `arg:"--limit" default:"4m" help:"for each size"`
+	JSON     string        `arg:"--json" help:"file for the whole result"`
+	Plot     string        `arg:"--plot" help:"file for the plot (SVG)"`
+}
+
+// run plays the sizes and shows what they took.
+func (c *scaleCommand) run(out, errors io.Writer) int {
+	plan, err := c.plan(out)
+	if err != nil {
+		fmt.Fprintln(errors, "measure scale:", err)
+		return exitUsage
+	}
+	defer os.RemoveAll(plan.Directory)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result, err := trial.Play(ctx, plan)
+	result.Command = c.text()
+	result.WriteText(out)
+	if err != nil {
+		fmt.Fprintln(errors, "measure scale:", err)
+	}
+	if failure := c.write(result); failure != nil {
+		fmt.Fprintln(errors, "measure scale:", failure)
+		return exitFault
+	}
+	if err != nil {
+		return exitFault
+	}
+	return exitOK
+}
+
+// plan checks the flags and prepares a directory.
+func (c *scaleCommand) plan(out io.Writer) (trial.Plan, error) {
+	sizes, err := scale.ParseSizes(c.Sizes)
+	if err != nil {
+		return trial.Plan{}, err
+	}
+	target, err := scale.ParseSizes(c.Target)
+	if err != nil {
+		return trial.Plan{}, err
+	}
+	if c.Keepers < 1 || c.Edges < 0 || c.Routes < 1 || c.Window <= 0 || c.Windows < 1 || c.FarLoss < 0 || c.FarLoss >= 1 {
+		return trial.Plan{}, fmt.Errorf("keepers, routes, window and windows must be positive, edges not negative, far-loss from 0 to under 1")
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return trial.Plan{}, err
+	}
+	directory, err := os.MkdirTemp("", "ospreyfleet-scale-")
+	if err != nil {
+		return trial.Plan{}, err
+	}
+	return trial.Plan{Binary: binary, Directory: directory, Sizes: sizes, Target: target[0], Keepers: c.Keepers, Edges: c.Edges,
+		Routes: c.Routes, Settle: c.Settle, Window: c.Window, Windows: c.Windows, Changes: c.Changes, FarEvery: c.FarEvery,
+		Far: localfleet.Link{Delay: c.FarDelay, Loss: c.FarLoss}, Heartbeat: scaleHeartbeat, Limit: c.Limit, Progress: out}, nil
+}
+
+// text is the command line that was played, with all defaults.
+func (c *scaleCommand) text() string {
+	words := []string{"ospreyfleet measure scale --sizes", c.Sizes, "--keepers", fmt.Sprint(c.Keepers), "--edges", fmt.Sprint(c.Edges),
+		"--routes", fmt.Sprint(c.Routes), "--window", c.Window.String(), "--windows", fmt.Sprint(c.Windows), "--changes", fmt.Sprint(c.Changes)}
+	return strings.Join(words, " ")
+}
+
+// write writes the files that are asked for.
+func (c *scaleCommand) write(result scale.Result) error {
+	files := []struct {
+		path  string
+		write func(io.Writer) error
+	}{{c.JSON, result.WriteJSON}, {c.Plot, result.WriteSVG}}
+	for _, file := range files {
+		if file.path == "" {
+			continue
+		}
+		if err := writeFile(file.path, file.write); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(filepath.Clean(path))
+	if err != nil {
+		return err
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -28,7 +28,8 @@
 const (
 	networkKeepers = 1
 	networkEdges   = 2
-	networkWorkers = 3 // and those above
+	networkWorkers = 3   // and those above
+	networkHollow  = 100 // and those above: nodes that this process plays itself
 )
 
 const (
@@ -46,6 +47,8 @@
 	Keepers   int
 	Edges     int // machines with a proxy and an agent each
 	LogLevel  string
+	Cores     int // that a process may use; 0: all of the machine's
+	MemoryMb  int // that a process is told to have; 0: the settings' default
 }
 
 // Fleet is a running fleet.
@@ -100,6 +103,15 @@
 	return fmt.Sprintf("%s:%d", f.address(networkWorkers+i/hostsMost, i%hostsMost), PortWorker)
 }
 
+// HollowIP returns the IP of the i-th node that is played without processes of its own.
+func (f *Fleet) HollowIP(i int) string { return f.address(networkHollow+i/hostsMost, i%hostsMost) }
+
+// EdgeIP returns the IP of the i-th edge.
+func (f *Fleet) EdgeIP(i int) string { return f.address(networkEdges, i) }
+
+// PortRange is the one of the keepers and of the first edge.
+func (f *Fleet) PortRange() [2]int { return f.place.ports(0) }
+
 // Peers returns the addresses that keepers take each other and agents at.
 func (f *Fleet) Peers() []string {
 	addresses := make([]string, f.layout.Keepers)
@@ -179,6 +191,9 @@
 	s.PortRange = f.place.ports(0)
 	s.Seeds = f.Control()[:min(seedsMost, f.layout.Keepers)]
 	s.Bootstrap = bootstrap
+	if f.layout.MemoryMb > 0 {
+		s.Limits.MemoryMb = f.layout.MemoryMb
+	}
 	s.FaultTolerance.Machines = (f.layout.Keepers - 1) / 2
 	return s
 }
@@ -206,6 +221,9 @@
 	if f.layout.LogLevel != "" {
 		command.Args = append(command.Args, "--log-level", f.layout.LogLevel)
 	}
+	if f.layout.Cores > 0 {
+		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", f.layout.Cores))
+	}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start of %s", s.Role)
--- /dev/null
+++ b/internal/localfleet/link.go
@@ -0,0 +1,74 @@
+package localfleet
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+)
+
+// Link is what a relay does to what it carries. The zero value passes all on at once.
+//
+// Loss is played as TCP shows it: the bytes come, later. A lost segment holds up all that follows for a
+// retransmission time-out beside the delay.
+type Link struct {
+	Delay time.Duration // one way
+	Loss  float64       // share of segments that are lost at first
+}
+
+const (
+	segmentBytes      = 1448
+	retransmitAtLeast = 200 * time.Millisecond
+	linkQueue         = 256 // segments under way
+)
+
+// segment is what is under way.
+type segment struct {
+	data []byte
+	due  time.Time
+}
+
+// carry passes bytes on in their order until either connection ends.
+func (l Link) carry(to, from net.Conn) {
+	queue := make(chan segment, linkQueue)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		deliver(to, queue)
+	}()
+	defer close(queue)
+	for {
+		buffer := make([]byte, segmentBytes)
+		count, err := from.Read(buffer)
+		if count > 0 {
+			select {
+			case queue <- segment{data: buffer[:count], due: l.due(time.Now())}:
+			case <-ended:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// due says when a segment that is sent now comes.
+func (l Link) due(now time.Time) time.Time {
+	at := now.Add(l.Delay)
+	for l.Loss > 0 && rand.Float64() < l.Loss {
+		at = at.Add(max(retransmitAtLeast, 2*l.Delay) + l.Delay)
+	}
+	return at
+}
+
+// deliver writes segments when they are due, until the queue is closed or a write fails.
+func deliver(to net.Conn, queue <-chan segment) {
+	for one := range queue {
+		if wait := time.Until(one.due); wait > 0 {
+			time.Sleep(wait)
+		}
+		if _, err := to.Write(one.data); err != nil {
+			return
+		}
+	}
+}
--- a/internal/localfleet/relay.go
+++ b/internal/localfleet/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
 
@@ -17,6 +16,7 @@
 type relay struct {
 	listener net.Listener
 	target   string
+	link     Link
 
 	mutex  sync.Mutex
 	closed bool
@@ -32,7 +32,7 @@
 		return nil
 	}
 	for keeper, target := range f.Peers() {
-		opened, err := newRelay(fmt.Sprintf("%s:%d", f.address(networkKeepers, keeper), port), target)
+		opened, err := newRelay(fmt.Sprintf("%s:%d", f.address(networkKeepers, keeper), port), target, Link{})
 		if err != nil {
 			return err
 		}
@@ -50,6 +50,22 @@
 	return false
 }
 
+// SlowPeers makes the keepers reachable over a slow link and returns the address of each by its own.
+func (f *Fleet) SlowPeers(link Link) (map[string]string, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	addresses := map[string]string{}
+	for keeper, target := range f.Peers() {
+		opened, err := newRelay(f.address(networkKeepers, keeper)+":0", target, link)
+		if err != nil {
+			return nil, err
+		}
+		f.relays = append(f.relays, opened)
+		addresses[target] = opened.listener.Addr().String()
+	}
+	return addresses, nil
+}
+
 func (f *Fleet) closeRelays() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -59,12 +75,12 @@
 	f.relays = nil
 }
 
-func newRelay(address, target string) (*relay, error) {
+func newRelay(address, target string, link Link) (*relay, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "relay to a keeper")
 	}
-	r := &relay{listener: listener, target: target, open: map[net.Conn]struct{}{}}
+	r := &relay{listener: listener, target: target, link: link, open: map[net.Conn]struct{}{}}
 	go r.accept()
 	return r, nil
 }
@@ -95,7 +111,7 @@
 	}
 	ended := make(chan struct{}, 2)
 	join := func(to, from net.Conn) {
-		_, _ = io.Copy(to, from)
+		r.link.carry(to, from)
 		ended <- struct{}{}
 	}
 	go join(onward, connection)
--- a/internal/modelworker/register.go
+++ b/internal/modelworker/register.go
@@ -35,8 +35,14 @@
 	Adapters   []string `json:"adapters"`
 }
 
+// Register sends a worker's heartbeats until the context ends, then announces the end. Nothing listens at the
+// worker's address. heard is told what became of each heartbeat.
+func Register(ctx context.Context, options Options, heard func(err error)) {
+	(&Worker{options: options}).register(ctx, heard)
+}
+
 // register sends heartbeats until the context ends, then announces the end.
-func (w *Worker) register(ctx context.Context) {
+func (w *Worker) register(ctx context.Context, heard func(err error)) {
 	caller, err := client.NewClient(client.WithDialTimeout(beatTimeout))
 	if err != nil {
 		return
@@ -44,7 +50,9 @@
 	at := 0
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		wait := w.options.Heartbeat
-		if w.call(ctx, caller, w.options.Control[at], "/-/Instances.Heartbeat/", w.beat(sequence)) != nil {
+		err := w.call(ctx, caller, w.options.Control[at], "/-/Instances.Heartbeat/", w.beat(sequence))
+		heard(err)
+		if err != nil {
 			at = (at + 1) % len(w.options.Control)
 			wait = retryPause
 		}
--- a/internal/modelworker/worker.go
+++ b/internal/modelworker/worker.go
@@ -117,7 +117,7 @@
 	w := &Worker{options: options}
 	w.server = front.New(front.Options{Handler: w.serve, Limits: func() configuration.Limits { return configuration.Limits{} }})
 	go func() { _ = w.server.Serve(listener) }()
-	go w.register(ctx)
+	go w.register(ctx, func(error) {})
 	go func() {
 		<-ctx.Done()
 		_ = w.server.Close()
--- /dev/null
+++ b/internal/scale/plot.go
@@ -0,0 +1,168 @@
+package scale
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"strings"
+)
+
+// Dimensions of the plot in pixels.
+const (
+	panelWidth   = 420
+	panelHeight  = 240
+	panelColumns = 2
+	marginLeft   = 62
+	marginRight  = 16
+	marginTop    = 34
+	marginBottom = 38
+	titleHeight  = 30
+	ticks        = 4
+	dotRadius    = 3
+	headroom     = 1.08 // of an axis above the greatest value
+)
+
+// series is one colour of a panel.
+type series struct {
+	label  string
+	colour string
+	points []Observation
+	line   bool // join the points
+}
+
+// panel is one plot over the number of nodes.
+type panel struct {
+	title  string
+	series []series
+	fit    *Trend
+	width  float64 // of the axis, in nodes
+	height float64 // of the axis
+}
+
+// plotted are the trends that have a panel.
+var plotted = []string{"all keepers: processor at rest", "keeper: memory at rest", "all keepers: written at rest",
+	"agent: processor at rest", "agent: memory at rest"}
+
+// WriteSVG writes the plot of a run.
+func (r Result) WriteSVG(out io.Writer) error {
+	panels := r.panels()
+	rows := (len(panels) + panelColumns - 1) / panelColumns
+	width, height := panelWidth*panelColumns, titleHeight+rows*panelHeight
+	var text strings.Builder
+	fmt.Fprintf(&text, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", width, height)
+	fmt.Fprintf(&text, `<rect width="%d" height="%d" fill="white"/>`+"\n", width, height)
+	fmt.Fprintf(&text, `<text x="12" y="20" font-size="14">%s</text>`+"\n", html.EscapeString(r.Command))
+	for i, one := range panels {
+		x, y := i%panelColumns*panelWidth, titleHeight+i/panelColumns*panelHeight
+		fmt.Fprintf(&text, `<g transform="translate(%d,%d)">`+"\n", x, y)
+		one.draw(&text)
+		text.WriteString("</g>\n")
+	}
+	text.WriteString("</svg>\n")
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+func (r Result) panels() []panel {
+	var panels []panel
+	for _, name := range plotted {
+		for _, trend := range r.Trends {
+			if trend.Name == name {
+				panels = append(panels, panel{title: name + ", " + trend.Unit, fit: &trend,
+					series: []series{{label: "measured", colour: "#1f77b4", points: trend.points}}})
+			}
+		}
+	}
+	panels = append(panels, r.timesPanel("change in force at agents, ms", func(s Step) Percentiles { return s.InForce }),
+		r.timesPanel("all agents restarted: whole again, ms", func(s Step) Percentiles { return s.Known }),
+		r.timesPanel("a keeper killed: agents current elsewhere, ms", func(s Step) Percentiles { return s.Moved }))
+	for i := range panels {
+		panels[i].width = float64(r.Target.Nodes)
+		panels[i].measure()
+	}
+	return panels
+}
+
+// timesPanel shows the median, the 99th percentile and the maximum of a time at each step.
+func (r Result) timesPanel(title string, of func(Step) Percentiles) panel {
+	rows := []series{{label: "max", colour: "#d62728", line: true}, {label: "p99", colour: "#ff7f0e", line: true},
+		{label: "p50", colour: "#2ca02c", line: true}}
+	for _, step := range r.Steps {
+		times := of(step)
+		for i, value := range []float64{times.Max, times.P99, times.P50} {
+			rows[i].points = append(rows[i].points, Observation{Size: step.Size, Value: value})
+		}
+	}
+	return panel{title: title, series: rows}
+}
+
+// measure sets the ends of the axes.
+func (p *panel) measure() {
+	for _, one := range p.series {
+		for _, point := range one.points {
+			p.width, p.height = max(p.width, float64(point.Size.Nodes)), max(p.height, point.Value)
+		}
+	}
+	if p.fit != nil {
+		p.height = max(p.height, p.fit.Target)
+	}
+	p.width, p.height = max(p.width, 1)*headroom, max(p.height, 1e-3)*headroom
+}
+
+func (p panel) x(nodes float64) float64 {
+	return marginLeft + nodes/p.width*(panelWidth-marginLeft-marginRight)
+}
+
+func (p panel) y(value float64) float64 {
+	return panelHeight - marginBottom - max(value, 0)/p.height*(panelHeight-marginTop-marginBottom)
+}
+
+func (p panel) draw(out *strings.Builder) {
+	fmt.Fprintf(out, `<text x="%d" y="18" font-size="12">%s</text>`+"\n", marginLeft, html.EscapeString(p.title))
+	p.axes(out)
+	for i, one := range p.series {
+		if one.line {
+			p.joined(out, one)
+		}
+		for _, point := range one.points {
+			fmt.Fprintf(out, `<circle cx="%.1f" cy="%.1f" r="%d" fill="%s"/>`+"\n",
+				p.x(float64(point.Size.Nodes)), p.y(point.Value), dotRadius, one.colour)
+		}
+		fmt.Fprintf(out, `<text x="%d" y="%d" fill="%s">%s</text>`+"\n", marginLeft+8, marginTop+12+14*i, one.colour, one.label)
+	}
+	if p.fit != nil && len(p.series[0].points) > 0 {
+		p.fitted(out)
+	}
+}
+
+func (p panel) axes(out *strings.Builder) {
+	for i := range ticks + 1 {
+		share := float64(i) / ticks
+		x, y := p.x(share*p.width), p.y(share*p.height)
+		fmt.Fprintf(out, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#ddd"/>`+"\n", marginLeft, y, panelWidth-marginRight, y)
+		fmt.Fprintf(out, `<text x="%d" y="%.1f" text-anchor="end">%.3g</text>`+"\n", marginLeft-5, y+4, share*p.height)
+		fmt.Fprintf(out, `<text x="%.1f" y="%d" text-anchor="middle">%.0f</text>`+"\n", x, panelHeight-marginBottom+15, share*p.width)
+	}
+	fmt.Fprintf(out, `<text x="%d" y="%d" text-anchor="end">nodes</text>`+"\n", panelWidth-marginRight, panelHeight-8)
+}
+
+func (p panel) joined(out *strings.Builder, one series) {
+	var at []string
+	for _, point := range one.points {
+		at = append(at, fmt.Sprintf("%.1f,%.1f", p.x(float64(point.Size.Nodes)), p.y(point.Value)))
+	}
+	fmt.Fprintf(out, `<polyline points="%s" fill="none" stroke="%s"/>`+"\n", strings.Join(at, " "), one.colour)
+}
+
+// fitted draws the fit from the smallest size to the target, with as many workers to a node as between these.
+func (p panel) fitted(out *strings.Builder) {
+	first := p.series[0].points[0].Size
+	last := p.series[0].points[0]
+	for _, point := range p.series[0].points {
+		if point.Size.Nodes >= last.Size.Nodes && point.Size.Workers >= last.Size.Workers {
+			last = point
+		}
+	}
+	fmt.Fprintf(out, `<line x1="%.1f" y1="%.1f" x2="%.1f" y2="%.1f" stroke="#888" stroke-dasharray="4 3"/>`+"\n",
+		p.x(float64(first.Nodes)), p.y(p.fit.Fit.value(first)), p.x(float64(last.Size.Nodes)), p.y(p.fit.Fit.value(last.Size)))
+}
--- /dev/null
+++ b/internal/scale/trial/agents.go
@@ -0,0 +1,215 @@
+// Package trial plays whole fleets on one machine and measures them: keepers and some edges as processes, all
+// other nodes and all workers hollow, in this process. A hollow node runs an agent's real feed link and real
+// monitoring; a hollow worker runs the real registration of the stand-in worker. Neither has traffic.
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/feedlink"
+)
+
+// traffic counts what all hollow agents read and wrote.
+type traffic struct {
+	in, out, reads atomic.Int64
+}
+
+// countedConnection counts the bytes of a connection.
+type countedConnection struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c countedConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.traffic.in.Add(int64(count))
+		c.traffic.reads.Add(1)
+	}
+	return count, err
+}
+
+func (c countedConnection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.traffic.out.Add(int64(count))
+	return count, err
+}
+
+// hollowAgent is an agent's feed link without the rest of the agent. It notes when it has what.
+type hollowAgent struct {
+	client *feedlink.Client
+
+	mutex        sync.Mutex
+	held         map[shards.ID]uint64
+	generation   uint64
+	generationAt time.Time
+	keeper       string    // address of the feed that is read; empty: none
+	wholeAt      time.Time // since when all shards are there and current; zero: they are not
+}
+
+// agentOptions say who a hollow agent is.
+type agentOptions struct {
+	node, zone, ip string
+	seeds          []string
+	feedPort       int
+	slow           map[string]string // keepers' addresses over the agent's link; nil: their own
+	traffic        *traffic
+}
+
+func newHollowAgent(options agentOptions) *hollowAgent {
+	agent := &hollowAgent{held: map[shards.ID]uint64{}}
+	agent.client = feedlink.NewClient(feedlink.ClientOptions{
+		Hello: feedlink.Hello{Node: options.node, Zone: options.zone, Region: "local", IP: options.ip,
+			Role: feedlink.RoleAgent, Incarnation: rand.Uint64()},
+		Choice: feedlink.ChoiceOptions{Node: options.node, Zone: options.zone, Region: "local",
+			Seeds: options.seeds, FeedPort: options.feedPort},
+		Dial: options.dial,
+	}, agent)
+	return agent
+}
+
+func (o agentOptions) dial(ctx context.Context, address string) (net.Conn, error) {
+	if relayed, ok := o.slow[address]; ok {
+		address = relayed
+	}
+	connection, err := feedlink.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConnection{Conn: connection, traffic: o.traffic}, nil
+}
+
+// Snapshot implements feedlink.Handler.
+func (a *hollowAgent) Snapshot(shard shards.ID, snapshot feed.Snapshot) {
+	a.take(shard, snapshot.Index, snapshot.Items)
+}
+
+// Change implements feedlink.Handler.
+func (a *hollowAgent) Change(shard shards.ID, change feed.Change) {
+	a.take(shard, change.Index, change.Put)
+}
+
+func (a *hollowAgent) take(shard shards.ID, index uint64, items []feed.Item) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.held[shard] = index
+	if shard != shards.Configuration {
+		return
+	}
+	for _, item := range items {
+		if item.Key != configuration.KeyGeneration {
+			continue
+		}
+		if generation, err := strconv.ParseUint(string(item.Value), 10, 64); err == nil {
+			a.generation, a.generationAt = generation, time.Now()
+		}
+	}
+}
+
+// Status implements feedlink.Handler.
+func (a *hollowAgent) Status(status feedlink.Status) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	whole := status.Current()
+	for _, shard := range status.Shards {
+		whole = whole && a.held[shard.Shard] >= shard.Index
+	}
+	switch {
+	case !whole:
+		a.wholeAt = time.Time{}
+	case a.wholeAt.IsZero():
+		a.wholeAt = time.Now()
+	}
+}
+
+// Connected implements feedlink.Handler.
+func (a *hollowAgent) Connected(address string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.keeper = address
+}
+
+// Disconnected implements feedlink.Handler.
+func (a *hollowAgent) Disconnected(error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.keeper, a.wholeAt = "", time.Time{}
+}
+
+// agentState is what a hollow agent has noted.
+type agentState struct {
+	generation            uint64
+	generationAt, wholeAt time.Time
+	keeper                string
+}
+
+func (a *hollowAgent) state() agentState {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return agentState{a.generation, a.generationAt, a.wholeAt, a.keeper}
+}
+
+// crowd is all hollow agents of a fleet.
+type crowd struct {
+	options []agentOptions
+	traffic *traffic
+	agents  []*hollowAgent
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// start runs all agents anew.
+func (c *crowd) start(ctx context.Context) {
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.agents = make([]*hollowAgent, len(c.options))
+	for i, options := range c.options {
+		agent := newHollowAgent(options)
+		c.agents[i] = agent
+		c.running.Go(func() { _ = agent.client.Run(ctx) })
+	}
+}
+
+// stop ends all agents.
+func (c *crowd) stop() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.running.Wait()
+}
+
+// all tells whether a condition holds for each agent.
+func (c *crowd) all(check func(agentState) bool) bool {
+	for _, agent := range c.agents {
+		if !check(agent.state()) {
+			return false
+		}
+	}
+	return true
+}
+
+// whole tells whether all agents have all shards from a current keeper.
+func (c *crowd) whole() bool {
+	return c.all(func(state agentState) bool { return !state.wholeAt.IsZero() })
+}
+
+// since returns, in milliseconds, when each agent that is chosen got what at picks.
+func (c *crowd) since(start time.Time, choose func(i int) bool, at func(agentState) time.Time) []float64 {
+	var times []float64
+	for i, agent := range c.agents {
+		if choose(i) {
+			times = append(times, milliseconds(at(agent.state()).Sub(start)))
+		}
+	}
+	return times
+}
+
+func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/scale/trial/monitor.go
@@ -0,0 +1,87 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"ospreybend/coord/membership"
+)
+
+const (
+	packetBuffer = 64 // bytes, more than a packet has
+	idleWait     = time.Second
+)
+
+// monitoring counts the datagrams of all hollow nodes, both ways.
+type monitoring struct {
+	datagrams, bytes atomic.Int64
+}
+
+// monitor is one hollow node's part in the monitoring of the fleet.
+type monitor struct {
+	socket *net.UDPConn
+	prober *membership.Prober
+	counts *monitoring
+	buffer []byte
+}
+
+// startMonitor answers and sends probes until ctx ends.
+func startMonitor(ctx context.Context, self netip.Addr, port int, nodes []membership.Node, counts *monitoring) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(self, uint16(port))))
+	if err != nil {
+		return err
+	}
+	m := &monitor{socket: socket, counts: counts,
+		prober: membership.NewProber(self.String(), membership.Options{}, rand.Uint64)}
+	m.prober.SetNodes(nodes)
+	context.AfterFunc(ctx, func() { _ = socket.Close() })
+	go m.run()
+	return nil
+}
+
+func (m *monitor) run() {
+	var buffer [packetBuffer]byte
+	for {
+		at, ok := m.prober.NextAt()
+		if !ok {
+			at = time.Now().Add(idleWait)
+		}
+		_ = m.socket.SetReadDeadline(at)
+		count, from, err := m.socket.ReadFromUDPAddrPort(buffer[:])
+		now := time.Now()
+		switch {
+		case err == nil:
+			m.receive(now, from, buffer[:count])
+		case errors.Is(err, net.ErrClosed):
+			return
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			continue // a refused datagram of before; the next read waits
+		}
+		m.send(m.prober.Tick(now))
+	}
+}
+
+func (m *monitor) receive(now time.Time, from netip.AddrPort, data []byte) {
+	m.counts.datagrams.Add(1)
+	m.counts.bytes.Add(int64(len(data)))
+	packet, err := membership.DecodePacket(data)
+	if err != nil {
+		return
+	}
+	m.send(m.prober.Receive(now, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), packet))
+}
+
+func (m *monitor) send(actions membership.Actions) {
+	for _, out := range actions.Send {
+		m.buffer = out.Packet.Encode(m.buffer[:0])
+		m.counts.datagrams.Add(1)
+		m.counts.bytes.Add(int64(len(m.buffer)))
+		_, _ = m.socket.WriteToUDPAddrPort(m.buffer, out.To) // a lost packet is asked about again
+	}
+}
--- /dev/null
+++ b/internal/scale/trial/phases.go
@@ -0,0 +1,207 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"time"
+
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/scale"
+)
+
+// reading is what the processes of a fleet had used at one moment.
+type reading struct {
+	at        time.Time
+	processes map[*localfleet.Process]scale.Counters
+}
+
+func (s *stepRun) read() reading {
+	taken := reading{at: time.Now(), processes: map[*localfleet.Process]scale.Counters{}}
+	for _, process := range s.fleet.Processes() {
+		if counters, err := readCounters(process.PID()); err == nil {
+			taken.processes[process] = counters
+		}
+	}
+	return taken
+}
+
+// note adds the use of each process since a reading to the step.
+func (s *stepRun) note(phase string, window int, before reading) {
+	after := s.read()
+	for process, counters := range after.processes {
+		held, ok := before.processes[process]
+		if !ok {
+			continue
+		}
+		s.step.Processes = append(s.step.Processes, scale.ProcessUse{Role: process.Role, Node: process.Node, Phase: phase,
+			Window: window, Use: scale.UseBetween(held, counters, after.at.Sub(before.at))})
+	}
+}
+
+// rest measures while nothing changes.
+func (s *stepRun) rest(ctx context.Context) error {
+	started := time.Now()
+	in, out, reads := s.crowd.traffic.in.Load(), s.crowd.traffic.out.Load(), s.crowd.traffic.reads.Load()
+	taken, datagrams, bytes := s.taken.Load(), s.monitoring.datagrams.Load(), s.monitoring.bytes.Load()
+	for window := range s.plan.Windows {
+		before := s.read()
+		rest(ctx, s.plan.Window)
+		s.note(scale.PhaseRest, window, before)
+	}
+	seconds := time.Since(started).Seconds()
+	agents := float64(max(len(s.crowd.agents), 1))
+	a := &s.step.Hollow
+	a.FeedInKB = round(float64(s.crowd.traffic.in.Load()-in) / 1000 / seconds / agents)
+	a.FeedOutKB = round(float64(s.crowd.traffic.out.Load()-out) / 1000 / seconds / agents)
+	a.FeedMessages = round(float64(s.crowd.traffic.reads.Load()-reads) / seconds / agents)
+	a.MonitorKB = round(float64(s.monitoring.bytes.Load()-bytes) / 1000 / seconds / agents)
+	a.Datagrams = round(float64(s.monitoring.datagrams.Load()-datagrams) / seconds / agents)
+	a.BeatsTaken, a.BeatsFailed = round(float64(s.taken.Load()-taken)/seconds), s.refused.Load()
+	s.sayRest()
+	return ctx.Err()
+}
+
+// sayRest shows the means of the roles at rest.
+func (s *stepRun) sayRest() {
+	for _, role := range []string{"keeper", "agent", "proxy"} {
+		var sum scale.Use
+		count := 0.0
+		for _, process := range s.step.Processes {
+			if process.Role == role && process.Phase == scale.PhaseRest {
+				sum.Processor += process.Use.Processor
+				sum.MemoryMB += process.Use.MemoryMB
+				sum.ReadKB += process.Use.ReadKB
+				sum.WrittenKB += process.Use.WrittenKB
+				sum.Switches += process.Use.Switches
+				count++
+			}
+		}
+		if count > 0 {
+			s.plan.say("  at rest, each %s: %.2f%% of a core, %.1f MB, %.1f kB/s read, %.1f kB/s written, %.0f waits/s",
+				role, sum.Processor/count, sum.MemoryMB/count, sum.ReadKB/count, sum.WrittenKB/count, sum.Switches/count)
+		}
+	}
+	a := s.step.Hollow
+	s.plan.say("  at rest, each hollow agent: %.2f kB/s in %.1f messages/s, monitoring %.2f kB/s in %.1f datagrams/s; %.0f heartbeats/s taken, %d failed so far",
+		a.FeedInKB, a.FeedMessages, a.MonitorKB, a.Datagrams, a.BeatsTaken, a.BeatsFailed)
+}
+
+// changes sends changes one after the other and waits for each at all agents and real proxies.
+func (s *stepRun) changes(ctx context.Context) error {
+	var near, far, proxies, acks []float64
+	before := s.read()
+	for range s.plan.Changes {
+		s.generation++
+		sent := time.Now()
+		acked, err := s.change(ctx)
+		if err != nil {
+			return err
+		}
+		acks = append(acks, milliseconds(acked.Sub(sent)))
+		if s.plan.Edges > 0 {
+			if err := s.await(ctx, "a proxy without a change", func() bool { return s.proxyHas(ctx) }); err != nil {
+				return err
+			}
+			proxies = append(proxies, milliseconds(time.Since(sent)))
+		}
+		if err := s.awaitGeneration(ctx); err != nil {
+			return err
+		}
+		near = append(near, s.crowd.since(sent, s.near, gotGeneration)...)
+		far = append(far, s.crowd.since(sent, s.far, gotGeneration)...)
+	}
+	s.note(scale.PhaseChange, 0, before)
+	s.step.Acked, s.step.AtProxies = scale.PercentilesOf(acks), scale.PercentilesOf(proxies)
+	s.step.InForce, s.step.InForceFar = scale.PercentilesOf(near), scale.PercentilesOf(far)
+	s.plan.say("  %d changes: acknowledged p50 %.0f ms; in force at near agents p50 %.0f, p99 %.0f, max %.0f ms; at far ones p99 %.0f, max %.0f ms; at proxies max %.0f ms",
+		s.plan.Changes, s.step.Acked.P50, s.step.InForce.P50, s.step.InForce.P99, s.step.InForce.Max,
+		s.step.InForceFar.P99, s.step.InForceFar.Max, s.step.AtProxies.Max)
+	return nil
+}
+
+// change sends the change to the generation that is due and returns when it was acknowledged.
+func (s *stepRun) change(ctx context.Context) (time.Time, error) {
+	tenant := int(s.generation) % max(s.plan.Routes, 1)
+	err := s.operator.Update(ctx, s.generation-1, oneRoute(s.generation, tenant))
+	return time.Now(), err
+}
+
+// restart ends all hollow agents and starts them again at once, without anything of before.
+func (s *stepRun) restart(ctx context.Context) error {
+	s.crowd.stop()
+	in := s.crowd.traffic.in.Load()
+	before, started := s.read(), time.Now()
+	s.crowd.start(ctx)
+	if err := s.await(ctx, "agents not whole after their restart", s.crowd.whole); err != nil {
+		return err
+	}
+	s.note(scale.PhaseRestart, 0, before)
+	s.step.Known = scale.PercentilesOf(s.crowd.since(started, everyone, becameWhole))
+	s.step.Hollow.SnapshotKB = round(float64(s.crowd.traffic.in.Load()-in) / 1000 / float64(max(len(s.crowd.agents), 1)))
+	s.plan.say("  all %d hollow agents restarted: whole again p50 %.0f, p99 %.0f, max %.0f ms; %.0f kB each",
+		len(s.crowd.agents), s.step.Known.P50, s.step.Known.P99, s.step.Known.Max, s.step.Hollow.SnapshotKB)
+	return nil
+}
+
+func becameWhole(state agentState) time.Time { return state.wholeAt }
+
+var errNoOwner = errors.New("no keeper leads the configuration's shard")
+
+// loss kills the owner of the configuration and sends a change at the same moment.
+func (s *stepRun) loss(ctx context.Context) error {
+	if s.plan.Keepers < 3 {
+		return nil
+	}
+	owner := s.owner(ctx)
+	if owner < 0 {
+		return errNoOwner
+	}
+	host, _, _ := net.SplitHostPort(s.fleet.Control()[owner])
+	lost := make([]bool, len(s.crowd.agents))
+	for i, agent := range s.crowd.agents {
+		lost[i] = s.readsFrom(agent.state().keeper, host)
+	}
+	before := s.read()
+	killed := time.Now()
+	s.fleet.Keeper(owner).Kill()
+	s.generation++
+	acked, err := s.change(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.awaitGeneration(ctx); err != nil {
+		return err
+	}
+	s.step.AckedAfter = milliseconds(acked.Sub(killed))
+	all := s.crowd.since(killed, everyone, gotGeneration)
+	s.step.AllAfter = scale.PercentilesOf(all).Max
+	if err := s.await(ctx, "agents not current after the loss of a keeper", s.crowd.whole); err != nil {
+		return err
+	}
+	s.note(scale.PhaseLoss, 0, before)
+	s.step.Moved = scale.PercentilesOf(s.crowd.since(killed, func(i int) bool { return lost[i] }, becameWhole))
+	s.plan.say("  keeper killed: next change acknowledged after %.0f ms, at all agents after %.0f ms; its %d agents current elsewhere p50 %.0f, max %.0f ms",
+		s.step.AckedAfter, s.step.AllAfter, s.step.Moved.Count, s.step.Moved.P50, s.step.Moved.Max)
+	return nil
+}
+
+// readsFrom tells whether an agent reads from a keeper, perhaps over a slow link: its relay has the same IP.
+func (s *stepRun) readsFrom(address, host string) bool { return strings.HasPrefix(address, host+":") }
+
+// owner returns the keeper that leads the configuration's shard, or -1.
+func (s *stepRun) owner(ctx context.Context) int {
+	for i, address := range s.fleet.Control() {
+		response, err := s.operator.Ask(ctx, address, "GET", "/-/status", 0, nil)
+		if err != nil {
+			continue
+		}
+		var status struct{ Shards []struct{ Role string } }
+		if json.Unmarshal(response.Body, &status) == nil && len(status.Shards) > 0 && status.Shards[0].Role == "leader" {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/scale/trial/plan.go
@@ -0,0 +1,96 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/scale"
+)
+
+// Plan says what is played.
+type Plan struct {
+	Binary    string // the fleet's program
+	Directory string // settings, data and logs go below it
+	Sizes     []scale.Size
+	Target    scale.Size
+	Keepers   int
+	Edges     int // real ones among the nodes
+	Routes    int
+	Settle    time.Duration // after the start, before anything is measured
+	Window    time.Duration // of a measurement at rest
+	Windows   int
+	Changes   int
+	FarEvery  int             // each so-manieth hollow agent has the far link; 0: none
+	Far       localfleet.Link // between these and the keepers
+	Heartbeat time.Duration   // of workers
+	Limit     time.Duration   // of one step
+	Progress  io.Writer
+}
+
+// Of one process of the fleet.
+const (
+	coresOfProcess  = 1
+	memoryOfProcess = 256 // MB
+)
+
+// Play plays all sizes that the machine has room for. On an error the result holds the steps before it.
+func Play(ctx context.Context, plan Plan) (scale.Result, error) {
+	result := scale.Result{Machine: machineName(runtime.NumCPU()), Target: plan.Target, Far: plan.farText()}
+	bounds, err := machineBounds()
+	if err != nil {
+		return result, err
+	}
+	for i, size := range plan.Sizes {
+		if why := bounds.Check(scale.NeedOf(size, plan.Keepers, plan.Edges, plan.Routes)); why != nil {
+			result.Cuts = append(result.Cuts, scale.Cut{Size: size, Why: why.Error()})
+			plan.say("%d nodes, %d workers: not played: %v", size.Nodes, size.Workers, why)
+			continue
+		}
+		result.Load = append(result.Load, loadAverage())
+		step, err := plan.playStep(ctx, i, size, bounds)
+		if err != nil {
+			return result, fmt.Errorf("%d nodes, %d workers: %w", size.Nodes, size.Workers, err)
+		}
+		result.Steps = append(result.Steps, step)
+	}
+	result.Trends = scale.Trends(result.Steps, plan.Target)
+	return result, nil
+}
+
+func (p Plan) farText() string {
+	if p.FarEvery == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("one hollow agent in %d: %v one way, %.3g%% of segments lost", p.FarEvery, p.Far.Delay, 100*p.Far.Loss)
+}
+
+func (p Plan) say(format string, values ...any) { fmt.Fprintf(p.Progress, format+"\n", values...) }
+
+// playStep plays one size with a fleet of its own.
+func (p Plan) playStep(ctx context.Context, index int, size scale.Size, bounds scale.Bounds) (scale.Step, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Limit)
+	defer cancel()
+	directory := filepath.Join(p.Directory, fmt.Sprintf("step-%d", index+1))
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return scale.Step{}, err
+	}
+	defer os.RemoveAll(directory)
+	fleet, err := localfleet.New(localfleet.Layout{Binary: p.Binary, Directory: directory, Keepers: p.Keepers,
+		Edges: p.Edges, LogLevel: "warn", Cores: coresOfProcess, MemoryMb: memoryOfProcess})
+	if err != nil {
+		return scale.Step{}, err
+	}
+	s := newStepRun(p, size, fleet, bounds)
+	defer s.close()
+	started := time.Now()
+	p.say("%d nodes, %d workers, %d keepers, %d routes (load average %.1f)", size.Nodes, size.Workers, p.Keepers, p.Routes, loadAverage())
+	err = s.play(ctx)
+	s.step.TookS = time.Since(started).Seconds()
+	return s.step, err
+}
--- /dev/null
+++ b/internal/scale/trial/procfs.go
@@ -0,0 +1,85 @@
+package trial
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"ospreybend/internal/scale"
+)
+
+// readCounters reads what a process has used.
+func readCounters(pid int) (scale.Counters, error) {
+	directory := filepath.Join("/proc", strconv.Itoa(pid))
+	stat, err := os.ReadFile(filepath.Join(directory, "stat"))
+	if err != nil {
+		return scale.Counters{}, eris.Wrap(err, "process")
+	}
+	processor, err := scale.ProcessorTime(string(stat))
+	if err != nil {
+		return scale.Counters{}, err
+	}
+	status, err := readNamed(filepath.Join(directory, "status"))
+	if err != nil {
+		return scale.Counters{}, err
+	}
+	calls, err := readNamed(filepath.Join(directory, "io"))
+	if err != nil {
+		return scale.Counters{}, err
+	}
+	return scale.Counters{Processor: processor, Resident: status["VmRSS"], Peak: status["VmHWM"],
+		Read: calls["rchar"], Written: calls["wchar"], Reads: calls["syscr"], Writes: calls["syscw"],
+		Switches: switches(directory)}, nil
+}
+
+// switches adds up how often each thread of a process went to wait.
+func switches(directory string) int64 {
+	threads, _ := filepath.Glob(filepath.Join(directory, "task", "*", "status"))
+	var sum int64
+	for _, path := range threads {
+		if named, err := readNamed(path); err == nil {
+			sum += named["voluntary_ctxt_switches"]
+		}
+	}
+	return sum
+}
+
+func readNamed(path string) (map[string]int64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "process")
+	}
+	return scale.Named(string(text)), nil
+}
+
+// machineBounds are what a run may take of this machine.
+func machineBounds() (scale.Bounds, error) {
+	memory, err := readNamed("/proc/meminfo")
+	if err != nil {
+		return scale.Bounds{}, err
+	}
+	var files unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err != nil {
+		return scale.Bounds{}, eris.Wrap(err, "limit of descriptors")
+	}
+	return scale.BoundsOf(memory["MemTotal"], int(min(files.Cur, 1<<30))), nil
+}
+
+// machineName tells processors and memory.
+func machineName(processors int) string {
+	memory, _ := readNamed("/proc/meminfo")
+	return fmt.Sprintf("%d processors, %d MB", processors, memory["MemTotal"]>>20)
+}
+
+// loadAverage is the machine's over the last minute.
+func loadAverage() float64 {
+	text, _ := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(text), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
--- /dev/null
+++ b/internal/scale/trial/step.go
@@ -0,0 +1,249 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreybend/coord/membership"
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/modelworker"
+	"ospreybend/internal/scale"
+)
+
+const (
+	poll         = 5 * time.Millisecond
+	monitorPlace = 2 // of the port range: where agents answer probes
+	workerSlots  = 64
+)
+
+// ErrMemory ends a step whose processes use more memory than the run may.
+var ErrMemory = errors.New("scale: the processes use more than half of the machine's memory")
+
+// stepRun is one size while it is played.
+type stepRun struct {
+	plan       Plan
+	fleet      *localfleet.Fleet
+	operator   *localfleet.Operator
+	bounds     scale.Bounds
+	step       scale.Step
+	crowd      crowd
+	monitoring monitoring
+	taken      atomic.Int64 // heartbeats acknowledged
+	refused    atomic.Int64
+	known      atomic.Int64 // workers of which one was acknowledged
+	workers    sync.WaitGroup
+	generation uint64
+	stopAll    context.CancelFunc
+}
+
+func newStepRun(plan Plan, size scale.Size, fleet *localfleet.Fleet, bounds scale.Bounds) *stepRun {
+	return &stepRun{plan: plan, fleet: fleet, bounds: bounds, operator: localfleet.NewOperator(fleet.Control()),
+		step:  scale.Step{Size: size, Keepers: plan.Keepers, Edges: plan.Edges, Routes: plan.Routes},
+		crowd: crowd{traffic: new(traffic)}, stopAll: func() {}}
+}
+
+// close ends all that the step has started.
+func (s *stepRun) close() {
+	s.stopAll()
+	s.fleet.KillAll()
+	s.crowd.stop()
+	s.workers.Wait()
+	s.operator.Close()
+}
+
+func (s *stepRun) await(ctx context.Context, what string, check func() bool) error {
+	if err := localfleet.Await(ctx, poll, check); err != nil {
+		return fmt.Errorf("%s: %w", what, err)
+	}
+	return nil
+}
+
+// play does the phases in turn.
+func (s *stepRun) play(ctx context.Context) error {
+	for _, phase := range []func(context.Context) error{s.begin, s.rest, s.changes, s.restart, s.loss} {
+		if err := phase(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin starts the fleet, gives it its configuration and its workers.
+func (s *stepRun) begin(ctx context.Context) error {
+	if err := s.fleet.StartAll(); err != nil {
+		return err
+	}
+	inner, cancel := context.WithCancel(ctx)
+	s.stopAll = cancel
+	if err := s.startNodes(inner); err != nil {
+		return err
+	}
+	if err := s.await(ctx, "agents without a keeper", s.crowd.whole); err != nil {
+		return err
+	}
+	if err := s.firstConfiguration(ctx); err != nil {
+		return err
+	}
+	s.startWorkers(inner)
+	if err := s.await(ctx, "workers are not known", func() bool { return int(s.known.Load()) == s.step.Size.Workers }); err != nil {
+		return err
+	}
+	s.plan.say("  whole configuration of %d kB at all agents after %.0f ms; all workers known", s.step.Hollow.DocumentBytes/1000, s.step.Whole)
+	rest(ctx, s.plan.Settle)
+	return s.checkMemory()
+}
+
+// firstConfiguration sends a whole configuration and waits until all have it.
+func (s *stepRun) firstConfiguration(ctx context.Context) error {
+	body := document(1, s.plan.Routes)
+	s.step.Hollow.DocumentBytes = len(body)
+	sent := time.Now()
+	if err := s.operator.Replace(ctx, 0, body); err != nil {
+		return err
+	}
+	s.generation = 1
+	if err := s.awaitGeneration(ctx); err != nil {
+		return err
+	}
+	s.step.Whole = slices.Max(append(s.crowd.since(sent, everyone, gotGeneration), 0))
+	return s.await(ctx, "a proxy without the configuration", func() bool { return s.proxyHas(ctx) })
+}
+
+func everyone(int) bool { return true }
+
+func gotGeneration(state agentState) time.Time { return state.generationAt }
+
+func (s *stepRun) awaitGeneration(ctx context.Context) error {
+	return s.await(ctx, "agents without a change", func() bool {
+		return s.crowd.all(func(state agentState) bool { return state.generation >= s.generation })
+	})
+}
+
+// proxyHas tells whether all real proxies have the configuration sent last, by their figures.
+func (s *stepRun) proxyHas(ctx context.Context) bool {
+	for edge := range s.plan.Edges {
+		response, err := s.operator.Ask(ctx, s.fleet.Readiness(edge), "GET", "/-/metrics", 0, nil)
+		if err != nil || !strings.Contains(string(response.Body), fmt.Sprintf("view_generation %d\n", s.generation)) {
+			return false
+		}
+	}
+	return true
+}
+
+// startNodes starts the hollow nodes: their monitoring and their links.
+func (s *stepRun) startNodes(ctx context.Context) error {
+	hollow := s.step.Size.Nodes - s.plan.Edges
+	ports := s.fleet.PortRange()
+	slow, err := s.farLinks()
+	if err != nil {
+		return err
+	}
+	for i := range max(hollow, 0) {
+		options := agentOptions{node: fmt.Sprintf("hollow-%d", i+1), zone: localfleet.Zone(i), ip: s.fleet.HollowIP(i),
+			seeds: s.fleet.Control()[:min(3, s.plan.Keepers)], feedPort: ports[0], traffic: s.crowd.traffic}
+		if s.far(i) {
+			options.slow = slow
+		}
+		s.crowd.options = append(s.crowd.options, options)
+	}
+	s.crowd.start(ctx)
+	return s.startMonitors(ctx, ports[0]+monitorPlace)
+}
+
+func (s *stepRun) far(i int) bool {
+	return s.plan.FarEvery > 0 && i%s.plan.FarEvery == s.plan.FarEvery-1
+}
+
+func (s *stepRun) near(i int) bool { return !s.far(i) }
+
+func (s *stepRun) farLinks() (map[string]string, error) {
+	if s.plan.FarEvery == 0 {
+		return nil, nil
+	}
+	return s.fleet.SlowPeers(s.plan.Far)
+}
+
+// startMonitors has the hollow nodes and the first edge monitor each other.
+func (s *stepRun) startMonitors(ctx context.Context, port int) error {
+	var nodes []membership.Node
+	for _, options := range s.crowd.options {
+		nodes = append(nodes, monitored(options.ip, port))
+	}
+	if s.plan.Edges > 0 {
+		nodes = append(nodes, monitored(s.fleet.EdgeIP(0), port))
+	}
+	for i := range s.crowd.options {
+		if err := startMonitor(ctx, nodes[i].Address.Addr(), port, nodes, &s.monitoring); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func monitored(ip string, port int) membership.Node {
+	return membership.Node{Name: ip, Address: netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(port))}
+}
+
+// startWorkers registers all workers.
+func (s *stepRun) startWorkers(ctx context.Context) {
+	for i := range s.step.Size.Workers {
+		at := i % s.plan.Keepers
+		control := append(slices.Clone(s.fleet.Control()[at:]), s.fleet.Control()[:at]...)
+		options := modelworker.Options{ID: fmt.Sprintf("worker-%d", i+1), Zone: localfleet.Zone(i), Service: modelService(i),
+			Stage: stageOf(i), Address: s.fleet.Worker(i), Slots: workerSlots, Control: control, Heartbeat: s.plan.Heartbeat}
+		first := true
+		s.workers.Go(func() {
+			modelworker.Register(ctx, options, func(err error) {
+				if err != nil {
+					s.refused.Add(1)
+					return
+				}
+				s.taken.Add(1)
+				if first {
+					first = false
+					s.known.Add(1)
+				}
+			})
+		})
+	}
+}
+
+// checkMemory adds up what all processes have in memory.
+func (s *stepRun) checkMemory() error {
+	own, err := readCounters(os.Getpid())
+	if err != nil {
+		return err
+	}
+	sum := own.Resident
+	for _, process := range s.fleet.Processes() {
+		if counters, err := readCounters(process.PID()); err == nil {
+			sum += counters.Resident
+		}
+	}
+	if sum > s.bounds.Memory {
+		return ErrMemory
+	}
+	return nil
+}
+
+// rest waits unless the context ends.
+func rest(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// round cuts a figure to three decimals.
+func round(value float64) float64 { return math.Round(value*1000) / 1000 }
--- /dev/null
+++ b/internal/scale/trial/trial_test.go
@@ -0,0 +1,129 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/scale"
+)
+
+// binary is the fleet's program, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "ospreyfleet-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	binary = filepath.Join(directory, "ospreyfleet")
+	if output, err := exec.Command("go", "build", "-o", binary, "ospreybend/cmd/ospreyfleet").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	testChanges = 3
+	testWindow  = 300 * time.Millisecond
+	testLimit   = 40 * time.Second
+)
+
+// TestShortRun plays the whole measurement with a few nodes.
+func TestShortRun(t *testing.T) {
+	sizes := []scale.Size{{Nodes: 4, Workers: 6}, {Nodes: 8, Workers: 9}}
+	var progress strings.Builder
+	result, err := Play(t.Context(), Plan{Binary: binary, Directory: t.TempDir(), Sizes: sizes, Target: scale.Size{Nodes: 360, Workers: 600},
+		Keepers: 3, Edges: 1, Routes: 20, Window: testWindow, Windows: 2, Changes: testChanges, FarEvery: 3,
+		Far: localfleet.Link{Delay: 20 * time.Millisecond}, Heartbeat: 100 * time.Millisecond, Limit: testLimit, Progress: &progress})
+	if err != nil || len(result.Steps) != len(sizes) {
+		t.Fatalf("%d steps, %v\n%s", len(result.Steps), err, progress.String())
+	}
+	for _, step := range result.Steps {
+		checkStep(t, step)
+	}
+	if len(result.Trends) == 0 {
+		t.Error("nothing was fitted")
+	}
+}
+
+// checkStep tells whether all phases left figures that can be.
+func checkStep(t *testing.T, step scale.Step) {
+	t.Helper()
+	hollow := step.Size.Nodes - 1
+	far := hollow / 3
+	if step.InForce.Count != (hollow-far)*testChanges || step.InForceFar.Count != far*testChanges {
+		t.Errorf("%d nodes: changes seen %d times near and %d far", step.Size.Nodes, step.InForce.Count, step.InForceFar.Count)
+	}
+	if far > 0 && step.InForceFar.P50 < 20 {
+		t.Errorf("%d nodes: a link of 20 ms took %.1f ms", step.Size.Nodes, step.InForceFar.P50)
+	}
+	if step.Known.Count != hollow || step.Known.Max <= 0 || step.AckedAfter <= 0 || step.AllAfter < step.AckedAfter/2 {
+		t.Errorf("%d nodes: restart %+v, after the loss %v and %v", step.Size.Nodes, step.Known, step.AckedAfter, step.AllAfter)
+	}
+	if step.Hollow.FeedInKB <= 0 || step.Hollow.BeatsTaken <= 0 || step.Hollow.SnapshotKB <= 0 {
+		t.Errorf("%d nodes: hollow %+v", step.Size.Nodes, step.Hollow)
+	}
+	roles := map[string]int{}
+	for _, process := range step.Processes {
+		if process.Phase == scale.PhaseRest && process.Use.MemoryMB > 1 {
+			roles[process.Role]++
+		}
+	}
+	if roles["keeper"] != 6 || roles["agent"] != 2 || roles["proxy"] != 2 {
+		t.Errorf("%d nodes: processes at rest %v", step.Size.Nodes, roles)
+	}
+}
+
+func TestSizesBeyondTheMachineAreCut(t *testing.T) {
+	result, err := Play(t.Context(), Plan{Sizes: []scale.Size{{Nodes: 1 << 24, Workers: 1}}, Keepers: 3, Progress: io.Discard})
+	if err != nil || len(result.Steps) != 0 || len(result.Cuts) != 1 || result.Cuts[0].Why == "" {
+		t.Errorf("%+v, %v", result, err)
+	}
+}
+
+func TestAnEndedContextEndsTheStep(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := Play(ctx, Plan{Binary: binary, Directory: t.TempDir(), Sizes: []scale.Size{{Nodes: 2, Workers: 1}}, Keepers: 3,
+		Edges: 1, Routes: 1, Windows: 1, Limit: testLimit, Progress: io.Discard})
+	if err == nil {
+		t.Error("no error")
+	}
+}
+
+func TestDocumentsAreValid(t *testing.T) {
+	command := configuration.Command{Kind: configuration.Replace, Body: document(1, 20)}
+	if refusal := configuration.CheckStatic(command); refusal != nil {
+		t.Errorf("whole: %v", refusal)
+	}
+	command = configuration.Command{Kind: configuration.Update, Base: 1, Body: oneRoute(2, 3)}
+	if refusal := configuration.CheckStatic(command); refusal != nil {
+		t.Errorf("change: %v", refusal)
+	}
+}
+
+func TestAThirdOfTheWorkersReadPrompts(t *testing.T) {
+	prefill := 0
+	for i := range 600 {
+		if stageOf(i) == "prefill" {
+			prefill++
+		}
+	}
+	if prefill != 204 {
+		t.Errorf("%d of 600 read prompts, want 204", prefill)
+	}
+}
