Tell other proxies what is under way, and let short readings go first

Proxies now send each other, by paced datagrams, the work that they have under way at each worker, which replaces the guess of others' load; calls carry Priority by the time of their reading, and a run whose prompt is read comes first.

--- a/internal/catalog/builder.go
+++ b/internal/catalog/builder.go
@@ -281,7 +281,7 @@
 		delete(b.workers, service)
 	}
 	if service == registry.NodesService {
-		next.Nodes = max(len(list), smallestNodes)
+		next.Nodes, next.NodeList = max(len(list), smallestNodes), list
 		return
 	}
 	if len(list) == 0 {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -19,6 +19,7 @@
 	Limits     configuration.Limits
 	Workers    map[string][]*Worker // by service, in the order of their IDs, draining ones left out
 	Nodes      int                  // edge nodes that are known to run, this one included; at least 1
+	NodeList   []*Worker            // those nodes
 
 	routes routeTable
 }
--- a/internal/dispatch/chooser_test.go
+++ b/internal/dispatch/chooser_test.go
@@ -19,6 +19,10 @@
 	order   []*selection.Call
 	firsts  int
 	draws   func(excluded []string) (selection.Choice, bool) // in place of choices
+
+	urgency   int
+	peers     []uint64
+	peerLists [][]selection.Outstanding
 }
 
 // offers adds choices, "p1>d1" for a pair and "d1" for a worker alone.
@@ -26,6 +30,7 @@
 	for _, text := range texts {
 		var choice selection.Choice
 		choice.First = 100 * time.Millisecond
+		choice.Urgency = c.urgency
 		if len(text) > 2 {
 			choice.Prefill = testWorker(text[:2])
 			text = text[3:]
@@ -77,6 +82,15 @@
 
 func (c *scriptedChooser) Abandoned(_ time.Duration, call *selection.Call) { c.end(call, "abandoned") }
 
+func (c *scriptedChooser) Outstanding(time.Duration) []selection.Outstanding {
+	return []selection.Outstanding{{Worker: uint64(len(c.order))}}
+}
+
+func (c *scriptedChooser) Peer(_ time.Duration, node uint64, list []selection.Outstanding) {
+	c.peers = append(c.peers, node)
+	c.peerLists = append(c.peerLists, list)
+}
+
 func (c *scriptedChooser) end(call *selection.Call, how string) {
 	c.ended[call] = append(c.ended[call], how)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"ospreybend/internal/front"
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/retrybudget"
+	"ospreybend/internal/selection"
 )
 
 // Status codes of the dispatcher's own answers.
@@ -30,6 +31,8 @@
 	Now     func() time.Duration // monotonic
 	Draw    func() float64       // uniform in [0, 1); called from several goroutines
 	Log     *zap.Logger
+	// Changed is called when what this node has under way has changed; it must not block. It may be left out.
+	Changed func()
 }
 
 // Counts tells what a dispatcher has done since its start.
@@ -66,12 +69,17 @@
 	if log == nil {
 		log = zap.NewNop()
 	}
+	changed := options.Changed
+	if changed == nil {
+		changed = func() {}
+	}
 	return &Dispatcher{
 		workers: options.Workers,
 		guard: &guard{
 			now:     options.Now,
 			chooser: options.Chooser,
 			budgets: retrybudget.NewLedger(options.Budget, options.Now()),
+			changed: changed,
 		},
 		now:     options.Now,
 		draw:    options.Draw,
@@ -89,6 +97,12 @@
 // View returns the view in force; nil: none has come.
 func (d *Dispatcher) View() *catalog.View { return d.view.Load() }
 
+// Outstanding returns what this node has under way at workers.
+func (d *Dispatcher) Outstanding() []selection.Outstanding { return d.guard.outstanding() }
+
+// Peer takes in what another node has under way. It replaces what that node told before.
+func (d *Dispatcher) Peer(node uint64, list []selection.Outstanding) { d.guard.peer(node, list) }
+
 // Counts returns what the dispatcher has done.
 func (d *Dispatcher) Counts() Counts { return d.counts.read() }
 
--- a/internal/dispatch/fields.go
+++ b/internal/dispatch/fields.go
@@ -33,9 +33,6 @@
 	stagePrefill = "prefill"
 
 	// Priorities that workers take: 0 to 9, 0 first.
-	firstPriority = 1
-	priorityStep  = 2
-	lastPriority  = 9
 )
 
 // ownFields are set by the system alone; a client's are not passed on.
@@ -122,11 +119,6 @@
 	return strconv.FormatInt(int64(d/time.Millisecond), 10)
 }
 
-// workerPriority is the value of a route's rank at workers.
-func workerPriority(rank int) int {
-	return min(lastPriority, firstPriority+priorityStep*max(rank, 0))
-}
-
 // plainHost is a host in lower case without its port.
 func plainHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -15,6 +15,7 @@
 	mutex   sync.Mutex
 	chooser Chooser
 	budgets *retrybudget.Ledger
+	changed func() // called when calls have begun, been answered or ended; must not block
 }
 
 func (g *guard) setView(view *catalog.View) {
@@ -49,6 +50,7 @@
 func (g *guard) sent(request *selection.Request, kind selection.CallKind, choice selection.Choice) *ticket {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	defer g.changed()
 	return &ticket{guard: g, call: g.chooser.Sent(g.now(), request, kind, choice)}
 }
 
@@ -64,6 +66,7 @@
 	t.guard.mutex.Lock()
 	defer t.guard.mutex.Unlock()
 	t.guard.chooser.FirstEvent(t.guard.now(), t.call)
+	t.guard.changed()
 }
 
 func (t *ticket) done(load *selection.Load) {
@@ -90,4 +93,19 @@
 	t.guard.mutex.Lock()
 	defer t.guard.mutex.Unlock()
 	tell(t.guard.now())
+	t.guard.changed()
+}
+
+// outstanding returns what this node has under way at workers.
+func (g *guard) outstanding() []selection.Outstanding {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.chooser.Outstanding(g.now())
+}
+
+// peer takes in what another node has under way.
+func (g *guard) peer(node uint64, list []selection.Outstanding) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.chooser.Peer(g.now(), node, list)
 }
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -56,6 +56,8 @@
 	Rejected(now time.Duration, call *selection.Call, load *selection.Load)
 	Failed(now time.Duration, call *selection.Call, cause selection.Failure)
 	Abandoned(now time.Duration, call *selection.Call)
+	Outstanding(now time.Duration) []selection.Outstanding
+	Peer(now time.Duration, node uint64, list []selection.Outstanding)
 }
 
 // pooledWorkers makes calls over a pool of connections.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -211,12 +211,20 @@
 		httpwire.Field{Name: fieldDeadline, Value: formatMillis(max(t.left(), leastLeft))},
 		httpwire.Field{Name: fieldTarget, Value: worker.ID})
 	if t.service.Engine != nil {
-		priority := strconv.Itoa(workerPriority(t.route.Priority))
+		priority := strconv.Itoa(t.urgency())
 		fields = append(fields, httpwire.Field{Name: fieldPriority, Value: priority})
 	}
 	return fields
 }
 
+// urgency is the value of the field Priority in a call: a request whose prompt has been read comes first.
+func (t *try) urgency() int {
+	if t.held != nil {
+		return 0
+	}
+	return t.trace.choice.Urgency
+}
+
 // runSilence is how long a worker may be silent before its first event or its whole answer; 0: until the limit.
 func (t *try) runSilence(choice selection.Choice) time.Duration {
 	if !t.repeatable() {
--- /dev/null
+++ b/internal/loadshare/message.go
@@ -0,0 +1,84 @@
+// Package loadshare is how the proxies of a fleet tell each other what they have under way at workers:
+// whole states in datagrams, so that a lost or late one does no lasting harm. It paces the sending and
+// drops what is old or foreign; it has no socket and no clock.
+package loadshare
+
+import (
+	"bytes"
+	"errors"
+
+	"github.com/hamba/avro/v2"
+
+	"ospreybend/internal/selection"
+)
+
+// MostBytes is the largest datagram that is sent or read.
+const MostBytes = 1400
+
+const (
+	mostEntries  = 60  // of a message: the workers with most work go first
+	microseconds = 1e6 // in a second
+)
+
+// ErrMessage is a datagram that is no message.
+var ErrMessage = errors.New("loadshare: not a message")
+
+// Message is the state of one node.
+type Message struct {
+	Node     uint64 // of one life of a process
+	Sequence uint64 // rises with every message
+	List     []selection.Outstanding
+}
+
+// wireMessage is a message as it is encoded.
+type wireMessage struct {
+	Node     int64       `avro:"node"`
+	Sequence int64       `avro:"sequence"`
+	List     []wireEntry `avro:"list"`
+}
+
+type wireEntry struct {
+	Worker  int64 `avro:"worker"`
+	Waiting int   `avro:"waiting"` // microseconds
+	Running int   `avro:"running"`
+	Memory  int   `avro:"memory"`
+}
+
+var schema = avro.MustParse(`{"type":"record","name":"load","fields":[
+{"name":"node","type":"long"},{"name":"sequence","type":"long"},
+{"name":"list","type":{"type":"array","items":{"type":"record","name":"entry","fields":[
+{"name":"worker","type":"long"},{"name":"waiting","type":"int"},
+{"name":"running","type":"int"},{"name":"memory","type":"int"}]}}}]}`)
+
+// Encode returns a message's bytes.
+func Encode(m Message) ([]byte, error) {
+	encoded := wireMessage{Node: int64(m.Node), Sequence: int64(m.Sequence)}
+	for _, entry := range foremost(m.List) {
+		encoded.List = append(encoded.List, wireEntry{Worker: int64(entry.Worker), Waiting: int(entry.Waiting * microseconds),
+			Running: int(entry.Running), Memory: int(entry.Memory)})
+	}
+	return avro.Marshal(schema, encoded)
+}
+
+// Decode reads a message.
+func Decode(datagram []byte) (Message, error) {
+	var read wireMessage
+	if avro.Unmarshal(schema, datagram, &read) != nil || len(read.List) > mostEntries || !whole(datagram, read) {
+		return Message{}, ErrMessage
+	}
+	m := Message{Node: uint64(read.Node), Sequence: uint64(read.Sequence)}
+	for _, entry := range read.List {
+		if entry.Waiting < 0 || entry.Running < 0 || entry.Memory < 0 {
+			return Message{}, ErrMessage
+		}
+		m.List = append(m.List, selection.Outstanding{Worker: uint64(entry.Worker),
+			Waiting: float64(entry.Waiting) / microseconds, Running: float64(entry.Running), Memory: float64(entry.Memory)})
+	}
+	return m, nil
+}
+
+// whole tells whether a datagram is a message to its end: the decoder takes what a cut one lacks as zero.
+func whole(datagram []byte, read wireMessage) bool {
+	again, err := avro.Marshal(schema, read)
+	return err == nil && bytes.Equal(again, datagram)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,6 +49,7 @@
 	dispatcher *dispatch.Dispatcher
 	front      *front.Server
 	readiness  *front.Server
+	sharer     *sharer
 	draining   atomic.Bool
 	stopFeed   context.CancelFunc
 	failed     chan error
@@ -89,16 +90,19 @@
 	p.settings.Store(&loaded)
 	p.pool = exchange.New(exchange.Options{MaxConnections: p.places.of})
 	started := time.Now()
+	p.sharer = newSharer(&loaded, log)
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Workers: dispatch.OverPool(p.pool),
 		Chooser: selection.New(selection.Options{
 			Zone: loaded.Zone, Seed: rand.Uint64(), Again: settings.Seconds(loaded.Bounds.AgainS),
 		}),
-		Budget: budgetRules(loaded.Bounds),
-		Now:    func() time.Duration { return time.Since(started) },
-		Draw:   rand.Float64,
-		Log:    log,
+		Budget:  budgetRules(loaded.Bounds),
+		Now:     func() time.Duration { return time.Since(started) },
+		Draw:    rand.Float64,
+		Log:     log,
+		Changed: p.sharer.note,
 	})
+	p.sharer.start(p.dispatcher)
 	p.front = p.newFront(loaded.Limits)
 	p.readiness = p.newReadiness()
 	return p
@@ -156,6 +160,7 @@
 // close ends all that is still open.
 func (p *proxy) close() {
 	p.stopFeed()
+	p.sharer.close()
 	_ = p.front.Close()
 	_ = p.readiness.Close()
 	p.pool.Close()
--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -56,9 +56,10 @@
 	if !found {
 		return Choice{}, Verdict{RetryAfter: noWorkerRetry}
 	}
-	choice := Choice{Run: best.run.worker.entry, First: seconds(best.first)}
+	choice := Choice{Run: best.run.worker.entry, First: seconds(best.first), Urgency: urgencyOf(best.run.f.run)}
 	if best.from != nil {
 		choice.Prefill = best.from.worker.entry
+		choice.Urgency = urgencyOf(best.from.f.run)
 	}
 	return choice, svc.admit(now, j, best, crowd)
 }
--- a/internal/selection/load.go
+++ b/internal/selection/load.go
@@ -70,6 +70,7 @@
 		waiting += (w.told.waiting - waiting) * fresh
 		running += (w.told.running - running) * fresh
 	}
+	waiting, running = s.withPeers(now, w, waiting, running)
 	if now < w.told.fullUntil {
 		running = max(running, s.slotsOf(w))
 	}
@@ -94,7 +95,7 @@
 			continue
 		}
 		elapsed, expected := (now - call.sent).Seconds(), call.forecast.total()
-		left := call.forecast.run * min(1, max(leastRemain, 1-elapsed/max(expected, leastSeconds)))
+		left := call.left(now)
 		if w.class == classPlain {
 			l.running++
 		} else {
--- a/internal/selection/selector.go
+++ b/internal/selection/selector.go
@@ -24,6 +24,7 @@
 	random   *rand.Rand
 	nodes    int // edge nodes that send to the same workers
 	services map[string]*service
+	peers    map[uint64]peer // by node: what it told of its calls
 }
 
 // service is what is known of the workers of one service.
--- a/internal/selection/types.go
+++ b/internal/selection/types.go
@@ -37,6 +37,7 @@
 	Prefill *catalog.Worker // reads the prompt; nil: Run does it alone, or the service has no stages
 	Run     *catalog.Worker // makes the tokens, or the whole answer
 	First   time.Duration   // predicted time from now to the first event, or to the whole answer
+	Urgency int             // of the call that reads the prompt, 0 (first) to 9; once it is read, 0 holds
 }
 
 // Verdict is what becomes of a request.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -20,7 +20,8 @@
 	portPeers   = 0 // keepers: other keepers and agents
 	portFeed    = 1 // agents, on loopback: the proxy beside them
 	portMonitor = 2 // agents, UDP: other agents
-	portsNeeded = 3
+	portLoad    = 3 // proxies, UDP: other proxies
+	portsNeeded = 4
 )
 
 // Path returns the path of the settings file.
@@ -115,6 +116,9 @@
 // MonitorAddressOf is where the agent of the machine with that IP answers probes, over UDP.
 func (s *Settings) MonitorAddressOf(ip string) string { return join(ip, s.PortRange[0]+portMonitor) }
 
+// LoadAddressOf is where the proxy of the machine with that IP hears of other proxies' load, over UDP.
+func (s *Settings) LoadAddressOf(ip string) string { return join(ip, s.PortRange[0]+portLoad) }
+
 // SeedPeerAddresses are the peer addresses of the seeds.
 func (s *Settings) SeedPeerAddresses() []string {
 	addresses := make([]string, 0, len(s.Seeds))
--- a/internal/stat/stat.go
+++ b/internal/stat/stat.go
@@ -137,3 +137,6 @@
 	}
 	return max(0, (p.SY-b*p.SX)/p.N+b*x)
 }
+
+// Between returns the mean of two values, the first of which has the weight given (0 to 1).
+func Between(a, b, weight float64) float64 { return a*weight + b*(1-weight) }
