Move the zone fleet's log from etcd's raft onto coord/agreement

The zone fleet rested on go.etcd.io/raft, the only part of the program that did; the program now has a consensus core of its own, which draws its election timeouts from a seed and takes the time from its caller.

internal/fleet/agreed drives coord/agreement with one nanosecond of its time for a tick, so timeouts are drawn in whole ticks as before. Messages go out while a write is under way, and what comes meanwhile is one write after it. Raft's panic where a leader counted on lost entries has no counterpart in the core: a leader now sends each voter the last entry that it has acknowledged, and a log of the same term that ends before it is Broken. The voter's store has form 2; form 1 is refused by its number.

--- /dev/null
+++ b/internal/fleet/agreed/codec.go
@@ -0,0 +1,192 @@
+package agreed
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ospreybend/coord/agreement"
+)
+
+// ErrEncoding says that bytes are no message, entry, snapshot or hard state.
+var ErrEncoding = errors.New("agreed: the bytes cannot be read")
+
+// The forms below are what voters send and store. A change of a stored one changes form in package keep.
+
+type memberForm struct {
+	ID      agreement.MemberID `cbor:"1,keyasint"`
+	Address string             `cbor:"2,keyasint,omitempty"`
+	Voter   bool               `cbor:"3,keyasint,omitempty"`
+}
+
+type entryForm struct {
+	Term    uint64              `cbor:"1,keyasint"`
+	Index   uint64              `cbor:"2,keyasint"`
+	Kind    agreement.EntryKind `cbor:"3,keyasint,omitempty"`
+	Data    []byte              `cbor:"4,keyasint,omitempty"`
+	Members []memberForm        `cbor:"5,keyasint,omitempty"`
+}
+
+type snapshotForm struct {
+	Index   uint64       `cbor:"1,keyasint"`
+	Term    uint64       `cbor:"2,keyasint"`
+	Members []memberForm `cbor:"3,keyasint,omitempty"`
+	Data    []byte       `cbor:"4,keyasint,omitempty"`
+}
+
+type hardStateForm struct {
+	Term   uint64             `cbor:"1,keyasint"`
+	Vote   agreement.MemberID `cbor:"2,keyasint"`
+	Commit uint64             `cbor:"3,keyasint"`
+}
+
+type messageForm struct {
+	Kind      agreement.MessageKind `cbor:"1,keyasint"`
+	From      agreement.MemberID    `cbor:"2,keyasint"`
+	To        agreement.MemberID    `cbor:"3,keyasint"`
+	Term      uint64                `cbor:"4,keyasint"`
+	LogIndex  uint64                `cbor:"5,keyasint,omitempty"`
+	LogTerm   uint64                `cbor:"6,keyasint,omitempty"`
+	Commit    uint64                `cbor:"7,keyasint,omitempty"`
+	Entries   []entryForm           `cbor:"8,keyasint,omitempty"`
+	Snapshot  *snapshotForm         `cbor:"9,keyasint,omitempty"`
+	Reject    bool                  `cbor:"10,keyasint,omitempty"`
+	HintIndex uint64                `cbor:"11,keyasint,omitempty"`
+	HintTerm  uint64                `cbor:"12,keyasint,omitempty"`
+	Context   uint64                `cbor:"13,keyasint,omitempty"`
+	Forced    bool                  `cbor:"14,keyasint,omitempty"`
+	Held      uint64                `cbor:"15,keyasint,omitempty"`
+}
+
+// Bounds of what is decoded.
+const (
+	maxNested   = 16
+	maxElements = 1 << 16
+)
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: maxNested, MaxArrayElements: maxElements,
+		MaxMapPairs: maxElements, IndefLength: cbor.IndefLengthForbidden}.DecMode())
+)
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return value
+}
+
+func encode(form any) []byte { return must(encoder.Marshal(form)) } // forms are plain values
+
+func decode(text []byte, form any) error {
+	if err := decoder.Unmarshal(text, form); err != nil {
+		return fmt.Errorf("%w: %w", ErrEncoding, err)
+	}
+	return nil
+}
+
+// convert converts each of some values.
+func convert[From, To any](values []From, one func(From) To) []To {
+	if values == nil {
+		return nil
+	}
+	out := make([]To, len(values))
+	for at, value := range values {
+		out[at] = one(value)
+	}
+	return out
+}
+
+func memberTo(m agreement.Member) memberForm   { return memberForm(m) }
+func memberFrom(m memberForm) agreement.Member { return agreement.Member(m) }
+
+func entryTo(e agreement.Entry) entryForm {
+	return entryForm{Term: e.Term, Index: e.Index, Kind: e.Kind, Data: e.Data, Members: convert(e.Members, memberTo)}
+}
+
+func entryFrom(e entryForm) agreement.Entry {
+	return agreement.Entry{Term: e.Term, Index: e.Index, Kind: e.Kind, Data: e.Data, Members: convert(e.Members, memberFrom)}
+}
+
+func snapshotTo(s agreement.Snapshot) snapshotForm {
+	return snapshotForm{Index: s.Index, Term: s.Term, Members: convert(s.Members, memberTo), Data: s.Data}
+}
+
+func snapshotFrom(s snapshotForm) agreement.Snapshot {
+	return agreement.Snapshot{Index: s.Index, Term: s.Term, Members: convert(s.Members, memberFrom), Data: s.Data}
+}
+
+// EncodeHardState returns a hard state's bytes.
+func EncodeHardState(h agreement.HardState) []byte { return encode(hardStateForm(h)) }
+
+// DecodeHardState reads them.
+func DecodeHardState(text []byte) (agreement.HardState, error) {
+	var form hardStateForm
+	err := decode(text, &form)
+	return agreement.HardState(form), err
+}
+
+// EncodeEntry returns an entry's bytes.
+func EncodeEntry(e agreement.Entry) []byte { return encode(entryTo(e)) }
+
+// DecodeEntry reads them.
+func DecodeEntry(text []byte) (agreement.Entry, error) {
+	var form entryForm
+	err := decode(text, &form)
+	return entryFrom(form), err
+}
+
+// EncodeSnapshot returns a snapshot's bytes.
+func EncodeSnapshot(s agreement.Snapshot) []byte { return encode(snapshotTo(s)) }
+
+// DecodeSnapshot reads them.
+func DecodeSnapshot(text []byte) (agreement.Snapshot, error) {
+	var form snapshotForm
+	err := decode(text, &form)
+	return snapshotFrom(form), err
+}
+
+// EncodeMessage returns a message's bytes.
+func EncodeMessage(m Message) []byte {
+	form := messageForm{Kind: m.Kind, From: m.From, To: m.To, Term: m.Term, LogIndex: m.LogIndex, LogTerm: m.LogTerm, Commit: m.Commit,
+		Entries: convert(m.Entries, entryTo), Reject: m.Reject, HintIndex: m.HintIndex, HintTerm: m.HintTerm, Context: m.Context,
+		Forced: m.Forced, Held: m.Held}
+	if m.Snapshot != nil {
+		snapshot := snapshotTo(*m.Snapshot)
+		form.Snapshot = &snapshot
+	}
+	return encode(form)
+}
+
+// DecodeMessage reads them, and checks that entries follow each other as the core expects it.
+func DecodeMessage(text []byte) (Message, error) {
+	var form messageForm
+	if err := decode(text, &form); err != nil {
+		return Message{}, err
+	}
+	m := Message{Held: form.Held, Message: agreement.Message{Kind: form.Kind, From: form.From, To: form.To, Term: form.Term,
+		LogIndex: form.LogIndex, LogTerm: form.LogTerm, Commit: form.Commit, Entries: convert(form.Entries, entryFrom), Reject: form.Reject,
+		HintIndex: form.HintIndex, HintTerm: form.HintTerm, Context: form.Context, Forced: form.Forced}}
+	if form.Snapshot != nil {
+		snapshot := snapshotFrom(*form.Snapshot)
+		m.Snapshot = &snapshot
+	}
+	return m, m.check()
+}
+
+func (m *Message) check() error {
+	if m.Kind > agreement.MessageTransferNow {
+		return fmt.Errorf("%w: a message of kind %d", ErrEncoding, m.Kind)
+	}
+	index, term := m.LogIndex, m.LogTerm
+	for _, entry := range m.Entries {
+		if entry.Index != index+1 || entry.Term < term || entry.Term > m.Term || entry.Kind > agreement.EntryMembers {
+			return fmt.Errorf("%w: entry %d of term %d and kind %d after entry %d of term %d", ErrEncoding, entry.Index, entry.Term, entry.Kind,
+				index, term)
+		}
+		index, term = entry.Index, entry.Term
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/agreed/stored.go
@@ -0,0 +1,102 @@
+package agreed
+
+import (
+	"errors"
+	"fmt"
+
+	"ospreybend/coord/agreement"
+)
+
+// ErrStored says that what a store holds cannot be used.
+var ErrStored = errors.New("agreed: stored state cannot be used")
+
+// Stored is what a voter has made durable.
+type Stored struct {
+	HardState *agreement.HardState // nil: none yet
+	Snapshot  *agreement.Snapshot  // nil: none yet
+	Entries   []agreement.Entry    // without a gap after the snapshot; some that it holds may still be among them
+}
+
+// Founding is what every voter of a new fleet begins with: an empty state that names
+// the voters.
+func Founding(ids []uint64) Stored {
+	members := make([]agreement.Member, len(ids))
+	for at, id := range ids {
+		members[at] = agreement.Member{ID: agreement.MemberID(id), Voter: true}
+	}
+	state := agreement.Founding(members, nil)
+	return Stored{Snapshot: &state.Snapshot}
+}
+
+// state returns it as the core takes it.
+func (s Stored) state() (agreement.Stored, error) {
+	var state agreement.Stored
+	if s.Snapshot != nil {
+		state.Snapshot = *s.Snapshot
+		state.HardState = agreement.HardState{Term: s.Snapshot.Term, Commit: s.Snapshot.Index}
+	}
+	for _, entry := range s.Entries {
+		if entry.Index > state.Snapshot.Index {
+			state.Entries = append(state.Entries, entry)
+		}
+	}
+	if err := state.Check(); err != nil {
+		return state, fmt.Errorf("%w: %w", ErrStored, err)
+	}
+	if s.HardState == nil {
+		return state, nil
+	}
+	state.HardState = *s.HardState
+	last := state.Snapshot.Index + uint64(len(state.Entries))
+	if state.HardState.Commit > last {
+		return state, fmt.Errorf("%w: agreed up to %d, but entries end at %d", ErrStored, state.HardState.Commit, last)
+	}
+	return state, nil
+}
+
+// Persist is what has to be made durable, whole or not at all.
+type Persist struct {
+	HardState *agreement.HardState // nil: unchanged
+	Entries   []agreement.Entry    // these and none after them
+	Snapshot  *agreement.Snapshot  // nil: none; entries before First are not needed any more
+	Replaces  bool                 // the snapshot came from another voter: all entries stored before are void
+	First     uint64               // the first entry that is still needed, with a Snapshot
+	sequence  uint64               // of the last that the core handed out
+	compacts  bool                 // the snapshot was made here
+}
+
+// Empty tells whether there is nothing to write.
+func (p *Persist) Empty() bool {
+	return p.HardState == nil && len(p.Entries) == 0 && p.Snapshot == nil
+}
+
+// add takes in what the core wants durable after all that is in already.
+func (p *Persist) add(later *agreement.Persist) {
+	if later == nil {
+		return
+	}
+	p.sequence = later.Sequence
+	if later.Snapshot != nil {
+		p.Snapshot, p.Replaces, p.First, p.Entries = later.Snapshot, true, later.Snapshot.Index+1, nil
+	}
+	if len(later.Entries) > 0 {
+		p.Entries = appendFrom(p.Entries, later.Entries)
+	}
+	if later.HardState != nil {
+		p.HardState = later.HardState
+	}
+}
+
+// appendFrom appends entries in place of those from their first index on. The core may share both.
+func appendFrom(entries, later []agreement.Entry) []agreement.Entry {
+	end := len(entries)
+	for end > 0 && entries[end-1].Index >= later[0].Index {
+		end--
+	}
+	return append(entries[:end:end], later...)
+}
+
+// compact takes in a snapshot made here.
+func (p *Persist) compact(s agreement.Snapshot, first uint64) {
+	p.Snapshot, p.First, p.compacts = &s, first, true
+}
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -1,5 +1,5 @@
 // Package seat runs one voter as a process: its loop, its store, its links. One goroutine
-// owns the voter; the store is written beside it, one work at a time, and calls come in
+// owns the voter; the store is written beside it, one write at a time, and calls come in
 // over a channel.
 package seat
 
@@ -41,7 +41,7 @@
 
 // store is where a voter writes through.
 type store interface {
-	Write(agreed.Work) error
+	Write(agreed.Persist) error
 	Close() error
 	Starts() uint64
 }
@@ -56,7 +56,7 @@
 	began  time.Time
 	calls  chan func(now time.Duration)
 	wrote  chan error
-	work   agreed.Work
+	writes agreed.Persist
 	busy   bool
 	end    context.CancelFunc
 	done   <-chan struct{}
@@ -66,7 +66,7 @@
 
 // Open opens the store and listens. Run does the rest.
 func Open(c Config) (*Seat, error) {
-	file, kept, err := keep.Open(c.Store, keep.Owner{Fleet: c.Fleet, Voter: c.ID, Voters: c.Founds})
+	file, stored, err := keep.Open(c.Store, keep.Owner{Fleet: c.Fleet, Voter: c.ID, Voters: c.Founds})
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +74,7 @@
 		calls: make(chan func(time.Duration)), wrote: make(chan error, 1)}
 	s.voter, err = voter.New(0, voter.Config{Fleet: c.Fleet, ID: c.ID, Store: file.ID(), Runs: file.Starts(), Rules: c.Rules,
 		Classes: c.Classes, Rand: rand.New(rand.NewPCG(rand.Uint64(), c.ID)), Wall: func() int64 { return time.Now().UnixMicro() },
-		Without: c.Without}, kept)
+		Without: c.Without}, stored)
 	if err == nil {
 		s.listen, err = net.Listen("tcp", c.Listen)
 	}
@@ -134,7 +134,7 @@
 				// What the file holds is not known: it is read anew at the next start.
 				return err
 			}
-			s.voter.Done(s.work)
+			s.voter.Done(s.writes)
 		}
 		if err := s.voter.Broken(); err != nil {
 			return &keep.Fault{Path: s.config.Store, Err: err}
@@ -146,9 +146,9 @@
 // flush has the next work written, and sends what may go out.
 func (s *Seat) flush() {
 	if !s.busy {
-		if w, ok := s.voter.Next(); ok {
-			s.busy, s.work = true, w
-			go func() { s.wrote <- s.store.Write(w) }()
+		if p, ok := s.voter.Next(); ok {
+			s.busy, s.writes = true, p
+			go func() { s.wrote <- s.store.Write(p) }()
 		}
 	}
 	for _, p := range s.voter.Post() {
--- a/internal/fleet/voter/voter.go
+++ b/internal/fleet/voter/voter.go
@@ -12,8 +12,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"ospreybend/internal/fleet/agreed"
 	"ospreybend/internal/fleet/evidence"
 	"ospreybend/internal/fleet/follow"
@@ -24,21 +22,21 @@
 
 // Rules are the figures that a voter goes by.
 type Rules struct {
-	Tick       time.Duration
-	Election   int           // ticks without word of a leader
-	Beat       int           // ticks from one word of the leader to the next
-	Keep       int           // entries from one snapshot to the next
-	Lease      time.Duration // that an answer grants, from the report's sending on
-	Life       time.Duration // a process counts as alive for so long after a report
-	Digest     time.Duration // from one digest to the leader to the next, and from one decision to the next
-	DigestLife time.Duration // a digest counts for so long
-	Patience   time.Duration // for an order to be agreed on, before its sender is told that it is not known
-	Zone       zone.Rules
+	Tick          time.Duration
+	Election      int           // ticks without word of a leader
+	Heartbeat     int           // ticks between a leader's heartbeats
+	SnapshotEvery int           // entries from one snapshot to the next
+	Lease         time.Duration // that an answer grants, from the report's sending on
+	Life          time.Duration // a process counts as alive for so long after a report
+	Digest        time.Duration // from one digest to the leader to the next, and from one decision to the next
+	DigestLife    time.Duration // a digest counts for so long
+	Patience      time.Duration // for an order to be agreed on, before its sender is told that it is not known
+	Zone          zone.Rules
 }
 
 // Usual are the figures that the program uses.
 func Usual() Rules {
-	return Rules{Tick: 50 * time.Millisecond, Election: 8, Beat: 2, Keep: 1024, Lease: 2 * time.Second, Life: 1500 * time.Millisecond,
+	return Rules{Tick: 50 * time.Millisecond, Election: 8, Heartbeat: 2, SnapshotEvery: 1024, Lease: 2 * time.Second, Life: 1500 * time.Millisecond,
 		Digest: 200 * time.Millisecond, DigestLife: time.Second, Patience: 2 * time.Second, Zone: zone.Usual()}
 }
 
@@ -102,8 +100,8 @@
 // ErrUnknown says that it is not known whether an order was agreed on. It may yet be.
 var ErrUnknown = errors.New("no word on the order in time: it may have been taken or not")
 
-// New goes on from what the voter's store has kept.
-func New(now time.Duration, c Config, kept agreed.Kept) (*Voter, error) {
+// New goes on from what the voter's store holds.
+func New(now time.Duration, c Config, stored agreed.Stored) (*Voter, error) {
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
@@ -111,8 +109,8 @@
 		digests: map[uint64]digest{}, waits: map[string]*pending{}, echoes: map[uint64]Stamp{}, ticks: now, digestAt: now, now: now}
 	v.machine.Applied, v.machine.Without = v.applied, c.Without
 	var err error
-	v.log, err = agreed.New(agreed.Config{ID: c.ID, Election: c.Rules.Election, Beat: c.Rules.Beat, Keep: c.Rules.Keep, Rand: c.Rand,
-		Logger: c.Logger}, kept, v.machine)
+	v.log, err = agreed.New(agreed.Config{ID: c.ID, Election: c.Rules.Election, Heartbeat: c.Rules.Heartbeat, SnapshotEvery: c.Rules.SnapshotEvery,
+		Rand: c.Rand, Logger: c.Logger}, stored, v.machine)
 	if err != nil {
 		return nil, err
 	}
@@ -127,20 +125,8 @@
 // Broken tells why this voter must not go on; nil: it may.
 func (v *Voter) Broken() error { return v.broken }
 
-// guard turns the log's breaking into an error of this voter.
-func (v *Voter) guard() {
-	switch r := recover().(type) {
-	case nil:
-	case *agreed.Broken:
-		v.broken = r
-	default:
-		panic(r)
-	}
-}
-
 // Tick lets time pass up to now.
 func (v *Voter) Tick(now time.Duration) {
-	defer v.guard()
 	v.now = now
 	for ; now-v.ticks >= v.config.Rules.Tick; v.ticks += v.config.Rules.Tick {
 		if now-v.ticks > 100*v.config.Rules.Tick {
@@ -266,18 +252,26 @@
 }
 
 // Next returns what has to be written through next; see agreed.Log.
-func (v *Voter) Next() (agreed.Work, bool) {
-	defer v.guard()
+func (v *Voter) Next() (agreed.Persist, bool) {
+	v.advance()
 	if v.broken != nil {
-		return agreed.Work{}, false
+		return agreed.Persist{}, false
 	}
 	return v.log.Next()
 }
 
 // Done says that it has been written through.
-func (v *Voter) Done(w agreed.Work) {
-	defer v.guard()
-	messages, err := v.log.Done(w)
+func (v *Voter) Done(p agreed.Persist) {
+	v.log.Persisted(p)
+	v.advance()
+}
+
+// advance applies what is agreed on and puts the log's messages into letters.
+func (v *Voter) advance() {
+	if v.broken != nil {
+		return
+	}
+	messages, err := v.log.Advance()
 	if err != nil {
 		v.broken = err
 		return
@@ -285,12 +279,7 @@
 	v.heard(word{})
 	by := map[uint64][][]byte{}
 	for _, m := range messages {
-		text, err := proto.Marshal(m)
-		if err != nil {
-			v.broken = err
-			return
-		}
-		by[m.GetTo()] = append(by[m.GetTo()], text)
+		by[uint64(m.To)] = append(by[uint64(m.To)], agreed.EncodeMessage(m))
 	}
 	for _, to := range slices.Sorted(maps.Keys(by)) {
 		v.send(to, Letter{Log: by[to]})
