Let a proxy read from its agent only once the agent's state is whole

A proxy publishes its view at the first status; an agent that had just started sent one before the keeper's shards had come, so routes could appear without workers. The agent now serves once a keeper's status was current, or 1.5 s after a first one that was not.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,14 +39,46 @@
 
 func startKeeper(t *testing.T) (keeper *keeperStandIn, port int) {
 	t.Helper()
-	listener, err := feedlink.Listen(t.Context(), keeperIP+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener, port := listenWithFreePorts(t)
 	keeper = &keeperStandIn{store: newStore(), listener: listener, reports: make(chan feedlink.Report, 10)}
 	go keeper.serve(t.Context())
 	t.Cleanup(func() { _ = listener.Close() })
-	return keeper, listener.Addr().(*net.TCPAddr).Port
+	return keeper, port
+}
+
+// listenWithFreePorts opens the keeper's listener on a port after which the agent's are free. Ports come
+// from below those that the system gives to outgoing connections.
+func listenWithFreePorts(t *testing.T) (listener net.Listener, port int) {
+	t.Helper()
+	const lowest, count, attempts = 20000, 10000, 100
+	for range attempts {
+		port = lowest + rand.IntN(count)
+		listener, err := feedlink.Listen(t.Context(), net.JoinHostPort(keeperIP, strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		if portsAreFree(t, port) {
+			return listener, port
+		}
+		_ = listener.Close()
+	}
+	t.Fatal("no free ports")
+	return nil, 0
+}
+
+func portsAreFree(t *testing.T, port int) bool {
+	t.Helper()
+	forProxy, err := feedlink.Listen(t.Context(), feedlink.LoopbackAddress(port+proxyPortPlace))
+	if err != nil {
+		return false
+	}
+	_ = forProxy.Close()
+	forProbes, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(agentIP), Port: port + probePortPlace})
+	if err != nil {
+		return false
+	}
+	_ = forProbes.Close()
+	return true
 }
 
 func (k *keeperStandIn) serve(ctx context.Context) {
@@ -78,7 +113,11 @@
 	if err := k.change(shard, change); err != nil {
 		t.Fatal(err)
 	}
-	k.setCurrent([]feedlink.ShardStatus{{Shard: shard, Current: true}})
+	status := k.Status().Shards
+	for place := range status {
+		status[place].Current = true
+	}
+	k.setCurrent(status)
 	k.wakeAll()
 }
 
@@ -214,6 +253,47 @@
 	awaitEnd(t, done)
 }
 
+func TestAProxySeesNothingBeforeTheStoreIsWhole(t *testing.T) {
+	keeper, port := startKeeper(t)
+	_, _ = startAgent(t, agentSettings(port))
+	_, proxy, _ := startProxy(t, port+proxyPortPlace)
+	proxy.expect(t, "connected")
+	keeper.commit(t, 0, 3, "route/a", "1")
+	keeper.commit(t, 1, 4, "worker", "2")
+	var seen []string
+	for len(seen) == 0 || seen[len(seen)-1] != "current true" {
+		select {
+		case event := <-proxy.events:
+			seen = append(seen, event)
+		case <-time.After(waitLimit):
+			t.Fatalf("saw %v", seen)
+		}
+	}
+	want := []string{"route/a=1", "worker=2", "current true"}
+	if !slices.Equal(seen, want) {
+		t.Errorf("saw %v, want %v", seen, want)
+	}
+}
+
+func TestAStateThatIsNotCurrentIsPassedOnAfterAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		from := &upstream{store: store, log: zap.NewNop()}
+		notCurrent := feedlink.Status{Shards: []feedlink.ShardStatus{{Shard: 0}}}
+		from.Status(notCurrent)
+		time.Sleep(wholeAfter - 1)
+		from.Status(notCurrent)
+		select {
+		case <-store.whole:
+			t.Error("too early")
+		default:
+		}
+		time.Sleep(1)
+		from.Status(notCurrent)
+		<-store.whole
+	})
+}
+
 func TestAnAgentWithoutAProxyEndsAtOnce(t *testing.T) {
 	_, port := startKeeper(t)
 	stop, done := startAgent(t, agentSettings(port))
@@ -231,6 +311,7 @@
 
 func TestTheDrainEndsThoughTheProxyStays(t *testing.T) {
 	store := newStore()
+	store.markWhole()
 	front, err := newProxyFront(t.Context(), 0, store, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -20,6 +20,8 @@
 type proxyFront struct {
 	listener net.Listener
 	source   feedlink.Source
+	whole    <-chan struct{} // closed once there is something to serve
+	stopping <-chan struct{} // closed with the signal to stop
 
 	cancel context.CancelFunc
 	ctx    context.Context // of the sessions: it goes on after the signal to stop
@@ -38,6 +40,8 @@
 	front := &proxyFront{
 		listener: listener,
 		source:   proxySource{store: store, report: report},
+		whole:    store.whole,
+		stopping: ctx.Done(),
 		sessions: make(map[*feedlink.Session]struct{}),
 		idle:     make(chan struct{}),
 	}
@@ -70,6 +74,9 @@
 	if err != nil {
 		return
 	}
+	if !f.awaitWhole() {
+		return
+	}
 	options := feedlink.SessionOptions{StatusInterval: feedlink.LoopbackStatusInterval}
 	session := feedlink.NewSession(connection, hello, f.source, options)
 	if !f.add(session) {
@@ -79,6 +86,16 @@
 	_ = session.Run(f.ctx)
 }
 
+// awaitWhole waits until there is something to serve. It is false if the agent stops before.
+func (f *proxyFront) awaitWhole() bool {
+	select {
+	case <-f.whole:
+		return true
+	case <-f.stopping:
+		return false
+	}
+}
+
 func (f *proxyFront) add(session *feedlink.Session) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -20,6 +20,9 @@
 	current  map[shards.ID]bool // by the keeper's last status; empty without a keeper
 	wakes    map[chan<- struct{}]struct{}
 	toReport func(report feedlink.Report)
+
+	whole     chan struct{} // closed once the store is fit for readers
+	wholeOnce sync.Once
 }
 
 func newStore() *store {
@@ -27,9 +30,13 @@
 		buffers: make(map[shards.ID]*feed.Buffer),
 		current: make(map[shards.ID]bool),
 		wakes:   make(map[chan<- struct{}]struct{}),
+		whole:   make(chan struct{}),
 	}
 }
 
+// markWhole lets readers in: all shards have come as far as a keeper had them.
+func (s *store) markWhole() { s.wholeOnce.Do(func() { close(s.whole) }) }
+
 // onReport sets what becomes of the keeper's reports. It is called before the feed is read.
 func (s *store) onReport(take func(report feedlink.Report)) { s.toReport = take }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"ospreybend/coord/feed"
@@ -8,10 +10,14 @@
 	"ospreybend/internal/feedlink"
 )
 
+// wholeAfter is how long after a keeper's first status its state is passed on though it is not current.
+const wholeAfter = 1500 * time.Millisecond
+
 // upstream takes what the keeper sends.
 type upstream struct {
-	store *store
-	log   *zap.Logger
+	store   *store
+	log     *zap.Logger
+	firstAt time.Time // of the first status; zero: none yet
 }
 
 // Snapshot implements feedlink.Handler.
@@ -27,8 +33,18 @@
 // BatchDone implements feedlink.BatchHandler: readers look once per batch.
 func (u *upstream) BatchDone() { u.store.wakeAll() }
 
-// Status implements feedlink.Handler.
-func (u *upstream) Status(status feedlink.Status) { u.store.setCurrent(status.Shards) }
+// Status implements feedlink.Handler. A status follows all that the keeper had of every shard; before
+// the first one that is current, the proxy would see routes without workers.
+func (u *upstream) Status(status feedlink.Status) {
+	u.store.setCurrent(status.Shards)
+	now := time.Now()
+	if u.firstAt.IsZero() {
+		u.firstAt = now
+	}
+	if status.Current() || now.Sub(u.firstAt) >= wholeAfter {
+		u.store.markWhole()
+	}
+}
 
 // Connected implements feedlink.Handler.
 func (u *upstream) Connected(address string) {
