Elect sooner after a start, and pass on a state that may be a moment old

Cause: after all machines lost power, proxies answered 503 for 1.0 s more although every keeper had the state on its disk: the first election waited a whole timeout and agents held the state back until a keeper was current.

--- a/coord/agreement/election.go
+++ b/coord/agreement/election.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// firstElectionPart is the part of the election timeout after which a member that has just started campaigns at
+// the soonest; at the latest it does so after half a timeout more.
+const firstElectionPart = 5
+
 // silent reports whether the member's disk was empty and no leader has sent it the group's state
 // yet. Such a member has made no promises that it could keep.
 func (n *Node) silent() bool {
@@ -27,6 +31,17 @@
 	return n.leader != 0 && n.now-n.lastHeard < n.config.ElectionTimeout
 }
 
+// firstDeadline is sooner than the others: after a restart of the whole group nobody leads, and where
+// somebody does, the members that hear from the leader refuse the pre-vote.
+func (n *Node) firstDeadline() {
+	least := n.config.ElectionTimeout / firstElectionPart
+	spread := n.config.ElectionTimeout / 2
+	if spread > 0 {
+		least += time.Duration(n.random.Int64N(int64(spread)))
+	}
+	n.deadline = n.now + least
+}
+
 func (n *Node) resetDeadline() {
 	pause := n.config.ElectionTimeout
 	if pause > 0 {
--- a/coord/agreement/node.go
+++ b/coord/agreement/node.go
@@ -67,7 +67,7 @@
 	}
 	n.loadLog(stored)
 	n.loadTerm(stored.HardState)
-	n.resetDeadline()
+	n.firstDeadline()
 	return n
 }
 
--- a/coord/agreement/node_test.go
+++ b/coord/agreement/node_test.go
@@ -283,3 +283,18 @@
 		t.Fatalf("%d reads by %d messages", got, g.sent)
 	}
 }
+
+func TestFirstElectionAfterAStartIsSooner(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	members := []Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+	for seed := range uint64(200) {
+		node := New(Config{ID: 1, ElectionTimeout: timeout, Heartbeat: timeout / 4, Seed: seed}, Founding(members, nil), 0)
+		if due := node.NextTick(); due < timeout/firstElectionPart || due > timeout/firstElectionPart+timeout/2 {
+			t.Fatalf("seed %d: the first campaign is due at %s", seed, due)
+		}
+		node.Step(time.Millisecond, Message{Kind: MessageHeartbeat, From: 2, To: 1, Term: 1})
+		if due := node.NextTick(); due < timeout {
+			t.Fatalf("seed %d: a member that heard the leader campaigns at %s", seed, due)
+		}
+	}
+}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -275,13 +275,31 @@
 	}
 }
 
+func TestAConfigurationThatMayBeOldIsPassedOnSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		from := &upstream{store: store, log: zap.NewNop()}
+		from.Snapshot(shards.Configuration, feed.Snapshot{Index: 7})
+		from.Status(feedlink.Status{Shards: []feedlink.ShardStatus{{Shard: shards.Configuration}}})
+		time.Sleep(wholeAfter - 1)
+		synctest.Wait()
+		select {
+		case <-store.whole:
+			t.Error("too early: a current keeper may answer meanwhile")
+		default:
+		}
+		time.Sleep(1)
+		<-store.whole
+	})
+}
+
 func TestAStateThatIsNotCurrentIsPassedOnAfterAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore()
 		from := &upstream{store: store, log: zap.NewNop()}
 		notCurrent := feedlink.Status{Shards: []feedlink.ShardStatus{{Shard: 0}}}
 		from.Status(notCurrent)
-		time.Sleep(wholeAfter - 1)
+		time.Sleep(wholeAtLast - 1)
 		from.Status(notCurrent)
 		select {
 		case <-store.whole:
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -62,6 +62,17 @@
 	return buffer
 }
 
+// index is the offset held of a shard; 0: nothing.
+func (s *store) index(shard shards.ID) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	buffer, ok := s.buffers[shard]
+	if !ok {
+		return 0
+	}
+	return buffer.Index()
+}
+
 // setCurrent notes which shards the keeper is current in, and wakes readers if that is news.
 func (s *store) setCurrent(status []feedlink.ShardStatus) {
 	s.mu.Lock()
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -10,8 +10,12 @@
 	"ospreybend/internal/feedlink"
 )
 
-// wholeAfter is how long after a keeper's first status its state is passed on though it is not current.
-const wholeAfter = 1500 * time.Millisecond
+// How long after a keeper's first status its state is passed on though it is not current. A proxy that has just
+// started serves better by a state that may be a moment old than not at all, provided that there is one.
+const (
+	wholeAfter  = 120 * time.Millisecond  // with a configuration
+	wholeAtLast = 1500 * time.Millisecond // without one
+)
 
 // upstream takes what the keeper sends.
 type upstream struct {
@@ -40,8 +44,16 @@
 	now := time.Now()
 	if u.firstAt.IsZero() {
 		u.firstAt = now
+		time.AfterFunc(wholeAfter, u.acceptOld)
+	}
+	if status.Current() || now.Sub(u.firstAt) >= wholeAtLast {
+		u.store.markWhole()
 	}
-	if status.Current() || now.Sub(u.firstAt) >= wholeAfter {
+}
+
+// acceptOld passes on a state that is not known to be current, if there is a configuration in it.
+func (u *upstream) acceptOld() {
+	if u.store.index(shards.Configuration) > 0 {
 		u.store.markWhole()
 	}
 }
