--- a/cmd/ospreyfleet/main.go
+++ b/cmd/ospreyfleet/main.go
@@ -84,6 +84,8 @@
 		return parsed.Demo.run(out, errors)
 	case parsed.Measure != nil && parsed.Measure.Scale != nil:
 		return parsed.Measure.Scale.run(out, errors)
+	case parsed.Measure != nil && parsed.Measure.Traffic != nil:
+		return parsed.Measure.Traffic.run(out, errors)
 	}
 	_ = parser.WriteHelpForSubcommand(errors, parser.SubcommandNames()...)
 	return exitUsage
--- a/cmd/ospreyfleet/main_test.go
+++ b/cmd/ospreyfleet/main_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestHelpOfEachCommand(t *testing.T) {
-	for _, words := range [][]string{{}, {"proxy"}, {"agent"}, {"keeper"}, {"check"}, {"demo"}, {"measure"}, {"measure", "scale"}} {
+	for _, words := range [][]string{{}, {"proxy"}, {"agent"}, {"keeper"}, {"check"}, {"demo"}, {"measure"}, {"measure", "scale"}, {"measure", "traffic"}} {
 		code, out, faults := call(append(words, "--help")...)
 		usage := strings.Join(append([]string{"Usage: ospreyfleet"}, words...), " ")
 		if code != exitOK || !strings.Contains(out, usage) || faults != "" {
@@ -49,6 +49,8 @@
 		{[]string{"check"}, "--settings or --configuration"},
 		{[]string{"measure", "scale", "--sizes", "many"}, "NODESxWORKERS"},
 		{[]string{"measure", "scale", "--windows", "0"}, "windows must be positive"},
+		{[]string{"measure", "traffic", "--rates", "many"}, "REQUESTSxTOKENS"},
+		{[]string{"measure", "traffic", "--windows", "0"}, "windows must be positive"},
 		{[]string{"measure", "scale", "--far-loss", "1"}, "far-loss"},
 	}
 	for _, one := range cases {
--- a/cmd/ospreyfleet/measure.go
+++ b/cmd/ospreyfleet/measure.go
@@ -20,7 +20,8 @@
 
 // measureCommand are the measurements.
 type measureCommand struct {
-	Scale *scaleCommand `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
+	Traffic *trafficCommand `arg:"subcommand:traffic" help:"give one proxy rates of requests and measure what each request and each event takes"`
+	Scale   *scaleCommand   `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
 }
 
 // scaleCommand are the flags of measure scale.
@@ -28,6 +29,7 @@
 	Sizes    string        `arg:"--sizes" default:"30x60,100x200,360x600,30x600,360x60" help:"NODESxWORKERS joined by commas; sizes in other proportions tell what a node costs from what a worker costs"`
 	Target   string        `arg:"--target" default:"360x600" help:"size that the figures are carried to"`
 	Keepers  int           `arg:"--keepers" default:"3" help:"control machines, each a process"`
+	Tolerate int           `arg:"--tolerate" default:"0" help:"keepers that may be lost at once, which sets the members of each group; 0: as many as leave a majority"`
 	Edges    int           `arg:"--edges" default:"1" help:"nodes with a real agent and proxy, each a process; the others are hollow"`
 	Routes   int           `arg:"--routes" default:"3700" help:"routes of the configuration, as many as tenants"`
 	Settle   time.Duration `arg:"--settle" default:"20s" help:"after the start of a size, before it is measured"`
@@ -89,14 +91,14 @@
 	if err != nil {
 		return trial.Plan{}, err
 	}
-	return trial.Plan{Binary: binary, Directory: directory, Sizes: sizes, Target: target[0], Keepers: c.Keepers, Edges: c.Edges,
+	return trial.Plan{Binary: binary, Directory: directory, Sizes: sizes, Target: target[0], Keepers: c.Keepers, Tolerance: c.Tolerate, Edges: c.Edges,
 		Routes: c.Routes, Settle: c.Settle, Window: c.Window, Windows: c.Windows, Changes: c.Changes, FarEvery: c.FarEvery,
 		Far: localfleet.Link{Delay: c.FarDelay, Loss: c.FarLoss}, Heartbeat: scaleHeartbeat, Limit: c.Limit, Progress: out}, nil
 }
 
 // text is the command line that was played, with all defaults.
 func (c *scaleCommand) text() string {
-	words := []string{"ospreyfleet measure scale --sizes", c.Sizes, "--keepers", fmt.Sprint(c.Keepers), "--edges", fmt.Sprint(c.Edges),
+	words := []string{"ospreyfleet measure scale --sizes", c.Sizes, "--keepers", fmt.Sprint(c.Keepers), "--tolerate", fmt.Sprint(c.Tolerate), "--edges", fmt.Sprint(c.Edges),
 		"--routes", fmt.Sprint(c.Routes), "--window", c.Window.String(), "--windows", fmt.Sprint(c.Windows), "--changes", fmt.Sprint(c.Changes)}
 	return strings.Join(words, " ")
 }
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -47,6 +47,7 @@
 	Keepers   int
 	Edges     int // machines with a proxy and an agent each
 	LogLevel  string
+	Tolerance int // keepers that may be lost at once; 0: as many as leave a majority
 	Cores     int // that a process may use; 0: all of the machine's
 	MemoryMb  int // that a process is told to have; 0: the settings' default
 }
@@ -194,7 +195,10 @@
 	if f.layout.MemoryMb > 0 {
 		s.Limits.MemoryMb = f.layout.MemoryMb
 	}
-	s.FaultTolerance.Machines = (f.layout.Keepers - 1) / 2
+	s.FaultTolerance.Machines = f.layout.Tolerance
+	if f.layout.Tolerance == 0 {
+		s.FaultTolerance.Machines = (f.layout.Keepers - 1) / 2
+	}
 	return s
 }
 
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -9,7 +9,7 @@
 // Phases of a step.
 const (
 	PhaseRest    = "rest"    // nothing happens but heartbeats, statuses and monitoring
-	PhaseRestart = "restart" // all hollow agents and workers start again at once
+	PhaseRestart = "restart" // all hollow agents start again at once, with nothing
 	PhaseChange  = "change"  // changes of one route each
 	PhaseLoss    = "loss"    // the owner of the configuration is killed
 )
@@ -25,15 +25,19 @@
 
 // Hollow is what the hollow agents and workers saw at rest.
 type Hollow struct {
-	FeedInKB      float64 `json:"feedInKBs"`  // a second and agent
-	FeedOutKB     float64 `json:"feedOutKBs"` // a second and agent
-	FeedMessages  float64 `json:"feedMessages"`
-	MonitorKB     float64 `json:"monitorKBs"` // datagrams' payload, both ways
-	Datagrams     float64 `json:"datagrams"`  // a second and agent, both ways
-	BeatsTaken    float64 `json:"beatsTaken"` // heartbeats acknowledged a second, of all workers
-	BeatsFailed   int64   `json:"beatsFailed"`
-	SnapshotKB    float64 `json:"snapshotKB"` // that an agent reads at its start
-	DocumentBytes int     `json:"documentBytes"`
+	FeedInKB     float64 `json:"feedInKBs"`  // a second and agent
+	FeedOutKB    float64 `json:"feedOutKBs"` // a second and agent
+	FeedMessages float64 `json:"feedMessages"`
+	MonitorKB    float64 `json:"monitorKBs"` // datagrams' payload, both ways
+	Datagrams    float64 `json:"datagrams"`  // a second and agent, both ways
+	BeatsTaken   float64 `json:"beatsTaken"` // heartbeats acknowledged a second, of all workers
+	BeatsFailed  int64   `json:"beatsFailed"`
+	// AgentsOf counts the hollow agents that read from each keeper at the end of rest, by its address.
+	AgentsOf map[string]int `json:"agentsOf"`
+	// Failures counts the heartbeats that failed since the step's start by their errors.
+	Failures      map[string]int `json:"failures"`
+	SnapshotKB    float64        `json:"snapshotKB"` // that an agent reads at its start
+	DocumentBytes int            `json:"documentBytes"`
 }
 
 // Step is what was measured at one size.
--- a/internal/scale/trial/agents.go
+++ b/internal/scale/trial/agents.go
@@ -201,6 +201,15 @@
 	return c.all(func(state agentState) bool { return !state.wholeAt.IsZero() })
 }
 
+// keepers counts the agents that read from each keeper.
+func (c *crowd) keepers() map[string]int {
+	counts := map[string]int{}
+	for _, agent := range c.agents {
+		counts[agent.state().keeper]++
+	}
+	return counts
+}
+
 // since returns, in milliseconds, when each agent that is chosen got what at picks.
 func (c *crowd) since(start time.Time, choose func(i int) bool, at func(agentState) time.Time) []float64 {
 	var times []float64
--- a/internal/scale/trial/phases.go
+++ b/internal/scale/trial/phases.go
@@ -60,6 +60,7 @@
 	a.MonitorKB = round(float64(s.monitoring.bytes.Load()-bytes) / 1000 / seconds / agents)
 	a.Datagrams = round(float64(s.monitoring.datagrams.Load()-datagrams) / seconds / agents)
 	a.BeatsTaken, a.BeatsFailed = round(float64(s.taken.Load()-taken)/seconds), s.refused.Load()
+	a.Failures, a.AgentsOf = s.failuresSoFar(), s.crowd.keepers()
 	s.sayRest()
 	return ctx.Err()
 }
@@ -87,6 +88,10 @@
 	a := s.step.Hollow
 	s.plan.say("  at rest, each hollow agent: %.2f kB/s in %.1f messages/s, monitoring %.2f kB/s in %.1f datagrams/s; %.0f heartbeats/s taken, %d failed so far",
 		a.FeedInKB, a.FeedMessages, a.MonitorKB, a.Datagrams, a.BeatsTaken, a.BeatsFailed)
+	s.plan.say("  hollow agents by keeper: %v", a.AgentsOf)
+	if len(a.Failures) > 0 {
+		s.plan.say("  heartbeats failed by: %v", a.Failures)
+	}
 }
 
 // changes sends changes one after the other and waits for each at all agents and real proxies.
--- a/internal/scale/trial/plan.go
+++ b/internal/scale/trial/plan.go
@@ -20,6 +20,7 @@
 	Sizes     []scale.Size
 	Target    scale.Size
 	Keepers   int
+	Tolerance int // keepers that may be lost at once; 0: as many as leave a majority
 	Edges     int // real ones among the nodes
 	Routes    int
 	Settle    time.Duration // after the start, before anything is measured
@@ -52,7 +53,7 @@
 			plan.say("%d nodes, %d workers: not played: %v", size.Nodes, size.Workers, why)
 			continue
 		}
-		result.Load = append(result.Load, loadAverage())
+		result.Load = append(result.Load, LoadAverage())
 		step, err := plan.playStep(ctx, i, size, bounds)
 		if err != nil {
 			return result, fmt.Errorf("%d nodes, %d workers: %w", size.Nodes, size.Workers, err)
@@ -82,14 +83,14 @@
 	}
 	defer os.RemoveAll(directory)
 	fleet, err := localfleet.New(localfleet.Layout{Binary: p.Binary, Directory: directory, Keepers: p.Keepers,
-		Edges: p.Edges, LogLevel: "warn", Cores: coresOfProcess, MemoryMb: memoryOfProcess})
+		Edges: p.Edges, Tolerance: p.Tolerance, LogLevel: "warn", Cores: coresOfProcess, MemoryMb: memoryOfProcess})
 	if err != nil {
 		return scale.Step{}, err
 	}
 	s := newStepRun(p, size, fleet, bounds)
 	defer s.close()
 	started := time.Now()
-	p.say("%d nodes, %d workers, %d keepers, %d routes (load average %.1f)", size.Nodes, size.Workers, p.Keepers, p.Routes, loadAverage())
+	p.say("%d nodes, %d workers, %d keepers, %d routes (load average %.1f)", size.Nodes, size.Workers, p.Keepers, p.Routes, LoadAverage())
 	err = s.play(ctx)
 	s.step.TookS = time.Since(started).Seconds()
 	return s.step, err
--- a/internal/scale/trial/procfs.go
+++ b/internal/scale/trial/procfs.go
@@ -76,8 +76,8 @@
 	return fmt.Sprintf("%d processors, %d MB", processors, memory["MemTotal"]>>20)
 }
 
-// loadAverage is the machine's over the last minute.
-func loadAverage() float64 {
+// LoadAverage is the machine's over the last minute.
+func LoadAverage() float64 {
 	text, _ := os.ReadFile("/proc/loadavg")
 	first, _, _ := strings.Cut(string(text), " ")
 	load, _ := strconv.ParseFloat(first, 64)
--- a/internal/scale/trial/step.go
+++ b/internal/scale/trial/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
@@ -39,6 +40,8 @@
 	monitoring monitoring
 	taken      atomic.Int64 // heartbeats acknowledged
 	refused    atomic.Int64
+	mutex      sync.Mutex
+	failures   map[string]int
 	known      atomic.Int64 // workers of which one was acknowledged
 	workers    sync.WaitGroup
 	generation uint64
@@ -48,7 +51,7 @@
 func newStepRun(plan Plan, size scale.Size, fleet *localfleet.Fleet, bounds scale.Bounds) *stepRun {
 	return &stepRun{plan: plan, fleet: fleet, bounds: bounds, operator: localfleet.NewOperator(fleet.Control()),
 		step:  scale.Step{Size: size, Keepers: plan.Keepers, Edges: plan.Edges, Routes: plan.Routes},
-		crowd: crowd{traffic: new(traffic)}, stopAll: func() {}}
+		crowd: crowd{traffic: new(traffic)}, failures: map[string]int{}, stopAll: func() {}}
 }
 
 // close ends all that the step has started.
@@ -204,7 +207,7 @@
 		s.workers.Go(func() {
 			modelworker.Register(ctx, options, func(err error) {
 				if err != nil {
-					s.refused.Add(1)
+					s.failed(err)
 					return
 				}
 				s.taken.Add(1)
@@ -217,6 +220,21 @@
 	}
 }
 
+// failed counts a heartbeat that was not acknowledged.
+func (s *stepRun) failed(err error) {
+	s.refused.Add(1)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures[err.Error()]++
+}
+
+// failuresSoFar copies the counts.
+func (s *stepRun) failuresSoFar() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.failures)
+}
+
 // checkMemory adds up what all processes have in memory.
 func (s *stepRun) checkMemory() error {
 	own, err := readCounters(os.Getpid())
--- /dev/null
+++ b/internal/scale/trial/traffic.go
@@ -0,0 +1,211 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/httpwire"
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/modelworker"
+	"ospreybend/internal/scale"
+)
+
+// TrafficPlan says what one proxy is measured with.
+type TrafficPlan struct {
+	Binary    string
+	Directory string
+	Rates     []scale.Rate
+	Workers   int
+	TokenTime time.Duration // between two tokens of a worker
+	Window    time.Duration
+	Windows   int
+	Limit     time.Duration
+	Progress  io.Writer
+}
+
+const (
+	promptTokens = 1200
+	prefillEvery = 3 // each so-manieth worker reads prompts
+	statusServed = 200
+)
+
+var errUnserved = errors.New("a request was not served whole")
+
+// load is an open-loop load on one proxy.
+type load struct {
+	plan     TrafficPlan
+	fleet    *localfleet.Fleet
+	pool     *exchange.Pool
+	served   atomic.Int64
+	failed   atomic.Int64
+	events   atomic.Int64
+	number   atomic.Int64
+	mutex    sync.Mutex
+	first    []float64 // milliseconds to the first event
+	requests sync.WaitGroup
+}
+
+// PlayTraffic measures one proxy at each rate. On an error the result holds the rates before it.
+func PlayTraffic(ctx context.Context, plan TrafficPlan) ([]scale.TrafficStep, error) {
+	ctx, cancel := context.WithTimeout(ctx, plan.Limit)
+	defer cancel()
+	fleet, err := localfleet.New(localfleet.Layout{Binary: plan.Binary, Directory: plan.Directory, Keepers: 1, Edges: 1,
+		LogLevel: "warn", Cores: coresOfProcess, MemoryMb: memoryOfProcess})
+	if err != nil {
+		return nil, err
+	}
+	l := &load{plan: plan, fleet: fleet, pool: exchange.New(exchange.Options{})}
+	defer func() {
+		cancel()
+		fleet.KillAll()
+		l.requests.Wait()
+		l.pool.Close()
+	}()
+	if err := l.begin(ctx); err != nil {
+		return nil, err
+	}
+	var steps []scale.TrafficStep
+	for _, rate := range plan.Rates {
+		steps = append(steps, l.step(ctx, rate))
+		if ctx.Err() != nil {
+			return steps, ctx.Err()
+		}
+	}
+	return steps, nil
+}
+
+// begin starts the fleet and its workers and waits until the proxy serves.
+func (l *load) begin(ctx context.Context) error {
+	if err := l.fleet.StartAll(); err != nil {
+		return err
+	}
+	handles := new(modelworker.Handles)
+	for i := range l.plan.Workers {
+		stage := "decode"
+		if i%prefillEvery == 0 {
+			stage = "prefill"
+		}
+		_, err := modelworker.Start(ctx, modelworker.Options{ID: fmt.Sprintf("worker-%d", i+1), Zone: localfleet.Zone(i),
+			Service: modelService(0), Stage: stage, Address: l.fleet.Worker(i), Slots: workerSlots, Control: l.fleet.Control(),
+			Heartbeat: time.Second, TokenTime: l.plan.TokenTime, Handles: handles})
+		if err != nil {
+			return err
+		}
+	}
+	operator := localfleet.NewOperator(l.fleet.Control())
+	defer operator.Close()
+	if err := operator.Replace(ctx, 0, document(1, 1)); err != nil {
+		return err
+	}
+	return localfleet.Await(ctx, poll, func() bool { return l.send(ctx, 1) == nil })
+}
+
+// step gives the proxy a rate, waits until as many streams run as will, and measures.
+func (l *load) step(ctx context.Context, rate scale.Rate) scale.TrafficStep {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.requests.Wait()
+	defer cancel()
+	l.requests.Go(func() { l.offer(ctx, rate) })
+	rest(ctx, time.Duration(rate.Tokens)*l.plan.TokenTime+time.Second)
+	step := scale.TrafficStep{Rate: rate}
+	l.mutex.Lock()
+	l.first = nil
+	l.mutex.Unlock()
+	served, failed, events, started := l.served.Load(), l.failed.Load(), l.events.Load(), time.Now()
+	for window := range l.plan.Windows {
+		before, at := l.events.Load(), time.Now()
+		use := l.measure(ctx)
+		observed := float64(l.events.Load()-before) / time.Since(at).Seconds()
+		step.Windows = append(step.Windows, scale.TrafficUse{Window: window, Events: observed, Proxy: use})
+	}
+	seconds := time.Since(started).Seconds()
+	step.Served, step.Events = float64(l.served.Load()-served)/seconds, float64(l.events.Load()-events)/seconds
+	step.Failed = l.failed.Load() - failed
+	l.mutex.Lock()
+	step.First = scale.PercentilesOf(l.first)
+	l.mutex.Unlock()
+	fmt.Fprintf(l.plan.Progress, "%d requests/s of %d tokens: %.1f served/s, %.0f events/s, %d failed, first event p50 %.0f, p95 %.0f ms\n",
+		rate.Requests, rate.Tokens, step.Served, step.Events, step.Failed, step.First.P50, step.First.P95)
+	return step
+}
+
+// measure returns the proxy's use over one window.
+func (l *load) measure(ctx context.Context) scale.Use {
+	pid := l.fleet.Proxy(0).PID()
+	before, err := readCounters(pid)
+	at := time.Now()
+	rest(ctx, l.plan.Window)
+	after, failure := readCounters(pid)
+	if err != nil || failure != nil {
+		return scale.Use{}
+	}
+	return scale.UseBetween(before, after, time.Since(at))
+}
+
+// offer sends requests at a rate, whatever becomes of them, until ctx ends.
+func (l *load) offer(ctx context.Context, rate scale.Rate) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate.Requests))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.requests.Go(func() {
+			switch err := l.send(ctx, rate.Tokens); {
+			case err == nil:
+				l.served.Add(1)
+			case ctx.Err() == nil:
+				l.failed.Add(1)
+			}
+		})
+	}
+}
+
+// send sends one request and reads its stream.
+func (l *load) send(ctx context.Context, tokens int) error {
+	number, sent := l.number.Add(1), time.Now()
+	response, failure := l.pool.Do(ctx, &exchange.Call{Address: l.fleet.Front(0), Method: "POST", Target: "/v1/chat", Events: true,
+		Body: []byte("{}"), Fields: httpwire.Fields{{Name: "Host", Value: "tenant-0.example"},
+			{Name: "X-Request-Id", Value: fmt.Sprintf("scale-%d", number)}, {Name: "X-Model", Value: "m"},
+			{Name: "X-Token-Count", Value: fmt.Sprintf("%d,%d", promptTokens, tokens)},
+			{Name: "X-Prompt-Prefix", Value: fmt.Sprintf("a1:800,%x:400", number)},
+			{Name: "X-Request-Deadline", Value: "60000"}}})
+	if failure != nil {
+		return failure
+	}
+	if response.Stream == nil || response.Status != statusServed {
+		return errUnserved
+	}
+	return l.readStream(response.Stream, sent, tokens)
+}
+
+func (l *load) readStream(stream *exchange.Stream, sent time.Time, tokens int) error {
+	for came := 0; ; {
+		batch, err := stream.Next()
+		if err != nil {
+			if errors.Is(err, io.EOF) && came == tokens {
+				return nil
+			}
+			return errUnserved
+		}
+		if came == 0 {
+			l.noteFirst(milliseconds(time.Since(sent)))
+		}
+		came += len(batch.Events)
+		l.events.Add(int64(len(batch.Events)))
+	}
+}
+
+func (l *load) noteFirst(after float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.first = append(l.first, after)
+}
--- a/internal/scale/trial/trial_test.go
+++ b/internal/scale/trial/trial_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// TestShortTraffic measures a proxy at two low rates.
+func TestShortTraffic(t *testing.T) {
+	steps, err := PlayTraffic(t.Context(), TrafficPlan{Binary: binary, Directory: t.TempDir(), Rates: []scale.Rate{{Requests: 20, Tokens: 5}, {Requests: 40, Tokens: 5}},
+		Workers: 3, TokenTime: 2 * time.Millisecond, Window: testWindow, Windows: 2, Limit: testLimit, Progress: io.Discard})
+	if err != nil || len(steps) != 2 {
+		t.Fatalf("%d steps, %v", len(steps), err)
+	}
+	for _, step := range steps {
+		if step.Served <= 0 || step.Events <= 0 || step.Failed > 0 || step.First.Count == 0 || len(step.Windows) != 2 {
+			t.Errorf("%+v", step)
+		}
+	}
+}
+
 func TestSizesBeyondTheMachineAreCut(t *testing.T) {
 	result, err := Play(t.Context(), Plan{Sizes: []scale.Size{{Nodes: 1 << 24, Workers: 1}}, Keepers: 3, Progress: io.Discard})
 	if err != nil || len(result.Steps) != 0 || len(result.Cuts) != 1 || result.Cuts[0].Why == "" {
