Give a first dial of a keeper 100 ms, so that a machine that is down costs little

Cause: after a loss of power agents dialled keepers that were not back yet; the opening packet was lost and each attempt hung for 400 ms.

--- a/internal/feedlink/choice.go
+++ b/internal/feedlink/choice.go
@@ -15,7 +15,8 @@
 	// is another. It grows by half for each server in a row that was not, up to twice.
 	StaleAfter = 900 * time.Millisecond
 
-	retryShortest = 50 * time.Millisecond  // wait before a new attempt
+	dialShortest  = 100 * time.Millisecond // that a first attempt may take, doubled with each failure up to DialLimit
+	retryShortest = 20 * time.Millisecond  // wait before a new attempt
 	retryLongest  = 500 * time.Millisecond // the same after several failures
 	avoidShortest = 5 * time.Second        // a server that failed is used after the others for so long
 	avoidLongest  = time.Minute
@@ -97,6 +98,16 @@
 	return retryShortest + time.Duration(c.random()*float64(longest-retryShortest))
 }
 
+// DialLimit is how long the attempt may take to connect. The first ones are short: a machine that is down says
+// nothing, and the next one may be up.
+func (c *Choice) DialLimit() time.Duration {
+	limit := dialShortest
+	for i := 0; i < c.failures && limit < DialLimit; i++ {
+		limit *= 2
+	}
+	return min(limit, DialLimit)
+}
+
 // Connected notes that the attempt's connection is open.
 func (c *Choice) Connected(now time.Time) {
 	c.connectedAt = now
--- a/internal/feedlink/choice_test.go
+++ b/internal/feedlink/choice_test.go
@@ -257,3 +257,22 @@
 	}
 	s.choice.Ended(s.now, ErrNoServer)
 }
+
+func TestFirstDialsAreShort(t *testing.T) {
+	choice := NewChoice(ChoiceOptions{Node: "n", Seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, FeedPort: 7},
+		func() float64 { return 0.5 })
+	now := time.Unix(0, 0)
+	last := time.Duration(0)
+	for attempt := range 6 {
+		choice.Next(now)
+		limit := choice.DialLimit()
+		if limit < last || limit > DialLimit || attempt == 0 && limit != dialShortest {
+			t.Fatalf("attempt %d may take %s after %s", attempt, limit, last)
+		}
+		last = limit
+		choice.Ended(now, errors.New("no answer"))
+	}
+	if last != DialLimit {
+		t.Errorf("later attempts may take %s, want %s", last, DialLimit)
+	}
+}
--- a/internal/feedlink/client.go
+++ b/internal/feedlink/client.go
@@ -106,7 +106,14 @@
 	if address == "" {
 		return ErrNoServer
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := time.AfterFunc(c.choice.DialLimit(), cancel)
 	connection, err := c.dial(ctx, address)
+	if !limit.Stop() && err == nil {
+		_ = connection.Close()
+		err = context.DeadlineExceeded
+	}
 	if err != nil {
 		return err
 	}
