Measure how soon a killed keeper is current again; name the build in results; readable axes

Results name the revision and whether sources were changed. Plots: ticks at round numbers, sizes with other numbers of workers to a node as open dots, not joined.

--- a/cmd/ospreyfleet/measure.go
+++ b/cmd/ospreyfleet/measure.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -55,7 +56,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	result, err := trial.Play(ctx, plan)
-	result.Command = c.text()
+	result.Command, result.Build = c.text(), revision()
 	result.WriteText(out)
 	if err != nil {
 		fmt.Fprintln(errors, "measure scale:", err)
@@ -103,6 +104,22 @@
 	return strings.Join(words, " ")
 }
 
+// revision names the sources of this program as the build noted them.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	named := map[string]string{}
+	for _, setting := range info.Settings {
+		named[setting.Key] = setting.Value
+	}
+	if named["vcs.modified"] == "true" {
+		return named["vcs.revision"] + ", changed"
+	}
+	return named["vcs.revision"]
+}
+
 // write writes the files that are asked for.
 func (c *scaleCommand) write(result scale.Result) error {
 	files := []struct {
--- a/cmd/ospreyfleet/measure_traffic.go
+++ b/cmd/ospreyfleet/measure_traffic.go
@@ -47,7 +47,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	result := scale.TrafficResult{Target: target[0], Machine: fmt.Sprintf("%d processors", runtime.NumCPU()), Load: trial.LoadAverage(),
+	result := scale.TrafficResult{Build: revision(), Target: target[0], Machine: fmt.Sprintf("%d processors", runtime.NumCPU()), Load: trial.LoadAverage(),
 		Command: fmt.Sprintf("ospreyfleet measure traffic --rates %s --workers %d --token-time %v", c.Rates, c.Workers, c.TokenTime)}
 	result.Steps, err = trial.PlayTraffic(ctx, trial.TrafficPlan{Binary: binary, Directory: directory, Rates: rates, Workers: c.Workers,
 		TokenTime: c.TokenTime, Window: c.Window, Windows: c.Windows, Limit: c.Limit, Progress: out})
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -50,14 +50,20 @@
 	return fit, ok
 }
 
-// proportional tells whether the ratio of workers to nodes differs by less than half over the sizes.
+// proportional tells whether all sizes have about as many workers to a node.
 func proportional(observations []Observation) bool {
-	least, most := math.Inf(1), 0.0
 	for _, one := range observations {
-		ratio := float64(one.Size.Workers) / float64(max(one.Size.Nodes, 1))
-		least, most = min(least, ratio), max(most, ratio)
+		if proportionsDiffer(one.Size, observations[0].Size) {
+			return false
+		}
 	}
-	return most < 1.5*least
+	return true
+}
+
+// proportionsDiffer tells whether two sizes differ by half or more in their workers to a node.
+func proportionsDiffer(one, other Size) bool {
+	left, right := one.Workers*other.Nodes, other.Workers*one.Nodes
+	return left != right && 2*max(left, right) >= 3*min(left, right)
 }
 
 func terms(size Size, count int) []float64 {
--- a/internal/scale/plot.go
+++ b/internal/scale/plot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"html"
 	"io"
+	"math"
 	"strings"
 )
 
@@ -17,9 +18,10 @@
 	marginTop    = 34
 	marginBottom = 38
 	titleHeight  = 30
-	ticks        = 4
+	ticksLeast   = 4
 	dotRadius    = 3
 	headroom     = 1.08 // of an axis above the greatest value
+	legendRight  = 200  // pixels from the panel's right end
 )
 
 // series is one colour of a panel.
@@ -35,6 +37,7 @@
 	title  string
 	series []series
 	fit    *Trend
+	target Size    // sizes with about as many workers to a node are filled and joined
 	width  float64 // of the axis, in nodes
 	height float64 // of the axis
 }
@@ -51,7 +54,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", width, height)
 	fmt.Fprintf(&text, `<rect width="%d" height="%d" fill="white"/>`+"\n", width, height)
-	fmt.Fprintf(&text, `<text x="12" y="20" font-size="14">%s</text>`+"\n", html.EscapeString(r.Command))
+	fmt.Fprintf(&text, `<text x="12" y="20">%s (open dots: other numbers of workers to a node)</text>`+"\n", html.EscapeString(r.Command))
 	for i, one := range panels {
 		x, y := i%panelColumns*panelWidth, titleHeight+i/panelColumns*panelHeight
 		fmt.Fprintf(&text, `<g transform="translate(%d,%d)">`+"\n", x, y)
@@ -77,7 +80,7 @@
 		r.timesPanel("all agents restarted: whole again, ms", func(s Step) Percentiles { return s.Known }),
 		r.timesPanel("a keeper killed: agents current elsewhere, ms", func(s Step) Percentiles { return s.Moved }))
 	for i := range panels {
-		panels[i].width = float64(r.Target.Nodes)
+		panels[i].width, panels[i].target = float64(r.Target.Nodes), r.Target
 		panels[i].measure()
 	}
 	return panels
@@ -125,31 +128,54 @@
 			p.joined(out, one)
 		}
 		for _, point := range one.points {
-			fmt.Fprintf(out, `<circle cx="%.1f" cy="%.1f" r="%d" fill="%s"/>`+"\n",
-				p.x(float64(point.Size.Nodes)), p.y(point.Value), dotRadius, one.colour)
+			fill := "white"
+			if p.alike(point.Size) {
+				fill = one.colour
+			}
+			fmt.Fprintf(out, `<circle cx="%.1f" cy="%.1f" r="%d" fill="%s" stroke="%s"/>`+"\n",
+				p.x(float64(point.Size.Nodes)), p.y(point.Value), dotRadius, fill, one.colour)
 		}
-		fmt.Fprintf(out, `<text x="%d" y="%d" fill="%s">%s</text>`+"\n", marginLeft+8, marginTop+12+14*i, one.colour, one.label)
+		fmt.Fprintf(out, `<text x="%d" y="%d" fill="%s">%s</text>`+"\n", panelWidth-legendRight, marginTop+4+13*i, one.colour, one.label)
 	}
 	if p.fit != nil && len(p.series[0].points) > 0 {
 		p.fitted(out)
 	}
 }
 
+// alike tells whether a size has about as many workers to a node as the target.
+func (p panel) alike(size Size) bool {
+	return !proportionsDiffer(size, p.target)
+}
+
 func (p panel) axes(out *strings.Builder) {
-	for i := range ticks + 1 {
-		share := float64(i) / ticks
-		x, y := p.x(share*p.width), p.y(share*p.height)
+	for value, step := 0.0, tickStep(p.height); value <= p.height; value += step {
+		y := p.y(value)
 		fmt.Fprintf(out, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#ddd"/>`+"\n", marginLeft, y, panelWidth-marginRight, y)
-		fmt.Fprintf(out, `<text x="%d" y="%.1f" text-anchor="end">%.3g</text>`+"\n", marginLeft-5, y+4, share*p.height)
-		fmt.Fprintf(out, `<text x="%.1f" y="%d" text-anchor="middle">%.0f</text>`+"\n", x, panelHeight-marginBottom+15, share*p.width)
+		fmt.Fprintf(out, `<text x="%d" y="%.1f" text-anchor="end">%.6g</text>`+"\n", marginLeft-5, y+4, value)
+	}
+	for value, step := 0.0, tickStep(p.width); value <= p.width; value += step {
+		fmt.Fprintf(out, `<text x="%.1f" y="%d" text-anchor="middle">%.6g</text>`+"\n", p.x(value), panelHeight-marginBottom+15, value)
 	}
 	fmt.Fprintf(out, `<text x="%d" y="%d" text-anchor="end">nodes</text>`+"\n", panelWidth-marginRight, panelHeight-8)
 }
 
+// tickStep is 1, 2 or 5 times a power of ten, so that an axis has ticksLeast or more of them.
+func tickStep(length float64) float64 {
+	power := math.Pow(10, math.Floor(math.Log10(length/ticksLeast)))
+	for _, factor := range []float64{5, 2} {
+		if factor*power*ticksLeast <= length {
+			return factor * power
+		}
+	}
+	return power
+}
+
 func (p panel) joined(out *strings.Builder, one series) {
 	var at []string
 	for _, point := range one.points {
-		at = append(at, fmt.Sprintf("%.1f,%.1f", p.x(float64(point.Size.Nodes)), p.y(point.Value)))
+		if p.alike(point.Size) {
+			at = append(at, fmt.Sprintf("%.1f,%.1f", p.x(float64(point.Size.Nodes)), p.y(point.Value)))
+		}
 	}
 	fmt.Fprintf(out, `<polyline points="%s" fill="none" stroke="%s"/>`+"\n", strings.Join(at, " "), one.colour)
 }
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -57,6 +57,7 @@
 	Moved      Percentiles  `json:"lossMs"`          // after the kill of a keeper: until an agent is current elsewhere
 	AckedAfter float64      `json:"ackAfterLossMs"`  // until a change that was sent with the kill is acknowledged
 	AllAfter   float64      `json:"changeAfterLossMs"`
+	CaughtUp   float64      `json:"caughtUpMs"` // from the start of the killed keeper until it is current in all shards
 	TookS      float64      `json:"tookS"`
 }
 
@@ -80,6 +81,7 @@
 // Result is a whole run.
 type Result struct {
 	Command string    `json:"command"`
+	Build   string    `json:"build"` // revision of the sources
 	Machine string    `json:"machine"`
 	Load    []float64 `json:"loadAverages"` // of the machine, at the start of each step
 	Far     string    `json:"farLinks"`
--- a/internal/scale/traffic.go
+++ b/internal/scale/traffic.go
@@ -35,6 +35,7 @@
 // TrafficResult is a run at several rates, with the proxy's processor fitted to requests and events.
 type TrafficResult struct {
 	Command    string        `json:"command"`
+	Build      string        `json:"build"` // revision of the sources
 	Machine    string        `json:"machine"`
 	Load       float64       `json:"loadAverage"`
 	Steps      []TrafficStep `json:"steps"`
--- a/internal/scale/trial/phases.go
+++ b/internal/scale/trial/phases.go
@@ -187,26 +187,60 @@
 		return err
 	}
 	s.note(scale.PhaseLoss, 0, before)
+	if err := s.rejoin(ctx, owner); err != nil {
+		return err
+	}
 	s.step.Moved = scale.PercentilesOf(s.crowd.since(killed, func(i int) bool { return lost[i] }, becameWhole))
-	s.plan.say("  keeper killed: next change acknowledged after %.0f ms, at all agents after %.0f ms; its %d agents current elsewhere p50 %.0f, max %.0f ms",
-		s.step.AckedAfter, s.step.AllAfter, s.step.Moved.Count, s.step.Moved.P50, s.step.Moved.Max)
+	s.plan.say("  keeper killed: next change acknowledged after %.0f ms, at all agents after %.0f ms; its %d agents current elsewhere p50 %.0f, max %.0f ms; started again, current after %.0f ms",
+		s.step.AckedAfter, s.step.AllAfter, s.step.Moved.Count, s.step.Moved.P50, s.step.Moved.Max, s.step.CaughtUp)
 	return nil
 }
 
+// rejoin starts a keeper again, with its disk, and waits until it is current in all shards.
+func (s *stepRun) rejoin(ctx context.Context, keeper int) error {
+	started := time.Now()
+	if _, err := s.fleet.StartKeeper(keeper, false); err != nil {
+		return err
+	}
+	err := s.await(ctx, "a keeper that was started again is not current", func() bool { return s.current(ctx, keeper) })
+	s.step.CaughtUp = milliseconds(time.Since(started))
+	return err
+}
+
 // readsFrom tells whether an agent reads from a keeper, perhaps over a slow link: its relay has the same IP.
 func (s *stepRun) readsFrom(address, host string) bool { return strings.HasPrefix(address, host+":") }
 
+// keeperStatus is what is read of a keeper's report.
+type keeperStatus struct {
+	Shards []struct {
+		Role    string
+		Current bool
+	}
+}
+
+func (s *stepRun) status(ctx context.Context, keeper int) (status keeperStatus, ok bool) {
+	response, err := s.operator.Ask(ctx, s.fleet.Control()[keeper], "GET", "/-/status", 0, nil)
+	if err != nil {
+		return status, false
+	}
+	return status, json.Unmarshal(response.Body, &status) == nil && len(status.Shards) > 0
+}
+
 // owner returns the keeper that leads the configuration's shard, or -1.
 func (s *stepRun) owner(ctx context.Context) int {
-	for i, address := range s.fleet.Control() {
-		response, err := s.operator.Ask(ctx, address, "GET", "/-/status", 0, nil)
-		if err != nil {
-			continue
-		}
-		var status struct{ Shards []struct{ Role string } }
-		if json.Unmarshal(response.Body, &status) == nil && len(status.Shards) > 0 && status.Shards[0].Role == "leader" {
+	for i := range s.plan.Keepers {
+		if status, ok := s.status(ctx, i); ok && status.Shards[0].Role == "leader" {
 			return i
 		}
 	}
 	return -1
 }
+
+// current tells whether a keeper is current in all shards.
+func (s *stepRun) current(ctx context.Context, keeper int) bool {
+	status, ok := s.status(ctx, keeper)
+	for _, shard := range status.Shards {
+		ok = ok && shard.Current
+	}
+	return ok
+}
--- a/internal/scale/trial/trial_test.go
+++ b/internal/scale/trial/trial_test.go
@@ -71,7 +71,7 @@
 	if far > 0 && step.InForceFar.P50 < 20 {
 		t.Errorf("%d nodes: a link of 20 ms took %.1f ms", step.Size.Nodes, step.InForceFar.P50)
 	}
-	if step.Known.Count != hollow || step.Known.Max <= 0 || step.AckedAfter <= 0 || step.AllAfter < step.AckedAfter/2 {
+	if step.Known.Count != hollow || step.Known.Max <= 0 || step.AckedAfter <= 0 || step.AllAfter < step.AckedAfter/2 || step.CaughtUp <= 0 {
 		t.Errorf("%d nodes: restart %+v, after the loss %v and %v", step.Size.Nodes, step.Known, step.AckedAfter, step.AllAfter)
 	}
 	if step.Hollow.FeedInKB <= 0 || step.Hollow.BeatsTaken <= 0 || step.Hollow.SnapshotKB <= 0 {
