Let a call wait for an owner as long as its time allows

After all keepers were killed a call used up its six attempts within 100 ms, since elections of other shards woke it, and was refused although an owner came 150 ms later; the operator then paused. Attempts are bounded by the call's time only; keepers that may know an owner are asked every 50 ms, and hints are followed at once three times at most.

--- a/internal/keeper/route.go
+++ b/internal/keeper/route.go
@@ -15,6 +15,10 @@
 // avoidPauses is for how many pauses an owner that could not be reached is not tried again.
 const avoidPauses = 3
 
+// maxHints is how many times a call goes at once to the owner that another keeper has named. Keepers that name each other
+// would pass it round until its context ends.
+const maxHints = 3
+
 // target is the keeper that a call goes to.
 type target struct {
 	self    bool
@@ -26,8 +30,14 @@
 // owner is unknown, was changed or cannot be reached, it waits for another one and tries again
 // until ctx ends; calls may therefore be carried out more than once.
 func (k *Keeper) carry(ctx context.Context, c call) answer {
-	hint, avoid, asked := "", "", false
-	for attempt := range maxOwnerAttempts {
+	hint, avoid, asked, hints := "", "", false, 0
+	for attempt := 0; ; attempt++ {
+		if hint != "" {
+			hints++
+		}
+		if hints > maxHints {
+			hint = ""
+		}
 		to, err := k.awaitOwner(ctx, c.Shard, hint, avoid, attempt)
 		if err != nil {
 			break
@@ -78,13 +88,16 @@
 	if hint != "" && hint != k.self.Address {
 		return target{address: hint}, nil
 	}
+	began := time.Now()
 	for pauses := 0; ; pauses++ {
 		changed := k.ownersChanged.wait()
 		if pauses > avoidPauses {
 			avoid = ""
 		}
 		if attempt == 0 || pauses > 0 {
-			if to, found := k.owner(id, avoid, attempt); found {
+			to, found := k.owner(id, avoid, attempt)
+			// Keepers that may know the owner are asked at an interval: what changes meanwhile may be other shards' owners.
+			if found && (attempt == 0 || to.self || to.known || time.Since(began) >= ownerRetryPause) {
 				return to, nil
 			}
 		}
--- a/internal/keeper/route_test.go
+++ b/internal/keeper/route_test.go
@@ -211,6 +211,41 @@
 	}
 }
 
+// TestCarryOutlastsTheElectionsOfOtherShards has owners of other shards change whenever the call is refused.
+func TestCarryOutlastsTheElectionsOfOtherShards(t *testing.T) {
+	k, groups, network := scripted(t)
+	k.directory.learn(keeperInfo{Address: "x", Zone: "z"})
+	const refusals = 8
+	network.reply = func(address string, attempt int) (answer, error) {
+		if address == "b" {
+			return succeeded(nil), nil
+		}
+		if attempt == refusals {
+			groups[0].set(followerOf("b"))
+		}
+		k.ownersChanged.raise()
+		return notOwner(""), nil
+	}
+	if reply := k.carry(limited(t), change); reply.Status != http.StatusOK {
+		t.Fatal(reply, network.asked)
+	}
+}
+
+func TestCarryIsNotPassedRound(t *testing.T) {
+	k, groups, network := scripted(t)
+	groups[0].set(followerOf("b"))
+	other := map[string]string{"b": "c", "c": "b"}
+	network.reply = func(address string, _ int) (answer, error) { return notOwner(other[address]), nil }
+	ctx, cancel := context.WithTimeout(t.Context(), 3*ownerRetryPause)
+	defer cancel()
+	if reply := k.carry(ctx, change); reply.Code != int(NoOwner) {
+		t.Fatal(reply)
+	}
+	if len(network.asked) > 1+maxHints+3 {
+		t.Fatal(network.asked)
+	}
+}
+
 func TestOwnerAnswersByTheProposalsEnd(t *testing.T) {
 	accepted := configuration.Outcome{Status: http.StatusOK, Generation: 7}
 	stale := configuration.Outcome{Status: http.StatusPreconditionFailed, Code: configuration.BaseNotCurrent}
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -10,11 +10,10 @@
 
 // Times of calls. A caller moves on after a second of silence, later for large bodies.
 const (
-	smallCallBudget  = 850 * time.Millisecond
-	largeCallBudget  = 2500 * time.Millisecond
-	largeBodyBytes   = 64 << 10
-	ownerRetryPause  = 50 * time.Millisecond
-	maxOwnerAttempts = 6
+	smallCallBudget = 850 * time.Millisecond
+	largeCallBudget = 2500 * time.Millisecond
+	largeBodyBytes  = 64 << 10
+	ownerRetryPause = 50 * time.Millisecond
 )
 
 // Bounds of the HTTP API.
