Say that datagrams are not relayed in a local fleet

Proxies now tell each other their load by datagrams on a port of their range, which differs from edge to edge in a local fleet. The comment on the relays named the monitoring alone.

--- a/internal/localfleet/relay.go
+++ b/internal/localfleet/relay.go
@@ -11,8 +11,8 @@
 // relay takes connections at one address and passes their bytes on to another. Agents look for keepers at
 // the first port of their own range, which in a local fleet differs from edge to edge.
 //
-// The monitoring of agents (UDP) is not relayed: edges but the first one of a local fleet get no answers to
-// their probes. Such findings remove nobody.
+// Datagrams are not relayed: edges but the first one of a local fleet get no answers to their probes (such findings
+// remove nobody), and their proxies do not hear of each other's load.
 type relay struct {
 	listener net.Listener
 	target   string
