Acknowledge unchanged heartbeats at any current keeper

Every heartbeat went to its shard's owner, two of three by another keeper: two more frames and four more wake-ups for news that changes nothing. A keeper whose replica is current and has just what the heartbeat says now acknowledges it, and tells the owner every 400 ms in one call who was heard. Tests: what is acknowledged here and what is not; news postpones the expiry, makes no instance and stops no removal.

--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -147,9 +147,14 @@
 		respond(c, refusedBeat(err))
 		return
 	}
+	shard := shards.Of(beat.Service)
+	if k.acknowledgeHere(shard, beat) {
+		respond(c, succeeded(emptyObject))
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, smallCallBudget)
 	defer cancel()
-	respond(c, k.carry(ctx, call{Kind: callBeat, Shard: shards.Of(beat.Service), ID: id, Body: body}))
+	respond(c, k.carry(ctx, call{Kind: callBeat, Shard: shard, ID: id, Body: body}))
 }
 
 func (k *Keeper) serveDeparture(ctx context.Context, c *app.RequestContext) {
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -21,6 +21,7 @@
 	callDeregister peerlink.CallKind = 6
 	callJoin       peerlink.CallKind = 7 // a keeper asks to be taken into groups
 	callCurrency   peerlink.CallKind = 8 // which shards a keeper could own
+	callPresences  peerlink.CallKind = 9 // instances whose heartbeats another keeper has acknowledged
 )
 
 // call is what the owner of a shard is asked.
@@ -50,6 +51,12 @@
 	Zone    string
 }
 
+// presence tells that an instance was heard.
+type presence struct {
+	ID       string
+	Sequence int64 // of its heartbeat
+}
+
 // groupState is how far a keeper is with one group.
 type groupState struct {
 	Shard    int
@@ -87,6 +94,10 @@
 		{"name":"Address","type":"string"},
 		{"name":"Zone","type":"string"}]}}`)
 
+	presencesSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"Presence","fields":[
+		{"name":"ID","type":"string"},
+		{"name":"Sequence","type":"long"}]}}`)
+
 	groupsSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"GroupState","fields":[
 		{"name":"Shard","type":"int"},
 		{"name":"Voter","type":"boolean"},
--- a/internal/keeper/execute.go
+++ b/internal/keeper/execute.go
@@ -29,6 +29,8 @@
 		return k.takeBeat(ctx, c)
 	case callNodes:
 		return k.takeNodes(ctx, c)
+	case callPresences:
+		return k.takePresences(c)
 	case callDeregister:
 		return k.takeDeparture(ctx, c)
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -38,6 +38,7 @@
 	directory *directory
 	nodes     *nodeTable
 
+	presences     *presences
 	candidates    candidates
 	ownersChanged signal
 	readers       subscribers
@@ -60,7 +61,7 @@
 // newKeeper prepares a keeper that has no groups and no network yet.
 func newKeeper(config settings.Settings, self agreement.Member, log *zap.Logger) *Keeper {
 	k := &Keeper{
-		settings: config, log: log, self: self, nodes: newNodeTable(),
+		settings: config, log: log, self: self, nodes: newNodeTable(), presences: newPresences(),
 		opened: make(chan struct{}), started: time.Now(),
 	}
 	place := keeperInfo{Address: self.Address, Zone: config.Zone, Region: config.Region}
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -172,6 +172,27 @@
 	return m.owner.Beat(now, beat, m.store.Instance(beat.ID)), true
 }
 
+// records tells whether the store has just what a heartbeat says.
+func (m *registryMachine) records(beat registry.Beat) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	held := m.store.Instance(beat.ID)
+	return held != nil && registry.SameRecord(*held, beat.Instance)
+}
+
+// heard notes instances that another keeper has heard. It returns false while this replica does not own the shard.
+func (m *registryMachine) heard(now time.Time, instances []presence) (owned bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.owned {
+		return false
+	}
+	for _, one := range instances {
+		m.owner.Heard(now, one.ID, uint64(one.Sequence))
+	}
+	return true
+}
+
 // deregister decides on a departure; known tells whether the instance is in the store.
 func (m *registryMachine) deregister(now time.Time, id string) (decision registry.Decision, known, owned bool) {
 	m.mutex.Lock()
--- /dev/null
+++ b/internal/keeper/presence_test.go
@@ -0,0 +1,93 @@
+package keeper
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/registry"
+)
+
+const (
+	presentID      = "i-1"
+	presentService = "s"
+)
+
+// withRecord returns a keeper that follows the shard of an instance and has its record.
+func withRecord(t *testing.T) (*Keeper, *scriptedGroup, registry.Beat) {
+	t.Helper()
+	k, groups, _ := scripted(t)
+	id := shards.Of(presentService)
+	beat, err := registry.ParseBeat(presentID, []byte(beatOf("ready", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.instances(id).Apply(agreement.Entry{Index: 1, Data: registry.EncodePut(beat.Instance, beat.Sequence)})
+	groups[id].set(followerOf("b"))
+	return k, groups[id], beat
+}
+
+func TestUnchangedBeatIsAcknowledgedByAnyCurrentKeeper(t *testing.T) {
+	k, _, beat := withRecord(t)
+	id := shards.Of(presentService)
+	for _, sequence := range []uint64{5, 7, 6} {
+		beat.Sequence = sequence
+		if !k.acknowledgeHere(id, beat) {
+			t.Fatal("an unchanged heartbeat was not acknowledged")
+		}
+	}
+	if told := k.presences.take(id); len(told) != 1 || told[0] != (presence{ID: presentID, Sequence: 7}) {
+		t.Fatal(told)
+	}
+	if told := k.presences.take(id); len(told) != 0 {
+		t.Fatal("told twice", told)
+	}
+}
+
+func TestBeatGoesToTheOwner(t *testing.T) {
+	cases := map[string]func(k *Keeper, group *scriptedGroup, beat *registry.Beat){
+		"draining":        func(_ *Keeper, _ *scriptedGroup, beat *registry.Beat) { beat.State = registry.Draining },
+		"another stage":   func(_ *Keeper, _ *scriptedGroup, beat *registry.Beat) { beat.Stage = "decode" },
+		"another address": func(_ *Keeper, _ *scriptedGroup, beat *registry.Beat) { beat.Address = "10.9.9.9:9" },
+		"not recorded":    func(_ *Keeper, _ *scriptedGroup, beat *registry.Beat) { beat.ID = "i-2" },
+		"not current": func(_ *Keeper, group *scriptedGroup, _ *registry.Beat) {
+			status := followerOf("b")
+			status.ConfirmedAge = 2 * currencyAge
+			group.set(status)
+		},
+		"leads itself": func(_ *Keeper, group *scriptedGroup, _ *registry.Beat) { group.set(leaderStatus()) },
+		"removed": func(k *Keeper, _ *scriptedGroup, _ *registry.Beat) {
+			k.instances(shards.Of(presentService)).Apply(agreement.Entry{Index: 2, Data: registry.EncodeRemove(presentID, registry.Expired, 1)})
+		},
+	}
+	for name, alter := range cases {
+		t.Run(name, func(t *testing.T) {
+			k, group, beat := withRecord(t)
+			alter(k, group, &beat)
+			if k.acknowledgeHere(shards.Of(presentService), beat) {
+				t.Fatal("acknowledged without the owner")
+			}
+		})
+	}
+}
+
+func TestOwnerIsToldOfPresences(t *testing.T) {
+	k, groups, _ := scripted(t)
+	id := shards.Of(presentService)
+	body, err := codec.Marshal(presencesSchema, []presence{{ID: presentID, Sequence: 4}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := call{Kind: callPresences, Shard: id, Body: body}
+	groups[id].set(followerOf("b"))
+	if reply := k.execute(t.Context(), told); !reply.NotOwner || reply.Leader != "b" {
+		t.Fatal(reply)
+	}
+	k.instances(id).setLeading(3)
+	k.instances(id).gained(time.Now(), 3)
+	if reply := k.execute(t.Context(), told); reply.Status != http.StatusOK {
+		t.Fatal(reply)
+	}
+}
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -84,6 +84,7 @@
 	k.runGroups()
 	k.background.Go(func() { k.join(k.workContext) })
 	k.background.Go(func() { k.beatNodes(k.workContext) })
+	k.background.Go(func() { k.tellPresences(k.workContext) })
 	k.background.Go(func() { k.maintain(k.workContext) })
 	k.background.Go(func() {
 		if err := network.Serve(peers); err != nil {
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -30,6 +30,7 @@
 const (
 	maintainInterval   = 500 * time.Millisecond // expiry, membership, spread
 	nodesInterval      = 1200 * time.Millisecond
+	presenceInterval   = 400 * time.Millisecond // a good deal shorter than the span after which an instance is gone
 	joinInterval       = 300 * time.Millisecond
 	joinIdleInterval   = time.Second
 	joinEagerRequests  = 40                     // so many go out at joinInterval, the further ones at joinIdleInterval
--- a/internal/registry/beat_test.go
+++ b/internal/registry/beat_test.go
@@ -84,7 +84,7 @@
 			return
 		}
 		decoded, err := DecodeItem(EncodeItem(beat.Instance))
-		if err != nil || !sameRecord(decoded, beat.Instance) {
+		if err != nil || !SameRecord(decoded, beat.Instance) {
 			t.Fatalf("%+v %+v %v", beat.Instance, decoded, err)
 		}
 	})
--- a/internal/registry/owner.go
+++ b/internal/registry/owner.go
@@ -149,14 +149,29 @@
 	if held.removing && now.Sub(held.proposed) >= o.span {
 		held.removing = false // the removal came to nothing
 	}
-	if known != nil && !held.removing && sameRecord(*known, beat.Instance) {
+	if known != nil && !held.removing && SameRecord(*known, beat.Instance) {
 		return Decision{Action: Acknowledge}
 	}
 	return Decision{Action: Propose, Command: EncodePut(beat.Instance, beat.Sequence)}
 }
 
-// sameRecord tells whether two records say the same; an empty list is like none.
-func sameRecord(left, right Instance) bool {
+// Heard notes a heartbeat that another keeper has acknowledged, since it changes nothing. One of an instance that is not
+// recorded, or is being removed, says nothing: the instance's next heartbeat comes to the owner.
+func (o *Owner) Heard(now time.Time, id string, sequence uint64) {
+	held := o.instances[id]
+	if !o.owned || held == nil || held.removing {
+		return
+	}
+	now = o.arrive(now)
+	if sequence != unknownSequence && sequence < held.sequence {
+		return
+	}
+	held.heard = now
+	held.sequence = max(held.sequence, sequence)
+}
+
+// SameRecord tells whether two records say the same; an empty list is like none.
+func SameRecord(left, right Instance) bool {
 	sameModels := slices.EqualFunc(left.Models, right.Models, func(one, other Model) bool {
 		return one.Name == other.Name && one.Generation == other.Generation && slices.Equal(one.Adapters, other.Adapters)
 	})
