--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -30,6 +30,7 @@
 func (k *Keeper) maintainShard(ctx context.Context, shard *shard) {
 	status := shard.group.Status()
 	if !status.IsLeader() {
+		shard.better = time.Time{} // what it saw in an earlier leadership says nothing
 		return
 	}
 	now := time.Now()
--- a/internal/keeper/spread_test.go
+++ b/internal/keeper/spread_test.go
@@ -80,6 +80,17 @@
 	}
 }
 
+func TestAnEarlierLeadershipSaysNothingOfThePreferredOwner(t *testing.T) {
+	k, groups, _ := scripted(t)
+	const id = shards.ID(1)
+	k.shards[id].better = time.Now().Add(-2 * spreadCalm)
+	groups[id].set(followerOf("b"))
+	k.maintainShard(t.Context(), k.shards[id])
+	if !k.shards[id].better.IsZero() {
+		t.Fatal("a keeper that follows keeps count of an owner's calm")
+	}
+}
+
 func TestLearnersAreNotPreferred(t *testing.T) {
 	if _, found := preferredOwner(1, []agreement.Member{{ID: 1, Address: "a"}}); found {
 		t.Fatal("a learner is preferred")
