Refuse requests in the last part of a proxy's grace

For the last 1.5 s it now answers 503 at once, so that the client goes elsewhere within its aim. Test: a proxy with only the last part left refuses a request and finishes the one in work.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/settings"
 )
 
@@ -22,6 +24,11 @@
 	// endMargin is left of the platform's grace for ending.
 	endMargin = 700 * time.Millisecond
 	pollTime  = 100 * time.Millisecond
+	// lastTime is the end of the grace in which no request is taken any more: one that waits for a worker would be cut, while
+	// a refusal sends the client to another node at once.
+	lastTime = 1500 * time.Millisecond
+	// lateRetryAfter is what a client is told that is refused then, in seconds.
+	lateRetryAfter = "0.01"
 	// settleTime is how long calls that free handles may take at the end; it is part of endMargin.
 	settleTime = 200 * time.Millisecond
 )
@@ -33,6 +40,8 @@
 	grace := max(settings.Seconds(p.settings.Load().Bounds.GraceS)-endMargin, 0)
 	p.log.Info("draining", zap.Duration("at most", grace))
 	p.front.Drain(min(noticeTime, grace))
+	last := time.AfterFunc(max(grace-lastTime, 0), func() { p.refusing.Store(true) })
+	defer last.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	if awaitQuiet(ctx, p.front.Counts) {
@@ -44,6 +53,19 @@
 	p.log.Info("ending", zap.Int64("cut", p.front.Counts().InWork))
 }
 
+// take serves a request, or refuses it if the process is about to end.
+func (p *proxy) take(w *front.ResponseWriter, r *front.Request) {
+	if !p.refusing.Load() {
+		p.dispatcher.Serve(w, r)
+		return
+	}
+	fields := httpwire.Fields{{Name: "Retry-After", Value: lateRetryAfter}}
+	if id := r.Fields.Get("X-Request-Id"); id != "" {
+		fields = append(fields, httpwire.Field{Name: "X-Request-Id", Value: id})
+	}
+	_ = w.Answer(http.StatusServiceUnavailable, fields, nil)
+}
+
 // awaitQuiet returns true once clients come no more and no request is in work, and false once ctx has ended.
 func awaitQuiet(ctx context.Context, read func() front.Counts) bool {
 	started := time.Now()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,6 +51,7 @@
 	readiness  *front.Server
 	sharer     *sharer
 	draining   atomic.Bool
+	refusing   atomic.Bool // the grace is nearly over
 	stopFeed   context.CancelFunc
 	failed     chan error
 }
@@ -119,7 +120,7 @@
 // newFront makes the server towards clients.
 func (p *proxy) newFront(limits settings.Limits) *front.Server {
 	return front.New(front.Options{
-		Handler:        func(w *front.ResponseWriter, r *front.Request) { p.dispatcher.Serve(w, r) },
+		Handler:        p.take,
 		Limits:         p.clientLimits,
 		MaxConnections: clientConnections(limits),
 		BodyBudget:     bodyBudget(limits),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -296,3 +296,32 @@
 		t.Fatalf("%d requests in work at the end", cut)
 	}
 }
+
+// TestProxyAboutToEndTakesNoRequest drains with a grace of which only the last part is left.
+func TestProxyAboutToEndTakesNoRequest(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	answered := make(chan string, 1)
+	go func() {
+		_, body, _ := s.ask("/a/held")
+		answered <- body
+	}()
+	<-s.worker.arrived
+	loaded := *s.proxy.settings.Load()
+	loaded.Bounds.GraceS = (endMargin + lastTime).Seconds()
+	s.proxy.settings.Store(&loaded)
+	drained := make(chan struct{})
+	go func() {
+		s.proxy.drain()
+		close(drained)
+	}()
+	s.await("refusing", s.proxy.refusing.Load)
+	if status, _, err := s.ask("/a/x"); status != http.StatusServiceUnavailable || err != nil {
+		t.Fatal(status, err)
+	}
+	close(s.worker.hold)
+	if body := <-answered; body != "POST /a/held "+requestBody {
+		t.Fatalf("the request in work got %q", body)
+	}
+	<-drained
+}
