--- a/cmd/ospreyfleet/measure.go
+++ b/cmd/ospreyfleet/measure.go
@@ -114,7 +114,10 @@
 	for _, setting := range info.Settings {
 		named[setting.Key] = setting.Value
 	}
-	if named["vcs.modified"] == "true" {
+	switch {
+	case named["vcs.revision"] == "":
+		return "unknown"
+	case named["vcs.modified"] == "true":
 		return named["vcs.revision"] + ", changed"
 	}
 	return named["vcs.revision"]
