Let a leader vouch for the log only once it has applied an entry of its own term

Cause: a leader just elected may not know how far the log was agreed on before it led.

A letter names the leader's term and commit index only where the leader is settled.

--- a/internal/fleet/sim/sim_test.go
+++ b/internal/fleet/sim/sim_test.go
@@ -93,7 +93,7 @@
 // Each check of the protocol is there for something: without it the same days show a
 // violation.
 func TestEachCheckIsNeeded(t *testing.T) {
-	for _, check := range []string{"write", "contact", "epoch", "echo", "start", "ready"} {
+	for _, check := range []string{"write", "contact", "epoch", "echo", "start", "ready", "settled"} {
 		found := false
 		for seed := uint64(0); seed < 60 && !found; seed++ {
 			d := Mixed(seed)
@@ -121,6 +121,13 @@
 				d.Troubles = d.Troubles[:1]
 				d.Delay, d.Stray = Span{time.Millisecond, 40 * time.Millisecond}, 0.2
 			}
+			if check == "settled" {
+				// All restart soon after an order, and the new leader's messages are lost.
+				d = Plain(seed)
+				d.Loss = 0.22
+				d.Troubles = []Trouble{{Kind: ZoneCutOff, At: 4300 * time.Millisecond, For: 10 * time.Second, Zone: "b"},
+					{Kind: AllRestart, At: 6600 * time.Millisecond}}
+			}
 			if check == "ready" {
 				// A node restarts while a zone rises.
 				d = Plain(seed)
--- a/internal/fleet/voter/letters.go
+++ b/internal/fleet/voter/letters.go
@@ -15,7 +15,7 @@
 	From   uint64          `cbor:"2,keyasint"`
 	Store  string          `cbor:"3,keyasint"` // of the sender
 	Log    [][]byte        `cbor:"4,keyasint,omitempty"`
-	Leads  uint64          `cbor:"7,keyasint,omitempty"` // the sender's term, where it leads
+	Leads  uint64          `cbor:"7,keyasint,omitempty"` // the sender's term, where it leads and is settled
 	Agreed uint64          `cbor:"8,keyasint,omitempty"` // and how far the log is agreed on
 	Stamp  Stamp           `cbor:"9,keyasint"`           // when it was written
 	Echo   Stamp           `cbor:"10,keyasint"`          // the addressee's last that the sender has had
@@ -123,7 +123,8 @@
 	}
 	l.Fleet, l.From, l.Store = v.config.Fleet, v.config.ID, v.config.Store
 	l.Stamp, l.Echo = Stamp{v.config.Runs, v.now}, v.echoes[to]
-	if v.log.Leads() {
+	// A new leader may not know yet how far the log was agreed on before it led.
+	if v.log.Settled() || v.config.Without == "settled" && v.log.Leads() {
 		l.Leads, l.Agreed = v.log.Term(), v.log.Committed()
 	}
 	v.post = append(v.post, Post{to, l})
