Pay from the budget for a silent prompt reading that is given up; share load at 90 nodes

Giving one up now spends a call, and without budget it is waited for. Load is shared at 400 datagrams a second up to 128 peers; by the old pace each of 90 nodes was heard every six seconds.

--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -46,7 +46,7 @@
 
 // prefill has the prompt read. Without a handle the worker is not chosen again.
 func (t *try) prefill(choice selection.Choice) prefillOutcome {
-	w := newWatch(t.ctx, t.prefillSilence(choice), always)
+	w := newWatch(t.ctx, t.prefillSilence(choice), t.mayReadElsewhere())
 	defer w.stop()
 	t.d.counts.prefills.Add(1)
 	ticket := t.d.guard.sent(&t.ask, selection.CallPrefill, choice)
@@ -60,7 +60,16 @@
 	return t.prefillAnswered(ticket, w, choice, answer)
 }
 
-func always() bool { return true }
+// mayReadElsewhere returns what tells whether a silent call to read the prompt is given up for another one, and pays
+// for it: only a call that a worker took up is free, and one that is silent still waits. It may be called from
+// another goroutine.
+func (t *try) mayReadElsewhere() func() bool {
+	service := t.service.Name
+	needed := t.route.TargetLatency / 2
+	return func() bool {
+		return t.left() >= needed && t.d.guard.spend(service, t.d.view.Load().Nodes)
+	}
+}
 
 func (t *try) prefillSilence(choice selection.Choice) time.Duration {
 	return max(prefillPatience*choice.First, t.route.TargetLatency) + prefillSlack
--- a/internal/dispatch/prefill_test.go
+++ b/internal/dispatch/prefill_test.go
@@ -379,3 +379,17 @@
 		}
 	})
 }
+
+func TestSilentPrefillIsWaitedForWithoutBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		for r.dispatcher.guard.spend(testService, 1) {
+		}
+		r.chooser.offers("p1>d1", "p2>d1")
+		r.plays("p1", after(time.Second, hands("h1")))
+		r.plays("d1", streams(1, 1, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 1))
+		if r.workersCalled() != "p1 d1 " {
+			t.Fatal(r.workersCalled())
+		}
+	})
+}
--- a/internal/loadshare/pace.go
+++ b/internal/loadshare/pace.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	leastRate = 15.  // datagrams a second that a node may always send
-	wholeRate = 700. // datagrams a second that a small fleet's nodes may send, shared by their number
+	usualRate = 400. // datagrams a second that a node of a fleet may send
+	largeRate = 15.  // the same in a large fleet, where states come too late to help
+	largeFrom = 128  // peers from which a fleet is large
 	rounding  = 1e-6 // datagrams below which nothing is missing
 	burst     = 40.  // datagrams that may be sent at once after a rest
 	// Repeat is after how long an unchanged state that is not empty is sent again.
@@ -40,10 +41,18 @@
 	at     time.Duration
 }
 
+// rateFor is how many datagrams a second a node with so many peers may send.
+func rateFor(peers int) float64 {
+	if peers > largeFrom {
+		return largeRate
+	}
+	return usualRate
+}
+
 // Wait returns how long a state for so many peers is to be held back, and takes the datagrams from the budget
 // if that is zero.
 func (p *Pace) Wait(now time.Duration, peers int) time.Duration {
-	rate := max(leastRate, wholeRate/float64(max(1, peers)))
+	rate := rateFor(peers)
 	most := max(burst, float64(peers))
 	p.tokens = min(most, p.tokens+rate*(now-p.at).Seconds())
 	p.at = now
