--- a/drmaa/drmaa_test.go
+++ b/drmaa/drmaa_test.go
@@ -74,7 +74,8 @@
 	if (&JobTemplate{Deadline: 2}).End(5) != 2_000_005 {
 		t.Error("deadline in seconds")
 	}
-	if in.Digest("") == in.Digest("x") || in.Digest("") != in.Digest("") {
+	first, again := in.Digest(""), in.Digest("")
+	if first == in.Digest("x") || first != again {
 		t.Error("digest")
 	}
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -288,7 +288,7 @@
 			t.Error("too early: a current keeper may answer meanwhile")
 		default:
 		}
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		<-store.whole
 	})
 }
@@ -306,7 +306,7 @@
 			t.Error("too early")
 		default:
 		}
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		from.Status(notCurrent)
 		<-store.whole
 	})
