--- a/internal/loadshare/pace.go
+++ b/internal/loadshare/pace.go
@@ -9,7 +9,7 @@
 
 const (
 	usualRate = 400. // datagrams a second that a node of a fleet may send
-	largeRate = 15.  // the same in a large fleet, where states come too late to help
+	largeRate = 8.   // the same in a large fleet, where states come too late to help
 	largeFrom = 128  // peers from which a fleet is large
 	rounding  = 1e-6 // datagrams below which nothing is missing
 	burst     = 40.  // datagrams that may be sent at once after a rest
