--- a/internal/configuration/codes.go
+++ b/internal/configuration/codes.go
@@ -1,12 +1,13 @@
 package configuration
 
 import (
-	"fmt"
 	"net/http"
+
+	"ospreybend/internal/resultcode"
 )
 
 // Code numbers the result of a change to the configuration. Numbers are never given anew.
-type Code int
+type Code = resultcode.Code
 
 const (
 	Accepted             Code = 1000
@@ -27,63 +28,31 @@
 )
 
 // CodeEntry is one line of the table of codes.
-type CodeEntry struct {
-	Code   Code
-	Name   string
-	Status int // of HTTP
-	Text   string
-}
-
-var codes = []CodeEntry{
-	{Accepted, "accepted", http.StatusOK, "the change is in force"},
-	{Repeated, "repeated", http.StatusOK, "the same change was accepted before"},
-	{BaseNotCurrent, "base_not_current", http.StatusPreconditionFailed, "X-Base-Version is not the generation in force"},
-	{Unreadable, "unreadable", http.StatusBadRequest, "the body is not one whole JSON object"},
-	{MissingField, "missing_field", http.StatusBadRequest, "a member that is needed is missing"},
-	{BadField, "bad_field", http.StatusBadRequest, "a member has a value of another kind than expected"},
-	{DuplicateName, "duplicate_name", http.StatusBadRequest, "a list or an object holds a name twice"},
-	{GenerationUnreadable, "generation_unreadable", http.StatusBadRequest, "generation is missing or is not a whole number above 0"},
-	{GenerationNotAbove, "generation_not_above", http.StatusBadRequest, "generation is not above the one that the change builds on"},
-	{UnknownService, "unknown_service", http.StatusBadRequest, "a route names a service that the configuration does not have"},
-	{SamePlace, "same_place", http.StatusBadRequest, "two routes have the same host and prefix"},
-	{NoWeight, "no_weight", http.StatusBadRequest, "a route has no service, a negative weight, or weights whose sum is 0"},
-	{NoTimeout, "no_timeout", http.StatusBadRequest, "a route's timeoutMs is missing or not above 0"},
-	{BadPrefix, "bad_prefix", http.StatusBadRequest, "a route's pathPrefix does not begin and end with a slash"},
-	{BadCommand, "bad_command", http.StatusBadRequest, "the entry in the log cannot be read"},
-}
+type CodeEntry = resultcode.Entry
+
+// Refusal tells why something is not taken. It is an error.
+type Refusal = resultcode.Refusal
+
+var codes = resultcode.NewTable([]CodeEntry{
+	{Code: Accepted, Name: "accepted", Status: http.StatusOK, Text: "the change is in force"},
+	{Code: Repeated, Name: "repeated", Status: http.StatusOK, Text: "the same change was accepted before"},
+	{Code: BaseNotCurrent, Name: "base_not_current", Status: http.StatusPreconditionFailed, Text: "X-Base-Version is not the generation in force"},
+	{Code: Unreadable, Name: "unreadable", Status: http.StatusBadRequest, Text: "the body is not one whole JSON object"},
+	{Code: MissingField, Name: "missing_field", Status: http.StatusBadRequest, Text: "a member that is needed is missing"},
+	{Code: BadField, Name: "bad_field", Status: http.StatusBadRequest, Text: "a member has a value of another kind than expected"},
+	{Code: DuplicateName, Name: "duplicate_name", Status: http.StatusBadRequest, Text: "a list or an object holds a name twice"},
+	{Code: GenerationUnreadable, Name: "generation_unreadable", Status: http.StatusBadRequest, Text: "generation is missing or is not a whole number above 0"},
+	{Code: GenerationNotAbove, Name: "generation_not_above", Status: http.StatusBadRequest, Text: "generation is not above the one that the change builds on"},
+	{Code: UnknownService, Name: "unknown_service", Status: http.StatusBadRequest, Text: "a route names a service that the configuration does not have"},
+	{Code: SamePlace, Name: "same_place", Status: http.StatusBadRequest, Text: "two routes have the same host and prefix"},
+	{Code: NoWeight, Name: "no_weight", Status: http.StatusBadRequest, Text: "a route has no service, a negative weight, or weights whose sum is 0"},
+	{Code: NoTimeout, Name: "no_timeout", Status: http.StatusBadRequest, Text: "a route's timeoutMs is missing or not above 0"},
+	{Code: BadPrefix, Name: "bad_prefix", Status: http.StatusBadRequest, Text: "a route's pathPrefix does not begin and end with a slash"},
+	{Code: BadCommand, Name: "bad_command", Status: http.StatusBadRequest, Text: "the entry in the log cannot be read"},
+}...)
 
 // Codes returns all codes in rising order.
-func Codes() []CodeEntry { return append([]CodeEntry(nil), codes...) }
-
-// entry returns the line of a code.
-func (c Code) entry() CodeEntry {
-	for _, candidate := range codes {
-		if candidate.Code == c {
-			return candidate
-		}
-	}
-	return CodeEntry{Code: c, Name: "unknown", Status: http.StatusInternalServerError}
-}
-
-// String returns the name of the code.
-func (c Code) String() string { return c.entry().Name }
-
-// Refusal tells why a change is not taken. It is an error.
-type Refusal struct {
-	Status int // of HTTP
-	Code   Code
-	Text   string // what the code means, and where it applies
-}
-
-// Error returns the number, the name and the text.
-func (r *Refusal) Error() string { return fmt.Sprintf("%d %s: %s", int(r.Code), r.Code, r.Text) }
+func Codes() []CodeEntry { return codes.Entries() }
 
-// refuse makes the refusal of a code; place tells which part of the change it concerns.
-func refuse(code Code, place string) *Refusal {
-	entry := code.entry()
-	text := entry.Text
-	if place != "" {
-		text += ": " + place
-	}
-	return &Refusal{Status: entry.Status, Code: code, Text: text}
-}
+// refuse makes the refusal of a code; place tells which part of the input it concerns.
+func refuse(code Code, place string) *Refusal { return codes.Refuse(code, place) }
--- a/internal/configuration/command.go
+++ b/internal/configuration/command.go
@@ -1,10 +1,11 @@
 package configuration
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/hamba/avro/v2"
+
+	"ospreybend/internal/strictavro"
 )
 
 // Kind tells what the body of a command is.
@@ -27,9 +28,6 @@
 	largestBody   = 256 << 20 // bytes of a field that is read from the log or a snapshot
 )
 
-// errTrailingBytes is returned for a record that something follows.
-var errTrailingBytes = errors.New("something follows the record")
-
 // binary reads and writes avro. The library's own bound, 1 MiB, is below what a body may have.
 var binary = avro.Config{MaxByteSliceSize: largestBody}.Freeze()
 
@@ -62,7 +60,7 @@
 		return Command{}, refuse(BadCommand, "it is empty")
 	}
 	var record commandRecord
-	if err := unmarshal(commandSchema, encoded, &record); err != nil {
+	if err := strictavro.Unmarshal(binary, commandSchema, encoded, &record); err != nil {
 		return Command{}, refuse(BadCommand, err.Error())
 	}
 	if record.Format != commandFormat {
@@ -83,18 +81,3 @@
 	}
 	return encoded
 }
-
-// unmarshal reads a record that must be all that encoded holds. The library's own Unmarshal takes
-// one that is cut off as whole.
-func unmarshal(schema avro.Schema, encoded []byte, into any) error {
-	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(binary)).Reset(encoded)
-	reader.ReadVal(schema, into)
-	if reader.Error != nil {
-		return reader.Error
-	}
-	reader.Peek()
-	if reader.Error == nil {
-		return errTrailingBytes
-	}
-	return nil
-}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/hamba/avro/v2"
+
+	"ospreybend/internal/strictavro"
 )
 
 // ErrSnapshot is wrapped by what Restore returns for bytes that it cannot read.
@@ -46,7 +48,7 @@
 	if len(snapshot) == 0 {
 		return fmt.Errorf("%w: it is empty", ErrSnapshot)
 	}
-	if err := unmarshal(snapshotSchema, snapshot, &record); err != nil {
+	if err := strictavro.Unmarshal(binary, snapshotSchema, snapshot, &record); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
 	if record.Format != snapshotFormat {
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -88,7 +88,7 @@
 }
 
 func (s *Store) outcome(code Code) Outcome {
-	entry := code.entry()
+	entry := codes.Entry(code)
 	return Outcome{Status: entry.Status, Code: code, Text: entry.Text, Generation: s.document.generation}
 }
 
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -9,6 +9,7 @@
 	"ospreybend/coord/shards"
 	"ospreybend/internal/feedlink"
 	"ospreybend/internal/peerlink"
+	"ospreybend/internal/strictavro"
 )
 
 // Kinds of calls between keepers.
@@ -129,7 +130,7 @@
 
 func decodeCall(body []byte) (call, error) {
 	var wire wireCall
-	if err := codec.Unmarshal(callSchema, body, &wire); err != nil {
+	if err := strictavro.Unmarshal(codec, callSchema, body, &wire); err != nil {
 		return call{}, fmt.Errorf("keeper: call: %w", err)
 	}
 	if wire.Shard < 0 || wire.Shard >= shards.Count {
@@ -145,7 +146,7 @@
 
 func decodeAnswer(body []byte) (answer, error) {
 	var a answer
-	if err := codec.Unmarshal(answerSchema, body, &a); err != nil {
+	if err := strictavro.Unmarshal(codec, answerSchema, body, &a); err != nil {
 		return answer{}, fmt.Errorf("keeper: answer: %w", err)
 	}
 	return a, nil
@@ -156,7 +157,7 @@
 
 // failed is the answer of one of this package's codes.
 func failed(code Code) answer {
-	entry := code.entry()
+	entry := codes.Entry(code)
 	return answer{Status: entry.Status, Code: int(code), Text: entry.Text}
 }
 
--- a/internal/keeper/codes.go
+++ b/internal/keeper/codes.go
@@ -1,10 +1,14 @@
 package keeper
 
-import "net/http"
+import (
+	"net/http"
+
+	"ospreybend/internal/resultcode"
+)
 
 // Code numbers an error of the API that neither the configuration nor the registry gives. Numbers
 // are never given anew.
-type Code int
+type Code = resultcode.Code
 
 // Codes of the API.
 const (
@@ -20,36 +24,19 @@
 )
 
 // CodeEntry is one line of the table of codes.
-type CodeEntry struct {
-	Code   Code
-	Name   string
-	Status int // of HTTP
-	Text   string
-}
-
-var codes = []CodeEntry{
-	{NoOwner, "no_owner", http.StatusServiceUnavailable, "no owner of the shard could be reached in time"},
-	{OutcomeUnknown, "outcome_unknown", http.StatusServiceUnavailable, "the change may or may not be taken; send it again"},
-	{Busy, "busy", http.StatusServiceUnavailable, "too many calls are under way"},
-	{UnknownPath, "unknown_path", http.StatusNotFound, "there is no such call"},
-	{BadBaseVersion, "bad_base_version", http.StatusBadRequest, "X-Base-Version is not a whole number"},
-	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, "the body is too large"},
-	{MissingInstance, "missing_instance", http.StatusBadRequest, "the path names no instance"},
-	{Leaving, "leaving", http.StatusServiceUnavailable, "this keeper is about to end"},
-	{InternalFault, "internal_fault", http.StatusServiceUnavailable, "the call failed within this keeper"},
-}
+type CodeEntry = resultcode.Entry
+
+var codes = resultcode.NewTable([]CodeEntry{
+	{Code: NoOwner, Name: "no_owner", Status: http.StatusServiceUnavailable, Text: "no owner of the shard could be reached in time"},
+	{Code: OutcomeUnknown, Name: "outcome_unknown", Status: http.StatusServiceUnavailable, Text: "the change may or may not be taken; send it again"},
+	{Code: Busy, Name: "busy", Status: http.StatusServiceUnavailable, Text: "too many calls are under way"},
+	{Code: UnknownPath, Name: "unknown_path", Status: http.StatusNotFound, Text: "there is no such call"},
+	{Code: BadBaseVersion, Name: "bad_base_version", Status: http.StatusBadRequest, Text: "X-Base-Version is not a whole number"},
+	{Code: BodyTooLarge, Name: "body_too_large", Status: http.StatusRequestEntityTooLarge, Text: "the body is too large"},
+	{Code: MissingInstance, Name: "missing_instance", Status: http.StatusBadRequest, Text: "the path names no instance"},
+	{Code: Leaving, Name: "leaving", Status: http.StatusServiceUnavailable, Text: "this keeper is about to end"},
+	{Code: InternalFault, Name: "internal_fault", Status: http.StatusServiceUnavailable, Text: "the call failed within this keeper"},
+}...)
 
 // Codes returns all codes in rising order.
-func Codes() []CodeEntry { return append([]CodeEntry(nil), codes...) }
-
-func (c Code) entry() CodeEntry {
-	for _, candidate := range codes {
-		if candidate.Code == c {
-			return candidate
-		}
-	}
-	return CodeEntry{Code: c, Name: "unknown", Status: http.StatusServiceUnavailable}
-}
-
-// String returns the name of the code.
-func (c Code) String() string { return c.entry().Name }
+func Codes() []CodeEntry { return codes.Entries() }
--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -9,6 +9,7 @@
 	"ospreybend/coord/replica"
 	"ospreybend/coord/shards"
 	"ospreybend/internal/peerlink"
+	"ospreybend/internal/strictavro"
 )
 
 // candidates are the keepers that asked lately to be taken into groups.
@@ -124,7 +125,7 @@
 
 func (k *Keeper) learnKeepers(body []byte) {
 	var infos []keeperInfo
-	if codec.Unmarshal(keepersSchema, body, &infos) != nil {
+	if strictavro.Unmarshal(codec, keepersSchema, body, &infos) != nil {
 		return
 	}
 	for _, info := range infos {
@@ -136,7 +137,7 @@
 // keepers that it knows.
 func (k *Keeper) takeJoin(peer peerlink.Hello, body []byte) ([]byte, error) {
 	var states []groupState
-	if err := codec.Unmarshal(groupsSchema, body, &states); err != nil {
+	if err := strictavro.Unmarshal(codec, groupsSchema, body, &states); err != nil {
 		return nil, err
 	}
 	now := time.Now()
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -14,6 +14,7 @@
 	"ospreybend/coord/shards"
 	"ospreybend/internal/feedlink"
 	"ospreybend/internal/registry"
+	"ospreybend/internal/strictavro"
 )
 
 // nodeTable holds the edge nodes whose agents read this keeper's feed.
@@ -109,7 +110,7 @@
 // takeNodes takes the heartbeats of edge nodes as the owner of their shard.
 func (k *Keeper) takeNodes(ctx context.Context, c call) answer {
 	var nodes []node
-	if err := codec.Unmarshal(nodesSchema, c.Body, &nodes); err != nil {
+	if err := strictavro.Unmarshal(codec, nodesSchema, c.Body, &nodes); err != nil {
 		return failed(InternalFault)
 	}
 	replies := make([]answer, len(nodes))
--- a/internal/keeper/presence.go
+++ b/internal/keeper/presence.go
@@ -7,6 +7,7 @@
 
 	"ospreybend/coord/shards"
 	"ospreybend/internal/registry"
+	"ospreybend/internal/strictavro"
 )
 
 // presences are the heartbeats that this keeper has acknowledged by itself and the owners of their shards have not been
@@ -96,7 +97,7 @@
 func (k *Keeper) takePresences(c call) answer {
 	var heard []presence
 	machine := k.instances(c.Shard)
-	if machine == nil || codec.Unmarshal(presencesSchema, c.Body, &heard) != nil {
+	if machine == nil || strictavro.Unmarshal(codec, presencesSchema, c.Body, &heard) != nil {
 		return failed(InternalFault)
 	}
 	if !machine.heard(time.Now(), heard) {
--- a/internal/keeper/spread.go
+++ b/internal/keeper/spread.go
@@ -9,6 +9,7 @@
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
 	"ospreybend/coord/shards"
+	"ospreybend/internal/strictavro"
 )
 
 // preferredOwner returns the voter that should lead a shard: the one with the greatest rendezvous
@@ -64,7 +65,7 @@
 		return false
 	}
 	var states []groupState
-	if codec.Unmarshal(groupsSchema, reply, &states) != nil {
+	if strictavro.Unmarshal(codec, groupsSchema, reply, &states) != nil {
 		return false
 	}
 	for _, state := range states {
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -4,12 +4,12 @@
 package loadshare
 
 import (
-	"bytes"
 	"errors"
 
 	"github.com/hamba/avro/v2"
 
 	"ospreybend/internal/selection"
+	"ospreybend/internal/strictavro"
 )
 
 // MostBytes is the largest datagram that is sent or read.
@@ -63,7 +63,7 @@
 // Decode reads a message.
 func Decode(datagram []byte) (Message, error) {
 	var read wireMessage
-	if avro.Unmarshal(schema, datagram, &read) != nil || len(read.List) > mostEntries || !whole(datagram, read) {
+	if strictavro.Unmarshal(avro.DefaultConfig, schema, datagram, &read) != nil || len(read.List) > mostEntries {
 		return Message{}, ErrMessage
 	}
 	m := Message{Node: uint64(read.Node), Sequence: uint64(read.Sequence)}
@@ -76,9 +76,3 @@
 	}
 	return m, nil
 }
-
-// whole tells whether a datagram is a message to its end: the decoder takes what a cut one lacks as zero.
-func whole(datagram []byte, read wireMessage) bool {
-	again, err := avro.Marshal(schema, read)
-	return err == nil && bytes.Equal(again, datagram)
-}
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -8,6 +8,7 @@
 
 	"ospreybend/coord/agreement"
 	"ospreybend/internal/feedlink"
+	"ospreybend/internal/strictavro"
 )
 
 // Kinds of frames between keepers.
@@ -71,7 +72,7 @@
 }
 
 func decode(kind feedlink.Kind, schema avro.Schema, body []byte, into any) error {
-	if err := codec.Unmarshal(schema, body, into); err != nil {
+	if err := strictavro.Unmarshal(codec, schema, body, into); err != nil {
 		return fmt.Errorf("peerlink: decode a frame of kind %d: %w", kind, err)
 	}
 	return nil
--- a/internal/registry/codes.go
+++ b/internal/registry/codes.go
@@ -1,12 +1,13 @@
 package registry
 
 import (
-	"fmt"
 	"net/http"
+
+	"ospreybend/internal/resultcode"
 )
 
 // Code numbers the result of a heartbeat or of a departure. Numbers are never given anew.
-type Code int
+type Code = resultcode.Code
 
 const (
 	Recorded     Code = 1100
@@ -23,59 +24,27 @@
 )
 
 // CodeEntry is one line of the table of codes.
-type CodeEntry struct {
-	Code   Code
-	Name   string
-	Status int // of HTTP
-	Text   string
-}
-
-var codes = []CodeEntry{
-	{Recorded, "recorded", http.StatusOK, "the instance is recorded as told"},
-	{Unchanged, "unchanged", http.StatusOK, "nothing has changed"},
-	{Late, "late", http.StatusOK, "a later heartbeat came before; nothing is changed"},
-	{Gone, "gone", http.StatusOK, "the instance is gone for good; nothing is changed"},
-	{Removed, "removed", http.StatusOK, "the instance is removed"},
-	{Unreadable, "unreadable", http.StatusBadRequest, "the body is not one whole JSON object"},
-	{MissingField, "missing_field", http.StatusBadRequest, "a member that is needed is missing"},
-	{BadField, "bad_field", http.StatusBadRequest, "a member has a value that cannot be meant"},
-	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, "the body or a part of it is too large"},
-	{BadCommand, "bad_command", http.StatusBadRequest, "the entry in the log cannot be read"},
-	{NotOwner, "not_owner", http.StatusServiceUnavailable, "this process does not own the shard now"},
-}
+type CodeEntry = resultcode.Entry
+
+// Refusal tells why something is not taken. It is an error.
+type Refusal = resultcode.Refusal
+
+var codes = resultcode.NewTable([]CodeEntry{
+	{Code: Recorded, Name: "recorded", Status: http.StatusOK, Text: "the instance is recorded as told"},
+	{Code: Unchanged, Name: "unchanged", Status: http.StatusOK, Text: "nothing has changed"},
+	{Code: Late, Name: "late", Status: http.StatusOK, Text: "a later heartbeat came before; nothing is changed"},
+	{Code: Gone, Name: "gone", Status: http.StatusOK, Text: "the instance is gone for good; nothing is changed"},
+	{Code: Removed, Name: "removed", Status: http.StatusOK, Text: "the instance is removed"},
+	{Code: Unreadable, Name: "unreadable", Status: http.StatusBadRequest, Text: "the body is not one whole JSON object"},
+	{Code: MissingField, Name: "missing_field", Status: http.StatusBadRequest, Text: "a member that is needed is missing"},
+	{Code: BadField, Name: "bad_field", Status: http.StatusBadRequest, Text: "a member has a value that cannot be meant"},
+	{Code: TooLarge, Name: "too_large", Status: http.StatusRequestEntityTooLarge, Text: "the body or a part of it is too large"},
+	{Code: BadCommand, Name: "bad_command", Status: http.StatusBadRequest, Text: "the entry in the log cannot be read"},
+	{Code: NotOwner, Name: "not_owner", Status: http.StatusServiceUnavailable, Text: "this process does not own the shard now"},
+}...)
 
 // Codes returns all codes in rising order.
-func Codes() []CodeEntry { return append([]CodeEntry(nil), codes...) }
-
-// entry returns the line of a code.
-func (c Code) entry() CodeEntry {
-	for _, candidate := range codes {
-		if candidate.Code == c {
-			return candidate
-		}
-	}
-	return CodeEntry{Code: c, Name: "unknown", Status: http.StatusInternalServerError}
-}
-
-// String returns the name of the code.
-func (c Code) String() string { return c.entry().Name }
-
-// Refusal tells why a heartbeat is not taken. It is an error.
-type Refusal struct {
-	Status int // of HTTP
-	Code   Code
-	Text   string // what the code means, and where it applies
-}
-
-// Error returns the number, the name and the text.
-func (r *Refusal) Error() string { return fmt.Sprintf("%d %s: %s", int(r.Code), r.Code, r.Text) }
+func Codes() []CodeEntry { return codes.Entries() }
 
-// refuse makes the refusal of a code; place tells which part of the call it concerns.
-func refuse(code Code, place string) *Refusal {
-	entry := code.entry()
-	text := entry.Text
-	if place != "" {
-		text += ": " + place
-	}
-	return &Refusal{Status: entry.Status, Code: code, Text: text}
-}
+// refuse makes the refusal of a code; place tells which part of the input it concerns.
+func refuse(code Code, place string) *Refusal { return codes.Refuse(code, place) }
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -1,10 +1,11 @@
 package registry
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/hamba/avro/v2"
+
+	"ospreybend/internal/strictavro"
 )
 
 // Reason tells why an instance was removed.
@@ -32,9 +33,6 @@
 	longestArray  = 1 << 17 // elements of an array that is read from the log or a snapshot
 )
 
-// errTrailingBytes is returned for a record that something follows.
-var errTrailingBytes = errors.New("something follows the record")
-
 var binary = avro.Config{MaxSliceAllocSize: longestArray}.Freeze()
 
 // The schemas of instances; a command holds one with its operation's fields.
@@ -144,7 +142,7 @@
 		return command{}, refuse(BadCommand, "it is empty")
 	}
 	var record commandRecord
-	if err := unmarshal(commandSchema, encoded, &record); err != nil {
+	if err := strictavro.Unmarshal(binary, commandSchema, encoded, &record); err != nil {
 		return command{}, refuse(BadCommand, err.Error())
 	}
 	if record.Format != commandFormat {
@@ -171,7 +169,7 @@
 		return Instance{}, refuse(BadCommand, "the item is empty")
 	}
 	var record itemRecord
-	if err := unmarshal(itemSchema, value, &record); err != nil {
+	if err := strictavro.Unmarshal(binary, itemSchema, value, &record); err != nil {
 		return Instance{}, refuse(BadCommand, err.Error())
 	}
 	return record.instance(), nil
@@ -185,18 +183,3 @@
 	}
 	return encoded
 }
-
-// unmarshal reads a record that must be all that encoded holds. The library's own Unmarshal takes
-// one that is cut off as whole.
-func unmarshal(schema avro.Schema, encoded []byte, into any) error {
-	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(binary)).Reset(encoded)
-	reader.ReadVal(schema, into)
-	if reader.Error != nil {
-		return reader.Error
-	}
-	reader.Peek()
-	if reader.Error == nil {
-		return errTrailingBytes
-	}
-	return nil
-}
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/hamba/avro/v2"
+
+	"ospreybend/internal/strictavro"
 )
 
 // ErrSnapshot is wrapped by what Restore returns for bytes that it cannot read.
@@ -67,7 +69,7 @@
 		return fmt.Errorf("%w: it is empty", ErrSnapshot)
 	}
 	var whole snapshotRecord
-	if err := unmarshal(snapshotSchema, snapshot, &whole); err != nil {
+	if err := strictavro.Unmarshal(binary, snapshotSchema, snapshot, &whole); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
 	if whole.Format != snapshotFormat {
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -72,7 +72,7 @@
 }
 
 func outcome(code Code) Outcome {
-	entry := code.entry()
+	entry := codes.Entry(code)
 	return Outcome{Status: entry.Status, Code: code, Text: entry.Text}
 }
 
