Believe the work that nodes tell of more than older waits

Cause: the wait at a worker was predicted by a line over older samples that counts up to 256, against 16 for the work told of now; since proxies tell each other what is under way, the newer word is the better one. It counts 200 now, and own unfinished requests, which are in that load already, add 0.3 of their time instead of all of it.

--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -8,7 +8,7 @@
 
 const (
 	shortlist     = 6     // workers of each side that are combined, besides the best of each zone
-	unfinished    = 1.    // part of its processing time that each unfinished request at a reader counts as
+	unfinished    = 0.3   // part of its processing time that each unfinished request at a reader counts as
 	restWeight    = 0.05  // a second of making tokens against one before the first event
 	disturbance   = 0.3   // what reading counts as for each stream that it holds up
 	usualGap      = 0.15  // seconds between events from which a decode worker is avoided
--- a/internal/selection/shared_test.go
+++ b/internal/selection/shared_test.go
@@ -109,3 +109,17 @@
 		t.Errorf("urgency %d of a short prompt, %d of a long one", short.Urgency, long.Urgency)
 	}
 }
+
+func TestWorkThatPeersToldIsBelievedAgainstOlderWaits(t *testing.T) {
+	s, _ := rig(1, 1, 3)
+	s.nodes = 2
+	svc := s.services["m"]
+	w := svc.byClass[classPrefill][0]
+	for i := range 300 { // by the line alone nobody ever waits
+		svc.pools[classPrefill].wait.Weigh(-float64(i%4), 0, 1, poolMemory)
+	}
+	s.Peer(0, 1, []Outstanding{{Worker: w.number, Waiting: 1}})
+	if wait := svc.waitOf(w, svc.loadOf(0, w)); wait < 0.4 || wait > 1 {
+		t.Errorf("a second of work is told of, and a wait of %v s is predicted", wait)
+	}
+}
--- a/internal/selection/windows.go
+++ b/internal/selection/windows.go
@@ -25,7 +25,7 @@
 	speedSamples = 2.0  // the pooled ratio counts as this many samples of a worker's own
 	poolMemory   = 256. // samples after which what is pooled forgets
 	poolPrior    = 8.   // samples that a constant counts as against what is pooled
-	waitPrior    = 16.  // the same for the wait
+	waitPrior    = 200. // the same for the wait
 	oddRatio     = 4.   // a call this many times slower or faster than usual counts as just that
 	leastSeconds = 1e-4
 	bucketBase   = 4. // size buckets grow by this factor, so that few of them starve
