Wait in the keepers' test by the local fleet's own waiting

The test looked at its conditions with a sleep between; localfleet.Await does the same by a ticker and a context, and stood there already. go test ./internal/keeper passes (19.7 s).

--- a/internal/keeper/fleet_test.go
+++ b/internal/keeper/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"ospreybend/internal/localfleet"
 	"ospreybend/internal/settings"
 )
 
@@ -132,12 +133,10 @@
 // await looks until a condition holds.
 func (f *fleet) await(what string, holds func() bool) {
 	f.t.Helper()
-	deadline := time.Now().Add(fleetLimit)
-	for !holds() {
-		if time.Now().After(deadline) {
-			f.t.Fatalf("%s: not within %s", what, fleetLimit)
-		}
-		time.Sleep(pollPause)
+	ctx, cancel := context.WithTimeout(f.t.Context(), fleetLimit)
+	defer cancel()
+	if err := localfleet.Await(ctx, pollPause, holds); err != nil {
+		f.t.Fatalf("%s: not within %s", what, fleetLimit)
 	}
 }
 
