Describe what happens to a simulated control plane as drawn, written and shrunk schedules

The simulation of the whole control plane needs its faults and orders as data: drawn from a seed, pasted as text into a test when one fails, and shrunk to what the failure needs. internal/controlsim/schedule has the kinds of events with their variants and triggers, Draw (losses within the tolerance, each counted for catchUpS more, beside events that take all keepers down with disks kept), Format and Parse, and Shrink by delta debugging over events, then places, counts and spans. Its tests draw 1,200 schedules, read each back as written, count the lost keepers apart from Draw's books, and shrink made-up failures.

--- /dev/null
+++ b/internal/controlsim/schedule/draw.go
@@ -0,0 +1,131 @@
+package schedule
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Shape is what schedules are drawn for.
+type Shape struct {
+	Keepers   int
+	Tolerance int
+	Agents    int
+	Operators int
+	Workers   int
+	Length    time.Duration
+	Omit      []string
+}
+
+// settle is the time at the start in which nothing is struck: the group is founded and the first configuration sent.
+const settle = 4 * time.Second
+
+// stream tells schedules' randomness from that of others with the same seed.
+const stream = 0x5ced
+
+// drawer draws the events of one schedule.
+type drawer struct {
+	random *rand.Rand
+	shape  Shape
+	losses []loss
+	events []Event
+}
+
+// loss is a span in which a place counts as lost.
+type loss struct {
+	place    int
+	from, to time.Duration
+}
+
+// Draw returns the schedule with the seed and shape. At no instant are more keepers lost than the tolerance, counting
+// each for CatchUp after it is back, but for events that take every keeper down at once and leave the disks.
+func Draw(seed uint64, shape Shape) Schedule {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, stream)), shape: shape}
+	mix := d.mix()
+	at := settle
+	for {
+		at += d.between(100*time.Millisecond, 3500*time.Millisecond)
+		if at >= shape.Length {
+			break
+		}
+		pick(d, mix...)(d, at)
+	}
+	slices.SortStableFunc(d.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return Schedule{Seed: seed, Keepers: shape.Keepers, Tolerance: shape.Tolerance, Agents: shape.Agents, Operators: shape.Operators,
+		Workers: shape.Workers, Length: shape.Length, Omit: slices.Clone(shape.Omit), Events: d.events}
+}
+
+// family draws a group of events that belong together, beginning at the time.
+type family func(*drawer, time.Duration)
+
+// mix draws which families the schedule has, so that some schedules have much of one thing and little of others.
+func (d *drawer) mix() []family {
+	all := []family{(*drawer).machine, (*drawer).cut, (*drawer).chain, (*drawer).allDown, (*drawer).race, (*drawer).storm, (*drawer).disk,
+		(*drawer).link, (*drawer).workers, (*drawer).roll, (*drawer).bad, (*drawer).afterAcknowledgement, (*drawer).loseReplies}
+	var mix []family
+	for _, one := range all {
+		for range d.random.IntN(4) {
+			mix = append(mix, one)
+		}
+	}
+	if len(mix) == 0 {
+		return all
+	}
+	return mix
+}
+
+// between draws a span from low to under high, in whole milliseconds.
+func (d *drawer) between(low, high time.Duration) time.Duration {
+	return (low + time.Duration(d.random.Int64N(int64(high-low)))).Round(time.Millisecond)
+}
+
+// pick draws one of the choices.
+func pick[T any](d *drawer, choices ...T) T { return choices[d.random.IntN(len(choices))] }
+
+// some draws up to limit different places out of count, at least one.
+func (d *drawer) some(count, limit int) []int {
+	if count == 0 || limit == 0 {
+		return nil
+	}
+	places := d.random.Perm(count)[:1+d.random.IntN(min(count, limit))]
+	slices.Sort(places)
+	return places
+}
+
+// add adds the event.
+func (d *drawer) add(event Event) { d.events = append(d.events, event) }
+
+// strike adds an event that costs the group its keepers, unless more than the tolerance would be lost at once.
+func (d *drawer) strike(event Event) bool {
+	until := event.End() + CatchUp
+	if len(event.Keepers) == 0 || !d.within(event.Keepers, event.At, until) {
+		return false
+	}
+	for _, place := range event.Keepers {
+		d.losses = append(d.losses, loss{place: place, from: event.At, to: until})
+	}
+	d.add(event)
+	return true
+}
+
+// within reports whether the places may be lost from one time to the other beside those that are lost by then.
+func (d *drawer) within(places []int, from, to time.Duration) bool {
+	lost := map[int]bool{}
+	for _, place := range places {
+		lost[place] = true
+	}
+	for _, other := range d.losses {
+		if other.from < to && from < other.to {
+			lost[other.place] = true
+		}
+	}
+	return len(lost) <= d.shape.Tolerance
+}
+
+// loseAll counts every keeper as lost.
+func (d *drawer) loseAll(from, to time.Duration) {
+	for place := range d.shape.Keepers {
+		d.losses = append(d.losses, loss{place: place, from: from, to: to})
+	}
+}
--- /dev/null
+++ b/internal/controlsim/schedule/families.go
@@ -0,0 +1,171 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// machine strikes machines for a while.
+func (d *drawer) machine(at time.Duration) {
+	kind := pick(d, Kill, Kill, Power, Power, Wipe, Freeze)
+	d.strike(Event{At: at, Kind: kind, Keepers: d.some(d.shape.Keepers, d.shape.Tolerance), For: d.downtime()})
+}
+
+// downtime draws how long a machine is down: mostly about a second, at times long.
+func (d *drawer) downtime() time.Duration {
+	return pick(d, d.between(100*time.Millisecond, time.Second), d.between(time.Second, 4*time.Second), d.between(4*time.Second, 15*time.Second))
+}
+
+// cut cuts keepers off, often for as long as operators fear most, and has things happen amid it.
+func (d *drawer) cut(at time.Duration) {
+	event := Event{At: at, Kind: Cut, Variant: pick(d, variants[Cut]...), Keepers: d.some(d.shape.Keepers, d.shape.Tolerance),
+		For: pick(d, d.between(500*time.Millisecond, 4*time.Second), d.between(14*time.Second, 21*time.Second))}
+	if event.Variant == CutSide {
+		event.Agents = d.some(d.shape.Agents, d.shape.Agents)
+	}
+	event.Restart = event.Variant != CutKeepers && d.random.IntN(3) == 0
+	if !d.strike(event) {
+		return
+	}
+	for range d.random.IntN(3) {
+		amid := at + d.between(0, event.For)
+		pick(d, (*drawer).race, (*drawer).workers, (*drawer).loseReplies)(d, amid)
+	}
+}
+
+// chain strikes one machine after the other, each soon after the one before has been repaired.
+func (d *drawer) chain(at time.Duration) {
+	for range 2 + d.random.IntN(2) {
+		event := Event{At: at, Kind: pick(d, Replace, Replace, Wipe, Kill, Power), Keepers: d.some(d.shape.Keepers, 1), For: d.between(50*time.Millisecond, 2*time.Second)}
+		if event.Kind == Replace {
+			event.Variant = pick(d, variants[Replace]...)
+		}
+		if !d.strike(event) {
+			return
+		}
+		at = event.End() + CatchUp + d.between(500*time.Millisecond, 6*time.Second)
+		if at >= d.shape.Length {
+			return
+		}
+	}
+}
+
+// allDown takes every keeper down at once; some lose their disks, as many as may.
+func (d *drawer) allDown(at time.Duration) {
+	event := Event{At: at, Kind: pick(d, KillAll, PowerAll, RestartAll), For: d.between(50*time.Millisecond, time.Second)}
+	event.On = pick(d, "", "", Acknowledgement, Sent)
+	if event.Kind != RestartAll && d.random.IntN(2) == 0 {
+		event.Keepers = d.some(d.shape.Keepers, d.shape.Tolerance)
+	}
+	until := event.End() + CatchUp
+	if !d.within(event.Keepers, event.At, until) {
+		event.Keepers = nil
+	}
+	d.loseAll(event.At, until)
+	d.add(event)
+}
+
+// afterAcknowledgement strikes right after an order, a drain or an election.
+func (d *drawer) afterAcknowledgement(at time.Duration) {
+	event := Event{At: at, On: pick(d, Acknowledgement, Acknowledgement, Sent, Election, Drain), Kind: pick(d, Kill, Power, Wipe, Freeze), For: d.downtime(),
+		Keepers: d.some(d.shape.Keepers, d.shape.Tolerance), Delay: pick(d, 0, d.between(time.Millisecond, 30*time.Millisecond), d.between(30*time.Millisecond, 500*time.Millisecond))}
+	d.strike(event)
+}
+
+// race has operators send at once, often with their answers lost.
+func (d *drawer) race(at time.Duration) {
+	event := Event{At: at, Kind: Race, Variant: pick(d, variants[Race]...), Operators: d.some(d.shape.Operators, d.shape.Operators)}
+	if len(event.Operators) == 0 {
+		return
+	}
+	if event.Variant == RaceBodies || event.Variant == RaceSame {
+		event.Operators = d.everyOperator()
+	}
+	d.add(event)
+	if d.random.IntN(2) == 0 {
+		d.add(Event{At: at, Kind: LoseReplies, Operators: slices.Clone(event.Operators), For: d.between(200*time.Millisecond, 2*time.Second)})
+	}
+}
+
+func (d *drawer) everyOperator() []int {
+	all := make([]int, d.shape.Operators)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// loseReplies loses the answers to operators for a while.
+func (d *drawer) loseReplies(at time.Duration) {
+	if operators := d.some(d.shape.Operators, d.shape.Operators); len(operators) > 0 {
+		d.add(Event{At: at, Kind: LoseReplies, Operators: operators, For: d.between(200*time.Millisecond, 4*time.Second)})
+	}
+}
+
+// storm has operators send many changes.
+func (d *drawer) storm(at time.Duration) {
+	if operators := d.some(d.shape.Operators, d.shape.Operators); len(operators) > 0 {
+		d.add(Event{At: at, Kind: Storm, Operators: operators, Count: pick(d, 5, 20, 60)})
+	}
+}
+
+// bad has an operator send what must be refused.
+func (d *drawer) bad(at time.Duration) {
+	if operators := d.some(d.shape.Operators, 1); len(operators) > 0 {
+		d.add(Event{At: at, Kind: Bad, Variant: pick(d, variants[Bad]...), Operators: operators})
+	}
+}
+
+// disk brings trouble to disks.
+func (d *drawer) disk(at time.Duration) {
+	d.strike(Event{At: at, Kind: Disk, Variant: pick(d, variants[Disk]...), Keepers: d.some(d.shape.Keepers, d.shape.Tolerance), For: d.between(200*time.Millisecond, 6*time.Second)})
+}
+
+// link brings trouble to the links of keepers or agents.
+func (d *drawer) link(at time.Duration) {
+	event := Event{At: at, Kind: Link, Variant: pick(d, variants[Link]...), For: d.between(100*time.Millisecond, 5*time.Second)}
+	if d.random.IntN(3) == 0 {
+		if event.Agents = d.some(d.shape.Agents, d.shape.Agents); len(event.Agents) > 0 {
+			d.add(event)
+		}
+		return
+	}
+	event.Keepers = d.some(d.shape.Keepers, d.shape.Tolerance)
+	d.strike(event)
+}
+
+// roll ends and starts all keepers one after the other, each when the one before is no longer lost.
+func (d *drawer) roll(at time.Duration) {
+	event := Event{At: at, Kind: Roll, For: CatchUp + d.between(500*time.Millisecond, 2*time.Second), Keepers: d.random.Perm(d.shape.Keepers)}
+	spans := event.rollSpans()
+	for _, span := range spans {
+		if !d.within([]int{span.place}, span.from, span.to) {
+			return
+		}
+	}
+	d.losses = append(d.losses, spans...)
+	d.add(event)
+}
+
+// rollSpans are the spans in which a roll costs each keeper.
+func (e Event) rollSpans() []loss {
+	spans := make([]loss, len(e.Keepers))
+	for i, place := range e.Keepers {
+		from := e.At + time.Duration(i)*e.For
+		spans[i] = loss{place: place, from: from, to: from + e.For}
+	}
+	return spans
+}
+
+// workers has workers leave, crash or be late, at times with a fault right after the acknowledgement.
+func (d *drawer) workers(at time.Duration) {
+	workers := d.some(d.shape.Workers, 3)
+	if len(workers) == 0 {
+		return
+	}
+	event := Event{At: at, Kind: Worker, Variant: pick(d, variants[Worker]...), Workers: workers, For: d.between(500*time.Millisecond, 6*time.Second)}
+	d.add(event)
+	if event.Variant != WorkerLate && event.Variant != WorkerCrash && d.random.IntN(3) == 0 {
+		d.strike(Event{At: at, On: Drain, Kind: pick(d, Kill, Power, Wipe), Keepers: d.some(d.shape.Keepers, d.shape.Tolerance), For: d.downtime()})
+	}
+}
--- /dev/null
+++ b/internal/controlsim/schedule/schedule_test.go
@@ -0,0 +1,210 @@
+package schedule_test
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// shapes are those that the tests draw for.
+var shapes = []schedule.Shape{
+	{Keepers: 3, Tolerance: 1, Agents: 4, Operators: 2, Workers: 6, Length: 60 * time.Second},
+	{Keepers: 5, Tolerance: 2, Agents: 6, Operators: 3, Workers: 8, Length: 60 * time.Second},
+	{Keepers: 9, Tolerance: 4, Agents: 6, Operators: 3, Workers: 8, Length: 90 * time.Second},
+	{Keepers: 4, Tolerance: 2, Agents: 3, Operators: 2, Workers: 4, Length: 60 * time.Second},
+}
+
+func TestDrawnSchedulesAreReadBackAsWritten(t *testing.T) {
+	for _, shape := range shapes {
+		for seed := range uint64(300) {
+			drawn := schedule.Draw(seed, shape)
+			read, err := schedule.Parse(drawn.Format())
+			if err != nil {
+				t.Fatalf("seed %d: %v\n%s", seed, err, drawn.Format())
+			}
+			if !reflect.DeepEqual(read, drawn) {
+				t.Fatalf("seed %d: read back as\n%s\nwritten as\n%s", seed, read.Format(), drawn.Format())
+			}
+		}
+	}
+}
+
+func TestDrawIsAFunctionOfSeedAndShape(t *testing.T) {
+	for seed := range uint64(50) {
+		if one, other := schedule.Draw(seed, shapes[1]), schedule.Draw(seed, shapes[1]); !reflect.DeepEqual(one, other) {
+			t.Fatalf("seed %d draws two schedules", seed)
+		}
+	}
+	if schedule.Draw(1, shapes[0]).Format() == schedule.Draw(2, shapes[0]).Format() {
+		t.Error("two seeds draw one schedule")
+	}
+}
+
+// TestDrawnLossesStayWithinTolerance counts the lost keepers at each tenth of a second, apart from Draw's own books.
+func TestDrawnLossesStayWithinTolerance(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for _, shape := range shapes {
+		for seed := range uint64(300) {
+			drawn := schedule.Draw(seed, shape)
+			for at := time.Duration(0); at < drawn.End()+schedule.CatchUp; at += step {
+				if lost := lostAt(drawn, at); len(lost) > shape.Tolerance {
+					t.Fatalf("seed %d: %d keepers are lost at %v\n%s", seed, len(lost), at, drawn.Format())
+				}
+			}
+		}
+	}
+}
+
+// lostAt are the keepers that single events cost at the time.
+func lostAt(s schedule.Schedule, at time.Duration) map[int]bool {
+	lost := map[int]bool{}
+	for _, event := range s.Events {
+		switch event.Kind {
+		case schedule.Kill, schedule.Power, schedule.Wipe, schedule.Freeze, schedule.Cut, schedule.Replace, schedule.Disk, schedule.Link,
+			schedule.KillAll, schedule.PowerAll:
+			if event.At <= at && at < event.End()+schedule.CatchUp {
+				for _, place := range event.Keepers {
+					lost[place] = true
+				}
+			}
+		case schedule.Roll:
+			for i, place := range event.Keepers {
+				if from := event.At + time.Duration(i)*event.For; from <= at && at < from+event.For {
+					lost[place] = true
+				}
+			}
+		}
+	}
+	return lost
+}
+
+func TestDrawnSchedulesHaveEveryKind(t *testing.T) {
+	seen := map[schedule.Kind]int{}
+	for seed := range uint64(300) {
+		for _, event := range schedule.Draw(seed, shapes[0]).Events {
+			seen[event.Kind]++
+		}
+	}
+	for _, kind := range []schedule.Kind{schedule.Kill, schedule.Power, schedule.Wipe, schedule.Freeze, schedule.Cut, schedule.Replace, schedule.Disk,
+		schedule.Link, schedule.KillAll, schedule.PowerAll, schedule.RestartAll, schedule.Roll, schedule.LoseReplies, schedule.Race, schedule.Storm,
+		schedule.Bad, schedule.Worker} {
+		if seen[kind] < 10 {
+			t.Errorf("%s is drawn %d times in 300 schedules", kind, seen[kind])
+		}
+	}
+}
+
+func TestParseRefusesWhatIsNoSchedule(t *testing.T) {
+	const head = "schedule seed=1 keepers=3 tolerance=1 agents=1 operators=1 workers=1 length=10s\n"
+	for name, text := range map[string]string{
+		"empty":            "",
+		"no header":        "1s kill keepers=0",
+		"unknown field":    "schedule seed=1 keepers=3 colour=red",
+		"unknown kind":     head + "1s burn keepers=0",
+		"unknown variant":  head + "1s cut variant=odd keepers=0",
+		"missing variant":  head + "1s cut keepers=0",
+		"surplus variant":  head + "1s kill variant=side keepers=0",
+		"unknown trigger":  head + "1s kill on=noon keepers=0",
+		"no such place":    head + "1s kill keepers=3",
+		"out of order":     head + "2s kill keepers=0\n1s kill keepers=1",
+		"negative":         head + "1s kill keepers=0 for=-1s",
+		"an event's field": head + "1s kill keepers=0 loud",
+		"no kind":          head + "1s",
+	} {
+		if _, err := schedule.Parse(text); !errors.Is(err, schedule.ErrText) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestShrinkKeepsOnlyWhatTheFailureNeeds(t *testing.T) {
+	drawn := schedule.Draw(7, shapes[1])
+	needed := []schedule.Event{
+		{At: 20 * time.Second, Kind: schedule.Wipe, Keepers: []int{1, 3}, For: 800 * time.Millisecond},
+		{At: 26 * time.Second, Kind: schedule.Storm, Operators: []int{0, 1}, Count: 60},
+	}
+	drawn.Events = insert(drawn.Events, needed...)
+	calls := 0
+	small := schedule.Shrink(drawn, func(s schedule.Schedule) bool {
+		calls++
+		return s.Check() == nil && hasWipeOf(s, 3) && hasStormOf(s, 7)
+	})
+	want := strings.Join([]string{"wipe", "storm"}, ",")
+	if got := kindsOf(small); got != want {
+		t.Errorf("shrunk to %s, want %s:\n%s", got, want, small.Format())
+	}
+	if storm := small.Events[len(small.Events)-1]; storm.Count != 7 || len(storm.Operators) != 1 {
+		t.Errorf("the storm was not made smaller: %v", storm)
+	}
+	if wipe := small.Events[0]; len(wipe.Keepers) != 1 || wipe.For >= 20*time.Millisecond {
+		t.Errorf("the wipe was not made smaller: %v", wipe)
+	}
+	if small.Agents != 1 || small.Workers != 1 {
+		t.Errorf("the world was not made smaller: %s", small.Format())
+	}
+	if calls > 500 {
+		t.Errorf("%d schedules were tried", calls)
+	}
+}
+
+func TestShrinkLeavesAScheduleThatDoesNotFail(t *testing.T) {
+	drawn := schedule.Draw(3, shapes[0])
+	if got := schedule.Shrink(drawn, func(schedule.Schedule) bool { return false }); !reflect.DeepEqual(got, drawn) {
+		t.Error("a schedule that does not fail was changed")
+	}
+}
+
+func TestShrinkKeepsEventsThatFailOnlyTogether(t *testing.T) {
+	drawn := schedule.Draw(11, shapes[1])
+	first, last := drawn.Events[0].At, drawn.Events[len(drawn.Events)-1].At
+	small := schedule.Shrink(drawn, func(s schedule.Schedule) bool {
+		return len(s.Events) > 1 && s.Events[0].At == first && s.Events[len(s.Events)-1].At == last
+	})
+	if len(small.Events) != 2 {
+		t.Errorf("shrunk to %d events, want 2", len(small.Events))
+	}
+}
+
+// insert adds the events in the order of their times.
+func insert(events []schedule.Event, more ...schedule.Event) []schedule.Event {
+	for _, event := range more {
+		at := 0
+		for at < len(events) && events[at].At <= event.At {
+			at++
+		}
+		events = append(events[:at:at], append([]schedule.Event{event}, events[at:]...)...)
+	}
+	return events
+}
+
+func hasWipeOf(s schedule.Schedule, place int) bool {
+	for _, event := range s.Events {
+		for _, struck := range event.Keepers {
+			if event.Kind == schedule.Wipe && struck == place && event.At == 20*time.Second {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hasStormOf(s schedule.Schedule, count int) bool {
+	for _, event := range s.Events {
+		if event.Kind == schedule.Storm && event.Count >= count {
+			return true
+		}
+	}
+	return false
+}
+
+func kindsOf(s schedule.Schedule) string {
+	var names []string
+	for _, event := range s.Events {
+		names = append(names, string(event.Kind))
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/controlsim/schedule/shrink.go
@@ -0,0 +1,137 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// smallestSpan is the span below which a time is not made shorter.
+const smallestSpan = 10 * time.Millisecond
+
+// Shrink returns a smaller schedule for which fails still holds: first with fewer events, then with fewer places,
+// smaller counts and shorter spans. It returns s itself if fails does not hold for it.
+func Shrink(s Schedule, fails func(Schedule) bool) Schedule {
+	if !fails(s) {
+		return s
+	}
+	for {
+		smaller := dropEvents(s, fails)
+		smaller = lessenEvents(smaller, fails)
+		smaller = lessenWorld(smaller, fails)
+		if len(smaller.Events) == len(s.Events) {
+			return smaller
+		}
+		s = smaller
+	}
+}
+
+// dropEvents removes runs of events, long ones first, as delta debugging does.
+func dropEvents(s Schedule, fails func(Schedule) bool) Schedule {
+	for size := (len(s.Events) + 1) / 2; size > 0; size /= 2 {
+		for start := 0; start < len(s.Events); {
+			candidate := s
+			candidate.Events = slices.Delete(slices.Clone(s.Events), start, min(start+size, len(s.Events)))
+			if fails(candidate) {
+				s = candidate
+			} else {
+				start += size
+			}
+		}
+	}
+	return s
+}
+
+// lessenEvents makes each event smaller, as far as the schedule still fails.
+func lessenEvents(s Schedule, fails func(Schedule) bool) Schedule {
+	for i := range s.Events {
+		for improved := true; improved; {
+			improved = false
+			for _, lesser := range lesserEvents(s.Events[i]) {
+				candidate := s
+				candidate.Events = slices.Clone(s.Events)
+				candidate.Events[i] = lesser
+				if fails(candidate) {
+					s, improved = candidate, true
+					break
+				}
+			}
+		}
+	}
+	return s
+}
+
+// lesserEvents are the events that are one step smaller.
+func lesserEvents(e Event) []Event {
+	var lesser []Event
+	add := func(change func(*Event)) {
+		smaller := e
+		change(&smaller)
+		lesser = append(lesser, smaller)
+	}
+	if e.Count > 1 {
+		add(func(s *Event) { s.Count = e.Count / 2 })
+		add(func(s *Event) { s.Count = e.Count - 1 })
+	}
+	if e.For >= 2*smallestSpan {
+		add(func(s *Event) { s.For = (e.For / 2).Round(smallestSpan) })
+	}
+	if e.Delay > 0 {
+		add(func(s *Event) { s.Delay = 0 })
+	}
+	if e.Restart {
+		add(func(s *Event) { s.Restart = false })
+	}
+	for _, places := range []func(*Event) *[]int{
+		func(s *Event) *[]int { return &s.Keepers },
+		func(s *Event) *[]int { return &s.Agents },
+		func(s *Event) *[]int { return &s.Operators },
+		func(s *Event) *[]int { return &s.Workers },
+	} {
+		all := *places(&e)
+		for i := range all {
+			if len(all) > 1 {
+				add(func(s *Event) { *places(s) = slices.Delete(slices.Clone(all), i, i+1) })
+			}
+		}
+	}
+	return lesser
+}
+
+// lessenWorld lowers the counts of agents, operators and workers, and the length, as far as the events allow.
+func lessenWorld(s Schedule, fails func(Schedule) bool) Schedule {
+	for improved := true; improved; {
+		improved = false
+		for _, lesser := range lesserWorlds(s) {
+			if lesser.Check() == nil && fails(lesser) {
+				s, improved = lesser, true
+				break
+			}
+		}
+	}
+	return s
+}
+
+func lesserWorlds(s Schedule) []Schedule {
+	var lesser []Schedule
+	for _, count := range []func(*Schedule) *int{
+		func(c *Schedule) *int { return &c.Agents },
+		func(c *Schedule) *int { return &c.Operators },
+		func(c *Schedule) *int { return &c.Workers },
+	} {
+		if *count(&s) > 1 {
+			smaller := s
+			*count(&smaller)--
+			lesser = append(lesser, smaller)
+		}
+	}
+	last := time.Duration(0)
+	if len(s.Events) > 0 {
+		last = s.Events[len(s.Events)-1].At
+	}
+	if s.Length > last+time.Second {
+		smaller := s
+		smaller.Length = last + time.Second
+		lesser = append(lesser, smaller)
+	}
+	return lesser
+}
--- /dev/null
+++ b/internal/controlsim/schedule/text.go
@@ -0,0 +1,238 @@
+package schedule
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// header begins the text form of a schedule.
+const header = "schedule"
+
+// ErrText is the cause of each failure to read a schedule.
+var ErrText = errors.New("not a schedule")
+
+// Format writes the schedule as text: a line with what holds for the whole, then a line for each event.
+func (s Schedule) Format() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s seed=%d keepers=%d tolerance=%d agents=%d operators=%d workers=%d length=%v",
+		header, s.Seed, s.Keepers, s.Tolerance, s.Agents, s.Operators, s.Workers, s.Length)
+	if len(s.Omit) > 0 {
+		text.WriteString(" omit=" + strings.Join(s.Omit, ","))
+	}
+	text.WriteByte('\n')
+	for _, event := range s.Events {
+		text.WriteString(event.String())
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// String is the event's line.
+func (e Event) String() string {
+	words := []string{e.At.String(), string(e.Kind)}
+	add := func(name, value string) {
+		if value != "" {
+			words = append(words, name+"="+value)
+		}
+	}
+	add("variant", string(e.Variant))
+	add("on", string(e.On))
+	add("delay", formatSpan(e.Delay))
+	add("keepers", formatPlaces(e.Keepers))
+	add("agents", formatPlaces(e.Agents))
+	add("operators", formatPlaces(e.Operators))
+	add("workers", formatPlaces(e.Workers))
+	add("for", formatSpan(e.For))
+	if e.Count != 0 {
+		add("count", strconv.Itoa(e.Count))
+	}
+	if e.Restart {
+		words = append(words, "restart")
+	}
+	return strings.Join(words, " ")
+}
+
+func formatSpan(span time.Duration) string {
+	if span == 0 {
+		return ""
+	}
+	return span.String()
+}
+
+func formatPlaces(places []int) string {
+	words := make([]string, len(places))
+	for i, place := range places {
+		words[i] = strconv.Itoa(place)
+	}
+	return strings.Join(words, ",")
+}
+
+// Parse reads what Format writes. Empty lines and lines that begin with # are passed over.
+func Parse(text string) (Schedule, error) {
+	var parsed Schedule
+	begun := false
+	for number, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var err error
+		if begun {
+			err = parsed.parseEvent(line)
+		} else {
+			err = parsed.parseHeader(line)
+		}
+		if err != nil {
+			return Schedule{}, fmt.Errorf("%w: line %d: %w", ErrText, number+1, err)
+		}
+		begun = true
+	}
+	if !begun {
+		return Schedule{}, fmt.Errorf("%w: it is empty", ErrText)
+	}
+	return parsed, parsed.Check()
+}
+
+func (s *Schedule) parseHeader(line string) error {
+	words := strings.Fields(line)
+	if words[0] != header {
+		return fmt.Errorf("it begins with %q, not with %q", words[0], header)
+	}
+	for _, word := range words[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		if err := s.setField(name, value); err != nil {
+			return fmt.Errorf("%s: %w", word, err)
+		}
+	}
+	return nil
+}
+
+func (s *Schedule) setField(name, value string) (err error) {
+	switch name {
+	case "seed":
+		s.Seed, err = strconv.ParseUint(value, 10, 64)
+	case "keepers":
+		s.Keepers, err = strconv.Atoi(value)
+	case "tolerance":
+		s.Tolerance, err = strconv.Atoi(value)
+	case "agents":
+		s.Agents, err = strconv.Atoi(value)
+	case "operators":
+		s.Operators, err = strconv.Atoi(value)
+	case "workers":
+		s.Workers, err = strconv.Atoi(value)
+	case "length":
+		s.Length, err = time.ParseDuration(value)
+	case "omit":
+		s.Omit = strings.Split(value, ",")
+	default:
+		return errors.New("no such field")
+	}
+	return err
+}
+
+func (s *Schedule) parseEvent(line string) error {
+	words := strings.Fields(line)
+	if len(words) < 2 {
+		return errors.New("an event needs a time and a kind")
+	}
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return err
+	}
+	event := Event{At: at, Kind: Kind(words[1])}
+	for _, word := range words[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		if err := event.setField(name, value); err != nil {
+			return fmt.Errorf("%s: %w", word, err)
+		}
+	}
+	s.Events = append(s.Events, event)
+	return nil
+}
+
+func (e *Event) setField(name, value string) (err error) {
+	switch name {
+	case "variant":
+		e.Variant = Variant(value)
+	case "on":
+		e.On = Trigger(value)
+	case "delay":
+		e.Delay, err = time.ParseDuration(value)
+	case "keepers":
+		e.Keepers, err = parsePlaces(value)
+	case "agents":
+		e.Agents, err = parsePlaces(value)
+	case "operators":
+		e.Operators, err = parsePlaces(value)
+	case "workers":
+		e.Workers, err = parsePlaces(value)
+	case "for":
+		e.For, err = time.ParseDuration(value)
+	case "count":
+		e.Count, err = strconv.Atoi(value)
+	case "restart":
+		e.Restart = true
+	default:
+		return errors.New("no such field")
+	}
+	return err
+}
+
+func parsePlaces(text string) ([]int, error) {
+	var places []int
+	for _, word := range strings.Split(text, ",") {
+		place, err := strconv.Atoi(word)
+		if err != nil {
+			return nil, err
+		}
+		places = append(places, place)
+	}
+	return places, nil
+}
+
+// Check reports what makes the schedule unplayable: an unknown word, a place that does not exist, events out of order.
+func (s Schedule) Check() error {
+	if s.Keepers < 1 || s.Tolerance < 0 || s.Agents < 0 || s.Operators < 0 || s.Workers < 0 || s.Length < 0 {
+		return fmt.Errorf("%w: keepers must be positive, the other counts not negative", ErrText)
+	}
+	for i, event := range s.Events {
+		if i > 0 && event.At < s.Events[i-1].At {
+			return fmt.Errorf("%w: %q comes after a later event", ErrText, event)
+		}
+		if err := s.checkEvent(event); err != nil {
+			return fmt.Errorf("%w: %q: %w", ErrText, event, err)
+		}
+	}
+	return nil
+}
+
+func (s Schedule) checkEvent(event Event) error {
+	if !slices.Contains(kinds, event.Kind) {
+		return errors.New("no such kind")
+	}
+	if allowed := variants[event.Kind]; len(allowed) == 0 && event.Variant != "" || len(allowed) > 0 && !slices.Contains(allowed, event.Variant) {
+		return errors.New("no such variant")
+	}
+	if event.On != "" && !slices.Contains(triggers, event.On) {
+		return errors.New("no such trigger")
+	}
+	if event.At < 0 || event.For < 0 || event.Delay < 0 || event.Count < 0 {
+		return errors.New("a time or count is negative")
+	}
+	for _, group := range []struct {
+		places []int
+		count  int
+	}{{event.Keepers, s.Keepers}, {event.Agents, s.Agents}, {event.Operators, s.Operators}, {event.Workers, s.Workers}} {
+		for _, place := range group.places {
+			if place < 0 || place >= group.count {
+				return fmt.Errorf("no place %d", place)
+			}
+		}
+	}
+	return nil
+}
