--- a/deploy/days/kinds.go
+++ b/deploy/days/kinds.go
@@ -34,8 +34,8 @@
 	`kind = "replace_with_reuse", share = 0.15, how = "drain"`,
 }
 
-// faults strike unannounced. Those of the core are listed in all their variants.
-var faults = []string{
+// faultsOfCore strike unannounced. Those of the core are listed in all their variants.
+var faultsOfCore = []string{
 	`kind = "core_cut", for_s = 4.0`,
 	`kind = "core_cut", for_s = 4.0, how = "one_way"`,
 	`kind = "core_cut", for_s = 5.0, how = "seeds"`,
--- a/deploy/days/main.go
+++ b/deploy/days/main.go
@@ -1,6 +1,6 @@
 // Command days draws days of the bench on which troubles of the core cross each other, one file for each seed.
 //
-//	go run ./deploy/days -out DIRECTORY -first 1 -count 40 [-closing KIND]
+//	go run ./deploy/days -out DIRECTORY -first 1 -count 40 [-family NAME] [-length SECONDS] [-closing KIND]
 //
 // The same seed always gives the same day. README.md tells how they are played.
 package main
@@ -21,19 +21,34 @@
 	first := flag.Uint64("first", 1, "the first seed")
 	count := flag.Uint64("count", 1, "how many days")
 	closing := flag.String("closing", "", "the final fault of all days; empty: drawn")
+	family := flag.String("family", "core", "what the days are made of: "+strings.Join(familyNames(), ", "))
+	length := flag.Float64("length", defaultLength, "seconds of traffic of the site's days")
 	flag.Parse()
-	if err := writeAll(*out, *first, *count, *closing); err != nil {
+	if err := writeAll(*out, *first, *count, shape{family: *family, length: *length, closing: *closing}); err != nil {
 		log.Fatal(err)
 	}
 }
 
-func writeAll(directory string, first, count uint64, closing string) error {
+// defaultLength is how many seconds of traffic the operators' days have.
+const defaultLength = 34.0
+
+// shape is what all days of one call have in common.
+type shape struct {
+	family  string
+	length  float64 // seconds
+	closing string  // empty: drawn
+}
+
+func writeAll(directory string, first, count uint64, wanted shape) error {
+	if families[wanted.family] == nil {
+		return fmt.Errorf("no family %q; there are %s", wanted.family, strings.Join(familyNames(), ", "))
+	}
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return err
 	}
 	for seed := first; seed < first+count; seed++ {
-		path := filepath.Join(directory, fmt.Sprintf("core-%d.toml", seed))
-		if err := os.WriteFile(path, []byte(draw(seed, closing)), 0o644); err != nil {
+		path := filepath.Join(directory, fmt.Sprintf("%s-%d.toml", wanted.family, seed))
+		if err := os.WriteFile(path, []byte(draw(seed, wanted)), 0o644); err != nil {
 			return err
 		}
 	}
@@ -41,18 +56,20 @@
 }
 
 // draw returns the day of a seed.
-func draw(seed uint64, closing string) string {
+func draw(seed uint64, wanted shape) string {
 	random := rand.New(rand.NewPCG(seed, 0))
+	closing := wanted.closing
 	var day strings.Builder
-	fmt.Fprintf(&day, "[[day]]\nname = \"core-%d\"\nseed = %d\n", seed, seed)
+	fmt.Fprintf(&day, "[[day]]\nname = \"%s-%d\"\nseed = %d\n", wanted.family, seed, seed)
 	if closing == "" {
 		closing = pick(random, closings)
 	}
 	if closing != "none" {
 		fmt.Fprintf(&day, "closing = { kind = %s, down_s = %.2f }\n", closing, between(random, 0.6, 1.8))
 	}
-	writeList(&day, "plan", changes(random))
-	writeList(&day, "faults", troubles(random))
+	plan, faults := families[wanted.family](random, wanted.length)
+	writeList(&day, "plan", plan)
+	writeList(&day, "faults", faults)
 	return day.String()
 }
 
@@ -64,25 +81,37 @@
 	day.WriteString("]\n")
 }
 
+// crossing draws troubles of the core that cross each other, amid orders and other planned work.
+func crossing(random *rand.Rand, length float64) (plan, faults []string) {
+	return changes(random, length), troubles(random, length)
+}
+
 // changes keeps orders coming all day, so that each trouble meets some, and adds other planned work.
-func changes(random *rand.Rand) []string {
+func changes(random *rand.Rand, length float64) []string {
 	lines := []string{
-		fmt.Sprintf(`at = 1.5, kind = "config_storm", for_s = 31.0, gap_s = %.2f`, between(random, 0.25, 0.9)),
+		fmt.Sprintf(`at = 1.5, kind = "config_storm", for_s = %.1f, gap_s = %.2f`, length-3, between(random, 0.25, 0.9)),
 		fmt.Sprintf(`at = 3.0, kind = "config_race", count = %d, gap_s = %.2f`, 4+random.IntN(8), between(random, 0.7, 2.5)),
 	}
 	for range 1 + random.IntN(3) {
-		lines = append(lines, fmt.Sprintf("at = %.2f, %s", between(random, 2, 28), pick(random, planned)))
+		lines = append(lines, fmt.Sprintf("at = %.2f, %s", between(random, 2, length-6), pick(random, planned)))
 	}
 	return lines
 }
 
-// troubles draws two or three groups of troubles; those of a group cross each other.
-func troubles(random *rand.Rand) []string {
+// meanGroupPause is how many seconds lie between groups of troubles on days longer than the operators'.
+const meanGroupPause = 12.0
+
+// troubles draws groups of troubles, two or three on a day of the usual length; those of a group cross each other.
+func troubles(random *rand.Rand, length float64) []string {
 	var lines []string
 	at := between(random, 2, 6)
-	for range 2 + random.IntN(2) {
+	groups := 2 + random.IntN(2)
+	if length > defaultLength {
+		groups = int(length / meanGroupPause)
+	}
+	for range groups {
 		for range 2 + random.IntN(2) {
-			lines = append(lines, fmt.Sprintf("at = %.2f, %s", at+between(random, 0, 3), pick(random, faults)))
+			lines = append(lines, fmt.Sprintf("at = %.2f, %s", at+between(random, 0, 3), pick(random, faultsOfCore)))
 		}
 		at += between(random, 5, 11)
 	}
