Refuse a change to the configuration only where that is final

Cause: a model of all sequences of orders found that a change on a generation still to come was refused with 412 and taken when a late copy of it came after the change it builds on. And a change older than the 4,096 remembered ones was refused with 412 although it had been accepted. Both now get 503 without a clear answer (codes 1011 and 1012): a base that was passed never comes back, one to come may.

--- a/internal/configuration/codes.go
+++ b/internal/configuration/codes.go
@@ -13,6 +13,8 @@
 	Accepted             Code = 1000
 	Repeated             Code = 1001
 	BaseNotCurrent       Code = 1010
+	BaseAhead            Code = 1011
+	BaseForgotten        Code = 1012
 	Unreadable           Code = 1020
 	MissingField         Code = 1021
 	BadField             Code = 1022
@@ -37,6 +39,8 @@
 	{Code: Accepted, Name: "accepted", Status: http.StatusOK, Text: "the change is in force"},
 	{Code: Repeated, Name: "repeated", Status: http.StatusOK, Text: "the same change was accepted before"},
 	{Code: BaseNotCurrent, Name: "base_not_current", Status: http.StatusPreconditionFailed, Text: "X-Base-Version is not the generation in force"},
+	{Code: BaseAhead, Name: "base_ahead", Status: http.StatusServiceUnavailable, Text: "X-Base-Version is above the generation in force; the change may be taken once that is reached"},
+	{Code: BaseForgotten, Name: "base_forgotten", Status: http.StatusServiceUnavailable, Text: "the change builds on a generation so old that it is not known any more whether it was accepted"},
 	{Code: Unreadable, Name: "unreadable", Status: http.StatusBadRequest, Text: "the body is not one whole JSON object"},
 	{Code: MissingField, Name: "missing_field", Status: http.StatusBadRequest, Text: "a member that is needed is missing"},
 	{Code: BadField, Name: "bad_field", Status: http.StatusBadRequest, Text: "a member has a value of another kind than expected"},
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -12,31 +12,52 @@
 
 const (
 	digestBytes    = 16
-	digestsKept    = 4096 // accepted changes whose repetition is acknowledged again
+	acceptedKept   = 4096 // accepted changes whose repetition is acknowledged again
 	baseBytes      = 8
 	decimalNumbers = 10
 )
 
 type digest [digestBytes]byte
 
+// acceptance is what is remembered of an accepted change.
+type acceptance struct {
+	base uint64 // the generation that it built on, or one above that but below its own
+	mark digest
+}
+
 // Outcome is what became of one change.
 type Outcome struct {
-	Status     int // of HTTP: 200, 400 or 412
+	Status     int // of HTTP: 200, 400, 412 or 503
 	Code       Code
 	Text       string
 	Generation uint64 // in force after the change
 }
 
 // Store is the replicated configuration. It is not safe for concurrent use.
+//
+// Its answers to one change are final. A change that was accepted is acknowledged again whenever it
+// comes; once it is no longer remembered it gets no clear answer (503). One that was refused (4xx) is
+// never accepted later: generations only rise, so that a base which was passed is never in force
+// again. A base that may still come into force is not refused for that reason.
 type Store struct {
-	document *document
-	accepted map[digest]struct{}
-	order    []digest // of accepted, oldest first
+	document  *document
+	accepted  map[digest]struct{}
+	order     []acceptance // of accepted, oldest first
+	kept      int          // bound of order
+	forgotten uint64       // whatever is forgotten built on a generation below this one
+	omitted   map[Rule]bool
 }
 
-// NewStore returns a store without a configuration: generation 0.
-func NewStore() *Store {
-	return &Store{document: emptyDocument(), accepted: map[digest]struct{}{}}
+// NewStore returns a store without a configuration: generation 0. Tests alone leave rules out.
+func NewStore(omit ...Rule) *Store {
+	store := &Store{
+		document: emptyDocument(), accepted: map[digest]struct{}{}, kept: acceptedKept,
+		omitted: make(map[Rule]bool, len(omit)),
+	}
+	for _, rule := range omit {
+		store.omitted[rule] = true
+	}
+	return store
 }
 
 // Apply carries out a committed command. It is deterministic. The change has the given index, and
@@ -47,30 +68,55 @@
 	if err != nil {
 		return s.refused(asRefusal(err, "command")), change
 	}
-	mark := digestOf(decoded)
-	if _, repeated := s.accepted[mark]; repeated {
+	mark := s.markOf(decoded)
+	if s.repeats(decoded, mark) {
 		return s.outcome(Repeated), change
 	}
-	if decoded.Base != s.document.generation {
-		return s.refused(refuse(BaseNotCurrent, "in force is "+strconv.FormatUint(s.document.generation, decimalNumbers))), change
+	if refusal := s.checkBase(decoded.Base); refusal != nil {
+		return s.refused(refusal), change
 	}
-	next, refusal := s.document.next(decoded)
+	next, refusal := s.next(decoded)
 	if refusal != nil {
 		return s.refused(refusal), change
 	}
 	change.Put, change.Delete = difference(s.document, next)
 	s.document = next
-	s.remember(mark)
+	s.remember(acceptance{base: decoded.Base, mark: mark})
 	return s.outcome(Accepted), change
 }
 
-// next returns the checked document after a command that builds on d.
-func (d *document) next(command Command) (*document, *Refusal) {
-	after, refusal := d.changed(command)
+// repeats tells whether a change was accepted before.
+func (s *Store) repeats(command Command, mark digest) bool {
+	if !s.holds(RuleRepeatFirst) && command.Base != s.document.generation {
+		return false
+	}
+	_, repeated := s.accepted[mark]
+	return repeated
+}
+
+// checkBase refuses a change that does not build on the generation in force. It is refused for good
+// only if that generation was passed and the changes which built on it are still remembered.
+func (s *Store) checkBase(base uint64) *Refusal {
+	current := s.document.generation
+	place := "in force is " + strconv.FormatUint(current, decimalNumbers)
+	switch {
+	case base == current || !s.holds(RuleBaseCurrent):
+		return nil
+	case base > current && s.holds(RuleBaseAheadOpen):
+		return refuse(BaseAhead, place)
+	case base < s.forgotten && s.holds(RuleForgottenOpen):
+		return refuse(BaseForgotten, place)
+	}
+	return refuse(BaseNotCurrent, place)
+}
+
+// next returns the checked document after a command that builds on the one in force.
+func (s *Store) next(command Command) (*document, *Refusal) {
+	after, refusal := s.document.changed(command)
 	if refusal != nil {
 		return nil, refusal
 	}
-	if refusal := checkRise(after.generation, d.generation); refusal != nil {
+	if refusal := checkRise(after.generation, s.document.generation); refusal != nil && s.holds(RuleGenerationRises) {
 		return nil, refusal
 	}
 	return after, after.check()
@@ -96,6 +142,14 @@
 	return Outcome{Status: refusal.Status, Code: refusal.Code, Text: refusal.Text, Generation: s.document.generation}
 }
 
+// markOf returns the digest that a change is remembered by.
+func (s *Store) markOf(command Command) digest {
+	if !s.holds(RuleRepeatIsOfOrder) {
+		command.Kind, command.Base = 0, 0
+	}
+	return digestOf(command)
+}
+
 // digestOf identifies a command by its kind, base and body.
 func digestOf(command Command) digest {
 	hash := sha256.New()
@@ -109,13 +163,17 @@
 	return mark
 }
 
-// remember keeps the digest of an accepted change and forgets the oldest beyond the bound.
-func (s *Store) remember(mark digest) {
-	s.accepted[mark] = struct{}{}
-	s.order = append(s.order, mark)
-	if len(s.order) > digestsKept {
-		delete(s.accepted, s.order[0])
-		s.order = append([]digest(nil), s.order[1:]...)
+// remember keeps an accepted change and forgets the oldest beyond the bound.
+func (s *Store) remember(one acceptance) {
+	if !s.holds(RuleRepeatKnown) {
+		return
+	}
+	s.accepted[one.mark] = struct{}{}
+	s.order = append(s.order, one)
+	if len(s.order) > s.kept {
+		delete(s.accepted, s.order[0].mark)
+		s.forgotten = max(s.forgotten, s.order[0].base+1)
+		s.order = append([]acceptance(nil), s.order[1:]...)
 	}
 }
 
