Have keepers and agents take clock, disk, network and chance from outside

The whole control plane is to run in one process on a fake clock with injected faults. keeper.Environment holds file system, clock, random source, dial and listen, and names the guards and rules of the agreement that a test leaves out; agent.Options does the same for agents. Handle answers the calls of operators and workers without HTTP, the hertz handlers are adapters of it, and Open, Serve and Close are public.

--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -46,6 +46,7 @@
 		MaxAppendBytes:  maxAppendBytes,
 		MaxInflight:     maxInflight,
 		Seed:            uint64(options.Self.ID) + uint64(options.Shard),
+		Omit:            options.Omit,
 	}
 	return agreement.New(config, stored, now)
 }
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -51,6 +51,9 @@
 	Heartbeat       time.Duration // 0: DefaultHeartbeat
 	Logger          *zap.Logger   // nil: none
 	Clock           Clock         // nil: the process's steady clock
+
+	// Omit leaves out rules of the agreement, by tests alone.
+	Omit []agreement.Rule
 }
 
 // Defaults of Options.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"runtime/debug"
 	"time"
 
@@ -36,18 +37,40 @@
 // ErrPorts is returned for settings whose port range is too short.
 var ErrPorts = errors.New("agent: the port range has too few ports")
 
-// Options switch parts of the agent.
+// Options switch parts of the agent, and put others in the place of the operating system's.
 type Options struct {
 	ProbePeers bool // take part in the probing between agents
 	Probing    membership.Options
+
+	Dial   func(ctx context.Context, address string) (net.Conn, error)     // of keepers; nil: feedlink.Dial
+	Listen func(ctx context.Context, address string) (net.Listener, error) // for the proxy; nil: feedlink.Listen
+	Random func() uint64                                                   // nil: rand.Uint64
+	Origin time.Time                                                       // of the grid of statuses; zero: the start of the process
+}
+
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = feedlink.Dial
+	}
+	if o.Listen == nil {
+		o.Listen = feedlink.Listen
+	}
+	if o.Random == nil {
+		o.Random = rand.Uint64
+	}
+	return o
 }
 
+// fraction draws a number uniform in [0, 1).
+func (o Options) fraction() float64 { return float64(o.Random()>>11) / (1 << 53) }
+
 // DefaultOptions are those of Run.
 func DefaultOptions() Options { return Options{ProbePeers: true} }
 
 // Run runs the agent with the default options until ctx ends, and then serves the proxy until it has
 // gone or the time of grace is nearly over. It fails if a port of the machine cannot be opened.
 func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
+	limitMemory(config.Limits)
 	return RunWith(ctx, config, DefaultOptions(), log)
 }
 
@@ -57,11 +80,10 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(config.Limits)
-
+	options = options.withDefaults()
 	store := newStore()
-	client := newKeeperClient(config, ports.feed, store, log)
-	front, err := newProxyFront(ctx, ports.proxy, store, client.Report)
+	client := newKeeperClient(config, ports.feed, options, store, log)
+	front, err := newProxyFront(ctx, ports.proxy, options, store, client.Report)
 	if err != nil {
 		return fmt.Errorf("agent: listen for the proxy: %w", err)
 	}
@@ -110,7 +132,7 @@
 	return max(settings.Seconds(bounds.GraceS)-graceMargin, graceMargin)
 }
 
-func newKeeperClient(config settings.Settings, feedPort int, store *store, log *zap.Logger) *feedlink.Client {
+func newKeeperClient(config settings.Settings, feedPort int, options Options, store *store, log *zap.Logger) *feedlink.Client {
 	return feedlink.NewClient(feedlink.ClientOptions{
 		Hello: feedlink.Hello{
 			Node:        config.NodeName,
@@ -118,7 +140,7 @@
 			Region:      config.Region,
 			IP:          config.IP,
 			Role:        feedlink.RoleAgent,
-			Incarnation: rand.Uint64(),
+			Incarnation: options.Random(),
 		},
 		Choice: feedlink.ChoiceOptions{
 			Node:     config.NodeName,
@@ -127,5 +149,7 @@
 			Seeds:    config.Seeds,
 			FeedPort: feedPort,
 		},
+		Dial:   options.Dial,
+		Random: options.fraction,
 	}, &upstream{store: store, log: log})
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -330,7 +330,7 @@
 func TestTheDrainEndsThoughTheProxyStays(t *testing.T) {
 	store := newStore()
 	store.markWhole()
-	front, err := newProxyFront(t.Context(), 0, store, nil)
+	front, err := newProxyFront(t.Context(), 0, Options{}.withDefaults(), store, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -20,6 +20,7 @@
 type proxyFront struct {
 	listener net.Listener
 	source   feedlink.Source
+	origin   time.Time       // of the grid of statuses
 	whole    <-chan struct{} // closed once there is something to serve
 	stopping <-chan struct{} // closed with the signal to stop
 
@@ -32,14 +33,17 @@
 	idle     chan struct{} // closed once closed is set and the last session has ended
 }
 
-func newProxyFront(ctx context.Context, port int, store *store, report func(topic string, body []byte)) (*proxyFront, error) {
-	listener, err := feedlink.Listen(ctx, feedlink.LoopbackAddress(port))
+func newProxyFront(
+	ctx context.Context, port int, options Options, store *store, report func(topic string, body []byte),
+) (*proxyFront, error) {
+	listener, err := options.Listen(ctx, feedlink.LoopbackAddress(port))
 	if err != nil {
 		return nil, err
 	}
 	front := &proxyFront{
 		listener: listener,
 		source:   proxySource{store: store, report: report},
+		origin:   options.Origin,
 		whole:    store.whole,
 		stopping: ctx.Done(),
 		sessions: make(map[*feedlink.Session]struct{}),
@@ -77,7 +81,7 @@
 	if !f.awaitWhole() {
 		return
 	}
-	options := feedlink.SessionOptions{StatusInterval: feedlink.LoopbackStatusInterval}
+	options := feedlink.SessionOptions{StatusInterval: feedlink.LoopbackStatusInterval, Origin: f.origin}
 	session := feedlink.NewSession(connection, hello, f.source, options)
 	if !f.add(session) {
 		return
--- a/internal/feedlink/client.go
+++ b/internal/feedlink/client.go
@@ -41,6 +41,7 @@
 	Hello  Hello // Offsets: what is held already
 	Choice ChoiceOptions
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // nil: Dial
+	Random func() float64                                              // uniform in [0, 1); nil: rand.Float64
 }
 
 // Client reads the feed from one server at a time and goes to another when that one fails.
@@ -59,11 +60,15 @@
 	if dial == nil {
 		dial = Dial
 	}
+	random := options.Random
+	if random == nil {
+		random = rand.Float64
+	}
 	return &Client{
 		hello:    options.Hello,
 		handler:  handler,
 		dial:     dial,
-		choice:   NewChoice(options.Choice, rand.Float64),
+		choice:   NewChoice(options.Choice, random),
 		receiver: newReceiver(options.Hello.Offsets),
 		outbox:   newOutbox(),
 	}
--- a/internal/feedlink/server.go
+++ b/internal/feedlink/server.go
@@ -42,6 +42,7 @@
 	StatusInterval time.Duration
 	GatherInterval time.Duration
 	WriteLimit     time.Duration
+	Origin         time.Time // of the grid of statuses; zero: the start of the process
 }
 
 func (o SessionOptions) withDefaults() SessionOptions {
@@ -54,6 +55,9 @@
 	if o.WriteLimit == 0 {
 		o.WriteLimit = WriteLimit
 	}
+	if o.Origin.IsZero() {
+		o.Origin = processStart
+	}
 	return o
 }
 
@@ -187,20 +191,20 @@
 }
 
 // untilStatus says how long the next status may wait. Statuses are due at multiples of the interval
-// since the process began, so that all sessions send theirs in one wake-up of the process.
+// since the origin, so that all sessions send theirs in one wake-up of the process.
 func (s *Session) untilStatus(now time.Time) time.Duration {
 	if s.writer.statusAt.IsZero() {
 		return 0
 	}
 	latest := s.writer.statusAt.Add(s.options.StatusInterval)
-	beyond := latest.Sub(processStart) % s.options.StatusInterval
+	beyond := latest.Sub(s.options.Origin) % s.options.StatusInterval
 	if beyond < 0 {
 		beyond += s.options.StatusInterval
 	}
 	return latest.Add(-beyond).Sub(now)
 }
 
-// processStart is the origin of the grid of statuses.
+// processStart is the usual origin of the grid of statuses.
 var processStart = time.Now()
 
 // pause waits for a time, or returns false once ctx has ended.
--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -4,10 +4,8 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
@@ -16,11 +14,6 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/rotisserie/eris"
-
-	"ospreybend/coord/shards"
-	"ospreybend/internal/configuration"
-	"ospreybend/internal/peerlink"
-	"ospreybend/internal/registry"
 )
 
 const (
@@ -48,11 +41,11 @@
 	quiet()
 	api := server.New(apiOptions(listener)...)
 	api.Use(recovery.Recovery(recovery.WithRecoveryHandler(k.onPanic)), k.mark)
-	api.POST("/-/Config.Replace", func(ctx context.Context, c *app.RequestContext) { k.serveChange(ctx, c, callReplace) })
-	api.POST("/-/Config.Update", func(ctx context.Context, c *app.RequestContext) { k.serveChange(ctx, c, callUpdate) })
-	api.GET("/-/Config.Read", k.serveRead)
-	api.POST("/-/Instances.Heartbeat/:"+parameterID, k.serveBeat)
-	api.POST("/-/Instances.Deregister/:"+parameterID, k.serveDeparture)
+	api.POST("/-/Config.Replace", k.adapt(APIReplace))
+	api.POST("/-/Config.Update", k.adapt(APIUpdate))
+	api.GET("/-/Config.Read", k.adapt(APIRead))
+	api.POST("/-/Instances.Heartbeat/:"+parameterID, k.adapt(APIHeartbeat))
+	api.POST("/-/Instances.Deregister/:"+parameterID, k.adapt(APIDeregister))
 	api.GET("/-/status", k.serveStatus)
 	api.GET("/-/metrics", k.serveMetrics)
 	api.NoRoute(func(_ context.Context, c *app.RequestContext) { respond(c, failed(UnknownPath)) })
@@ -89,134 +82,21 @@
 	k.metrics.count(string(c.Request.Header.Method()), c.Response.StatusCode())
 }
 
-// serveChange takes a change to the configuration. What is invalid whatever the state is, is refused
-// here and costs no entry.
-func (k *Keeper) serveChange(ctx context.Context, c *app.RequestContext, kind peerlink.CallKind) {
-	base, valid := baseVersion(c)
-	if !valid {
-		respond(c, failed(BadBaseVersion))
-		return
-	}
-	body := c.Request.Body()
-	command := configuration.Command{Kind: configuration.Update, Base: base, Body: body}
-	if kind == callReplace {
-		command.Kind = configuration.Replace
-	}
-	if refusal := configuration.CheckStatic(command); refusal != nil {
-		respond(c, answer{Status: refusal.Status, Code: int(refusal.Code), Text: refusal.Text})
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, budgetFor(len(body)))
-	defer cancel()
-	respond(c, k.carry(ctx, call{Kind: kind, Shard: shards.Configuration, Base: base, Body: body}))
-}
-
-// baseVersion reads the header; one that is missing counts as 0.
-func baseVersion(c *app.RequestContext) (uint64, bool) {
-	text := string(c.GetHeader(headerBase))
-	if text == "" {
-		return 0, true
-	}
-	base, err := strconv.ParseUint(text, 10, 64)
-	return base, err == nil
-}
-
-// budgetFor is the time that a call with a body of that length may take.
-func budgetFor(bodyBytes int) time.Duration {
-	if bodyBytes > largeBodyBytes {
-		return largeCallBudget
+// adapt hands a call of HTTP to Handle.
+func (k *Keeper) adapt(kind APICall) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		respond(c, k.handle(ctx, APIRequest{
+			Call: kind, Body: c.Request.Body(),
+			ID:   strings.Clone(c.Param(parameterID)), // the parameter's memory is used again after the call
+			Base: string(c.GetHeader(headerBase)),
+		}))
 	}
-	return smallCallBudget
-}
-
-func (k *Keeper) serveRead(ctx context.Context, c *app.RequestContext) {
-	ctx, cancel := context.WithTimeout(ctx, smallCallBudget)
-	defer cancel()
-	respond(c, k.carry(ctx, call{Kind: callRead, Shard: shards.Configuration}))
-}
-
-func (k *Keeper) serveBeat(ctx context.Context, c *app.RequestContext) {
-	body := c.Request.Body()
-	if len(body) > maxBeatBytes {
-		respond(c, failed(BodyTooLarge))
-		return
-	}
-	id := strings.Clone(c.Param(parameterID)) // the parameter's memory is used again after the call
-	beat, err := registry.ParseBeat(id, body)
-	if err != nil {
-		respond(c, refusedBeat(err))
-		return
-	}
-	shard := shards.Of(beat.Service)
-	if k.acknowledgeHere(shard, beat) {
-		respond(c, succeeded(emptyObject))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, smallCallBudget)
-	defer cancel()
-	respond(c, k.carry(ctx, call{Kind: callBeat, Shard: shard, ID: id, Body: body}))
-}
-
-func (k *Keeper) serveDeparture(ctx context.Context, c *app.RequestContext) {
-	id := strings.Clone(c.Param(parameterID))
-	if id == "" {
-		respond(c, failed(MissingInstance))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, smallCallBudget)
-	defer cancel()
-	respond(c, k.depart(ctx, id))
-}
-
-// depart has the owner of an instance's shard remove it. Where no replica here knows the instance,
-// all owners are asked; it is acknowledged once each has either removed it or does not know it.
-func (k *Keeper) depart(ctx context.Context, id string) answer {
-	for _, shard := range allShards {
-		machine := k.instances(shard)
-		if machine == nil {
-			continue
-		}
-		known, removed := machine.holds(id)
-		if removed {
-			return succeeded(emptyObject)
-		}
-		if known {
-			return k.carry(ctx, call{Kind: callDeregister, Shard: shard, ID: id})
-		}
-	}
-	return k.departAnywhere(ctx, id)
-}
-
-func (k *Keeper) departAnywhere(ctx context.Context, id string) answer {
-	replies := make([]answer, shards.ServiceShards)
-	var waiting sync.WaitGroup
-	for i := range replies {
-		shard := shards.ID(i + 1)
-		waiting.Go(func() {
-			replies[i] = k.carry(ctx, call{Kind: callDeregister, Shard: shard, ID: id})
-		})
-	}
-	waiting.Wait()
-	for _, reply := range replies {
-		if reply.Known && reply.Status == http.StatusOK {
-			return reply
-		}
-	}
-	return worst(replies)
 }
 
 // respond writes an answer. An error's body tells its code; one that may pass asks to come again.
 func respond(c *app.RequestContext, reply answer) {
-	if reply.Status == http.StatusOK {
-		body := reply.Body
-		if len(body) == 0 {
-			body = emptyObject
-		}
-		c.Data(http.StatusOK, contentTypeJSON, body)
-		return
-	}
 	if reply.Status == http.StatusServiceUnavailable {
 		c.Header("Retry-After", retryAfter)
 	}
-	c.Data(reply.Status, contentTypeJSON, errorBody(reply.Code, reply.Text))
+	c.Data(reply.Status, contentTypeJSON, bodyOf(reply))
 }
--- /dev/null
+++ b/internal/keeper/environment.go
@@ -0,0 +1,61 @@
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog"
+	"ospreybend/internal/peerlink"
+)
+
+// Environment is what a keeper needs of its machine. Fields that are nil stand for the operating system's; a simulation
+// puts its own in their place.
+type Environment struct {
+	FileSystem seglog.FileSystem
+	Now        func() time.Time // monotonic; called with no mutex held, so that it may wait while a process stands still
+	Random     func() uint64
+	Dial       func(ctx context.Context, address string) (net.Conn, error)     // of peers
+	Listen     func(ctx context.Context, address string) (net.Listener, error) // for peers and agents
+
+	// What is left out, by tests alone: they show that a simulation notices the absence.
+	Omit      []Guard
+	OmitRules []agreement.Rule
+}
+
+func (e Environment) withDefaults() Environment {
+	if e.FileSystem == nil {
+		e.FileSystem = seglog.OSFileSystem{}
+	}
+	if e.Now == nil {
+		e.Now = time.Now
+	}
+	if e.Random == nil {
+		e.Random = rand.Uint64
+	}
+	if e.Dial == nil {
+		e.Dial = peerlink.Dial
+	}
+	if e.Listen == nil {
+		e.Listen = peerlink.Listen
+	}
+	return e
+}
+
+// holds tells whether a guard is in force.
+func (e Environment) holds(guard Guard) bool { return !slices.Contains(e.Omit, guard) }
+
+// clockStart keeps the groups' clock above 0.
+const clockStart = time.Second
+
+// groupClock is the clock that all groups of one keeper share.
+type groupClock struct {
+	now   func() time.Time
+	start time.Time
+}
+
+// Now returns the time since the keeper began, and a second.
+func (c groupClock) Now() time.Duration { return clockStart + c.now().Sub(c.start) }
--- a/internal/keeper/execute.go
+++ b/internal/keeper/execute.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
@@ -73,8 +72,10 @@
 }
 
 func (k *Keeper) readConfiguration(ctx context.Context, c call) answer {
-	if err := k.shards[c.Shard].group.ReadBarrier(ctx); err != nil {
-		return refusedProposal(err)
+	if k.outside.holds(GuardReadConfirmed) {
+		if err := k.shards[c.Shard].group.ReadBarrier(ctx); err != nil {
+			return refusedProposal(err)
+		}
 	}
 	return succeeded(k.configuration().document())
 }
@@ -95,7 +96,7 @@
 	}
 	for {
 		changed := k.ownersChanged.wait()
-		decision, owned := machine.beat(time.Now(), beat)
+		decision, owned := machine.beat(k.outside.Now(), beat)
 		if owned {
 			return k.carryOut(ctx, c, decision)
 		}
@@ -127,7 +128,7 @@
 	case registry.Propose:
 		return k.proposeInstance(ctx, c, decision.Command)
 	}
-	if status := k.shards[c.Shard].group.Status(); !current(status) {
+	if status := k.shards[c.Shard].group.Status(); !current(status) && k.outside.holds(GuardBeatCurrent) {
 		return failed(NoOwner)
 	}
 	return succeeded(emptyObject)
@@ -168,7 +169,7 @@
 	}
 	for {
 		changed := k.ownersChanged.wait()
-		decision, known, owned := machine.deregister(time.Now(), c.ID)
+		decision, known, owned := machine.deregister(k.outside.Now(), c.ID)
 		if owned {
 			reply := k.carryOut(ctx, c, decision)
 			reply.Known = known
--- a/internal/keeper/identity.go
+++ b/internal/keeper/identity.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/rand/v2"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -41,20 +40,20 @@
 // identity returns this disk's member ID, which a first start draws and writes, and the founders of the
 // groups if this process is one of them. A founder is a seed at the system's first start. A disk with replicas whose
 // member ID is missing or damaged counts as lost: the replicas are removed, and the new ID founds nothing.
-func identity(config settings.Settings, address string) (agreement.Member, []agreement.Member, error) {
+func identity(config settings.Settings, address string, outside Environment) (agreement.Member, []agreement.Member, error) {
 	seeds := seedAddresses(config)
-	lost, err := seglog.RemoveOrphans(nil, config.DataDir, replicaDirectories(config.DataDir))
+	lost, err := removeOrphans(config, outside)
 	if err != nil {
 		return agreement.Member{}, nil, eris.Wrap(err, "replicas without a member ID")
 	}
-	founds := config.Bootstrap && !lost && slices.Contains(seeds, address)
+	founds := slices.Contains(seeds, address) && (config.Bootstrap && !lost || !outside.holds(GuardFoundingOnce))
 	draw := func() agreement.MemberID {
 		if founds {
 			return memberID(address, foundingNonce)
 		}
-		return memberID(address, rand.Uint64()|1)
+		return memberID(address, outside.Random()|1)
 	}
-	id, _, err := seglog.MemberID(nil, config.DataDir, draw)
+	id, _, err := seglog.MemberID(outside.FileSystem, config.DataDir, draw)
 	if err != nil {
 		return agreement.Member{}, nil, eris.Wrap(err, "member ID")
 	}
@@ -65,6 +64,14 @@
 	return self, foundersOf(seeds), nil
 }
 
+// removeOrphans removes the replicas of a disk whose member ID is missing or damaged, and tells whether there were any.
+func removeOrphans(config settings.Settings, outside Environment) (lost bool, err error) {
+	if !outside.holds(GuardOrphans) {
+		return false, nil
+	}
+	return seglog.RemoveOrphans(outside.FileSystem, config.DataDir, replicaDirectories(config.DataDir))
+}
+
 func foundersOf(seeds []string) []agreement.Member {
 	founders := make([]agreement.Member, 0, len(seeds))
 	for _, seed := range seeds {
--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -52,14 +52,14 @@
 func (k *Keeper) join(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	started, asked := time.Now(), 0
+	started, asked := k.outside.Now(), 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
-		if !k.needsGroups(time.Since(started)) {
+		if !k.needsGroups(k.outside.Now().Sub(started)) {
 			asked = 0
 			timer.Reset(joinIdleInterval)
 			continue
@@ -140,7 +140,7 @@
 	if err := strictavro.Unmarshal(codec, groupsSchema, body, &states); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := k.outside.Now()
 	for _, state := range states {
 		if state.Shard < 0 || state.Shard >= shards.Count {
 			continue
@@ -203,7 +203,7 @@
 }
 
 func (k *Keeper) situation(shard *shard, status replica.Status) situation {
-	now := time.Now()
+	now := k.outside.Now()
 	k.mutex.Lock()
 	ledSince := shard.ledSince
 	k.mutex.Unlock()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -31,6 +31,7 @@
 // Keeper is one process of the control plane.
 type Keeper struct {
 	settings  settings.Settings
+	outside   Environment
 	log       *zap.Logger
 	self      agreement.Member
 	shards    [shards.Count]*shard
@@ -55,14 +56,16 @@
 	mutex        sync.Mutex
 	lastMove     time.Time // of maintain alone: when leadership was last handed to a preferred owner
 	closeGroups  []func() error
+	servePeers   func(net.Listener) error
 	closeNetwork func()
 }
 
 // newKeeper prepares a keeper that has no groups and no network yet.
-func newKeeper(config settings.Settings, self agreement.Member, log *zap.Logger) *Keeper {
+func newKeeper(config settings.Settings, self agreement.Member, outside Environment, log *zap.Logger) *Keeper {
+	outside = outside.withDefaults()
 	k := &Keeper{
-		settings: config, log: log, self: self, nodes: newNodeTable(), presences: newPresences(),
-		opened: make(chan struct{}), started: time.Now(),
+		settings: config, outside: outside, log: log, self: self, nodes: newNodeTable(), presences: newPresences(),
+		opened: make(chan struct{}), started: outside.Now(),
 	}
 	place := keeperInfo{Address: self.Address, Zone: config.Zone, Region: config.Region}
 	k.directory = newDirectory(place, seedAddresses(config))
@@ -70,16 +73,16 @@
 	k.feedContext, k.stopFeed = context.WithCancel(context.Background())
 	beat := time.Duration(config.HeartbeatMs) * time.Millisecond
 	for i := range k.shards {
-		k.shards[i] = &shard{id: shards.ID(i), machine: newMachine(shards.ID(i), beat)}
+		k.shards[i] = &shard{id: shards.ID(i), machine: newMachine(shards.ID(i), beat, outside)}
 	}
 	return k
 }
 
-func newMachine(id shards.ID, beat time.Duration) machine {
+func newMachine(id shards.ID, beat time.Duration, outside Environment) machine {
 	if id == shards.Configuration {
 		return newConfigurationMachine()
 	}
-	return newRegistryMachine(beat)
+	return newRegistryMachine(beat, outside)
 }
 
 // ownAddress is where this keeper takes its peers: the IP of its control address, first port.
@@ -94,18 +97,18 @@
 func seedAddresses(config settings.Settings) []string { return config.SeedPeerAddresses() }
 
 // openNetwork makes the connections' end of this keeper. It accepts nothing yet.
-func (k *Keeper) openNetwork() (*peerlink.Network, error) {
+func (k *Keeper) openNetwork() error {
 	network, err := peerlink.New(peerlink.Options{
 		Self: peerlink.Hello{
 			Address: k.self.Address, Member: k.self.ID, Zone: k.settings.Zone, Region: k.settings.Region,
 		},
-		Handler: k, Logger: k.log,
+		Handler: k, Logger: k.log, Dial: k.outside.Dial, Now: k.outside.Now, Random: k.outside.Random,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	k.network, k.closeNetwork = network, network.Close
-	return network, nil
+	k.network, k.servePeers, k.closeNetwork = network, network.Serve, network.Close
+	return nil
 }
 
 // openGroups opens all replicas. One that cannot be opened now, as with a full disk, is tried again
@@ -132,11 +135,12 @@
 
 func (k *Keeper) openGroup(shard *shard, founders []agreement.Member) error {
 	group, err := replica.Open(replica.Options{
-		Shard:     shard.id,
-		Directory: replicaDirectory(k.settings.DataDir, shard.id),
-		Self:      k.self,
-		Founders:  founders,
-		Machine:   shard.machine,
+		Shard:      shard.id,
+		Directory:  replicaDirectory(k.settings.DataDir, shard.id),
+		FileSystem: k.outside.FileSystem,
+		Self:       k.self,
+		Founders:   founders,
+		Machine:    shard.machine,
 		Send: func(to agreement.Member, message agreement.Message) {
 			k.network.Send(to, shard.id, message)
 		},
@@ -145,6 +149,8 @@
 		ElectionTimeout: electionTimeout,
 		Heartbeat:       heartbeat,
 		Logger:          k.log,
+		Clock:           groupClock{now: k.outside.Now, start: k.started},
+		Omit:            k.outside.OmitRules,
 	})
 	if err != nil {
 		return err
@@ -163,7 +169,7 @@
 // address are dropped.
 func (k *Keeper) Messages(_ peerlink.Hello, batch []peerlink.GroupMessage) {
 	for _, one := range batch {
-		if one.Message.To == k.self.ID {
+		if one.Message.To == k.self.ID || !k.outside.holds(GuardMemberAddressed) {
 			k.shards[one.Shard].group.Step(one.Message)
 		}
 	}
@@ -186,6 +192,6 @@
 
 // listenPeers opens the listener for peers and agents.
 func (k *Keeper) listenPeers(ctx context.Context) (net.Listener, error) {
-	listener, err := peerlink.Listen(ctx, k.self.Address)
+	listener, err := k.outside.Listen(ctx, k.self.Address)
 	return listener, eris.Wrap(err, "listen for peers")
 }
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -100,24 +100,27 @@
 	feedState
 	store   *registry.Store
 	owner   *registry.Owner
-	leading uint64 // term in which this replica leads; 0: it does not
-	owned   bool   // it leads and has applied all that earlier owners acknowledged
+	now     func() time.Time
+	held    func(Guard) bool // tells whether a guard is in force
+	leading uint64           // term in which this replica leads; 0: it does not
+	owned   bool             // it leads and has applied all that earlier owners acknowledged
 }
 
-func newRegistryMachine(beat time.Duration) *registryMachine {
+func newRegistryMachine(beat time.Duration, outside Environment) *registryMachine {
 	return &registryMachine{
 		feedState: newFeedState(), store: registry.NewStore(),
-		owner: registry.NewOwner(beat, registry.OwnerOptions{}),
+		owner: registry.NewOwner(beat, registry.OwnerOptions{}), now: outside.Now, held: outside.holds,
 	}
 }
 
 // Apply carries out a change to the instances; its result is a registry.Outcome.
 func (m *registryMachine) Apply(entry agreement.Entry) any {
+	now := m.now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	outcome, change := m.store.Apply(entry.Index, entry.Data)
 	m.append(change)
-	m.owner.Applied(time.Now(), change)
+	m.owner.Applied(now, change)
 	return outcome
 }
 
@@ -147,6 +150,9 @@
 		return
 	}
 	m.leading = term
+	if !m.held(GuardOwnershipTerm) {
+		return
+	}
 	m.owned = false
 	m.owner.Lost()
 }
@@ -155,7 +161,7 @@
 func (m *registryMachine) gained(now time.Time, term uint64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.leading != term || m.owned {
+	if (m.leading != term && m.held(GuardOwnershipTerm)) || m.owned {
 		return
 	}
 	m.owned = true
--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -33,7 +33,7 @@
 		shard.better = time.Time{} // what it saw in an earlier leadership says nothing
 		return
 	}
-	now := time.Now()
+	now := k.outside.Now()
 	k.startExpiry(shard, shard.machine.expired(now))
 	if _, found := nextChange(k.situation(shard, status)); found {
 		k.startReconcile(shard)
@@ -106,12 +106,13 @@
 
 // noteLeading records whether a shard is led, and tells whether that has just begun.
 func (k *Keeper) noteLeading(shard *shard, leads bool) (begun bool) {
+	now := k.outside.Now()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	begun = leads && shard.ledSince.IsZero()
 	switch {
 	case begun:
-		shard.ledSince = time.Now()
+		shard.ledSince = now
 	case !leads:
 		shard.ledSince = time.Time{}
 	}
@@ -130,7 +131,7 @@
 		err := k.barrier(shard)
 		status := shard.group.Status()
 		if err == nil {
-			shard.machine.gained(time.Now(), term)
+			shard.machine.gained(k.outside.Now(), term)
 			k.ownersChanged.raise()
 			return
 		}
@@ -142,6 +143,9 @@
 }
 
 func (k *Keeper) barrier(shard *shard) error {
+	if !k.outside.holds(GuardOwnershipBarrier) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(k.workContext, changeBudget)
 	defer cancel()
 	return shard.group.ReadBarrier(ctx)
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -73,7 +73,8 @@
 	}
 	k.metrics.feedSessions.Add(1)
 	defer k.metrics.feedSessions.Add(-1)
-	_ = feedlink.Serve(ctx, connection, hello, k)
+	options := feedlink.SessionOptions{Origin: k.started}
+	_ = feedlink.NewSession(connection, hello, k, options).Run(ctx)
 }
 
 // beatNodes registers the nodes whose agents are connected, at once when one comes and then at an
--- a/internal/keeper/presence.go
+++ b/internal/keeper/presence.go
@@ -47,7 +47,13 @@
 func (k *Keeper) acknowledgeHere(shard shards.ID, beat registry.Beat) bool {
 	machine := k.instances(shard)
 	status := k.shards[shard].group.Status()
-	if machine == nil || status.IsLeader() || !current(status) || !machine.records(beat) {
+	if machine == nil || status.IsLeader() {
+		return false
+	}
+	if !current(status) && k.outside.holds(GuardBeatCurrent) {
+		return false
+	}
+	if !machine.records(beat) && k.outside.holds(GuardBeatRecorded) {
 		return false
 	}
 	k.presences.note(shard, beat.ID, beat.Sequence)
@@ -100,7 +106,7 @@
 	if machine == nil || strictavro.Unmarshal(codec, presencesSchema, c.Body, &heard) != nil {
 		return failed(InternalFault)
 	}
-	if !machine.heard(time.Now(), heard) {
+	if !machine.heard(k.outside.Now(), heard) {
 		return notOwner(k.shards[c.Shard].group.Status().Leader.Address)
 	}
 	return succeeded(emptyObject)
--- a/internal/keeper/route.go
+++ b/internal/keeper/route.go
@@ -88,7 +88,7 @@
 	if hint != "" && hint != k.self.Address {
 		return target{address: hint}, nil
 	}
-	began := time.Now()
+	began := k.outside.Now()
 	for pauses := 0; ; pauses++ {
 		changed := k.ownersChanged.wait()
 		if pauses > avoidPauses {
@@ -97,7 +97,7 @@
 		if attempt == 0 || pauses > 0 {
 			to, found := k.owner(id, avoid, attempt)
 			// Keepers that may know the owner are asked at an interval: what changes meanwhile may be other shards' owners.
-			if found && (attempt == 0 || to.self || to.known || time.Since(began) >= ownerRetryPause) {
+			if found && (attempt == 0 || to.self || to.known || k.outside.Now().Sub(began) >= ownerRetryPause) {
 				return to, nil
 			}
 		}
--- a/internal/keeper/route_test.go
+++ b/internal/keeper/route_test.go
@@ -88,7 +88,7 @@
 	config := settings.Defaults()
 	config.IP, config.PortRange = "127.0.0.1", [2]int{7000, 7015}
 	self := agreement.Member{ID: 1, Address: "127.0.0.1:7000"}
-	k := newKeeper(config, self, zap.NewNop())
+	k := newKeeper(config, self, Environment{}, zap.NewNop())
 	network := &scriptedNetwork{}
 	k.network = network
 	var groups [shards.Count]*scriptedGroup
@@ -97,7 +97,7 @@
 		shard.group = groups[i]
 	}
 	close(k.opened)
-	t.Cleanup(k.close)
+	t.Cleanup(k.Close)
 	return k, groups, network
 }
 
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"runtime/debug"
 	"sync"
-	"time"
 
 	"go.uber.org/zap"
 
 	"ospreybend/coord/seglog"
-	"ospreybend/internal/peerlink"
 	"ospreybend/internal/settings"
 )
 
@@ -19,20 +16,17 @@
 // Errors: a listener or the disk cannot be used.
 func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
 	limitMemory(config.Limits.MemoryMb)
-	k, network, err := open(ctx, config, log)
-	if err != nil {
-		return err
-	}
-	defer k.close()
-	peers, err := k.listenPeers(ctx)
+	k, err := Open(ctx, config, Environment{}, log)
 	if err != nil {
 		return err
 	}
+	defer k.Close()
 	control, err := listenControl(ctx, config.Listen.Control)
 	if err != nil {
-		return errors.Join(err, peers.Close())
+		return err
 	}
-	return k.serve(ctx, network, peers, control)
+	defer func() { _ = control.Close() }() // if the server has not begun to run
+	return k.Serve(ctx, newAPI(k, control))
 }
 
 // limitMemory has the collector work harder as the machine's memory fills.
@@ -44,42 +38,52 @@
 	debug.SetMemoryLimit(int64(memoryMb) << 20 * memoryLimitPercent / 100)
 }
 
-// open prepares a keeper and opens its replicas. If one of them is damaged, the disk counts as lost: the keeper takes
+// Open prepares a keeper and opens its replicas. If one of them is damaged, the disk counts as lost: the keeper takes
 // a new member ID and begins without any replica, since what it may have promised is not known any more.
-func open(ctx context.Context, config settings.Settings, log *zap.Logger) (*Keeper, *peerlink.Network, error) {
+func Open(ctx context.Context, config settings.Settings, outside Environment, log *zap.Logger) (*Keeper, error) {
 	for {
-		k, network, err := openReplicas(ctx, config, log)
+		k, err := openReplicas(ctx, config, outside, log)
 		if !errors.Is(err, seglog.ErrDamaged) {
-			return k, network, err
+			return k, err
 		}
 		log.Error("this disk counts as lost", zap.Error(err))
-		if err := seglog.ForgetMember(nil, config.DataDir); err != nil {
-			return nil, nil, err
+		if err := seglog.ForgetMember(outside.FileSystem, config.DataDir); err != nil {
+			return nil, err
 		}
 	}
 }
 
-func openReplicas(ctx context.Context, config settings.Settings, log *zap.Logger) (*Keeper, *peerlink.Network, error) {
-	self, founders, err := identity(config, ownAddress(config))
+func openReplicas(ctx context.Context, config settings.Settings, outside Environment, log *zap.Logger) (*Keeper, error) {
+	self, founders, err := identity(config, ownAddress(config), outside.withDefaults())
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	k := newKeeper(config, self, log)
-	network, err := k.openNetwork()
-	if err != nil {
-		return nil, nil, err
+	k := newKeeper(config, self, outside, log)
+	if err := k.openNetwork(); err != nil {
+		return nil, err
 	}
 	if err := k.openGroups(ctx, founders); err != nil {
-		k.close()
-		return nil, nil, err
+		k.Close()
+		return nil, err
 	}
 	log.Info("keeper opened", zap.String("address", self.Address), zap.Uint64("member", uint64(self.ID)),
 		zap.Bool("founder", founders != nil))
-	return k, network, nil
+	return k, nil
+}
+
+// Server takes calls from outside the process and hands them to Handle. Run returns after Shutdown, or with a fault.
+type Server interface {
+	Run() error
+	Shutdown(ctx context.Context) error
 }
 
-// serve runs all parts until ctx ends or one of them fails.
-func (k *Keeper) serve(ctx context.Context, network *peerlink.Network, peers, control net.Listener) error {
+// Serve runs all parts until ctx ends or one of them fails; it then hands over what it leads. Errors: the listener for
+// peers cannot be opened, or a listener fails.
+func (k *Keeper) Serve(ctx context.Context, api Server) error {
+	peers, err := k.listenPeers(ctx)
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 2)
 	k.runGroups()
 	k.background.Go(func() { k.join(k.workContext) })
@@ -87,11 +91,10 @@
 	k.background.Go(func() { k.tellPresences(k.workContext) })
 	k.background.Go(func() { k.maintain(k.workContext) })
 	k.background.Go(func() {
-		if err := network.Serve(peers); err != nil {
+		if err := k.servePeers(peers); err != nil {
 			failed <- err
 		}
 	})
-	api := newAPI(k, control)
 	k.background.Go(func() {
 		if err := api.Run(); err != nil && !k.leaving.Load() {
 			failed <- err
@@ -103,7 +106,6 @@
 	case failure = <-failed:
 	}
 	k.leave(api)
-	_ = control.Close() // if the server had not begun to run
 	return failure
 }
 
@@ -127,14 +129,9 @@
 	}
 }
 
-// shutdowner is the end of the HTTP server.
-type shutdowner interface {
-	Shutdown(ctx context.Context) error
-}
-
 // leave ends the feed's sessions, so that agents go elsewhere at once, hands over all leaderships
 // and stops the API, which until then takes calls.
-func (k *Keeper) leave(api shutdowner) {
+func (k *Keeper) leave(api Server) {
 	k.leaving.Store(true)
 	k.stopFeed()
 	k.handOverAll()
@@ -148,7 +145,7 @@
 func (k *Keeper) handOverAll() {
 	ctx, cancel := context.WithTimeout(context.Background(), transferBudget)
 	defer cancel()
-	started := time.Now()
+	started := k.outside.Now()
 	var waiting sync.WaitGroup
 	for _, shard := range k.shards {
 		if shard.group.Status().IsLeader() {
@@ -156,7 +153,7 @@
 		}
 	}
 	waiting.Wait()
-	k.log.Info("leaving", zap.Duration("handed over in", time.Since(started)))
+	k.log.Info("leaving", zap.Duration("handed over in", k.outside.Now().Sub(started)))
 }
 
 // handOver transfers the leadership of one shard, and tries again while the group refuses.
@@ -186,8 +183,8 @@
 	closing.Wait()
 }
 
-// close ends everything that open has begun.
-func (k *Keeper) close() {
+// Close ends everything that Open and Serve have begun, without a hand-over.
+func (k *Keeper) Close() {
 	k.leaving.Store(true)
 	k.stopWork()
 	k.stopFeed()
--- a/internal/keeper/source.go
+++ b/internal/keeper/source.go
@@ -31,7 +31,7 @@
 	status := feedlink.Status{Shards: make([]feedlink.ShardStatus, 0, shards.Count)}
 	for _, shard := range k.shards {
 		status.Shards = append(status.Shards, feedlink.ShardStatus{
-			Shard: shard.id, Index: shard.machine.index(), Current: current(shard.group.Status()),
+			Shard: shard.id, Index: shard.machine.index(), Current: current(shard.group.Status()) || !k.outside.holds(GuardFeedCurrent),
 		})
 	}
 	for _, info := range k.directory.serving() {
--- a/internal/keeper/status.go
+++ b/internal/keeper/status.go
@@ -90,7 +90,7 @@
 
 func (k *Keeper) report() statusReport {
 	report := statusReport{
-		Address: k.self.Address, Member: hexadecimal(k.self.ID), UptimeS: int64(time.Since(k.started).Seconds()),
+		Address: k.self.Address, Member: hexadecimal(k.self.ID), UptimeS: int64(k.outside.Now().Sub(k.started).Seconds()),
 		Leaving: k.leaving.Load(), Agents: len(k.nodes.list()),
 	}
 	for _, shard := range k.shards {
--- a/internal/peerlink/accept.go
+++ b/internal/peerlink/accept.go
@@ -106,6 +106,7 @@
 
 // register makes this the peer's connection; an older one of the same peer is closed.
 func (n *Network) register(in *inbound) {
+	now := n.options.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if older := n.accepted[in.peer.Address]; older != nil {
@@ -113,7 +114,7 @@
 	}
 	n.accepted[in.peer.Address] = in
 	n.members[in.peer.Member] = in.peer
-	n.heard[in.peer.Address] = time.Now()
+	n.heard[in.peer.Address] = now
 }
 
 func (n *Network) unregister(in *inbound) {
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			l.network.options.Logger.Debug("peer not reached", zap.String("peer", l.address), zap.Error(err))
 			l.setDown()
-			if !l.sleep(jitter(pause)) {
+			if !l.sleep(l.network.jitter(pause)) {
 				return
 			}
 			pause = min(2*pause, lastPause)
--- a/internal/peerlink/network.go
+++ b/internal/peerlink/network.go
@@ -33,6 +33,8 @@
 	Handler Handler
 	Dial    func(ctx context.Context, address string) (net.Conn, error) // nil: Dial
 	Logger  *zap.Logger                                                 // nil: none
+	Now     func() time.Time                                            // nil: time.Now; called with no mutex held
+	Random  func() uint64                                               // nil: rand.Uint64
 }
 
 // Network is a keeper's end of all its connections to other keepers.
@@ -58,6 +60,12 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Random == nil {
+		options.Random = rand.Uint64
+	}
 	hello, err := encodeHello(options.Self)
 	if err != nil {
 		return nil, err
@@ -127,7 +135,7 @@
 
 // noteHeard records that a frame of a peer came.
 func (n *Network) noteHeard(address string) {
-	now := time.Now()
+	now := n.options.Now()
 	n.mutex.Lock()
 	n.heard[address] = now
 	n.mutex.Unlock()
@@ -152,6 +160,7 @@
 
 // Peers describes all peers that were sent to or heard.
 func (n *Network) Peers() []PeerStatus {
+	now := n.options.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	peers := make([]PeerStatus, 0, len(n.links))
@@ -160,7 +169,7 @@
 		status.Accepted = n.accepted[address] != nil
 		status.HeardAge = -1
 		if heard, ok := n.heard[address]; ok {
-			status.HeardAge = time.Since(heard)
+			status.HeardAge = now.Sub(heard)
 		}
 		peers = append(peers, status)
 	}
@@ -168,6 +177,7 @@
 }
 
 // jitter draws from half of a duration up to the whole.
-func jitter(whole time.Duration) time.Duration {
-	return whole/2 + rand.N(whole/2+1)
+func (n *Network) jitter(whole time.Duration) time.Duration {
+	half := whole / 2
+	return half + time.Duration(n.options.Random()%uint64(half+1))
 }
