--- /dev/null
+++ b/internal/controlsim/history/history_test.go
@@ -0,0 +1,264 @@
+package history_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/controlsim/history"
+)
+
+const second = time.Second
+
+// base is a history without anything in it; all of its time from Contact on is in touch.
+func base() history.History {
+	return history.History{
+		Bounds:    history.Bounds{Contact: 3 * second, ConfigApply: 2 * second, Drain: 2 * second, Registration: 2 * second, ServeAgain: 6 * second},
+		Tolerance: 1, Wanted: 3, Agents: 2, End: 60 * second,
+	}
+}
+
+// order is an attempt of an order from at for 100 ms.
+func order(name string, on, generation uint64, at time.Duration, outcome history.Outcome) history.Operation {
+	status := map[history.Outcome]int{history.Acknowledged: 200, history.Refused: 412, history.Unknown: 0}[outcome]
+	return history.Operation{Kind: history.Replace, Order: name, Base: on, Generation: generation, Call: at, Return: at + 100*time.Millisecond, Outcome: outcome, Status: status}
+}
+
+// read is a read from at for 100 ms.
+func read(name string, generation uint64, at time.Duration) history.Operation {
+	return history.Operation{Client: 1, Kind: history.Read, Order: name, Generation: generation, Call: at, Return: at + 100*time.Millisecond, Outcome: history.Acknowledged, Status: 200}
+}
+
+// wantOnly fails unless the history breaks exactly the check; empty: none.
+func wantOnly(t *testing.T, h history.History, check string) {
+	t.Helper()
+	var broken []string
+	for _, violation := range h.Check() {
+		broken = append(broken, violation.Check)
+		t.Log(violation)
+	}
+	if got := strings.Join(broken, ","); got != check {
+		t.Errorf("broken are %q, want %q", got, check)
+	}
+}
+
+// operations is a history of operations alone, each of which every agent shows at once.
+func operations(all ...history.Operation) history.History {
+	h := base()
+	h.Operations = all
+	newest := uint64(0)
+	for _, operation := range all {
+		if operation.Kind != history.Read && operation.Outcome == history.Acknowledged && operation.Generation > newest {
+			newest = operation.Generation
+			for agent := range h.Agents {
+				h.Views = append(h.Views, history.View{Agent: agent, At: operation.Return, Generation: operation.Generation, Order: operation.Order})
+			}
+		}
+	}
+	return h
+}
+
+func TestOrdersAndReadsThatHaveAnOrderInTime(t *testing.T) {
+	for name, h := range map[string]history.History{
+		"one after the other":                     operations(order("a", 0, 1, 1*second, history.Acknowledged), read("a", 1, 2*second), order("b", 1, 3, 3*second, history.Acknowledged), read("b", 3, 4*second)),
+		"a loser is refused":                      operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Acknowledged), order("c", 1, 3, 2*second, history.Refused)),
+		"without answer, taken later":             operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Unknown), read("a", 1, 3*second), read("b", 2, 9*second)),
+		"without answer, never taken":             operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Unknown), read("a", 1, 30*second)),
+		"without answer, refuses another":         operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Unknown), order("c", 1, 3, 5*second, history.Refused)),
+		"without answer, the next builds on it":   operations(order("a", 0, 1, 1*second, history.Unknown), order("b", 1, 2, 3*second, history.Acknowledged)),
+		"acknowledged at the second attempt":      operations(order("a", 0, 1, 1*second, history.Unknown), order("a", 0, 1, 3*second, history.Acknowledged), read("a", 1, 4*second)),
+		"repeated after newer ones":               operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Acknowledged), order("a", 0, 1, 3*second, history.Acknowledged), read("b", 2, 4*second)),
+		"a read beside the order may show either": operations(order("a", 0, 1, 1*second, history.Acknowledged), read("", 0, 1*second), read("a", 1, 1*second)),
+	} {
+		t.Run(name, func(t *testing.T) { wantOnly(t, h, "") })
+	}
+}
+
+func TestAnswersThatNoOrderInTimeExplains(t *testing.T) {
+	for name, h := range map[string]history.History{
+		"a read of the old":              operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Acknowledged), read("a", 1, 3*second)),
+		"reads that go back":             operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Unknown), read("b", 2, 3*second), read("a", 1, 4*second)),
+		"a refusal without cause":        operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Refused)),
+		"two winners":                    operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Acknowledged), order("c", 1, 3, 3*second, history.Acknowledged)),
+		"acknowledged, then gone":        operations(order("a", 0, 1, 1*second, history.Acknowledged), read("", 0, 9*second)),
+		"a refusal before the other one": operations(order("a", 0, 1, 1*second, history.Acknowledged), order("c", 1, 3, 2*second, history.Refused), order("b", 1, 2, 5*second, history.Acknowledged)),
+	} {
+		t.Run(name, func(t *testing.T) { wantOnly(t, h, history.CheckLinearizable) })
+	}
+}
+
+func TestManyOrdersWithoutAnswerAreSearchedInTime(t *testing.T) {
+	var all []history.Operation
+	for i := range uint64(200) {
+		at := time.Duration(i) * 250 * time.Millisecond
+		all = append(all, order(name("lost", i), i, i+1, at, history.Unknown), order(name("kept", i), i, i+1, at, history.Acknowledged), order(name("late", i), i, i+1, at+120*time.Millisecond, history.Refused))
+	}
+	start := time.Now()
+	wantOnly(t, operations(all...), "")
+	if took := time.Since(start); took > 5*second {
+		t.Errorf("the search took %v", took)
+	}
+}
+
+func name(word string, i uint64) string { return word + "-" + time.Duration(i).String() }
+
+func TestOrderIsNotBothTakenAndRefused(t *testing.T) {
+	taken := order("a", 0, 1, 1*second, history.Acknowledged)
+	wantOnly(t, operations(taken, order("b", 0, 1, 2*second, history.Refused)), "")
+	wantOnly(t, operations(taken, order("b", 1, 2, 3*second, history.Acknowledged), order("a", 0, 1, 5*second, history.Refused)), history.CheckOrders)
+	wantOnly(t, operations(order("a", 0, 1, 1*second, history.Unknown), order("a", 0, 1, 2*second, history.Refused), read("", 0, 2*second)), history.CheckLinearizable)
+
+	invalid := order("x", 0, 1, 1*second, history.Acknowledged)
+	invalid.Invalid = true
+	if h := operations(invalid); len(h.Check()) == 0 || h.Check()[0].Check != history.CheckOrders {
+		t.Errorf("an invalid order that was taken is not told: %v", h.Check())
+	}
+	shown := operations(taken, order("b", 1, 2, 2*second, history.Refused))
+	shown.Views = append(shown.Views, history.View{Agent: 0, At: 5 * second, Generation: 2, Order: "b"})
+	if found := shown.Check(); len(found) == 0 || found[0].Check != history.CheckOrders {
+		t.Errorf("a refused order that an agent shows is not told: %v", found)
+	}
+	foreign := operations(taken)
+	foreign.Views = append(foreign.Views, history.View{Agent: 0, At: 5 * second, Generation: 7, Order: "nobody's"})
+	wantOnly(t, foreign, history.CheckOrders)
+}
+
+func TestGenerationHasOneBody(t *testing.T) {
+	h := operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 0, 1, 1*second, history.Unknown))
+	wantOnly(t, h, "")
+	h.Views = append(h.Views, history.View{Agent: 1, At: 4 * second, Generation: 1, Order: "b"})
+	if found := h.Check(); len(found) == 0 || found[0].Check != history.CheckOneBody {
+		t.Errorf("two bodies under one generation are not told: %v", found)
+	}
+}
+
+func TestViewsFollowWhatWasAcknowledged(t *testing.T) {
+	h := base()
+	h.Operations = []history.Operation{order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 20*second, history.Acknowledged)}
+	h.Views = []history.View{{Agent: 0, At: 2 * second, Generation: 1, Order: "a"}, {Agent: 1, At: 2 * second, Generation: 1, Order: "a"},
+		{Agent: 0, At: 22 * second, Generation: 2, Order: "b"}}
+	late := h
+	wantOnly(t, late, history.CheckFreshViews)
+
+	cut := h
+	cut.Troubles = []history.Trouble{{What: "cut", From: 15 * second, To: 60 * second, Agents: []int{1}}}
+	wantOnly(t, cut, "")
+
+	unstable := h
+	unstable.Troubles = []history.Trouble{{What: "slow", From: 15 * second, To: 60 * second, Core: true, Lasting: true}}
+	wantOnly(t, unstable, "")
+
+	stableAgain := h
+	stableAgain.Troubles = []history.Trouble{{What: "kill", From: 15 * second, To: 21 * second, Core: true}}
+	wantOnly(t, stableAgain, history.CheckFreshViews)
+}
+
+func TestViewsDoNotGoBackWithinALife(t *testing.T) {
+	h := operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 2*second, history.Acknowledged))
+	h.Troubles = []history.Trouble{{What: "cut", From: 4 * second, To: 60 * second, Agents: []int{0}}}
+	back := history.View{Agent: 0, At: 30 * second, Generation: 1, Order: "a"}
+	h.Views = append(h.Views, back)
+	wantOnly(t, h, history.CheckForwardViews)
+	h.Views[len(h.Views)-1].Life = 1
+	wantOnly(t, h, "")
+}
+
+func TestDeparturesAreNotForgotten(t *testing.T) {
+	h := base()
+	ready := func(agent int, at time.Duration, state history.State) history.Presence {
+		return history.Presence{Agent: agent, At: at, Instance: "i-1", State: state}
+	}
+	h.Presences = []history.Presence{ready(0, 4*second, history.Ready), ready(1, 4*second, history.Ready), ready(0, 11*second, history.Draining), ready(1, 11*second, history.Absent)}
+	h.Departures = []history.Departure{{Instance: "i-1", From: 10 * second, Acknowledged: 10 * second}}
+	wantOnly(t, h, "")
+
+	forgotten := h
+	forgotten.Presences = append(append([]history.Presence(nil), h.Presences...), ready(1, 30*second, history.Ready))
+	wantOnly(t, forgotten, history.CheckDepartures)
+
+	late := h
+	late.Presences = h.Presences[:3]
+	wantOnly(t, late, history.CheckDepartures)
+	late.Departures = []history.Departure{{Instance: "i-1", From: 10 * second}}
+	wantOnly(t, late, "")
+
+	again := h
+	again.Troubles = []history.Trouble{{What: "cut", From: 5 * second, To: 60 * second, Agents: []int{0, 1}}}
+	again.Presences = append(append([]history.Presence(nil), h.Presences...), ready(0, 30*second, history.Ready))
+	wantOnly(t, again, history.CheckDepartures)
+}
+
+func TestRegistrationsAreSeen(t *testing.T) {
+	h := base()
+	h.Beats = []history.Beat{{Instance: "i-1", At: 10 * second}, {Instance: "i-1", At: 11 * second}}
+	wantOnly(t, h, history.CheckRegistration)
+
+	h.Presences = []history.Presence{{Agent: 0, At: 10 * second, Instance: "i-1", State: history.Ready}, {Agent: 1, At: 12 * second, Instance: "i-1", State: history.Ready}}
+	wantOnly(t, h, "")
+
+	dropped := h
+	dropped.Presences = append(append([]history.Presence(nil), h.Presences...), history.Presence{Agent: 0, At: 12500 * time.Millisecond, Instance: "i-1", State: history.Absent})
+	wantOnly(t, dropped, history.CheckRegistration)
+
+	left := dropped
+	left.Departures = []history.Departure{{Instance: "i-1", From: 12200 * time.Millisecond}}
+	wantOnly(t, left, "")
+
+	away := dropped
+	away.Troubles = []history.Trouble{{What: "cut", From: 11500 * time.Millisecond, To: 13 * second, Agents: []int{0}}}
+	wantOnly(t, away, "")
+}
+
+func TestServesAgainAfterADisruption(t *testing.T) {
+	h := operations(order("a", 0, 1, 1*second, history.Acknowledged), order("b", 1, 2, 21*second, history.Unknown), order("b", 1, 2, 30*second, history.Acknowledged))
+	h.Troubles = []history.Trouble{{What: "kill", From: 20 * second, To: 20500 * time.Millisecond, Core: true}}
+	wantOnly(t, h, history.CheckServeAgain)
+
+	served := h
+	served.Operations = append(append([]history.Operation(nil), h.Operations...), read("a", 1, 25*second))
+	wantOnly(t, served, "")
+
+	struck := h
+	struck.Troubles = append(struck.Troubles, history.Trouble{What: "freeze", From: 24 * second, To: 25 * second, Core: true}, history.Trouble{What: "kill", From: 26 * second, To: 29 * second, Core: true})
+	wantOnly(t, struck, "")
+
+	silent := operations(order("a", 0, 1, 1*second, history.Acknowledged))
+	silent.Troubles = h.Troubles
+	wantOnly(t, silent, "")
+}
+
+func TestAMajoritySurvivesFurtherLosses(t *testing.T) {
+	voter := func(id uint64, place int) history.Voter { return history.Voter{ID: id, Place: place, Durable: 10} }
+	whole := []history.Voter{voter(1, 0), voter(2, 1), voter(3, 2)}
+	lost := history.Trouble{What: "wipe", From: 20 * second, To: 21 * second, Lost: []int{2}, Until: 25 * second}
+	wiped := []history.Voter{voter(1, 0), voter(2, 1), {ID: 3, Place: 2, Gone: true}}
+	repaired := []history.Voter{voter(1, 0), voter(2, 1), voter(4, 2)}
+	standing := func(at time.Duration, voters []history.Voter) history.Standing {
+		return history.Standing{At: at, Committed: 10, Voters: voters}
+	}
+	for name, one := range map[string]struct {
+		standings []history.Standing
+		want      string
+	}{
+		"whole":                          {[]history.Standing{standing(0, whole)}, ""},
+		"repaired in time":               {[]history.Standing{standing(0, whole), standing(20*second, wiped), standing(22*second, wiped[:2]), standing(23*second, repaired)}, ""},
+		"not repaired":                   {[]history.Standing{standing(0, whole), standing(20*second, wiped)}, history.CheckMajority},
+		"removed, none in its place":     {[]history.Standing{standing(0, whole), standing(20*second, wiped), standing(22*second, wiped[:2])}, history.CheckMajority},
+		"a voter is removed in calm":     {[]history.Standing{standing(0, whole), standing(40*second, whole[:2])}, history.CheckMajority},
+		"removed the one that is well":   {[]history.Standing{standing(0, whole), standing(20*second, wiped), standing(21*second, wiped[1:])}, history.CheckMajority},
+		"promoted before it holds a log": {[]history.Standing{standing(0, []history.Voter{voter(1, 0), {ID: 2, Place: 1, Durable: 9}, {ID: 3, Place: 2, Durable: 9}})}, history.CheckMajority},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := base()
+			h.Troubles = []history.Trouble{lost}
+			h.Standings = one.standings
+			wantOnly(t, h, one.want)
+		})
+	}
+	t.Run("everything is down", func(t *testing.T) {
+		h := base()
+		h.Troubles = []history.Trouble{{What: "power-all", From: 20 * second, To: 21 * second, Lost: []int{0, 1, 2}, Until: 25 * second}}
+		h.Standings = []history.Standing{standing(0, whole), standing(20*second, wiped), standing(24*second, repaired)}
+		wantOnly(t, h, "")
+	})
+}
--- /dev/null
+++ b/internal/controlsim/history/majority.go
@@ -0,0 +1,87 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// checkMajority finds instants at which one more loss within the tolerance would leave a group without a majority of
+// its voters, or without any voter that holds what was told.
+func checkMajority(h History) []Violation {
+	var found []Violation
+	for group, standings := range h.byGroup() {
+		for i, standing := range standings {
+			until := h.End
+			if i+1 < len(standings) {
+				until = standings[i+1].At
+			}
+			for _, at := range h.lossChanges(standing.At, until) {
+				if text := h.weakness(standing, at); text != "" {
+					found = append(found, Violation{Check: CheckMajority, At: at, Text: fmt.Sprintf("group %d: %s", group, text)})
+				}
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
+	return found
+}
+
+func (h History) byGroup() map[int][]Standing {
+	groups := map[int][]Standing{}
+	for _, standing := range h.Standings {
+		groups[standing.Group] = append(groups[standing.Group], standing)
+	}
+	return groups
+}
+
+// lossChanges are the first instant and those up to the second at which a place ends to count as lost.
+func (h History) lossChanges(from, until time.Duration) []time.Duration {
+	instants := []time.Duration{from}
+	for _, trouble := range h.Troubles {
+		if len(trouble.Lost) > 0 && from < trouble.Until && trouble.Until < until {
+			instants = append(instants, trouble.Until)
+		}
+	}
+	return instants
+}
+
+// lostAt are the places that count as lost at the instant.
+func (h History) lostAt(at time.Duration) map[int]bool {
+	lost := map[int]bool{}
+	for _, trouble := range h.Troubles {
+		if trouble.From <= at && at < trouble.Until {
+			for _, place := range trouble.Lost {
+				lost[place] = true
+			}
+		}
+	}
+	return lost
+}
+
+// weakness tells what a further loss within the tolerance would cost; empty: nothing.
+func (h History) weakness(standing Standing, at time.Duration) string {
+	lost := h.lostAt(at)
+	further := min(h.Tolerance, (h.Wanted-1)/2) - len(lost)
+	if further < 0 {
+		return "" // more is lost than any membership can stand
+	}
+	remaining, holding := 0, 0
+	for _, voter := range standing.Voters {
+		if voter.Gone || lost[voter.Place] {
+			continue
+		}
+		remaining++
+		if voter.Durable >= standing.Committed {
+			holding++
+		}
+	}
+	if remaining-further < len(standing.Voters)/2+1 {
+		return fmt.Sprintf("%d of %d voters stand with %d machines lost; %d further losses would leave no majority", remaining, len(standing.Voters), len(lost), further)
+	}
+	if holding <= further {
+		return fmt.Sprintf("%d voters hold index %d durably with %d machines lost; %d further losses may leave none", holding, standing.Committed, len(lost), further)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/controlsim/history/touch.go
@@ -0,0 +1,56 @@
+package history
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Span is a time from one instant until before another.
+type Span struct{ From, To time.Duration }
+
+// InTouch are the spans in which the agent is in touch: for Contact before, nothing was done to it and the core was stable.
+func (h History) InTouch(agent int) []Span {
+	var out []Span
+	for _, trouble := range h.Troubles {
+		if slices.Contains(trouble.Agents, agent) {
+			out = append(out, Span{From: trouble.From, To: trouble.To + h.Bounds.Contact})
+		}
+		out = append(out, h.unstable(trouble)...)
+	}
+	out = append(out, Span{To: h.Bounds.Contact})
+	return complement(out, h.End)
+}
+
+// unstable are the spans in which the trouble keeps the core from being stable.
+func (h History) unstable(trouble Trouble) []Span {
+	switch {
+	case !trouble.Core:
+		return nil
+	case trouble.Lasting:
+		return []Span{{From: trouble.From, To: trouble.To + h.Bounds.Contact}}
+	}
+	return []Span{{From: trouble.From, To: trouble.From + h.Bounds.Contact}, {From: trouble.To, To: trouble.To + h.Bounds.Contact}}
+}
+
+// complement are the spans up to end that none of those given covers.
+func complement(covered []Span, end time.Duration) []Span {
+	slices.SortFunc(covered, func(a, b Span) int { return cmp.Compare(a.From, b.From) })
+	var free []Span
+	at := time.Duration(0)
+	for _, span := range covered {
+		if span.From > at {
+			free = append(free, Span{From: at, To: min(span.From, end)})
+		}
+		at = max(at, span.To)
+		if at >= end {
+			return free
+		}
+	}
+	return append(free, Span{From: at, To: end})
+}
+
+// covers reports whether one of the spans holds all the time from one instant to the other.
+func covers(spans []Span, from, to time.Duration) bool {
+	return slices.ContainsFunc(spans, func(span Span) bool { return span.From <= from && to < span.To })
+}
--- /dev/null
+++ b/internal/controlsim/history/views.go
@@ -0,0 +1,64 @@
+package history
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// byAgent sorts the views by agent, each in the order of time.
+func (h History) byAgent() [][]View {
+	views := make([][]View, h.Agents)
+	for _, view := range h.Views {
+		views[view.Agent] = append(views[view.Agent], view)
+	}
+	return views
+}
+
+// viewAt is the agent's view at the time. There is none before the first one.
+func viewAt(views []View, at time.Duration) (View, bool) {
+	after := sort.Search(len(views), func(i int) bool { return views[i].At > at })
+	if after == 0 {
+		return View{}, false
+	}
+	return views[after-1], true
+}
+
+// checkFreshViews finds agents in touch whose view is older than what was acknowledged ConfigApply ago.
+func checkFreshViews(h History) []Violation {
+	var found []Violation
+	for agent, views := range h.byAgent() {
+		spans := h.InTouch(agent)
+		for _, order := range h.Operations {
+			if order.Kind == Read || order.Outcome != Acknowledged {
+				continue
+			}
+			for _, span := range spans {
+				at := max(span.From, order.Return+h.Bounds.ConfigApply)
+				if at >= span.To {
+					continue
+				}
+				if shown, _ := viewAt(views, at); shown.Generation < order.Generation {
+					found = append(found, Violation{Check: CheckFreshViews, At: at,
+						Text: fmt.Sprintf("agent %d shows generation %d; in touch since %v; %v", agent, shown.Generation, span.From, order)})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// checkForwardViews finds views that go back within a life.
+func checkForwardViews(h History) []Violation {
+	var found []Violation
+	for agent, views := range h.byAgent() {
+		for i := 1; i < len(views); i++ {
+			before, after := views[i-1], views[i]
+			if before.Life == after.Life && after.Generation < before.Generation {
+				found = append(found, Violation{Check: CheckForwardViews, At: after.At,
+					Text: fmt.Sprintf("agent %d went from generation %d (%v) back to %d in its life %d", agent, before.Generation, before.At, after.Generation, after.Life)})
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/controlsim/history/workers.go
@@ -0,0 +1,118 @@
+package history
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// shown is what one agent's views show of one worker over time.
+type shown map[string][]Presence
+
+// presencesByAgent sorts the presences by agent and worker.
+func (h History) presencesByAgent() []shown {
+	all := make([]shown, h.Agents)
+	for agent := range all {
+		all[agent] = shown{}
+	}
+	for _, presence := range h.Presences {
+		one := all[presence.Agent]
+		one[presence.Instance] = append(one[presence.Instance], presence)
+	}
+	return all
+}
+
+// at is how the worker is shown at the time.
+func (s shown) at(instance string, at time.Duration) State {
+	changes := s[instance]
+	after := sort.Search(len(changes), func(i int) bool { return changes[i].At > at })
+	if after == 0 {
+		return Absent
+	}
+	return changes[after-1].State
+}
+
+// checkDepartures finds workers that are shown as ready though their drain or departure was acknowledged Drain ago and
+// the agent is in touch, and those that become ready again within a life after they were draining.
+func checkDepartures(h History) []Violation {
+	var found []Violation
+	for agent, presences := range h.presencesByAgent() {
+		spans := h.InTouch(agent)
+		for _, departure := range h.Departures {
+			if departure.Acknowledged == 0 {
+				continue
+			}
+			if at, forgotten := presences.readyAfter(departure.Instance, spans, departure.Acknowledged+h.Bounds.Drain); forgotten {
+				found = append(found, Violation{Check: CheckDepartures, At: at,
+					Text: fmt.Sprintf("agent %d shows %s as ready; its departure was acknowledged at %v", agent, departure.Instance, departure.Acknowledged)})
+			}
+		}
+		found = append(found, presences.readyAgain(agent)...)
+	}
+	return found
+}
+
+// readyAfter finds a time in the spans, not before the earliest one, at which the worker is shown as ready.
+func (s shown) readyAfter(instance string, spans []Span, earliest time.Duration) (time.Duration, bool) {
+	for _, span := range spans {
+		from := max(span.From, earliest)
+		if from >= span.To {
+			continue
+		}
+		if s.at(instance, from) == Ready {
+			return from, true
+		}
+		for _, change := range s[instance] {
+			if change.State == Ready && from <= change.At && change.At < span.To {
+				return change.At, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// readyAgain finds workers that were draining and are ready again in the same life of the agent.
+func (s shown) readyAgain(agent int) []Violation {
+	var found []Violation
+	for instance, changes := range s {
+		drained := map[int]bool{}
+		for _, change := range changes {
+			if change.State == Draining {
+				drained[change.Life] = true
+			}
+			if change.State == Ready && drained[change.Life] {
+				found = append(found, Violation{Check: CheckDepartures, At: change.At, Text: fmt.Sprintf("agent %d shows %s as ready after it was draining", agent, instance)})
+			}
+		}
+	}
+	return found
+}
+
+// checkRegistrations finds agents that were in touch since a worker's heartbeat was acknowledged and do not show the
+// worker Registration later, though it has not begun to leave.
+func checkRegistrations(h History) []Violation {
+	leaving := map[string]time.Duration{}
+	for _, departure := range h.Departures {
+		leaving[departure.Instance] = departure.From
+	}
+	until := h.End
+	if h.PresenceUntil > 0 {
+		until = h.PresenceUntil
+	}
+	var found []Violation
+	for agent, presences := range h.presencesByAgent() {
+		spans := h.InTouch(agent)
+		for _, beat := range h.Beats {
+			at := beat.At + h.Bounds.Registration
+			from, left := leaving[beat.Instance]
+			if left && from <= at || at >= until || !covers(spans, beat.At, at) {
+				continue
+			}
+			if presences.at(beat.Instance, at) == Absent {
+				found = append(found, Violation{Check: CheckRegistration, At: at,
+					Text: fmt.Sprintf("agent %d does not show %s, whose heartbeat was acknowledged at %v", agent, beat.Instance, beat.At)})
+			}
+		}
+	}
+	return found
+}
