Remember replaced member IDs in the group, and promote only learners that answer

The group had no memory of a member ID whose disk was lost: a late request under it could have been admitted again, and a restored copy of the old disk would have voted a second time. The form on disk and on the wire keeps its schema: a mark is a learner without an address, which no member is; older readers take it for a learner that is never reached and remove it. A learner becomes a voter only while it answers; before, one that had died since it caught up was promoted. The older fleet never retires an ID, so its stored form stays as it is.

--- a/coord/agreement/election.go
+++ b/coord/agreement/election.go
@@ -18,7 +18,7 @@
 	if !n.writable {
 		return false
 	}
-	committed, known := findMember(n.membersAt(n.commit), n.config.ID)
+	committed, known := findMember(n.membershipAt(n.commit).members, n.config.ID)
 	return n.isVoter(n.config.ID) || (known && n.votes(committed))
 }
 
--- a/coord/agreement/follower.go
+++ b/coord/agreement/follower.go
@@ -176,7 +176,7 @@
 	n.disk.replace(n.commit, snapshot.Index)
 	n.log = entryLog{base: snapshot.Index, baseTerm: snapshot.Term}
 	n.snapshot = snapshot
-	n.memberships = []membership{{index: snapshot.Index, members: snapshot.Members}}
+	n.memberships = []membership{newMembership(snapshot.Index, snapshot.Members)}
 	n.commit = snapshot.Index
 	n.applied = snapshot.Index
 	n.verified = snapshot.Index
--- a/coord/agreement/members.go
+++ b/coord/agreement/members.go
@@ -7,16 +7,26 @@
 
 // membership is the group's members from an index on.
 type membership struct {
-	index   uint64
-	members []Member
+	index    uint64
+	members  []Member // those in force
+	recorded []Member // as in the log: with the marks of retired IDs
+}
+
+func newMembership(index uint64, recorded []Member) membership {
+	members := slices.DeleteFunc(slices.Clone(recorded), func(member Member) bool { return member.Retired })
+	return membership{index: index, members: members, recorded: recorded}
 }
 
 // Change adds, alters or removes one member.
 type Change struct {
 	Add    *Member  // a new learner, or a member as it shall be from now on
 	Remove MemberID // if Add is nil
+	Retire bool     // with Remove: the group remembers the ID, which is never a member again
 }
 
+// maxRetired bounds the remembered IDs; beyond it the oldest are forgotten.
+const maxRetired = 64
+
 // promotionLag is how many entries a learner may lack when it becomes a voter.
 const promotionLag = 256
 
@@ -25,20 +35,25 @@
 	return n.memberships[len(n.memberships)-1].members
 }
 
-// membersAt returns the membership at an index.
-func (n *Node) membersAt(index uint64) []Member {
+// recorded returns the membership in force with the marks of retired IDs.
+func (n *Node) recorded() []Member {
+	return n.memberships[len(n.memberships)-1].recorded
+}
+
+// membershipAt returns the membership at an index.
+func (n *Node) membershipAt(index uint64) membership {
 	at := len(n.memberships) - 1
 	for at > 0 && n.memberships[at].index > index {
 		at--
 	}
-	return n.memberships[at].members
+	return n.memberships[at]
 }
 
 // noteMembers takes over the memberships in appended entries.
 func (n *Node) noteMembers(entries []Entry) {
 	for _, entry := range entries {
 		if entry.Kind == EntryMembers {
-			n.memberships = append(n.memberships, membership{index: entry.Index, members: entry.Members})
+			n.memberships = append(n.memberships, newMembership(entry.Index, entry.Members))
 		}
 	}
 }
@@ -128,26 +143,25 @@
 	if !n.ownTermCommitted() && n.holds(RuleMembersOwnTerm) {
 		return ErrMemberChange
 	}
-	members, changed := changedMembers(n.members(), change)
+	recorded, changed := changedMembers(n.recorded(), change)
 	if !changed {
 		return nil
 	}
-	if !n.allowsMembers(change, members) {
+	if !n.allowsMembers(change, newMembership(0, recorded).members) {
 		return ErrMemberChange
 	}
-	n.appendOwn(Entry{Kind: EntryMembers, Members: members})
+	n.appendOwn(Entry{Kind: EntryMembers, Members: recorded})
 	n.matchPeers()
 	n.advanceCommit()
 	return nil
 }
 
-// changedMembers returns the members after a change, and whether they differ.
-func changedMembers(members []Member, change Change) ([]Member, bool) {
+// changedMembers returns the recorded members after a change, and whether they differ.
+func changedMembers(recorded []Member, change Change) ([]Member, bool) {
 	if change.Add == nil {
-		kept := slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.ID == change.Remove })
-		return kept, len(kept) != len(members)
+		return withoutMember(recorded, change)
 	}
-	altered := slices.Clone(members)
+	altered := slices.Clone(recorded)
 	for at, member := range altered {
 		if member.ID == change.Add.ID {
 			altered[at] = *change.Add
@@ -157,6 +171,36 @@
 	return append(altered, *change.Add), true
 }
 
+// withoutMember removes a member and leaves its mark if it is retired.
+func withoutMember(recorded []Member, change Change) ([]Member, bool) {
+	member, known := findMember(recorded, change.Remove)
+	if !known || member.Retired {
+		return recorded, false
+	}
+	kept := slices.DeleteFunc(slices.Clone(recorded), func(member Member) bool { return member.ID == change.Remove })
+	if !change.Retire {
+		return kept, true
+	}
+	return forgetOldestRetired(append(kept, Member{ID: change.Remove, Retired: true})), true
+}
+
+// forgetOldestRetired drops the marks beyond the bound. Marks stand in the order in which they were made.
+func forgetOldestRetired(recorded []Member) []Member {
+	surplus := -maxRetired
+	for _, member := range recorded {
+		if member.Retired {
+			surplus++
+		}
+	}
+	return slices.DeleteFunc(recorded, func(member Member) bool {
+		if !member.Retired || surplus <= 0 {
+			return false
+		}
+		surplus--
+		return true
+	})
+}
+
 // allowsMembers reports whether a change is a single, sound one: a voter was a current learner before, and a
 // majority of the new voters is reachable.
 func (n *Node) allowsMembers(change Change, members []Member) bool {
@@ -174,14 +218,25 @@
 }
 
 func (n *Node) allowsAdd(added Member, removed MemberID) bool {
-	if added.ID == 0 || removed != 0 {
+	if added.ID == 0 || removed != 0 || added.Retired {
 		return false
 	}
-	if !added.Voter || n.isVoter(added.ID) {
-		return true
+	if known, found := findMember(n.recorded(), added.ID); found && known.Retired && n.holds(RuleRetiredStayOut) {
+		return false
+	}
+	return !added.Voter || n.isVoter(added.ID) || n.MayPromote(added.ID)
+}
+
+// MayPromote reports whether a learner could be made a voter now: it answers, and what it has acknowledged as durable is
+// nearly all of the log. Only the leader knows.
+func (n *Node) MayPromote(id MemberID) bool {
+	peer := n.peer(id)
+	if n.role != RoleLeader || peer == nil || peer.leaving {
+		return false
 	}
-	peer := n.peer(added.ID)
-	return peer != nil && peer.match+promotionLag >= n.log.last() && peer.match >= n.memberships[len(n.memberships)-1].index
+	answers := peer.round > 0 && n.now-peer.answered <= n.config.ElectionTimeout
+	holds := peer.match+promotionLag >= n.log.last() && peer.match >= n.memberships[len(n.memberships)-1].index
+	return answers && holds
 }
 
 // Matched returns the last entry that a member is known to hold durably. It returns false on any member but the
--- a/coord/agreement/node.go
+++ b/coord/agreement/node.go
@@ -96,7 +96,7 @@
 	n.commit = max(base.Index, min(stored.HardState.Commit, n.log.last()))
 	n.applied = base.Index
 	n.verified = n.commit
-	n.memberships = []membership{{index: base.Index, members: base.Members}}
+	n.memberships = []membership{newMembership(base.Index, base.Members)}
 	n.noteMembers(stored.Entries)
 	if base.Index > 0 {
 		n.restorePoint = &n.snapshot
--- a/coord/agreement/persist.go
+++ b/coord/agreement/persist.go
@@ -163,5 +163,5 @@
 	if !held || index > n.applied || index < n.snapshot.Index {
 		return Snapshot{}, false
 	}
-	return Snapshot{Index: index, Term: term, Members: n.membersAt(index), Data: data}, true
+	return Snapshot{Index: index, Term: term, Members: n.membershipAt(index).recorded, Data: data}, true
 }
--- a/coord/agreement/rules.go
+++ b/coord/agreement/rules.go
@@ -23,6 +23,7 @@
 	RuleMembersOwnTerm    Rule = "members-own-term"    // a change waits for the first commit of the own term
 	RuleMembersRollBack   Rule = "members-roll-back"   // a truncated change of members is undone
 	RuleLearnerNoMajority Rule = "learner-no-majority" // learners count in no majority
+	RuleRetiredStayOut    Rule = "retired-stay-out"    // an ID that was replaced is never a member again
 	RuleEmptySilent       Rule = "empty-silent"        // a member with an empty disk gives no vote
 )
 
@@ -34,7 +35,7 @@
 		RuleCommitMajority, RuleCommitOwnTerm, RuleCommitVerified,
 		RuleReadConfirmed, RuleReadOwnTerm,
 		RuleMembersOneByOne, RuleMembersOwnTerm, RuleMembersRollBack,
-		RuleLearnerNoMajority, RuleEmptySilent,
+		RuleLearnerNoMajority, RuleRetiredStayOut, RuleEmptySilent,
 	}
 }
 
--- a/coord/agreement/rules_test.go
+++ b/coord/agreement/rules_test.go
@@ -204,6 +204,16 @@
 		n.hold(5, 2)
 		return n.Status().Commit == 2
 	},
+	RuleRetiredStayOut: func(t *testing.T, omit ...Rule) bool {
+		stored := storedLog()
+		stored.Snapshot.Members = append(stored.Snapshot.Members, Member{ID: 4, Retired: true})
+		n := newRuleNode(t, stored, omit...)
+		n.lead()
+		n.saved()
+		n.hold(2, 2)
+		n.answer(2)
+		return n.ChangeMembers(n.now, Change{Add: &Member{ID: 4}}) == nil
+	},
 	RuleEmptySilent: func(t *testing.T, omit ...Rule) bool {
 		n := newRuleNode(t, Stored{}, omit...)
 		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 4})
--- a/coord/agreement/types.go
+++ b/coord/agreement/types.go
@@ -18,6 +18,7 @@
 	ID      MemberID
 	Address string // where its peers reach it, "ip:port"
 	Voter   bool   // false: a learner, which receives the log and counts in no majority
+	Retired bool   // no member: a mark that this ID was replaced and never comes back
 }
 
 // EntryKind tells what an entry holds.
@@ -34,7 +35,7 @@
 	Term, Index uint64
 	Kind        EntryKind
 	Data        []byte
-	Members     []Member // of EntryMembers
+	Members     []Member // of EntryMembers; with the marks of retired IDs
 }
 
 // HardState is what must be durable before a promise that rests on it leaves the machine.
@@ -47,8 +48,8 @@
 // Snapshot stands for all entries up to Index.
 type Snapshot struct {
 	Index, Term uint64
-	Members     []Member
-	Data        []byte // of the state machine
+	Members     []Member // with the marks of retired IDs
+	Data        []byte   // of the state machine
 }
 
 // MessageKind tells what a message asks or answers.
@@ -153,7 +154,7 @@
 	Role      Role
 	Term      uint64
 	Leader    MemberID // 0: unknown
-	Members   []Member
+	Members   []Member // without retired ones
 	Commit    uint64
 	Applied   uint64
 	First     uint64 // first entry in the log
--- a/coord/seglog/encoding.go
+++ b/coord/seglog/encoding.go
@@ -120,9 +120,15 @@
 	return agreement.HardState{Term: uint64(wire.Term), Vote: agreement.MemberID(wire.Vote), Commit: uint64(wire.Commit)}
 }
 
+// membersToWire writes the mark of a retired ID as a learner without an address, which no member is. Readers older than
+// these marks take it for one that is never reached, and remove it after some time.
 func membersToWire(members []agreement.Member) []wireMember {
 	wire := make([]wireMember, len(members))
 	for i, member := range members {
+		if member.Retired {
+			wire[i] = wireMember{ID: int64(member.ID)}
+			continue
+		}
 		wire[i] = wireMember{ID: int64(member.ID), Address: member.Address, Voter: member.Voter}
 	}
 	return wire
@@ -135,7 +141,10 @@
 	}
 	members := make([]agreement.Member, len(wire))
 	for i, member := range wire {
-		members[i] = agreement.Member{ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter}
+		members[i] = agreement.Member{
+			ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter,
+			Retired: member.Address == "" && !member.Voter,
+		}
 	}
 	return members
 }
--- a/coord/seglog/model_test.go
+++ b/coord/seglog/model_test.go
@@ -172,6 +172,7 @@
 	return []agreement.Member{
 		{ID: agreement.MemberID(w.random.Uint64()), Address: "10.1.0.1:7660", Voter: true},
 		{ID: agreement.MemberID(w.random.Uint64()), Address: "10.1.0.2:7660"},
+		{ID: agreement.MemberID(w.random.Uint64()), Retired: true},
 	}
 }
 
--- a/internal/fleet/agreed/codec.go
+++ b/internal/fleet/agreed/codec.go
@@ -99,8 +99,14 @@
 	return out
 }
 
-func memberTo(m agreement.Member) memberForm   { return memberForm(m) }
-func memberFrom(m memberForm) agreement.Member { return agreement.Member(m) }
+// memberTo leaves out the mark of a retired ID: this log never retires one.
+func memberTo(m agreement.Member) memberForm {
+	return memberForm{ID: m.ID, Address: m.Address, Voter: m.Voter}
+}
+
+func memberFrom(m memberForm) agreement.Member {
+	return agreement.Member{ID: m.ID, Address: m.Address, Voter: m.Voter}
+}
 
 func entryTo(e agreement.Entry) entryForm {
 	return entryForm{Term: e.Term, Index: e.Index, Kind: e.Kind, Data: e.Data, Members: convert(e.Members, memberTo)}
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -115,9 +115,14 @@
 	return GroupMessage{Shard: shards.ID(wire.Shard), Message: message}
 }
 
+// membersToWire sends the mark of a retired ID as a learner without an address, as it is stored.
 func membersToWire(members []agreement.Member) []wireMember {
 	wire := make([]wireMember, len(members))
 	for i, member := range members {
+		if member.Retired {
+			wire[i] = wireMember{ID: int64(member.ID)}
+			continue
+		}
 		wire[i] = wireMember{ID: int64(member.ID), Address: member.Address, Voter: member.Voter}
 	}
 	return wire
@@ -129,7 +134,10 @@
 	}
 	members := make([]agreement.Member, len(wire))
 	for i, member := range wire {
-		members[i] = agreement.Member{ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter}
+		members[i] = agreement.Member{
+			ID: agreement.MemberID(member.ID), Address: member.Address, Voter: member.Voter,
+			Retired: member.Address == "" && !member.Voter,
+		}
 	}
 	return members
 }
--- a/internal/peerlink/network_test.go
+++ b/internal/peerlink/network_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,7 +100,7 @@
 		Entries: []agreement.Entry{{Term: 1, Index: 2, Kind: agreement.EntryMembers, Data: []byte("d"),
 			Members: []agreement.Member{{ID: 1<<64 - 1, Address: "a", Voter: true}}}},
 		Snapshot: &agreement.Snapshot{Index: 9, Term: 8, Data: bytes.Repeat([]byte("s"), 8<<20),
-			Members: []agreement.Member{{ID: 3, Address: "b"}}},
+			Members: []agreement.Member{{ID: 3, Address: "b"}, {ID: 4, Retired: true}}},
 		Reject: true, HintIndex: 10, HintTerm: 11, Context: 12, Forced: true,
 	}
 	here.Send(agreement.Member{ID: 2, Address: listener.Addr().String()}, 3, sent)
@@ -110,7 +111,7 @@
 	if got.Message.Entries[0].Members[0] != sent.Entries[0].Members[0] || string(got.Message.Entries[0].Data) != "d" {
 		t.Fatalf("entries %+v", got.Message.Entries)
 	}
-	if !bytes.Equal(got.Message.Snapshot.Data, sent.Snapshot.Data) || got.Message.Snapshot.Members[0].Address != "b" {
+	if !bytes.Equal(got.Message.Snapshot.Data, sent.Snapshot.Data) || !slices.Equal(got.Message.Snapshot.Members, sent.Snapshot.Members) {
 		t.Fatal("the snapshot differs")
 	}
 	if !got.Message.Reject || !got.Message.Forced || got.Message.Context != 12 || got.Message.HintIndex != 10 {
