Refuse late in a drain what may outlast the process's grace

Cause: a proxy that got SIGTERM took requests until 1.5 s before its end. Change: from 2.8 s after SIGTERM on a request is taken only if its client's deadline ends before the process does; others get 503 with Retry-After at once. TestDrainTakesLateOnlyWhatEndsInTime, TestDrainingProxyRefusesWhatMayOutlastIt.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"ospreybend/internal/dispatch"
 	"ospreybend/internal/front"
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/settings"
@@ -27,6 +28,9 @@
 	// lastTime is the end of the grace in which no request is taken any more: one that waits for a worker would be cut, while
 	// a refusal sends the client to another node at once.
 	lastTime = 1500 * time.Millisecond
+	// cutExcused is how long after SIGTERM a request may come and still be cut at the end of the grace. What comes
+	// later must be answered, so it is taken only if its client does not wait beyond the end (less than the pages' 3 s).
+	cutExcused = 2800 * time.Millisecond
 	// lateRetryAfter is what a client is told that is refused then, in seconds.
 	lateRetryAfter = "0.01"
 	// settleTime is how long calls that free handles may take at the end; it is part of endMargin.
@@ -36,8 +40,9 @@
 // drain tells the platform to send no more clients, and returns once nothing is in work and nothing new
 // comes, or the grace is nearly over.
 func (p *proxy) drain() {
-	p.draining.Store(true)
 	grace := max(settings.Seconds(p.settings.Load().Bounds.GraceS)-endMargin, 0)
+	p.drainSpan.Store(&drainSpan{started: time.Now(), grace: grace})
+	p.draining.Store(true)
 	p.log.Info("draining", zap.Duration("at most", grace))
 	p.front.Drain(min(noticeTime, grace))
 	last := time.AfterFunc(max(grace-lastTime, 0), func() { p.refusing.Store(true) })
@@ -53,9 +58,31 @@
 	p.log.Info("ending", zap.Int64("cut", p.front.Counts().InWork))
 }
 
-// take serves a request, or refuses it if the process is about to end.
+// drainSpan is the time that a draining process has.
+type drainSpan struct {
+	started time.Time
+	grace   time.Duration // from started until requests in work are cut
+}
+
+// takes tells whether a request is taken that comes after the drain has begun for so long. wait is how long its
+// client waits for the answer.
+func (s drainSpan) takes(since, wait time.Duration) bool {
+	return since < cutExcused || wait <= s.grace-since
+}
+
+// endsInTime tells whether a request that has just come can be answered before the process ends, whatever its answer takes,
+// or came so early that it may be cut.
+func (p *proxy) endsInTime(r *front.Request) bool {
+	span := p.drainSpan.Load()
+	if span == nil {
+		return true
+	}
+	return span.takes(time.Since(span.started), dispatch.ClientWait(r))
+}
+
+// take serves a request, or refuses it if the process might end before its answer does.
 func (p *proxy) take(w *front.ResponseWriter, r *front.Request) {
-	if !p.refusing.Load() {
+	if !p.refusing.Load() && p.endsInTime(r) {
 		p.dispatcher.Serve(w, r)
 		return
 	}
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -55,3 +55,35 @@
 		t.Fatalf("%v after %v", quiet, took)
 	}
 }
+
+// TestDrainTakesLateOnlyWhatEndsInTime: what comes 3 s after SIGTERM or later must have its whole answer.
+func TestDrainTakesLateOnlyWhatEndsInTime(t *testing.T) {
+	const grace = 7300 * time.Millisecond
+	span := drainSpan{grace: grace}
+	for _, c := range []struct {
+		since, wait time.Duration
+		takes       bool
+	}{
+		{0, time.Hour, true},
+		{2700 * time.Millisecond, 10 * time.Second, true},
+		{3 * time.Second, 10 * time.Second, false},
+		{3 * time.Second, 4 * time.Second, true},
+		{4728 * time.Millisecond, 2500 * time.Millisecond, true},
+		{4728 * time.Millisecond, 2600 * time.Millisecond, false},
+		{grace, time.Millisecond, false},
+	} {
+		if got := span.takes(c.since, c.wait); got != c.takes {
+			t.Errorf("%v after SIGTERM, a client that waits %v: taken %v", c.since, c.wait, got)
+		}
+	}
+}
+
+// TestDrainingProxyRefusesWhatMayOutlastIt asks a proxy that drains for 4 s already.
+func TestDrainingProxyRefusesWhatMayOutlastIt(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	s.proxy.drainSpan.Store(&drainSpan{started: time.Now().Add(-4 * time.Second), grace: 7 * time.Second})
+	if status, _, err := s.ask("/a/x"); status != 503 || err != nil {
+		t.Fatal(status, err)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,6 +52,7 @@
 	sharer     *sharer
 	draining   atomic.Bool
 	refusing   atomic.Bool // the grace is nearly over
+	drainSpan  atomic.Pointer[drainSpan]
 	stopFeed   context.CancelFunc
 	failed     chan error
 }
