Take an answer between keepers for none but a call that was sent

Need: answers to calls between keepers may be late, surplus, foreign, repeated or cut. Reading found that a reply was taken also for a call that still waited for its connection, which only a foreign answer can be. It is now passed over; the new test fails without that. A table of twelve kinds of bytes that come back, each followed by a call that must get its own answer, and tests of late answers, of identifiers after a reconnect and of the memory of queued calls and decoded frames pass, 30 times over and under the race detector.

--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -117,13 +117,13 @@
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, cause)
 }
 
-// finish hands a result to the caller of a call, if it still waits.
+// finish hands a result to the caller of a call that was sent, if it still waits.
 func (l *link) finish(id uint64, result callResult) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	pending := l.calls[id]
-	if pending == nil {
-		return
+	if pending == nil || !pending.sent {
+		return // answered before, given up, or not a call that the peer can know of
 	}
 	delete(l.calls, id)
 	pending.done <- result
