Let a connection that is accepted late close no newer one of its peer

Cause: the connection that a peer opened last was taken for its newest, and the one before was closed. A process that stood still accepts afterwards what waited, so that a connection of a former process could end the living one. A peer's connections now stay until they end by themselves. A call without time left, as it comes after a cut, is refused and no longer begun, and an answer that is too long for a frame ends the call at once instead of leaving its caller to wait. The new tests fail without each; ten kinds of bytes that a peer sends are tried beside a connection that must go on.

--- a/internal/peerlink/accept.go
+++ b/internal/peerlink/accept.go
@@ -21,7 +21,11 @@
 	maxRunningCalls = 256
 )
 
-var errTooManyCalls = errors.New("peerlink: too many calls of this peer are under way")
+// Reasons to carry out no part of a call.
+var (
+	errTooManyCalls = errors.New("peerlink: too many calls of this peer are under way")
+	errNoTime       = errors.New("peerlink: the call has no time left")
+)
 
 // inbound is a connection that a peer has opened.
 type inbound struct {
@@ -104,15 +108,14 @@
 	in.read()
 }
 
-// register makes this the peer's connection; an older one of the same peer is closed.
+// register notes a connection of a peer. It leaves the peer's other ones alone, since the one that is
+// accepted last need not be the newest: it may have waited while this process stood still. A
+// connection that its peer has given up ends by itself.
 func (n *Network) register(in *inbound) {
 	now := n.options.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if older := n.accepted[in.peer.Address]; older != nil {
-		_ = older.connection.Close()
-	}
-	n.accepted[in.peer.Address] = in
+	n.accepted[in.peer.Address]++
 	n.members[in.peer.Member] = in.peer
 	n.heard[in.peer.Address] = now
 }
@@ -120,7 +123,8 @@
 func (n *Network) unregister(in *inbound) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if n.accepted[in.peer.Address] == in {
+	n.accepted[in.peer.Address]--
+	if n.accepted[in.peer.Address] == 0 {
 		delete(n.accepted, in.peer.Address)
 	}
 }
@@ -175,8 +179,13 @@
 	return kept
 }
 
-// start works on a call in a goroutine of its own, or refuses it if too many are under way.
+// start works on a call in a goroutine of its own. It refuses one that has no time left, and all while
+// too many are under way.
 func (in *inbound) start(ctx context.Context, call wireCall) {
+	if call.BudgetMs <= 0 {
+		in.reply(call.ID, nil, errNoTime)
+		return
+	}
 	select {
 	case in.running <- struct{}{}:
 	default:
@@ -197,6 +206,9 @@
 
 func (in *inbound) reply(id int64, body []byte, failure error) {
 	encoded, err := encodeReply(id, body, failure)
+	if err != nil {
+		encoded, err = encodeReply(id, nil, err) // too long for a frame: the caller need not wait for it
+	}
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/internal/peerlink/accept_test.go
@@ -0,0 +1,220 @@
+package peerlink
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap/zaptest"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/internal/feedlink"
+)
+
+// pipeListener accepts the far ends of pipes.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.connections:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// host is a network under test that a test dials.
+type host struct {
+	t        *testing.T
+	network  *Network
+	listener *pipeListener
+	handler  *recorder
+	asked    chan string // bodies of calls that are carried out
+}
+
+func newHost(t *testing.T) *host {
+	t.Helper()
+	h := &host{t: t, handler: newRecorder(), asked: make(chan string, 16)}
+	h.listener = &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+	h.handler.call = func(_ context.Context, _ CallKind, body []byte) ([]byte, error) {
+		h.asked <- string(body)
+		return body, nil
+	}
+	network, err := New(Options{Self: Hello{Address: "127.0.0.1:1", Member: 1}, Handler: h.handler, Logger: zaptest.NewLogger(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.network = network
+	go func() { _ = network.Serve(h.listener) }()
+	return h
+}
+
+// dial opens a connection as the given peer.
+func (h *host) dial(peer Hello) net.Conn {
+	h.t.Helper()
+	near, far := net.Pipe()
+	h.listener.connections <- far
+	hello, err := encodeHello(peer)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	write(h.t, near, feedlink.AppendFrame(nil, hello.kind, hello.body))
+	<-h.handler.connected
+	return near
+}
+
+func callBytes(t *testing.T, id uint64, budget time.Duration, body string) []byte {
+	t.Helper()
+	encoded, err := encodeCall(id, 1, budget, []byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return feedlink.AppendFrame(nil, encoded.kind, encoded.body)
+}
+
+func nextReply(t *testing.T, connection net.Conn) wireReply {
+	t.Helper()
+	kind, body, err := feedlink.ReadFrame(connection)
+	if err != nil || kind != kindReply {
+		t.Fatal(kind, err)
+	}
+	var reply wireReply
+	if err := decode(kindReply, replySchema, body, &reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+var somePeer = Hello{Address: peerAddress, Member: 2}
+
+// TestWhatIsTakenFromAPeer sends all kinds of bytes and tells which calls are carried out and whether the connection goes
+// on; another one of the same peer goes on in any case.
+func TestWhatIsTakenFromAPeer(t *testing.T) {
+	whole := callBytes(t, 1, time.Second, "x")
+	cases := []struct {
+		name    string
+		sent    []byte
+		carried int  // calls
+		replies int  // that come back
+		ends    bool // the connection
+	}{
+		{"a whole call", whole, 1, 1, false},
+		{"repeated", append(whole[:len(whole):len(whole)], whole...), 2, 2, false},
+		{"without time", callBytes(t, 1, 0, "x"), 0, 1, false},
+		{"too late", callBytes(t, 1, -time.Second, "x"), 0, 1, false},
+		{"cut in its head", whole[:3], 0, 0, false},
+		{"cut in its body", whole[:len(whole)-1], 0, 0, false},
+		{"no call at all", feedlink.AppendFrame(nil, kindCall, []byte("?")), 0, 0, true},
+		{"a reply", replyBytes(t, 1, "x"), 0, 0, true},
+		{"a second hello", feedlink.AppendFrame(nil, kindHello, []byte("x")), 0, 0, true},
+		{"a frame of the feed", feedlink.AppendFrame(nil, feedlink.KindStatus, nil), 0, 0, true},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHost(t)
+				defer h.network.Close()
+				other := h.dial(somePeer)
+				connection := h.dial(somePeer)
+				write(t, connection, one.sent)
+				for range one.replies {
+					if reply := nextReply(t, connection); reply.ID != 1 || reply.Failed == (one.carried > 0) {
+						t.Fatalf("%+v", reply)
+					}
+				}
+				_ = connection.SetReadDeadline(time.Now().Add(time.Second)) // fails on a connection that has ended
+				_, err := connection.Read(make([]byte, 1))
+				if timeout, ok := err.(net.Error); one.ends == (ok && timeout.Timeout()) {
+					t.Fatalf("the connection: %v", err)
+				}
+				_ = connection.Close()
+				synctest.Wait()
+				if len(h.asked) != one.carried {
+					t.Fatalf("%d calls are carried out", len(h.asked))
+				}
+				write(t, other, callBytes(t, 7, time.Second, "next"))
+				if reply := nextReply(t, other); reply.ID != 7 || string(reply.Body) != "next" {
+					t.Fatalf("%+v", reply)
+				}
+			})
+		})
+	}
+}
+
+// A connection of a peer's former process may be accepted after those of its new one, as when this process stood still.
+func TestLateConnectionLeavesNewerOnesAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		defer h.network.Close()
+		former := Hello{Address: peerAddress, Member: 9}
+		newer := h.dial(somePeer)
+		late := h.dial(former)
+		for _, connection := range []net.Conn{newer, late, newer} {
+			write(t, connection, callBytes(t, 1, time.Second, "x"))
+			if reply := nextReply(t, connection); string(reply.Body) != "x" {
+				t.Fatalf("%+v", reply)
+			}
+		}
+		_ = late.Close()
+		synctest.Wait()
+		h.network.Send(agreement.Member{ID: 2, Address: peerAddress}, 0, agreement.Message{})
+		if peers := h.network.Peers(); len(peers) != 1 || !peers[0].Accepted {
+			t.Fatalf("%+v", peers)
+		}
+	})
+}
+
+// The answer to a call of a connection that has ended reaches none of the peer's other connections.
+func TestAnswerStaysOnItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		defer h.network.Close()
+		release := make(chan struct{})
+		h.handler.call = func(_ context.Context, _ CallKind, body []byte) ([]byte, error) {
+			if string(body) == "slow" {
+				<-release
+			}
+			return body, nil
+		}
+		first := h.dial(somePeer)
+		write(t, first, callBytes(t, 1, time.Second, "slow"))
+		synctest.Wait()
+		_ = first.Close()
+		second := h.dial(somePeer)
+		close(release)
+		synctest.Wait()
+		write(t, second, callBytes(t, 1, time.Second, "own"))
+		if reply := nextReply(t, second); string(reply.Body) != "own" {
+			t.Fatalf("%q", reply.Body)
+		}
+	})
+}
+
+// An answer that no frame can hold ends the call at once.
+func TestAnswerTooLongForAFrame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		defer h.network.Close()
+		h.handler.call = func(context.Context, CallKind, []byte) ([]byte, error) {
+			return make([]byte, feedlink.MaxFrameBytes), nil
+		}
+		connection := h.dial(somePeer)
+		write(t, connection, callBytes(t, 1, time.Second, "x"))
+		if reply := nextReply(t, connection); !reply.Failed || !strings.Contains(reply.Text, feedlink.ErrFrameTooLong.Error()) {
+			t.Fatalf("%+v", reply)
+		}
+	})
+}
--- a/internal/peerlink/network.go
+++ b/internal/peerlink/network.go
@@ -47,7 +47,7 @@
 
 	mutex    sync.Mutex
 	links    map[string]*link             // by peer address
-	accepted map[string]*inbound          // by peer address, the newest
+	accepted map[string]int               // by peer address: how many connections the peer has opened
 	members  map[agreement.MemberID]Hello // those who have connected
 	heard    map[string]time.Time         // by peer address: when a frame last came
 }
@@ -74,7 +74,7 @@
 	return &Network{
 		options: options, hello: hello, ctx: ctx, cancel: cancel,
 		links:    make(map[string]*link),
-		accepted: make(map[string]*inbound),
+		accepted: make(map[string]int),
 		members:  make(map[agreement.MemberID]Hello),
 		heard:    make(map[string]time.Time),
 	}, nil
@@ -166,7 +166,7 @@
 	peers := make([]PeerStatus, 0, len(n.links))
 	for address, link := range n.links {
 		status := link.status()
-		status.Accepted = n.accepted[address] != nil
+		status.Accepted = n.accepted[address] > 0
 		status.HeardAge = -1
 		if heard, ok := n.heard[address]; ok {
 			status.HeardAge = now.Sub(heard)
