Play simulated schedules in one process per core and shrink those that fail

A simulation in synctest bubbles runs in Go's test runner alone, so thousands of schedules need its test binary built once and started over ranges of seeds. internal/controlsim/campaign has the request and the lines between campaign and test binary, gives each process ten seeds at a time with GOMAXPROCS=1, counts a process that dies or a schedule that does not end as a violation of that schedule and goes on behind it, stops once an absent guard is found, shrinks each failure to the events it needs, and tells all as text and JSON. Its tests run a scripted simulation in the test binary itself.

--- /dev/null
+++ b/internal/controlsim/campaign/campaign.go
@@ -0,0 +1,211 @@
+package campaign
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// Plan is a campaign.
+type Plan struct {
+	Player    Player
+	Shapes    []schedule.Shape // each plays the same seeds; one that leaves guards out is played until that is found
+	First     uint64           // seed
+	Schedules int              // for each shape
+	Processes int
+	Shrink    time.Duration // for shrinking each failure; 0: none is shrunk
+	MostFound int           // violations after which a whole shape is not played on; 0: all are played
+	Progress  io.Writer
+}
+
+const (
+	chunk         = 10              // seeds that a process is given at a time
+	progressEvery = 5 * time.Second // between two lines of progress
+)
+
+// Play plays the campaign's schedules, one shape after the other.
+func Play(ctx context.Context, plan Plan) ([]Part, error) {
+	var parts []Part
+	for _, shape := range plan.Shapes {
+		part, err := plan.playShape(ctx, shape)
+		parts = append(parts, part)
+		if err != nil {
+			return parts, err
+		}
+	}
+	return parts, nil
+}
+
+// playShape plays the schedules of one shape in several processes.
+func (p Plan) playShape(ctx context.Context, shape schedule.Shape) (Part, error) {
+	most := p.MostFound
+	if len(shape.Omit) > 0 {
+		most = 1
+	}
+	tally := newTally(shape, p.First, most, p.Progress)
+	err := p.share(ctx, tally)
+	part := tally.part()
+	if len(shape.Omit) > 0 && len(part.Failures) > 1 {
+		part.Failures = part.Failures[:1]
+	}
+	for i := range part.Failures {
+		p.shrink(ctx, shape, &part.Failures[i])
+	}
+	return part, err
+}
+
+// share hands chunks of seeds to the processes until all are played or enough is found.
+func (p Plan) share(ctx context.Context, tally *tally) error {
+	chunks := make(chan Request)
+	failed := make(chan error, p.Processes)
+	var playing sync.WaitGroup
+	for range p.Processes {
+		playing.Go(func() {
+			for request := range chunks {
+				if err := p.Player.Play(ctx, request, tally.take); err != nil {
+					failed <- err
+					return
+				}
+			}
+		})
+	}
+	err := p.hand(ctx, tally, chunks, failed)
+	close(chunks)
+	playing.Wait()
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+func (p Plan) hand(ctx context.Context, tally *tally, chunks chan<- Request, failed <-chan error) error {
+	for played := 0; played < p.Schedules && !tally.enough(); played += chunk {
+		request := Request{Shape: tally.shape, First: p.First + uint64(played), Count: min(chunk, p.Schedules-played)}
+		select {
+		case chunks <- request:
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// shrink makes the failure's schedule smaller, as far as the same check breaks.
+func (p Plan) shrink(ctx context.Context, shape schedule.Shape, failure *Failure) {
+	drawn := schedule.Draw(failure.Seed, shape)
+	failure.Schedule = drawn.Format()
+	if p.Shrink <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Shrink)
+	defer cancel()
+	small := schedule.Shrink(drawn, func(candidate schedule.Schedule) bool {
+		return ctx.Err() == nil && candidate.Check() == nil && p.breaks(ctx, candidate, failure.Checks())
+	})
+	if text := small.Format(); text != failure.Schedule {
+		failure.Shrunk = text
+	}
+}
+
+// breaks reports whether the schedule breaks one of the checks.
+func (p Plan) breaks(ctx context.Context, candidate schedule.Schedule, checks []string) bool {
+	broken := false
+	err := p.Player.Play(ctx, Request{Text: candidate.Format(), Count: 1}, func(line Line) {
+		for _, finding := range line.Violations {
+			broken = broken || slices.Contains(checks, finding.Check)
+		}
+	})
+	return err == nil && broken
+}
+
+// PlayText plays one schedule.
+func PlayText(ctx context.Context, player Player, text string) (Part, error) {
+	parsed, err := schedule.Parse(text)
+	if err != nil {
+		return Part{}, err
+	}
+	tally := newTally(schedule.Shape{Keepers: parsed.Keepers, Tolerance: parsed.Tolerance, Omit: parsed.Omit}, parsed.Seed, 0, io.Discard)
+	err = player.Play(ctx, Request{Text: parsed.Format(), Count: 1}, tally.take)
+	part := tally.part()
+	for i := range part.Failures {
+		part.Failures[i].Schedule = parsed.Format()
+	}
+	return part, err
+}
+
+// tally counts what the processes tell.
+type tally struct {
+	shape    schedule.Shape
+	first    uint64
+	most     int
+	progress io.Writer
+	begun    time.Time
+
+	mutex sync.Mutex
+	told  time.Time
+	found Part
+}
+
+func newTally(shape schedule.Shape, first uint64, most int, progress io.Writer) *tally {
+	now := time.Now()
+	return &tally{shape: shape, first: first, most: most, progress: progress, begun: now, told: now,
+		found: Part{Keepers: shape.Keepers, Tolerance: shape.Tolerance, Omit: slices.Clone(shape.Omit), First: first}}
+}
+
+// take counts one schedule.
+func (t *tally) take(line Line) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.found.Played++
+	t.found.Counts.add(line.Counts)
+	if len(line.Violations) > 0 {
+		t.found.Failures = append(t.found.Failures, Failure{Seed: line.Seed, Violations: line.Violations})
+		fmt.Fprintf(t.progress, "%s: seed %d: %s\n", t.name(), line.Seed, strings.SplitN(line.Violations[0].Text, "\n", 2)[0])
+	}
+	if now := time.Now(); now.Sub(t.told) >= progressEvery {
+		t.told = now
+		rate := float64(t.found.Played) / now.Sub(t.begun).Seconds()
+		fmt.Fprintf(t.progress, "%s: %d schedules, %.1f a second, %d with violations\n", t.name(), t.found.Played, rate, len(t.found.Failures))
+	}
+}
+
+// name tells shapes apart in lines of progress.
+func (t *tally) name() string {
+	name := fmt.Sprintf("%d keepers", t.shape.Keepers)
+	if len(t.shape.Omit) > 0 {
+		name += " without " + strings.Join(t.shape.Omit, ", ")
+	}
+	return name
+}
+
+// enough reports whether so much is found that the shape need not be played on.
+func (t *tally) enough() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.most > 0 && len(t.found.Failures) >= t.most
+}
+
+// part is what was counted, its failures ordered by their seeds.
+func (t *tally) part() Part {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	slices.SortFunc(t.found.Failures, func(a, b Failure) int { return int(a.Seed) - int(b.Seed) })
+	if len(t.found.Failures) > 0 {
+		t.found.FoundAfter = int(t.found.Failures[0].Seed-t.first) + 1
+	}
+	t.found.Seconds = time.Since(t.begun).Seconds()
+	return t.found
+}
--- /dev/null
+++ b/internal/controlsim/campaign/campaign_test.go
@@ -0,0 +1,169 @@
+package campaign_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/controlsim/campaign"
+	"ospreybend/internal/controlsim/schedule"
+)
+
+var shape = schedule.Shape{Keepers: 3, Tolerance: 1, Agents: 2, Operators: 2, Workers: 3, Length: 40 * time.Second}
+
+// Seeds at which the scripted simulation misbehaves.
+const (
+	seedDies    = 17
+	seedFails   = 31
+	seedEndless = 63
+)
+
+// TestPlayRequest stands in for the simulation: the campaign runs this test binary, too, with a request.
+func TestPlayRequest(t *testing.T) {
+	request, given, err := campaign.Requested()
+	if !given {
+		t.Skip("is run by the campaign")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	schedules, err := request.Schedules()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range schedules {
+		_ = campaign.Line{Seed: one.Seed, Begins: true}.Write(os.Stdout)
+		line := campaign.Line{Seed: one.Seed, Counts: campaign.Counts{Operations: 10, Acknowledged: 9}}
+		switch {
+		case one.Seed == seedDies:
+			panic("scripted end")
+		case one.Seed == seedEndless:
+			<-time.After(time.Hour)
+		case one.Seed == seedFails && has(one, schedule.Worker), len(one.Omit) > 0 && one.Seed%10 == 4:
+			line.Violations = []campaign.Finding{{Check: "scripted", Text: "a worker"}}
+		}
+		_ = line.Write(os.Stdout)
+	}
+}
+
+func has(s schedule.Schedule, kind schedule.Kind) bool {
+	for _, event := range s.Events {
+		if event.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func player(t *testing.T) campaign.Player {
+	t.Helper()
+	binary, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return campaign.Player{Binary: binary, Limit: 2 * time.Second}
+}
+
+func TestCampaignPlaysEverySeedOnceAndTellsWhatFailed(t *testing.T) {
+	var progress bytes.Buffer
+	parts, err := campaign.Play(context.Background(), campaign.Plan{Player: player(t), Shapes: []schedule.Shape{shape}, First: 10, Schedules: 35, Processes: 3,
+		Shrink: time.Minute, Progress: &progress})
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := parts[0]
+	if part.Played != 35 || part.Counts.Operations != 10*34 {
+		t.Errorf("played %d schedules with %d operations, want 35 with 340", part.Played, part.Counts.Operations)
+	}
+	var seen []string
+	for _, failure := range part.Failures {
+		seen = append(seen, fmt.Sprint(failure.Seed, failure.Checks()))
+	}
+	want := fmt.Sprint([]string{"17 [died]", "31 [scripted]"})
+	if got := fmt.Sprint(seen); got != want {
+		t.Fatalf("found %s, want %s", got, want)
+	}
+	if text := part.Failures[0].Violations[0].Text; !strings.Contains(text, "scripted end") {
+		t.Errorf("how the process died is not told: %q", text)
+	}
+	shrunk, err := schedule.Parse(part.Failures[1].Shrunk)
+	if err != nil || len(shrunk.Events) != 1 || shrunk.Events[0].Kind != schedule.Worker {
+		t.Errorf("not shrunk to the worker (%v):\n%s", err, part.Failures[1].Shrunk)
+	}
+	if part.FoundAfter != 8 {
+		t.Errorf("found after %d schedules, want 8", part.FoundAfter)
+	}
+	if !strings.Contains(progress.String(), "seed 31: a worker") {
+		t.Errorf("no progress on the failure: %q", progress.String())
+	}
+}
+
+func TestScheduleThatDoesNotEndIsGivenUp(t *testing.T) {
+	parts, err := campaign.Play(context.Background(), campaign.Plan{Player: player(t), Shapes: []schedule.Shape{shape}, First: 60, Schedules: 6, Processes: 1,
+		Progress: &bytes.Buffer{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if part := parts[0]; part.Played != 6 || len(part.Failures) != 1 || part.Failures[0].Seed != seedEndless || part.Failures[0].Checks()[0] != campaign.CheckEndless {
+		t.Errorf("played %d, found %v", part.Played, part.Failures)
+	}
+}
+
+func TestCampaignStopsOnceAnAbsentGuardIsFound(t *testing.T) {
+	without := shape
+	without.Omit = []string{"guard"}
+	parts, err := campaign.Play(context.Background(), campaign.Plan{Player: player(t), Shapes: []schedule.Shape{without}, First: 100, Schedules: 100000, Processes: 2,
+		Progress: &bytes.Buffer{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if part := parts[0]; part.FoundAfter != 5 || len(part.Failures) != 1 || part.Played > 100 {
+		t.Errorf("found after %d schedules, %d failures, %d played", part.FoundAfter, len(part.Failures), part.Played)
+	}
+	result := campaign.Result{Parts: parts}
+	if result.Violations() != 0 || len(result.Missed()) != 0 {
+		t.Errorf("an absent guard counts as %d violations; missed %v", result.Violations(), result.Missed())
+	}
+}
+
+func TestScheduleOfAFileIsPlayed(t *testing.T) {
+	drawn := schedule.Draw(seedFails, shape)
+	part, err := campaign.PlayText(context.Background(), player(t), drawn.Format())
+	if err != nil || part.Played != 1 || len(part.Failures) != 1 {
+		t.Fatalf("played %d, %d failures, %v", part.Played, len(part.Failures), err)
+	}
+	if _, err := campaign.PlayText(context.Background(), player(t), "no schedule"); !errors.Is(err, schedule.ErrText) {
+		t.Errorf("a text that is no schedule: %v", err)
+	}
+}
+
+func TestProcessThatPlaysNothingIsToldWithItsOutput(t *testing.T) {
+	failing := campaign.Player{Binary: "/bin/false", Limit: time.Second}
+	err := failing.Play(context.Background(), campaign.Request{Shape: shape, Count: 3}, func(campaign.Line) { t.Error("a line of nobody") })
+	if !errors.Is(err, campaign.ErrPlayedNothing) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestResultNamesTheMissedGuards(t *testing.T) {
+	result := campaign.Result{Command: "measure simulate", Parts: []campaign.Part{
+		{Keepers: 3, Played: 100},
+		{Keepers: 3, Played: 100, Omit: []string{"vote-once"}},
+		{Keepers: 3, Played: 20, Omit: []string{"vote-log"}, FoundAfter: 12, Failures: []campaign.Failure{{Seed: 12, Violations: []campaign.Finding{{Check: "one-body", Text: "two"}}, Schedule: "schedule seed=12\n"}}},
+	}}
+	if missed := result.Missed(); len(missed) != 1 || missed[0] != "vote-once" {
+		t.Errorf("missed are %v", missed)
+	}
+	var text bytes.Buffer
+	result.WriteText(&text)
+	for _, want := range []string{"| 3 | vote-log | 20 | 1 | 12 |", "one-body: two", "schedule seed=12"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in\n%s", want, text.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlsim/campaign/result.go
@@ -0,0 +1,111 @@
+package campaign
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Result is a whole campaign.
+type Result struct {
+	Command string `json:"command"`
+	Build   string `json:"build"`
+	Load    string `json:"load"` // of the machine when it began
+	Parts   []Part `json:"parts"`
+}
+
+// Part is what the schedules of one shape showed.
+type Part struct {
+	Keepers    int       `json:"keepers"`
+	Tolerance  int       `json:"tolerance"`
+	Omit       []string  `json:"omit,omitempty"`
+	First      uint64    `json:"first"` // seed
+	Played     int       `json:"played"`
+	Seconds    float64   `json:"seconds"`
+	FoundAfter int       `json:"foundAfter,omitempty"` // schedules, counted by seed, up to the first with a violation
+	Counts     Counts    `json:"counts"`
+	Failures   []Failure `json:"failures,omitempty"`
+}
+
+// Failure is a schedule with violations.
+type Failure struct {
+	Seed       uint64    `json:"seed"`
+	Violations []Finding `json:"violations"`
+	Schedule   string    `json:"schedule"`
+	Shrunk     string    `json:"shrunk,omitempty"`
+}
+
+// Checks are the names of the checks that broke.
+func (f Failure) Checks() []string {
+	var names []string
+	for _, finding := range f.Violations {
+		names = append(names, finding.Check)
+	}
+	return names
+}
+
+// Violations counts the schedules with violations in the parts that leave no guard out.
+func (r Result) Violations() int {
+	count := 0
+	for _, part := range r.Parts {
+		if len(part.Omit) == 0 {
+			count += len(part.Failures)
+		}
+	}
+	return count
+}
+
+// Missed are the guards whose absence no schedule showed.
+func (r Result) Missed() []string {
+	var missed []string
+	for _, part := range r.Parts {
+		if len(part.Omit) > 0 && len(part.Failures) == 0 {
+			missed = append(missed, strings.Join(part.Omit, "+"))
+		}
+	}
+	return missed
+}
+
+// WriteJSON writes the result as JSON.
+func (r Result) WriteJSON(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// WriteText writes the result for people.
+func (r Result) WriteText(out io.Writer) {
+	fmt.Fprintf(out, "%s\nbuild %s, load at the start %s\n\n", r.Command, r.Build, r.Load)
+	fmt.Fprintln(out, "| keepers | left out | schedules | with violations | found after | seconds | operations | acknowledged | views | heartbeats | troubles |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, part := range r.Parts {
+		part.writeRow(out)
+	}
+	for _, part := range r.Parts {
+		for _, failure := range part.Failures {
+			failure.write(out)
+		}
+	}
+}
+
+func (p Part) writeRow(out io.Writer) {
+	after, omitted := "", strings.Join(p.Omit, ", ")
+	if p.FoundAfter > 0 {
+		after = fmt.Sprint(p.FoundAfter)
+	}
+	fmt.Fprintf(out, "| %d | %s | %d | %d | %s | %.0f | %d | %d | %d | %d | %d |\n", p.Keepers, omitted, p.Played, len(p.Failures), after, p.Seconds,
+		p.Counts.Operations, p.Counts.Acknowledged, p.Counts.Views, p.Counts.Beats, p.Counts.Struck)
+}
+
+func (f Failure) write(out io.Writer) {
+	fmt.Fprintf(out, "\nseed %d\n", f.Seed)
+	for _, finding := range f.Violations {
+		fmt.Fprintf(out, "  %s: %s\n", finding.Check, finding.Text)
+	}
+	text := f.Shrunk
+	if text == "" {
+		text = f.Schedule
+	}
+	fmt.Fprint(out, text)
+}
