Ask an address who lives there before a member gives way to another ID, and keep spares warm

Cause: the leader believed the last request to join from an address. One that a former member had sent and a cut held up removed the member that lives there now; and a silent voter gave way to a learner that merely said it was current. Change: a member gives way, and a candidate is taken in, only after its address has answered under the same ID over a call sent after the leader learnt of the members concerned; whoever lived there before them cannot answer it. The replaced ID is retired in the same change. A silent voter gives way only to a learner that answers and has acknowledged nearly all of the log as durable, by the leader's own account. The hand-over of a leaving voter is decided (successor-first) and not wired yet.

--- a/coord/agreement/members.go
+++ b/coord/agreement/members.go
@@ -10,11 +10,19 @@
 	index    uint64
 	members  []Member // those in force
 	recorded []Member // as in the log: with the marks of retired IDs
+	retired  []MemberID
 }
 
 func newMembership(index uint64, recorded []Member) membership {
-	members := slices.DeleteFunc(slices.Clone(recorded), func(member Member) bool { return member.Retired })
-	return membership{index: index, members: members, recorded: recorded}
+	made := membership{index: index, recorded: recorded}
+	for _, member := range recorded {
+		if member.Retired {
+			made.retired = append(made.retired, member.ID)
+		} else {
+			made.members = append(made.members, member)
+		}
+	}
+	return made
 }
 
 // Change adds, alters or removes one member.
--- a/coord/agreement/node.go
+++ b/coord/agreement/node.go
@@ -276,6 +276,7 @@
 		Term:      n.term,
 		Leader:    n.leader,
 		Members:   n.members(),
+		Retired:   n.memberships[len(n.memberships)-1].retired,
 		Commit:    n.commit,
 		Applied:   n.applied,
 		First:     n.log.first(),
--- a/coord/agreement/types.go
+++ b/coord/agreement/types.go
@@ -154,7 +154,8 @@
 	Role      Role
 	Term      uint64
 	Leader    MemberID // 0: unknown
-	Members   []Member // without retired ones
+	Members   []Member
+	Retired   []MemberID // IDs that were replaced and never come back
 	Commit    uint64
 	Applied   uint64
 	First     uint64 // first entry in the log
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -163,6 +163,23 @@
 	return g.call(ctx, changeEvent{change: change, done: done}, done, ErrUnknownOutcome)
 }
 
+// Promotable returns the learners that could be made voters now: they answer, and have acknowledged nearly all of the log
+// as durable. Only the leader knows; others return none.
+func (g *Group) Promotable() []agreement.MemberID {
+	var found []agreement.MemberID
+	err := g.Do(func() {
+		for _, member := range g.loop.node.Status().Members {
+			if !member.Voter && g.loop.node.MayPromote(member.ID) {
+				found = append(found, member.ID)
+			}
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	return found
+}
+
 // Transfer hands leadership to the most current other voter and returns once this replica leads no
 // more. Errors: ErrNotLeader, ErrTransferFailed, ErrClosed, agreement.ErrTransferring,
 // agreement.ErrNoSuccessor and the context's.
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -20,6 +20,7 @@
 	Persisted(now time.Duration, sequence uint64)
 	SnapshotAt(index uint64, data []byte) (agreement.Snapshot, bool)
 	Compact(index uint64, members []agreement.Member, data []byte)
+	MayPromote(id agreement.MemberID) bool
 	Status() agreement.Status
 }
 
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -72,6 +72,7 @@
 	Term         uint64
 	Leader       agreement.Member // ID 0: unknown
 	Members      []agreement.Member
+	Retired      []agreement.MemberID // IDs that were replaced and never come back
 	Applied      uint64
 	Commit       uint64
 	ConfirmedAge time.Duration // since agreement.Status.Confirmed
--- a/coord/replica/scripted_test.go
+++ b/coord/replica/scripted_test.go
@@ -35,6 +35,7 @@
 	return n.status.Term, n.status.Last, n.refusal
 }
 
+func (n *scriptedNode) MayPromote(agreement.MemberID) bool                  { return false }
 func (n *scriptedNode) ChangeMembers(time.Duration, agreement.Change) error { return n.refusal }
 
 func (n *scriptedNode) Read(_ time.Duration, id uint64) error {
--- a/coord/replica/status.go
+++ b/coord/replica/status.go
@@ -41,6 +41,7 @@
 		Term:      l.status.Term,
 		Leader:    l.leader(),
 		Members:   slices.Clone(l.status.Members),
+		Retired:   slices.Clone(l.status.Retired),
 		Applied:   l.applied,
 		Commit:    l.status.Commit,
 		Writable:  l.disk.writable,
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/hamba/avro/v2"
 
+	"ospreybend/coord/agreement"
 	"ospreybend/coord/shards"
 	"ospreybend/internal/feedlink"
 	"ospreybend/internal/peerlink"
@@ -20,9 +22,10 @@
 	callBeat       peerlink.CallKind = 4 // a worker's heartbeat
 	callNodes      peerlink.CallKind = 5 // heartbeats of edge nodes
 	callDeregister peerlink.CallKind = 6
-	callJoin       peerlink.CallKind = 7 // a keeper asks to be taken into groups
-	callCurrency   peerlink.CallKind = 8 // which shards a keeper could own
-	callPresences  peerlink.CallKind = 9 // instances whose heartbeats another keeper has acknowledged
+	callJoin       peerlink.CallKind = 7  // a keeper asks to be taken into groups
+	callCurrency   peerlink.CallKind = 8  // which shards a keeper could own
+	callPresences  peerlink.CallKind = 9  // instances whose heartbeats another keeper has acknowledged
+	callIdentity   peerlink.CallKind = 10 // which member lives at this address
 )
 
 // call is what the owner of a shard is asked.
@@ -66,6 +69,13 @@
 	Writable bool
 }
 
+// identityReply tells which member lives at an address.
+type identityReply struct {
+	ID      agreement.MemberID
+	Age     time.Duration // since its process began
+	Leaving bool          // it is about to end
+}
+
 // keeperInfo tells where a keeper is.
 type keeperInfo struct {
 	Address string // "ip:port" of the peer listener
@@ -105,6 +115,11 @@
 		{"name":"Current","type":"boolean"},
 		{"name":"Writable","type":"boolean"}]}}`)
 
+	identitySchema = avro.MustParse(`{"type":"record","name":"Identity","fields":[
+		{"name":"Member","type":"long"},
+		{"name":"AgeMs","type":"long"},
+		{"name":"Leaving","type":"boolean"}]}`)
+
 	keepersSchema = avro.MustParse(`{"type":"array","items":{"type":"record","name":"Keeper","fields":[
 		{"name":"Address","type":"string"},
 		{"name":"Zone","type":"string"},
@@ -142,6 +157,28 @@
 	}, nil
 }
 
+// wireIdentity mirrors identitySchema.
+type wireIdentity struct {
+	Member, AgeMs int64
+	Leaving       bool
+}
+
+func encodeIdentity(told identityReply) ([]byte, error) {
+	return codec.Marshal(identitySchema, wireIdentity{
+		Member: int64(told.ID), AgeMs: told.Age.Milliseconds(), Leaving: told.Leaving,
+	})
+}
+
+func decodeIdentity(body []byte) (identityReply, error) {
+	var wire wireIdentity
+	if err := strictavro.Unmarshal(codec, identitySchema, body, &wire); err != nil {
+		return identityReply{}, fmt.Errorf("keeper: identity: %w", err)
+	}
+	return identityReply{
+		ID: agreement.MemberID(wire.Member), Age: time.Duration(wire.AgeMs) * time.Millisecond, Leaving: wire.Leaving,
+	}, nil
+}
+
 func encodeAnswer(a answer) ([]byte, error) { return codec.Marshal(answerSchema, a) }
 
 func decodeAnswer(body []byte) (answer, error) {
--- a/internal/keeper/guards.go
+++ b/internal/keeper/guards.go
@@ -15,6 +15,10 @@
 	GuardFoundingOnce     Guard = "founding-once"     // only a seed at the system's first start founds groups
 	GuardOrphans          Guard = "orphans"           // replicas without a readable member ID are removed
 	GuardMemberAddressed  Guard = "member-addressed"  // messages for an earlier member with this address are dropped
+	GuardIdentityAsked    Guard = "identity-asked"    // a request to join counts once its address has told the same member ID
+	GuardReplacedRetired  Guard = "replaced-retired"  // the ID of a member whose disk was lost never comes back
+	GuardPromotedDurable  Guard = "promoted-durable"  // a voter gives way to a learner that has acknowledged nearly all as durable
+	GuardSuccessorFirst   Guard = "successor-first"   // a leaving voter goes once its successor is a voter
 )
 
 // Guards returns all guards that can be left out.
@@ -22,5 +26,6 @@
 	return []Guard{
 		GuardReadConfirmed, GuardFeedCurrent, GuardBeatCurrent, GuardBeatRecorded, GuardOwnershipBarrier,
 		GuardOwnershipTerm, GuardFoundingOnce, GuardOrphans, GuardMemberAddressed,
+		GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorFirst,
 	}
 }
--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
 	"ospreybend/coord/shards"
@@ -12,41 +14,6 @@
 	"ospreybend/internal/strictavro"
 )
 
-// candidates are the keepers that asked lately to be taken into groups.
-type candidates struct {
-	mutex sync.Mutex
-	asked [shards.Count]map[string]asking // by address
-}
-
-type asking struct {
-	candidate candidate
-	at        time.Time
-}
-
-func (c *candidates) note(shard shards.ID, one candidate, now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.asked[shard] == nil {
-		c.asked[shard] = make(map[string]asking)
-	}
-	c.asked[shard][one.Address] = asking{candidate: one, at: now}
-}
-
-// fresh returns those who asked not long ago and forgets the others.
-func (c *candidates) fresh(shard shards.ID, now time.Time) []candidate {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var found []candidate
-	for address, one := range c.asked[shard] {
-		if now.Sub(one.at) > candidateFresh {
-			delete(c.asked[shard], address)
-			continue
-		}
-		found = append(found, one.candidate)
-	}
-	return found
-}
-
 // join asks the other keepers to be taken into the groups that this keeper is no voter of, or
 // whose leader it has not heard for some time, until ctx ends.
 func (k *Keeper) join(ctx context.Context) {
@@ -59,7 +26,7 @@
 			return
 		case <-timer.C:
 		}
-		if !k.needsGroups(k.outside.Now().Sub(started)) {
+		if k.leaving.Load() || !k.needsGroups(k.outside.Now().Sub(started)) {
 			asked = 0
 			timer.Reset(joinIdleInterval)
 			continue
@@ -117,7 +84,8 @@
 	for _, shard := range k.shards {
 		status := shard.group.Status()
 		states = append(states, groupState{
-			Shard: int(shard.id), Voter: isVoter(status, k.self.ID), Current: current(status), Writable: status.Writable,
+			Shard: int(shard.id), Voter: isVoter(status, k.self.ID), Current: current(status),
+			Writable: status.Writable && !k.leaving.Load(),
 		})
 	}
 	return states
@@ -149,7 +117,7 @@
 		if !shard.group.Status().IsLeader() {
 			continue
 		}
-		k.candidates.note(shard.id, candidate{ID: peer.Member, Address: peer.Address, Current: state.Current}, now)
+		k.candidates.note(shard.id, candidate{ID: peer.Member, Address: peer.Address}, now)
 		k.startReconcile(shard)
 	}
 	return codec.Marshal(keepersSchema, k.directory.serving())
@@ -184,16 +152,47 @@
 		if !status.IsLeader() {
 			return
 		}
-		change, found := nextChange(k.situation(shard, status))
+		next, found := nextStep(k.situation(shard, status))
 		if !found {
 			return
 		}
-		if !k.changeMembers(shard, change) {
+		if !k.confirm(next.Confirm) {
+			k.candidates.forget(shard.id, next.Confirm)
+			continue
+		}
+		if !k.changeMembers(shard, next.Change) {
 			return
 		}
 	}
 }
 
+// confirm asks a candidate's address which member lives there now, and tells whether that is the candidate. The question
+// is sent after this leader has learnt of the members that the step concerns, so whoever answers lives later than they
+// did when they were taken in: a former member whose request was held up cannot answer it.
+func (k *Keeper) confirm(asking candidate) bool {
+	if asking.ID == 0 {
+		return true
+	}
+	told, err := k.askIdentity(k.workContext, asking.Address)
+	if err == nil && told.ID == asking.ID && !told.Leaving {
+		return true
+	}
+	k.log.Info("a request to join does not hold", zap.String("address", asking.Address),
+		zap.Uint64("asked", uint64(asking.ID)), zap.Uint64("lives there", uint64(told.ID)), zap.Error(err))
+	return false
+}
+
+// askIdentity asks an address which member lives there now.
+func (k *Keeper) askIdentity(ctx context.Context, address string) (identityReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinInterval)
+	defer cancel()
+	reply, err := k.network.Call(ctx, address, callIdentity, nil)
+	if err != nil {
+		return identityReply{}, err
+	}
+	return decodeIdentity(reply)
+}
+
 func (k *Keeper) changeMembers(shard *shard, change replica.Change) bool {
 	ctx, cancel := context.WithTimeout(k.workContext, changeBudget)
 	defer cancel()
@@ -204,27 +203,42 @@
 
 func (k *Keeper) situation(shard *shard, status replica.Status) situation {
 	now := k.outside.Now()
+	made := situation{
+		Self: k.self.ID, Members: status.Members, Retired: status.Retired,
+		Wanted: k.wantedVoters(), Spares: max(leastSpares, k.toleratedLosses()),
+		Candidates: k.candidates.fresh(shard.id, now), Silent: k.silences(shard, status.Members, now),
+		Omit: k.outside.Omit,
+	}
+	if made.voters() < len(made.Members) {
+		made.Promotable = shard.group.Promotable()
+	}
+	return made
+}
+
+// silences returns how long nothing was heard of each member's address, at most since this keeper leads.
+func (k *Keeper) silences(shard *shard, members []agreement.Member, now time.Time) map[agreement.MemberID]time.Duration {
 	k.mutex.Lock()
 	ledSince := shard.ledSince
 	k.mutex.Unlock()
-	silent := make(map[agreement.MemberID]time.Duration, len(status.Members))
-	for _, member := range status.Members {
+	silent := make(map[agreement.MemberID]time.Duration, len(members))
+	for _, member := range members {
 		heard := k.network.LastHeard(member.Address)
 		if heard.Before(ledSince) {
 			heard = ledSince
 		}
 		silent[member.ID] = now.Sub(heard)
 	}
-	return situation{
-		Self: k.self.ID, Members: status.Members, Wanted: k.wantedVoters(),
-		Candidates: k.candidates.fresh(shard.id, now), Silent: silent,
-	}
+	return silent
 }
 
 // wantedVoters is the number of voters that bears the losses of the settings, and no less than the
 // groups are founded with.
 func (k *Keeper) wantedVoters() int {
+	return max(2*k.toleratedLosses()+1, len(k.settings.Seeds))
+}
+
+// toleratedLosses is how many voters may be lost at once by the settings.
+func (k *Keeper) toleratedLosses() int {
 	tolerated := k.settings.FaultTolerance
-	lost := max(tolerated.Machines, tolerated.Zones, tolerated.Regions)
-	return max(2*lost+1, len(k.settings.Seeds))
+	return max(tolerated.Machines, tolerated.Zones, tolerated.Regions)
 }
--- /dev/null
+++ b/internal/keeper/join_test.go
@@ -0,0 +1,154 @@
+package keeper
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/peerlink"
+)
+
+// changingGroup is a group that this keeper leads and that makes each change of members at once.
+type changingGroup struct {
+	scriptedGroup
+	promotable []agreement.MemberID
+	changes    chan replica.Change
+}
+
+func newChangingGroup(members ...agreement.Member) *changingGroup {
+	group := &changingGroup{changes: make(chan replica.Change, 20)}
+	group.status = replica.Status{Role: agreement.RoleLeader, Term: 3, Members: members}
+	return group
+}
+
+func (g *changingGroup) Promotable() []agreement.MemberID { return g.promotable }
+
+func (g *changingGroup) ChangeMembers(_ context.Context, change replica.Change) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	w := &world{members: g.status.Members}
+	w.apply(change)
+	g.status.Members = w.members
+	if change.Retire {
+		g.status.Retired = append(g.status.Retired, change.Remove)
+	}
+	g.changes <- change
+	return nil
+}
+
+// livingNetwork answers which member lives at an address.
+type livingNetwork struct {
+	scriptedNetwork
+	living map[string]identityReply
+}
+
+func (n *livingNetwork) LastHeard(string) time.Time { return time.Now() }
+
+func (n *livingNetwork) Call(ctx context.Context, address string, kind peerlink.CallKind, body []byte) ([]byte, error) {
+	if kind != callIdentity {
+		return n.scriptedNetwork.Call(ctx, address, kind, body)
+	}
+	told, lives := n.living[address]
+	if !lives {
+		return nil, peerlink.ErrNotSent
+	}
+	return encodeIdentity(told)
+}
+
+// request plays a request to join one shard's group.
+func request(t *testing.T, k *Keeper, shard shards.ID, id agreement.MemberID, address string) {
+	t.Helper()
+	body, err := codec.Marshal(groupsSchema, []groupState{{Shard: int(shard), Current: true, Writable: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := k.takeJoin(peerlink.Hello{Address: address, Member: id}, body); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// calm waits until no change of members is under way.
+func calm(t *testing.T, k *Keeper, shard *shard) {
+	t.Helper()
+	k.background.Wait()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if shard.reconciling {
+		t.Fatal("still reconciling")
+	}
+}
+
+func TestLateRequestOfAFormerMemberRemovesNobody(t *testing.T) {
+	const id, former, living = shards.ID(1), agreement.MemberID(30), agreement.MemberID(31)
+	for _, omit := range [][]Guard{nil, {GuardIdentityAsked}} {
+		k, _, _ := scripted(t)
+		k.outside.Omit = omit
+		k.network = &livingNetwork{living: map[string]identityReply{"k3": {ID: living}}}
+		group := newChangingGroup(voter(1), voter(2), agreement.Member{ID: living, Address: "k3", Voter: true})
+		k.shards[id].group = group
+		request(t, k, id, former, "k3")
+		calm(t, k, k.shards[id])
+		removed := len(group.changes) > 0
+		if removed != (omit != nil) {
+			t.Fatalf("without %v: the living member is removed: %v", omit, removed)
+		}
+		if _, found := nextStep(k.situation(k.shards[id], group.Status())); found && omit == nil {
+			t.Fatal("the late request is still believed")
+		}
+	}
+}
+
+func TestMemberThatLostItsDiskIsReplacedAndRetired(t *testing.T) {
+	const id, former, living = shards.ID(1), agreement.MemberID(3), agreement.MemberID(31)
+	k, _, _ := scripted(t)
+	k.network = &livingNetwork{living: map[string]identityReply{"k3": {ID: living}}}
+	group := newChangingGroup(voter(1), voter(2), voter(former))
+	k.shards[id].group = group
+	request(t, k, id, living, "k3")
+	calm(t, k, k.shards[id])
+	for _, want := range []replica.Change{{Remove: former, Retire: true}, {Add: &agreement.Member{ID: living, Address: "k3"}}} {
+		if got := <-group.changes; !sameChange(got, want) {
+			t.Fatalf("got %s, want %s", changeText(got), changeText(want))
+		}
+	}
+	request(t, k, id, former, "k3") // late
+	calm(t, k, k.shards[id])
+	if len(group.changes) > 0 {
+		t.Fatalf("a retired member came back: %s", changeText(<-group.changes))
+	}
+}
+
+func TestKeeperThatIsAboutToEndIsNotTakenIn(t *testing.T) {
+	const id = shards.ID(1)
+	k, _, _ := scripted(t)
+	network := &livingNetwork{living: map[string]identityReply{"k3": {ID: 3, Leaving: true}}}
+	k.network = network
+	group := newChangingGroup(voter(1), voter(2))
+	k.shards[id].group = group
+	request(t, k, id, 3, "k3")
+	calm(t, k, k.shards[id])
+	if len(group.changes) > 0 {
+		t.Fatalf("it is taken in: %s", changeText(<-group.changes))
+	}
+	network.living["k3"] = identityReply{ID: 3}
+	request(t, k, id, 3, "k3")
+	calm(t, k, k.shards[id])
+	if got := <-group.changes; got.Add == nil || got.Add.ID != 3 || got.Add.Voter {
+		t.Fatalf("got %s", changeText(got))
+	}
+}
+
+func TestKeeperTellsWhoItIs(t *testing.T) {
+	k, _, _ := scripted(t)
+	body, err := k.Call(t.Context(), peerlink.Hello{Address: "k2", Member: 2}, callIdentity, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := decodeIdentity(body)
+	if err != nil || told.ID != k.self.ID || told.Leaving || told.Age < 0 {
+		t.Fatalf("%+v, %v", told, err)
+	}
+}
--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -35,7 +35,7 @@
 	}
 	now := k.outside.Now()
 	k.startExpiry(shard, shard.machine.expired(now))
-	if _, found := nextChange(k.situation(shard, status)); found {
+	if _, found := nextStep(k.situation(shard, status)); found {
 		k.startReconcile(shard)
 	}
 	k.spreadShard(ctx, shard, status, now)
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -1,107 +1,153 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
 )
 
-// candidate is a keeper that asks to be taken into a group.
-type candidate struct {
-	ID      agreement.MemberID
-	Address string
-	Current bool // it says that it holds what the leader had committed
-}
-
 // situation is what the leader of a group knows when it decides on the next change of members.
 type situation struct {
 	Self       agreement.MemberID
 	Members    []agreement.Member
+	Retired    []agreement.MemberID                 // IDs that were replaced: they never come back
 	Wanted     int                                  // voters that the group should have
+	Spares     int                                  // learners that it keeps besides, for the voters that will be lost
 	Candidates []candidate                          // those who asked lately, at most one for each address
+	Promotable []agreement.MemberID                 // learners that answer and have acknowledged nearly all of the log as durable
 	Silent     map[agreement.MemberID]time.Duration // how long nothing was heard of a member's address
+	Leaving    []agreement.MemberID                 // members that said that they are about to end
+	Successors []agreement.MemberID                 // learners whose process began lately: started to take a leaving voter's place
+
+	Omit []Guard // guards left out, by tests alone
+}
+
+// step is one change of members and what it rests on.
+type step struct {
+	Change replica.Change
+	// Confirm is the keeper that must live at its address under its ID, or the change must not be made. ID 0: nobody.
+	Confirm candidate
 }
 
-// nextChange returns the next change that brings a group's members nearer to what is wanted, or
-// false if there is none. Changes are of one member:
+// nextStep returns the next change that brings a group's members nearer to what is wanted, or false if there is none.
+// Changes are of one member:
 //
-//  1. a member whose address now belongs to another member ID has lost its disk: it is removed, which
-//     never makes a majority harder to reach;
-//  2. a learner that is current becomes a voter if a place is free; otherwise the voter that is
-//     silent longest makes room for it, if that is long enough;
-//  3. a candidate becomes a learner, one for each place that is free or held by a silent voter;
-//  4. a voter beyond the wanted number goes if it is silent for long, and a learner that no
-//     longer asks.
-func nextChange(s situation) (replica.Change, bool) {
-	for _, rule := range []func(situation) (replica.Change, bool){
-		removeSuperseded, promoteLearner, addLearner, removeSurplus, removeLostLearner,
+//  1. a member whose address now belongs to another member ID has lost its disk: it is removed, which never makes a
+//     majority harder to reach, and its ID is retired;
+//  2. with more voters than wanted, one that is leaving becomes a learner, else one that is silent goes;
+//  3. a learner that is known to hold nearly all becomes a voter if a place is free; else the voter that is silent
+//     longest makes room for it, if that is long enough; else it becomes a voter beyond the wanted number if a voter is
+//     leaving whose successor it is, so that rule 2 can let that one go;
+//  4. a candidate becomes a learner: one for each place that is free or held by a silent voter, and some spares, so that
+//     taking a lost voter's place is one change and no transfer of the state;
+//  5. a learner that no longer asks and is silent for long goes.
+func nextStep(s situation) (step, bool) {
+	s.Candidates = s.admissible()
+	for _, rule := range []func(situation) (step, bool){
+		removeSuperseded, releaseSurplus, promoteLearner, addLearner, removeLostLearner,
 	} {
-		if change, found := rule(s); found {
-			return change, true
+		if next, found := rule(s); found {
+			return next, true
 		}
 	}
-	return replica.Change{}, false
+	return step{}, false
 }
 
-func removeSuperseded(s situation) (replica.Change, bool) {
+func removeSuperseded(s situation) (step, bool) {
 	for _, asking := range s.Candidates {
 		for _, member := range s.Members {
 			if member.Address == asking.Address && member.ID != asking.ID && member.ID != s.Self {
-				return replica.Change{Remove: member.ID}, true
+				retire := s.holds(GuardReplacedRetired)
+				return s.confirmed(replica.Change{Remove: member.ID, Retire: retire}, asking), true
 			}
 		}
 	}
-	return replica.Change{}, false
+	return step{}, false
 }
 
-func promoteLearner(s situation) (replica.Change, bool) {
-	for _, asking := range s.Candidates {
-		member, found := s.member(asking.ID)
-		if !found || member.Voter || !asking.Current {
+func releaseSurplus(s situation) (step, bool) {
+	if s.voters() <= s.Wanted && s.holds(GuardSuccessorFirst) {
+		return step{}, false
+	}
+	if leaving, found := s.leavingVoter(); found {
+		leaving.Voter = false
+		return step{Change: replica.Change{Add: &leaving}}, true
+	}
+	gone, found := s.longestSilent(goneAfter)
+	return step{Change: replica.Change{Remove: gone}}, found && s.voters() > s.Wanted
+}
+
+func promoteLearner(s situation) (step, bool) {
+	for _, learner := range s.Members {
+		if learner.Voter || slices.Contains(s.Leaving, learner.ID) || !s.mayPromote(learner.ID) {
 			continue
 		}
+		promoted := learner
+		promoted.Voter = true
 		if s.voters() < s.Wanted {
-			member.Voter = true
-			return replica.Change{Add: &member}, true
+			return step{Change: replica.Change{Add: &promoted}}, true
 		}
 		if gone, found := s.longestSilent(goneAfter); found {
-			return replica.Change{Remove: gone}, true
+			return step{Change: replica.Change{Remove: gone}}, true
+		}
+		if _, found := s.leavingVoter(); found && s.voters() == s.Wanted && slices.Contains(s.Successors, learner.ID) {
+			return step{Change: replica.Change{Add: &promoted}}, true
 		}
 	}
-	return replica.Change{}, false
+	return step{}, false
 }
 
-func addLearner(s situation) (replica.Change, bool) {
-	places := s.Wanted - s.voters() + s.silentVoters(goneAfter)
-	if places <= len(s.Members)-s.voters() {
-		return replica.Change{}, false
+// mayPromote tells whether a learner is known to hold what makes it a sound voter. Without the guard its own request to
+// join is believed.
+func (s situation) mayPromote(id agreement.MemberID) bool {
+	return slices.Contains(s.Promotable, id) || (!s.holds(GuardPromotedDurable) && s.asks(id))
+}
+
+func addLearner(s situation) (step, bool) {
+	places := max(0, s.Wanted-s.voters()+s.silentVoters(goneAfter))
+	if s.learners(goneAfter) >= places+s.Spares {
+		return step{}, false
 	}
 	for _, asking := range s.Candidates {
 		if _, found := s.member(asking.ID); !found {
-			return replica.Change{Add: &agreement.Member{ID: asking.ID, Address: asking.Address}}, true
+			return s.confirmed(replica.Change{Add: &agreement.Member{ID: asking.ID, Address: asking.Address}}, asking), true
 		}
 	}
-	return replica.Change{}, false
+	return step{}, false
 }
 
-func removeSurplus(s situation) (replica.Change, bool) {
-	if s.voters() <= s.Wanted {
-		return replica.Change{}, false
+func removeLostLearner(s situation) (step, bool) {
+	for _, member := range s.Members {
+		if !member.Voter && !s.asks(member.ID) && s.Silent[member.ID] >= lostLearnerAfter {
+			return step{Change: replica.Change{Remove: member.ID}}, true
+		}
 	}
-	gone, found := s.longestSilent(surplusGoneAfter)
-	return replica.Change{Remove: gone}, found
+	return step{}, false
 }
 
-func removeLostLearner(s situation) (replica.Change, bool) {
-	for _, member := range s.Members {
-		if !member.Voter && !s.asks(member.ID) && s.Silent[member.ID] >= surplusGoneAfter {
-			return replica.Change{Remove: member.ID}, true
+// admissible returns the candidates whose IDs were not replaced.
+func (s situation) admissible() []candidate {
+	var kept []candidate
+	for _, asking := range s.Candidates {
+		if !slices.Contains(s.Retired, asking.ID) {
+			kept = append(kept, asking)
 		}
 	}
-	return replica.Change{}, false
+	return kept
+}
+
+// confirmed is a change that is made only if the candidate lives.
+func (s situation) confirmed(change replica.Change, asking candidate) step {
+	if !s.holds(GuardIdentityAsked) {
+		return step{Change: change}
+	}
+	return step{Change: change, Confirm: asking}
 }
 
+func (s situation) holds(guard Guard) bool { return !slices.Contains(s.Omit, guard) }
+
 func (s situation) member(id agreement.MemberID) (agreement.Member, bool) {
 	for _, member := range s.Members {
 		if member.ID == id {
@@ -130,6 +176,27 @@
 	return count
 }
 
+// learners counts the learners that are not silent for a time.
+func (s situation) learners(silence time.Duration) int {
+	count := 0
+	for _, member := range s.Members {
+		if !member.Voter && s.Silent[member.ID] < silence {
+			count++
+		}
+	}
+	return count
+}
+
+// leavingVoter returns a voter, the leader apart, that is about to end.
+func (s situation) leavingVoter() (agreement.Member, bool) {
+	for _, member := range s.Members {
+		if member.Voter && member.ID != s.Self && slices.Contains(s.Leaving, member.ID) {
+			return member, true
+		}
+	}
+	return agreement.Member{}, false
+}
+
 // silentVoters counts the voters, the leader apart, that are silent for at least a time.
 func (s situation) silentVoters(atLeast time.Duration) int {
 	count := 0
--- a/internal/keeper/reconcile_test.go
+++ b/internal/keeper/reconcile_test.go
@@ -23,84 +23,105 @@
 	return member
 }
 
-func asks(id agreement.MemberID, current bool) candidate {
-	return candidate{ID: id, Address: fmt.Sprintf("k%d", id), Current: current}
+func asks(id agreement.MemberID) candidate {
+	return candidate{ID: id, Address: fmt.Sprintf("k%d", id)}
 }
 
-func TestNextChange(t *testing.T) {
+// ids is a list of member IDs.
+func ids(listed ...agreement.MemberID) []agreement.MemberID { return listed }
+
+func TestNextStep(t *testing.T) {
 	added := func(member agreement.Member) replica.Change { return replica.Change{Add: &member} }
-	renewed := func(id agreement.MemberID, address string, current bool) candidate {
-		return candidate{ID: id, Address: address, Current: current}
+	renewed := candidate{ID: 9, Address: "k3"}
+	silence := func(id agreement.MemberID, span time.Duration) map[agreement.MemberID]time.Duration {
+		return map[agreement.MemberID]time.Duration{id: span}
 	}
+	three := []agreement.Member{voter(1), voter(2), voter(3)}
+	threeAndOne := append(three[:3:3], learner(4))
+	four := append(three[:3:3], voter(4))
 	cases := []struct {
-		name  string
-		given situation
-		want  replica.Change // zero: none
+		name    string
+		given   situation
+		want    replica.Change // zero: none
+		confirm agreement.MemberID
 	}{
-		{"nothing asked", situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3}, replica.Change{}},
-		{"a free place: learner first",
-			situation{Members: []agreement.Member{voter(1), voter(2)}, Wanted: 3, Candidates: []candidate{asks(3, true)}},
-			added(learner(3))},
-		{"a learner that is behind stays one",
-			situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3, Candidates: []candidate{asks(3, false)}},
-			replica.Change{}},
-		{"a current learner becomes a voter",
-			situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3, Candidates: []candidate{asks(3, true)}},
-			added(voter(3))},
-		{"a wiped disk: the old member goes first",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3,
-				Candidates: []candidate{renewed(9, "k3", false)}},
-			replica.Change{Remove: 3}},
-		{"the leader is not removed for one that claims its address",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3,
-				Candidates: []candidate{renewed(9, "k1", false)}},
-			replica.Change{}},
-		{"a voter that asks because it was cut off changes nothing",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3, Candidates: []candidate{asks(3, false)}},
-			replica.Change{}},
-		{"no place: a stand-by stays out",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3, Candidates: []candidate{asks(4, false)}},
-			replica.Change{}},
-		{"a voter is silent: the stand-by becomes a learner",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3, Candidates: []candidate{asks(4, false)},
-				Silent: map[agreement.MemberID]time.Duration{3: goneAfter}},
-			added(learner(4))},
-		{"and once it is current the silent voter makes room",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3), learner(4)}, Wanted: 3,
-				Candidates: []candidate{asks(4, true)}, Silent: map[agreement.MemberID]time.Duration{2: goneAfter, 3: 2 * goneAfter}},
-			replica.Change{Remove: 3}},
-		{"not silent for long enough",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3)}, Wanted: 3, Candidates: []candidate{asks(4, false)},
-				Silent: map[agreement.MemberID]time.Duration{3: goneAfter - 1}},
-			replica.Change{}},
-		{"one learner for each place",
-			situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3,
-				Candidates: []candidate{asks(3, false), asks(4, false)}},
-			replica.Change{}},
-		{"a surplus voter goes when it is gone for long",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3), voter(4)}, Wanted: 3,
-				Silent: map[agreement.MemberID]time.Duration{4: surplusGoneAfter}},
-			replica.Change{Remove: 4}},
-		{"a surplus voter that is there stays",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3), voter(4)}, Wanted: 3}, replica.Change{}},
-		{"a learner that asks no more goes",
-			situation{Members: []agreement.Member{voter(1), voter(2), voter(3), learner(4)}, Wanted: 3,
-				Silent: map[agreement.MemberID]time.Duration{4: surplusGoneAfter}},
-			replica.Change{Remove: 4}},
+		{name: "nothing asked", given: situation{Members: three, Wanted: 3, Spares: 2}},
+		{name: "a free place: learner first, if it lives",
+			given: situation{Members: three[:2], Wanted: 3, Candidates: []candidate{asks(3)}},
+			want:  added(learner(3)), confirm: 3},
+		{name: "a learner that is behind stays one",
+			given: situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3, Candidates: []candidate{asks(3)}}},
+		{name: "a learner that holds nearly all becomes a voter",
+			given: situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3, Promotable: ids(3)},
+			want:  added(voter(3))},
+		{name: "a wiped disk: the old member goes first, for good, if the new one lives",
+			given: situation{Members: three, Wanted: 3, Candidates: []candidate{renewed}},
+			want:  replica.Change{Remove: 3, Retire: true}, confirm: 9},
+		{name: "a replaced member that asks changes nothing",
+			given: situation{Members: []agreement.Member{voter(1), voter(2), {ID: 9, Address: "k3", Voter: true}}, Wanted: 3, Spares: 2,
+				Retired: ids(3), Candidates: []candidate{asks(3)}}},
+		{name: "the leader is not removed for one that claims its address",
+			given: situation{Members: three, Wanted: 3, Candidates: []candidate{{ID: 9, Address: "k1"}}}},
+		{name: "a voter that asks because it was cut off changes nothing",
+			given: situation{Members: three, Wanted: 3, Spares: 2, Candidates: []candidate{asks(3)}}},
+		{name: "no place and no spare wanted: a stand-by stays out",
+			given: situation{Members: three, Wanted: 3, Candidates: []candidate{asks(4)}}},
+		{name: "no place: a stand-by becomes a learner",
+			given: situation{Members: three, Wanted: 3, Spares: 1, Candidates: []candidate{asks(4)}},
+			want:  added(learner(4)), confirm: 4},
+		{name: "no more stand-bys than wanted",
+			given: situation{Members: threeAndOne, Wanted: 3, Spares: 1, Candidates: []candidate{asks(4), asks(5)}}},
+		{name: "a stand-by that is silent leaves its place to another",
+			given: situation{Members: threeAndOne, Wanted: 3, Spares: 1, Candidates: []candidate{asks(5)}, Silent: silence(4, goneAfter)},
+			want:  added(learner(5)), confirm: 5},
+		{name: "a voter is silent: a further stand-by becomes a learner",
+			given: situation{Members: three, Wanted: 3, Candidates: []candidate{asks(4)}, Silent: silence(3, goneAfter)},
+			want:  added(learner(4)), confirm: 4},
+		{name: "a silent voter makes room for a learner that holds nearly all",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4),
+				Silent: map[agreement.MemberID]time.Duration{2: goneAfter, 3: 2 * goneAfter}},
+			want: replica.Change{Remove: 3}},
+		{name: "but not for one that only asks",
+			given: situation{Members: threeAndOne, Wanted: 3, Candidates: []candidate{asks(4)}, Silent: silence(3, goneAfter)}},
+		{name: "not silent for long enough",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4), Silent: silence(3, goneAfter-1)}},
+		{name: "one learner for each place",
+			given: situation{Members: []agreement.Member{voter(1), voter(2), learner(3)}, Wanted: 3, Candidates: []candidate{asks(3), asks(4)}}},
+		{name: "a surplus voter goes when it is silent",
+			given: situation{Members: four, Wanted: 3, Silent: silence(4, goneAfter)},
+			want:  replica.Change{Remove: 4}},
+		{name: "a surplus voter that is there stays",
+			given: situation{Members: four, Wanted: 3}},
+		{name: "a learner that asks no more goes",
+			given: situation{Members: threeAndOne, Wanted: 3, Silent: silence(4, lostLearnerAfter)},
+			want:  replica.Change{Remove: 4}},
+		{name: "a leaving voter's successor becomes a voter first",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4), Leaving: ids(3), Successors: ids(4)},
+			want:  added(voter(4))},
+		{name: "then the leaving voter becomes a learner",
+			given: situation{Members: four, Wanted: 3, Leaving: ids(3), Successors: ids(4)},
+			want:  added(learner(3))},
+		{name: "a stand-by that was there before is no successor: the voter may be back soon",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4), Leaving: ids(3)}},
+		{name: "a learner that is leaving itself is no successor",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4), Leaving: ids(3, 4), Successors: ids(4)}},
+		{name: "the leader does not give its own place away",
+			given: situation{Members: threeAndOne, Wanted: 3, Promotable: ids(4), Leaving: ids(1), Successors: ids(4)}},
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
 			one.given.Self = 1
-			got, found := nextChange(one.given)
-			if found != (one.want != replica.Change{}) || !sameChange(got, one.want) {
-				t.Fatalf("got %s, want %s", changeText(got), changeText(one.want))
+			got, found := nextStep(one.given)
+			if found != (one.want != replica.Change{}) || !sameChange(got.Change, one.want) || got.Confirm.ID != one.confirm {
+				t.Fatalf("got %s confirmed by %d, want %s by %d",
+					changeText(got.Change), got.Confirm.ID, changeText(one.want), one.confirm)
 			}
 		})
 	}
 }
 
 func sameChange(a, b replica.Change) bool {
-	if (a.Add == nil) != (b.Add == nil) || a.Remove != b.Remove {
+	if (a.Add == nil) != (b.Add == nil) || a.Remove != b.Remove || a.Retire != b.Retire {
 		return false
 	}
 	return a.Add == nil || *a.Add == *b.Add
@@ -121,16 +142,19 @@
 }
 
 func (w *world) situation() situation {
-	s := situation{Self: 1, Members: w.members, Wanted: w.wanted, Silent: map[agreement.MemberID]time.Duration{}}
+	s := situation{Self: 1, Members: w.members, Wanted: w.wanted, Spares: 1, Silent: map[agreement.MemberID]time.Duration{}}
 	for address, id := range w.running {
 		member, found := s.member(id)
 		if !found || !member.Voter {
-			s.Candidates = append(s.Candidates, candidate{ID: id, Address: address, Current: found})
+			s.Candidates = append(s.Candidates, candidate{ID: id, Address: address})
+		}
+		if found && !member.Voter {
+			s.Promotable = append(s.Promotable, id)
 		}
 	}
 	for _, member := range w.members {
 		if _, runs := w.running[member.Address]; !runs {
-			s.Silent[member.ID] = surplusGoneAfter
+			s.Silent[member.ID] = lostLearnerAfter
 		}
 	}
 	return s
@@ -211,11 +235,11 @@
 	const mostChanges = 50
 	for range mostChanges {
 		before, voters := w.runningVoters()
-		change, found := nextChange(w.situation())
+		next, found := nextStep(w.situation())
 		if !found {
 			return before == min(w.wanted, len(w.running)) && (voters == before || before == len(w.running))
 		}
-		if !w.apply(change) {
+		if !w.apply(next.Change) {
 			return false
 		}
 		if after, _ := w.runningVoters(); after < before {
--- a/internal/keeper/route_test.go
+++ b/internal/keeper/route_test.go
@@ -37,6 +37,7 @@
 
 func (g *scriptedGroup) ReadBarrier(context.Context) error                   { return nil }
 func (g *scriptedGroup) ChangeMembers(context.Context, replica.Change) error { return nil }
+func (g *scriptedGroup) Promotable() []agreement.MemberID                    { return nil }
 func (g *scriptedGroup) Transfer(context.Context) error                      { return nil }
 
 func (g *scriptedGroup) Status() replica.Status {
--- a/internal/keeper/shard.go
+++ b/internal/keeper/shard.go
@@ -16,6 +16,7 @@
 	Propose(ctx context.Context, data []byte) (result any, index uint64, err error)
 	ReadBarrier(ctx context.Context) error
 	ChangeMembers(ctx context.Context, change replica.Change) error
+	Promotable() []agreement.MemberID
 	Transfer(ctx context.Context) error
 	Status() replica.Status
 }
