Acknowledge a departure and a late drain only once they are committed

Cause: the owner of a shard acknowledged the departure of an instance that it did not know without an entry. An owner that was replaced within its 0.8 s of being current may not know an instance that its successor has registered, and a first heartbeat that came late brought the instance back after its acknowledged end. A late heartbeat that said draining was acknowledged too while the entry of the later one was under way. All of these cost an entry now, and an instance that is remembered as gone is acknowledged as such. The keeper's test of a stale owner counted on the former; it now has a heartbeat and a departure, and wants the latter unacknowledged until it is committed. Three tests fail without the change.

--- a/internal/keeper/execute.go
+++ b/internal/keeper/execute.go
@@ -161,7 +161,7 @@
 	return answer{Status: refusal.Status, Code: int(refusal.Code), Text: refusal.Text}
 }
 
-// takeDeparture removes an instance. One that is not known is acknowledged.
+// takeDeparture removes an instance. One that is not known is acknowledged once the group remembers that it is gone.
 func (k *Keeper) takeDeparture(ctx context.Context, c call) answer {
 	machine := k.instances(c.Shard)
 	if machine == nil {
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -199,13 +199,16 @@
 	return true
 }
 
-// deregister decides on a departure; known tells whether the instance is in the store.
+// deregister decides on a departure; known tells whether the instance is in the store, or was removed from it for good.
 func (m *registryMachine) deregister(now time.Time, id string) (decision registry.Decision, known, owned bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if !m.owned {
 		return registry.Decision{}, false, false
 	}
+	if m.store.Removed(id) {
+		return registry.Decision{Action: registry.Acknowledge}, true, true
+	}
 	held := m.store.Instance(id)
 	return m.owner.Deregister(now, id, held), held != nil, true
 }
--- a/internal/keeper/route_test.go
+++ b/internal/keeper/route_test.go
@@ -18,6 +18,7 @@
 	"ospreybend/coord/shards"
 	"ospreybend/internal/configuration"
 	"ospreybend/internal/peerlink"
+	"ospreybend/internal/registry"
 	"ospreybend/internal/settings"
 )
 
@@ -26,16 +27,28 @@
 	mutex   sync.Mutex
 	status  replica.Status
 	propose func() (any, error)
+	submit  func(ctx context.Context, data []byte) (any, error) // in place of propose
+	barrier func(ctx context.Context) error                     // nil: at once
 }
 
 func (g *scriptedGroup) Step(agreement.Message) {}
 
-func (g *scriptedGroup) Propose(context.Context, []byte) (any, uint64, error) {
+func (g *scriptedGroup) Propose(ctx context.Context, data []byte) (any, uint64, error) {
+	if g.submit != nil {
+		result, err := g.submit(ctx, data)
+		return result, 1, err
+	}
 	result, err := g.propose()
 	return result, 1, err
 }
 
-func (g *scriptedGroup) ReadBarrier(context.Context) error                   { return nil }
+func (g *scriptedGroup) ReadBarrier(ctx context.Context) error {
+	if g.barrier != nil {
+		return g.barrier(ctx)
+	}
+	return nil
+}
+
 func (g *scriptedGroup) ChangeMembers(context.Context, replica.Change) error { return nil }
 func (g *scriptedGroup) Promotable() []agreement.MemberID                    { return nil }
 func (g *scriptedGroup) Transfer(context.Context) error                      { return nil }
@@ -311,18 +324,29 @@
 }
 
 func TestStaleOwnerAcknowledgesNothing(t *testing.T) {
-	k, groups, _ := scripted(t)
-	id := shards.Of("s")
+	k, group, beat := withRecord(t)
+	id := shards.Of(presentService)
+	group.propose = func() (any, error) { return nil, replica.ErrUnknownOutcome }
 	status := leaderStatus()
 	status.ConfirmedAge = 2 * currencyAge
-	groups[id].set(status)
+	group.set(status)
 	k.instances(id).setLeading(3)
 	k.instances(id).gained(time.Now(), 3)
+	unchanged := call{Kind: callBeat, Shard: id, ID: beat.ID, Body: []byte(beatOf("ready", 1))}
 	departure := call{Kind: callDeregister, Shard: id, ID: "i-unknown"}
-	if reply := k.execute(limited(t), departure); reply.Status != http.StatusServiceUnavailable {
+	for _, one := range []call{unchanged, departure} {
+		if reply := k.execute(limited(t), one); reply.Status != http.StatusServiceUnavailable {
+			t.Fatal(one.Kind, reply)
+		}
+	}
+	group.set(leaderStatus())
+	if reply := k.execute(limited(t), unchanged); reply.Status != http.StatusOK {
 		t.Fatal(reply)
 	}
-	groups[id].set(leaderStatus())
+	if reply := k.execute(limited(t), departure); reply.Status != http.StatusServiceUnavailable {
+		t.Fatal("a departure is acknowledged before it is committed", reply)
+	}
+	group.propose = func() (any, error) { return registry.Outcome{Status: http.StatusOK}, nil }
 	if reply := k.execute(limited(t), departure); reply.Status != http.StatusOK || reply.Known {
 		t.Fatal(reply)
 	}
--- a/internal/registry/owner.go
+++ b/internal/registry/owner.go
@@ -140,7 +140,7 @@
 		held = &presence{service: beat.Service, state: beat.State}
 		o.instances[beat.ID] = held
 	}
-	if beat.Sequence != unknownSequence && beat.Sequence < held.sequence {
+	if beat.Sequence != unknownSequence && beat.Sequence < held.sequence && !awaitsEntry(beat, known) {
 		return Decision{Action: Acknowledge}
 	}
 	held.heard = now
@@ -155,6 +155,12 @@
 	return Decision{Action: Propose, Command: EncodePut(beat.Instance, beat.Sequence)}
 }
 
+// awaitsEntry tells whether a late heartbeat says what its acknowledgement would promise and the store does not have yet:
+// that the instance is registered, or that it is draining. The later heartbeat's entry may still be lost.
+func awaitsEntry(beat Beat, known *Instance) bool {
+	return known == nil || beat.State == Draining && known.State != Draining
+}
+
 // Heard notes a heartbeat that another keeper has acknowledged, since it changes nothing. One of an instance that is not
 // recorded, or is being removed, says nothing: the instance's next heartbeat comes to the owner.
 func (o *Owner) Heard(now time.Time, id string, sequence uint64) {
@@ -186,16 +192,14 @@
 		left.Stage == right.Stage
 }
 
-// Deregister decides on a departure; known is the store's record of that instance, or nil.
+// Deregister decides on a departure; known is the store's record of that instance, or nil. One of an instance that is not
+// known costs an entry too: an owner that has been replaced may not know it, and a heartbeat may come late.
 func (o *Owner) Deregister(now time.Time, id string, known *Instance) Decision {
 	if !o.owned {
 		return Decision{Action: Refuse, Refusal: refuse(NotOwner, "")}
 	}
 	o.arrive(now)
 	held := o.instances[id]
-	if held == nil && known == nil {
-		return Decision{Action: Acknowledge}
-	}
 	sequence := uint64(unknownSequence)
 	if held != nil {
 		sequence = held.sequence
--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -127,6 +127,31 @@
 	}
 }
 
+// An acknowledgement promises what the heartbeat says, so a late one waits for its entry while the later one's is under way.
+func TestLateBeatIsNotAcknowledgedBeforeItHolds(t *testing.T) {
+	s := newShard()
+	s.gain()
+	instance := worker(1)
+	s.held = true
+	s.beat(instance, 2)
+	if action, _ := s.beat(instance, 1); action != Propose {
+		t.Fatal("acknowledged before the instance is registered")
+	}
+	s.held = false
+	s.beat(instance, 3)
+	s.held = true
+	instance.State = Draining
+	s.beat(instance, 5)
+	if action, _ := s.beat(instance, 4); action != Propose {
+		t.Fatal("acknowledged before the drain is recorded")
+	}
+	s.held = false
+	s.beat(instance, 6)
+	if action, _ := s.beat(instance, 4); action != Acknowledge {
+		t.Fatal("a late drain that is recorded costs an entry")
+	}
+}
+
 func TestOwnershipIsNeeded(t *testing.T) {
 	s := newShard()
 	if action, code := s.beat(worker(1), 1); action != Refuse || code != NotOwner {
@@ -147,8 +172,11 @@
 func TestDepartures(t *testing.T) {
 	s := newShard()
 	s.gain()
-	if action, _ := s.deregister("unknown"); action != Acknowledge {
-		t.Fatal(action)
+	if action, code := s.deregister("i04"); action != Propose || code != Gone || !s.store.Removed("i04") {
+		t.Fatal("a departure of an instance that is not known must hold", action, code)
+	}
+	if action, code := s.beat(worker(4), 1); action != Propose || code != Gone {
+		t.Fatal("a heartbeat that came late brought the instance back", action, code)
 	}
 	s.beat(worker(1), 5)
 	if action, code := s.deregister("i01"); action != Propose || code != Removed {
