--- a/coord/agreement/persist.go
+++ b/coord/agreement/persist.go
@@ -134,7 +134,7 @@
 		snapshot.Members = members
 	}
 	n.snapshot = snapshot
-	n.log.drop(n.trailingStart(index))
+	n.log.drop(n.neededStart(n.trailingStart(index)))
 	n.forgetMembers(index)
 }
 
@@ -156,6 +156,55 @@
 	return index
 }
 
+// Bounds of the entries that a leader keeps for members that catch up, whatever is compacted meanwhile.
+const (
+	catchUpEntries = 8192
+	catchUpBytes   = 16 << 20
+)
+
+// neededStart returns the index up to which entries may be dropped so that members in touch which lack some of them,
+// or are being sent a snapshot that stands before them, find the entries that they ask for next: else changes that
+// go on could compact the log away under a member that catches up, again and again. What is kept is bounded.
+func (n *Node) neededStart(start uint64) uint64 {
+	if n.role != RoleLeader || !n.holds(RuleCatchUpKept) {
+		return start
+	}
+	needed := start
+	for _, peer := range n.leading.peers {
+		if held := peer.holdsNext(); n.inTouch(peer) && held >= n.log.base {
+			needed = min(needed, held)
+		}
+	}
+	return n.boundedStart(needed, start)
+}
+
+// holdsNext returns the last entry that the peer holds, or will hold with the snapshot that it is being sent.
+func (p *progress) holdsNext() uint64 {
+	if p.flow == flowSnapshot {
+		return p.next - 1
+	}
+	return p.match
+}
+
+// inTouch reports whether a peer has answered lately.
+func (n *Node) inTouch(peer *progress) bool {
+	return peer.answered > 0 && n.now-peer.answered <= maxSnapshotPause*n.config.ElectionTimeout
+}
+
+// boundedStart raises the start of what is kept, but not over most, until the entries after it are within bounds.
+func (n *Node) boundedStart(needed, most uint64) uint64 {
+	size, count, start := 0, 0, n.log.last()
+	for start > needed {
+		size += entrySize(&n.log.entries[start-n.log.base-1])
+		count++
+		if size > catchUpBytes || count > catchUpEntries {
+			break
+		}
+		start--
+	}
+	return min(start, most)
+}
+
 // SnapshotAt describes the snapshot of the state machine at an applied index, to be made durable
 // before Compact is called. It returns false if the index is not applied or no longer held.
 func (n *Node) SnapshotAt(index uint64, data []byte) (Snapshot, bool) {
--- a/coord/agreement/rules_test.go
+++ b/coord/agreement/rules_test.go
@@ -214,6 +214,31 @@
 		n.answer(2)
 		return n.ChangeMembers(n.now, Change{Add: &Member{ID: 4}}) == nil
 	},
+	RuleCatchUpKept: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.config.Trailing = -1
+		n.lead()
+		n.saved()
+		n.hold(2, 2)
+		n.answer(2)
+		n.saved()
+		n.Compact(2, nil, nil)
+		n.answer(3)
+		n.step(Message{Kind: MessageAppendReply, From: 3, Term: n.Status().Term, Reject: true, LogIndex: 1})
+		n.answer(3)
+		if !has(n.saved().Messages, MessageSnapshot, 3, false) {
+			t.Fatal("no snapshot is sent")
+		}
+		if _, index, err := n.Propose(n.now, []byte("x")); err != nil || index != 3 {
+			t.Fatal(index, err)
+		}
+		n.saved()
+		n.hold(2, 3)
+		n.saved()
+		n.Compact(3, nil, nil)
+		n.hold(3, 2)
+		return has(n.saved().Messages, MessageSnapshot, 3, false)
+	},
 	RuleEmptySilent: func(t *testing.T, omit ...Rule) bool {
 		n := newRuleNode(t, Stored{}, omit...)
 		n.step(Message{Kind: MessageVote, From: 2, Term: 5, LogIndex: 9, LogTerm: 4})
