Tell each voter in a violation of the surviving majority

The first drawn schedules against the real control plane break the check of the majority, and its text told counts alone, from which nobody sees which place lacks its voter. It now lists the voters with place, durable index and whether their disk is gone.

--- a/internal/controlsim/history/majority.go
+++ b/internal/controlsim/history/majority.go
@@ -78,10 +78,10 @@
 		}
 	}
 	if remaining-further < len(standing.Voters)/2+1 {
-		return fmt.Sprintf("%d of %d voters stand with %d machines lost; %d further losses would leave no majority", remaining, len(standing.Voters), len(lost), further)
+		return fmt.Sprintf("%d of %d voters stand with %d machines lost; %d further losses would leave no majority: %v", remaining, len(standing.Voters), len(lost), further, standing.Voters)
 	}
 	if holding <= further {
-		return fmt.Sprintf("%d voters hold index %d durably with %d machines lost; %d further losses may leave none", holding, standing.Committed, len(lost), further)
+		return fmt.Sprintf("%d voters hold index %d durably with %d machines lost; %d further losses may leave none: %v", holding, standing.Committed, len(lost), further, standing.Voters)
 	}
 	return ""
 }
--- a/internal/controlsim/history/types.go
+++ b/internal/controlsim/history/types.go
@@ -141,6 +141,15 @@
 	Durable uint64 // highest index that is durable at it
 }
 
+// String tells where the voter is and what it holds.
+func (v Voter) String() string {
+	gone := ""
+	if v.Gone {
+		gone = ", gone"
+	}
+	return fmt.Sprintf("%x at place %d, durable to %d%s", v.ID, v.Place, v.Durable, gone)
+}
+
 // Violation is a promise that was broken.
 type Violation struct {
 	Check string
