--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -186,9 +186,19 @@
 	if err := strictavro.Unmarshal(codec, answerSchema, body, &a); err != nil {
 		return answer{}, fmt.Errorf("keeper: answer: %w", err)
 	}
+	if !a.isClear() {
+		return answer{}, fmt.Errorf("keeper: answer: status %d", a.Status)
+	}
 	return a, nil
 }
 
+// isClear tells whether an answer is one that an owner gives: a success, a refusal, or that it is not
+// known what became of the call, or not done.
+func (a answer) isClear() bool {
+	refused := a.Status >= http.StatusBadRequest && a.Status < http.StatusInternalServerError
+	return a.NotOwner || a.Status == http.StatusOK || refused || a.Status == http.StatusServiceUnavailable
+}
+
 // succeeded is the answer to a call that was carried out.
 func succeeded(body []byte) answer { return answer{Status: http.StatusOK, Body: body} }
 
