--- a/internal/feedlink/frames_test.go
+++ b/internal/feedlink/frames_test.go
@@ -80,6 +80,22 @@
 	expectEqual(t, suspicion, wantSuspicion, err)
 }
 
+// What is read from a frame does not change with the frame's memory.
+func TestMessagesOwnTheirBytes(t *testing.T) {
+	want := Changes{Shard: 2, Changes: []feed.Change{
+		{Index: 5, Put: []feed.Item{{Key: "key", Value: []byte("value")}}, Delete: []string{"gone"}},
+	}}
+	content := body(t, must(t)(AppendChanges(nil, want)), KindChanges)
+	changes, err := DecodeChanges(content)
+	clear(content)
+	expectEqual(t, changes, want, err)
+
+	content = body(t, must(t)(AppendHello(nil, sampleHello())), KindHello)
+	hello, err := DecodeHello(content)
+	clear(content)
+	expectEqual(t, hello, sampleHello(), err)
+}
+
 func TestAnItemAboveAMegabytePasses(t *testing.T) {
 	want := SnapshotPart{Shard: 1, Index: 1, Items: []feed.Item{{Key: "k", Value: make([]byte, 3<<20)}}}
 	frame := must(t)(AppendSnapshotPart(nil, want))
