Keep what the far end needs though a Connection field names it

A client that names X-Model, X-Token-Count, X-Prompt-Prefix or X-Request-Id in its Connection field had it taken from the request, so that a worker ran the request under other fields than the client's; a worker could so lose its own signature.

--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -182,6 +182,15 @@
 	}
 }
 
+// A Connection field does not take from a message what its far end needs.
+func TestHopsKeepWhatIsMeantForTheFarEnd(t *testing.T) {
+	fields := Fields{{"Connection", "x-model, X-Token-Count,X-Prompt-Prefix, x-request-id, X-Response-Signature, close, X-Mine"},
+		{"X-Model", "1"}, {"X-Token-Count", "2"}, {"X-Prompt-Prefix", "3"}, {"X-Request-Id", "4"}, {"X-Response-Signature", "5"}, {"X-Mine", "6"}}
+	if got := fmt.Sprint(HopsOf(fields).Strip(fields)); got != fmt.Sprint(fields[1:6]) {
+		t.Error(got)
+	}
+}
+
 func TestFields(t *testing.T) {
 	fields := Fields{{"A", "1"}, {"b", "2"}, {"a", "3"}}
 	with := fields.With("B", "4")
