Call a worker again for one request on a new connection only

A prompt may be read twice at one worker for one request, when its first hand-over failed. A late second answer to the first call bears the same id, so on a kept connection it would be taken for the answer to the second one and name a handle that was freed. The dispatcher asks for a new connection for each further call to an address. Tests also show that what a client says of its prompt reaches the worker to the byte, and that none of the system's fields does.

--- /dev/null
+++ b/internal/dispatch/fields_test.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/exchange/exchangetest"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
+)
+
+// wireHead sends a request with further fields and returns the lines of the head that its worker got.
+func wireHead(r *rig, fields httpwire.Fields) []string {
+	workers := exchangetest.NewWorkers()
+	pool := exchange.New(exchange.Options{Dial: workers.Dial})
+	defer pool.Close()
+	r.dispatcher.workers = OverPool(pool)
+	workers.Play("d1:80", func(int) []exchangetest.Turn { return []exchangetest.Turn{exchangetest.Works(true)} })
+	r.chooser.offers("d1")
+	r.ask(func(request *front.Request) {
+		request.Fields = append(httpwire.Fields{{Name: "Host", Value: "h"}, {Name: "X-Request-Id", Value: testID}}, fields...)
+	})
+	return strings.Split(workers.Conns("d1:80")[0].Requests()[0].Head, "\r\n")
+}
+
+// What a client says of its prompt reaches the worker to the byte, whatever its spelling.
+func TestFieldsOfThePromptReachTheWorkerAsSent(t *testing.T) {
+	for _, fields := range []httpwire.Fields{
+		{{Name: "X-Model", Value: "m"}, {Name: "X-Token-Count", Value: "1460,80"}, {Name: "X-Prompt-Prefix", Value: "5c1e07a2:800,91bd3f06:660"}},
+		{{Name: "x-MODEL", Value: "M  two\twords"}, {Name: "x-token-count", Value: " 7 , 9"}, {Name: "x-prompt-prefix", Value: "a:1, b:2,,"}},
+		{{Name: "X-Model", Value: "one"}, {Name: "x-model", Value: "two"}, {Name: "X-Token-Count", Value: "1,2"}, {Name: "X-Token-Count", Value: "3,4"}},
+		{{Name: "X-Model", Value: ""}, {Name: "X-Token-Count", Value: ""}, {Name: "X-Prompt-Prefix", Value: ""}},
+		{{Name: "X-Token-Count", Value: "-5,x"}, {Name: "X-Prompt-Prefix", Value: "no prefix"}, {Name: "X-Model", Value: "\xffm\xe4"}},
+		nil,
+	} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			var got, want []string
+			for _, line := range wireHead(r, fields) {
+				name, _, _ := strings.Cut(line, ":")
+				if isOneOf(name, []string{fieldModel, fieldTokenCount, fieldPrefix}) {
+					got = append(got, line)
+				}
+			}
+			for _, field := range fields {
+				want = append(want, field.Name+": "+field.Value)
+			}
+			if !slices.Equal(got, want) {
+				t.Errorf("%q, not %q", got, want)
+			}
+		})
+	}
+}
+
+// What is the system's to set is never a client's, however it is spelled; X-Not-Executed says something in answers alone.
+func TestNoClientSetsWhatIsTheSystems(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		var fields httpwire.Fields
+		for _, name := range ownFields {
+			fields = append(fields, httpwire.Field{Name: strings.ToLower(name), Value: "evil"}, httpwire.Field{Name: name, Value: "9"})
+		}
+		fields = append(fields, httpwire.Field{Name: fieldNotExecuted, Value: "1"})
+		lines := wireHead(r, fields)
+		for _, want := range []string{"X-Target-Instance: d1", "Priority: 0", "X-Not-Executed: 1"} {
+			if !slices.Contains(lines, want) {
+				t.Errorf("%q is not among %q", want, lines)
+			}
+		}
+		counts := map[string]int{}
+		for _, line := range lines {
+			name, value, _ := strings.Cut(line, ": ")
+			counts[strings.ToLower(name)]++
+			if value == "evil" {
+				t.Errorf("passed on: %q", line)
+			}
+		}
+		for _, name := range ownFields {
+			set := isOneOf(name, []string{fieldTarget, fieldPriority, fieldDeadline})
+			if count := counts[strings.ToLower(name)]; count > 1 || count == 1 != set {
+				t.Errorf("%s: %d times", name, count)
+			}
+		}
+	})
+}
+
+// A prompt that is read at one worker for the second time is read on another connection: a late second answer to the first call
+// bears the same ID.
+func TestFurtherCallToAWorkerTakesANewConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("p1>d1", "p1>d2")
+		r.plays("p1", hands("h1"), hands("h2"))
+		r.plays("d1", withLoad(rejects(), 3, 0, 64))
+		r.plays("d2", streams(1, 2, nil))
+		r.ask(nil).mustBe(t, 200, texts(1, 2))
+		if r.workersCalled() != "p1 d1 p1 d2 " {
+			t.Fatal(r.workersCalled())
+		}
+		for i, call := range r.calls {
+			if again := i == 2; call.call.Fresh != again {
+				t.Errorf("call %d, to %s: on a new connection %v", i, call.worker, call.call.Fresh)
+			}
+		}
+	})
+}
--- a/internal/dispatch/prefill.go
+++ b/internal/dispatch/prefill.go
@@ -152,6 +152,7 @@
 		Target:  t.request.Target,
 		Fields:  fields,
 		Body:    t.request.Body,
+		Fresh:   t.callsAgain(worker.Address),
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -201,9 +202,18 @@
 		Fields:  fields,
 		Body:    t.request.Body,
 		Events:  t.route.Type == configuration.Streaming,
+		Fresh:   t.callsAgain(worker.Address),
 	}
 }
 
+// callsAgain notes a call to an address, and tells whether it is a further one for the request. A late second answer to an earlier
+// call bears the same ID, so that only another connection tells them apart.
+func (t *try) callsAgain(address string) bool {
+	again := slices.Contains(t.called, address)
+	t.called = append(t.called, address)
+	return again
+}
+
 // workerFields are the fields that every call for the request has, with room for more.
 func (t *try) workerFields(worker *catalog.Worker, room int) httpwire.Fields {
 	fields := without(t.request.Fields, ownFields, 3+room)
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -35,6 +35,7 @@
 
 	account  account
 	excluded []string // workers not to be chosen again
+	called   []string // addresses of the calls made
 	steps    int
 
 	prefillTaken bool // a worker has, or may have, taken up a call that reads the prompt
