--- /dev/null
+++ b/internal/dispatch/outcome_test.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/exchange/exchangetest"
+	"ospreybend/internal/front"
+)
+
+const tablePage = "../../docs/design/exchange.md"
+
+// outcome is one cell of the table: what a worker does with a request, whose kind, in which call and on which connection.
+type outcome struct {
+	row       exchangetest.Row
+	sent      exchangetest.Sent
+	routeType configuration.RouteType
+	resumable bool
+	reused    bool // on a kept connection
+	prefill   bool // the call reads the prompt alone
+	other     bool // another worker, that is well, may be chosen
+}
+
+func (o *outcome) name() string {
+	return fmt.Sprintf("%s, %s, route %v, resumable %v, reused %v, prefill %v, other %v", o.sent, o.row.Name, o.routeType, o.resumable,
+		o.reused, o.prefill, o.other)
+}
+
+func (o *outcome) streams() bool    { return o.routeType == configuration.Streaming }
+func (o *outcome) repeatable() bool { return o.routeType == configuration.Idempotent || o.resumable }
+
+// unsent tells whether the worker cannot know what it is asked for.
+func (o *outcome) unsent() bool {
+	return o.sent == exchangetest.Nothing || o.sent == exchangetest.HeadInPart
+}
+
+// told is what a client is to see.
+type told struct {
+	statuses []int
+	body     string
+	broken   bool
+}
+
+func answered(status int, body string) told { return told{statuses: []int{status}, body: body} }
+
+// works is the answer of a worker that is well.
+func (o *outcome) works() told {
+	if o.streams() {
+		return answered(200, exchangetest.Events(1, exchangetest.LastEvent))
+	}
+	return answered(200, exchangetest.Body)
+}
+
+// elsewhere is what follows once a request goes on at the other worker, if there is one.
+func (o *outcome) elsewhere(otherwise told) told {
+	if o.other {
+		return o.works()
+	}
+	return otherwise
+}
+
+var (
+	refused = answered(503, "")
+	lost    = told{statuses: []int{502, 504}}
+)
+
+// wanted is what the table says.
+func (o *outcome) wanted() told {
+	switch {
+	case o.unsent() && o.reused: // sent again to the same worker at once
+		if o.prefill { // which answers as a worker that ran the request
+			return answered(200, exchangetest.Body)
+		}
+		return o.works()
+	case o.unsent(), o.row.Meaning == exchangetest.NotRun:
+		return o.elsewhere(refused)
+	case o.prefill && o.readOnly():
+		return o.elsewhere(refused)
+	case o.row.Meaning == exchangetest.Success:
+		return o.success()
+	case o.row.Meaning == exchangetest.Denied:
+		return answered(o.row.Status(), o.ownBody())
+	case o.repeatable():
+		return o.elsewhere(o.given())
+	default:
+		return o.given()
+	}
+}
+
+// readOnly tells whether what comes back from a call that reads a prompt does not look like a run.
+func (o *outcome) readOnly() bool {
+	return o.row.Meaning == exchangetest.Lost || !o.row.Signed() && o.row.Status() != 200
+}
+
+func (o *outcome) success() told {
+	if o.row.Stream {
+		return answered(200, exchangetest.Events(1, o.row.Events))
+	}
+	return answered(200, exchangetest.Body)
+}
+
+// given is what follows where the request is not sent again.
+func (o *outcome) given() told {
+	switch {
+	case o.row.Meaning == exchangetest.Failed:
+		return answered(o.row.Status(), o.ownBody())
+	case o.row.Events > 0:
+		return told{statuses: []int{200}, body: exchangetest.Events(1, o.row.Events), broken: true}
+	default:
+		return lost
+	}
+}
+
+func (o *outcome) ownBody() string {
+	_, body, _ := strings.Cut(o.row.Answer, "\r\n\r\n")
+	return body
+}
+
+// ask plays the cell and returns what the client sees, and the connections to the worker.
+func (o *outcome) ask(r *rig) (*client, []*exchangetest.Conn) {
+	workers := exchangetest.NewWorkers()
+	pool := exchange.New(exchange.Options{Dial: workers.Dial})
+	defer pool.Close()
+	r.dispatcher.workers = OverPool(pool)
+	r.route.Type, r.route.Resumable = o.routeType, o.resumable
+	r.setRoute()
+	tested, size := "d1:80", 6
+	if o.sent == exchangetest.Blocked {
+		size = 20 << 10
+	}
+	if o.prefill {
+		tested = "p1:80"
+	}
+	workers.Play(tested, o.play)
+	workers.Play("d2:80", func(int) []exchangetest.Turn { return []exchangetest.Turn{exchangetest.Works(o.streams())} })
+	if o.reused {
+		r.chooser.offers(tested[:2])
+		r.ask(func(request *front.Request) { request.Fields = request.Fields.With(fieldRequestID, "earlier") })
+		r.chooser.choices = nil
+	}
+	if o.prefill {
+		r.chooser.offers("p1>d1")
+	} else {
+		r.chooser.offers("d1")
+	}
+	if o.other {
+		r.chooser.offers("d2")
+	}
+	seen := r.ask(func(request *front.Request) { request.Body = slices.Repeat([]byte("b"), size) })
+	return seen, append(workers.Conns(tested), workers.Conns("d2:80")...)
+}
+
+// play is the script of the tested worker's connections: those behind the first are well.
+func (o *outcome) play(number int) []exchangetest.Turn {
+	well := exchangetest.Works(o.streams() && !o.prefill)
+	if number > 0 {
+		return []exchangetest.Turn{well}
+	}
+	if o.reused {
+		return []exchangetest.Turn{well, o.row.Turn(o.sent)}
+	}
+	return []exchangetest.Turn{o.row.Turn(o.sent)}
+}
+
+// fault names what a client sees otherwise than wanted, or a rule that is broken whatever is wanted.
+func (o *outcome) fault(seen *client, conns []*exchangetest.Conn) string {
+	want := o.wanted()
+	ran := o.ran(conns)
+	promise := slices.Contains([]int{408, 421, 429, 503}, seen.status)
+	switch {
+	case promise && ran > 0:
+		return "a promise, and it may have run"
+	case ran > 1 && !o.repeatable():
+		return fmt.Sprintf("may have run %d times", ran)
+	case seen.status == 200 && seen.fields.Get(fieldSignature) == "":
+		return "a success without signature"
+	case seen.finished && seen.broken || seen.answers > 1:
+		return "two endings"
+	case !slices.Contains(want.statuses, seen.status) || seen.body != want.body || seen.broken != want.broken:
+		return fmt.Sprintf("%d %q, broken %v, not %+v", seen.status, seen.body, seen.broken, want)
+	}
+	return ""
+}
+
+// ran counts the runs that may have taken place: requests that a worker had the head of, and did not say that it has not run.
+func (o *outcome) ran(conns []*exchangetest.Conn) int {
+	count := 0
+	for i, conn := range conns {
+		for _, request := range conn.Requests() {
+			if request.Head == "" || request.ID != testID {
+				continue
+			}
+			tested := i == 0
+			if tested && (o.row.Meaning == exchangetest.NotRun || o.prefill && o.readOnly()) {
+				continue
+			}
+			count++
+		}
+	}
+	return count
+}
+
+func allOutcomes() []outcome {
+	kinds := []outcome{{routeType: configuration.Idempotent}, {routeType: configuration.NonIdempotent},
+		{routeType: configuration.Streaming}, {routeType: configuration.Streaming, resumable: true}}
+	var all []outcome
+	for _, row := range exchangetest.Rows() {
+		for sent := exchangetest.Whole; sent <= exchangetest.Blocked; sent++ {
+			for _, kind := range kinds {
+				for variant := range 8 {
+					o := kind
+					o.row, o.sent = row, sent
+					o.reused, o.prefill, o.other = variant&1 > 0, variant&2 > 0, variant&4 > 0
+					if !row.Stream || o.streams() && !o.prefill {
+						all = append(all, o)
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// TestOutcomes plays every cell of the table against the dispatcher and the exchange.
+func TestOutcomes(t *testing.T) {
+	all := allOutcomes()
+	for i := range all {
+		o := &all[i]
+		synctest.Test(t, func(t *testing.T) {
+			seen, conns := o.ask(newRig(t))
+			if fault := o.fault(seen, conns); fault != "" {
+				t.Errorf("%s: %s", o.name(), fault)
+			}
+		})
+	}
+	t.Logf("%d cells", len(all))
+}
+
+// TestTheTableIsOnThePage compares the page with the rows that are tested.
+func TestTheTableIsOnThePage(t *testing.T) {
+	page, err := os.ReadFile(tablePage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range exchangetest.Rows() {
+		if line := tableLine(&row); !strings.Contains(string(page), line+"\n") {
+			t.Errorf("not in %s: %s", tablePage, line)
+		}
+	}
+}
+
+// tableLine is a row as the page has it.
+func tableLine(row *exchangetest.Row) string {
+	kept := "closed"
+	if row.Kept {
+		kept = "kept"
+	}
+	return fmt.Sprintf("| %s | %s | %s |", row.Name, row.Meaning, kept)
+}
