Simulate a network whose cuts, freezes and losses of power behave like those of TCP

The simulation of the whole control plane needs connections in memory that a testing/synctest bubble can wait on. Bytes arrive in order after a drawn delay; a cut of either direction holds them up until it ends or their sender gives up after TCP_USER_TIMEOUT, a dead port refuses, a machine without power says nothing, and a frozen process sends and takes nothing until it is thawed.

--- /dev/null
+++ b/internal/controlsim/simnet/connection.go
@@ -0,0 +1,377 @@
+package simnet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// Times after which an end gives its connection up.
+const (
+	userTimeout = 1500 * time.Millisecond // sent bytes are not acknowledged
+	probeTime   = 3500 * time.Millisecond // nothing is heard of a silent peer
+)
+
+var (
+	errReset    = os.NewSyscallError("read", syscall.ECONNRESET)
+	errTimeout  = os.NewSyscallError("write", syscall.ETIMEDOUT)
+	errVanished = errors.New("simnet: the machine has lost power")
+)
+
+// segment is something under way to an end.
+type segment struct {
+	data   []byte
+	at     time.Time // when it arrives
+	held   bool      // by a cut
+	finish error     // io.EOF or a reset: what comes after data
+}
+
+// end is one end of a connection. The network's mutex guards it.
+type end struct {
+	network *Network
+	process *Process
+	path    Path // from this end to the peer
+	local   address
+	remote  address
+	peer    *end
+	stream  uint64
+	sent    uint64 // segments
+
+	inbox    []segment
+	deadline time.Time // of reads
+	wake     chan struct{}
+	closed   error // why nothing goes on at this end; nil: it is open
+	since    time.Time
+	cut      bool // either direction is blocked, since then
+	watched  bool // a timer looks whether it is to be given up
+}
+
+type address string
+
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
+
+func (e *end) LocalAddr() net.Addr  { return e.local }
+func (e *end) RemoteAddr() net.Addr { return e.remote }
+
+func (e *end) SetDeadline(t time.Time) error    { return e.SetReadDeadline(t) }
+func (e *end) SetWriteDeadline(time.Time) error { return nil } // no write waits
+
+func (e *end) SetReadDeadline(t time.Time) error {
+	e.network.mutex.Lock()
+	defer e.network.mutex.Unlock()
+	e.deadline = t
+	e.notify()
+	return nil
+}
+
+func (e *end) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Read waits for bytes, the connection's end or the deadline, and while the process stands still.
+func (e *end) Read(buffer []byte) (int, error) {
+	for {
+		if !e.process.Await() {
+			return 0, net.ErrClosed
+		}
+		count, err, wait := e.take(buffer)
+		if count > 0 || err != nil {
+			return count, err
+		}
+		e.await(wait)
+	}
+}
+
+// await returns when something may have changed, or after a time; 0: only then.
+func (e *end) await(wait time.Duration) {
+	if wait <= 0 {
+		<-e.wake
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-e.wake:
+	case <-timer.C:
+	}
+}
+
+// take returns what has arrived, or why there is nothing, or how long to wait.
+func (e *end) take(buffer []byte) (count int, err error, wait time.Duration) {
+	e.network.mutex.Lock()
+	defer e.network.mutex.Unlock()
+	now := time.Now()
+	switch {
+	case e.closed != nil:
+		return 0, e.closed, 0
+	case !e.deadline.IsZero() && !now.Before(e.deadline):
+		return 0, os.ErrDeadlineExceeded, 0
+	}
+	if len(e.inbox) == 0 || e.inbox[0].held || e.inbox[0].at.After(now) {
+		return 0, nil, e.wait(now)
+	}
+	first := &e.inbox[0]
+	if first.finish != nil {
+		return 0, first.finish, 0
+	}
+	count = copy(buffer, first.data)
+	first.data = first.data[count:]
+	if len(first.data) == 0 {
+		e.inbox = e.inbox[1:]
+	}
+	return count, nil, 0
+}
+
+// wait says how long until the next segment or the deadline; 0: neither is known.
+func (e *end) wait(now time.Time) time.Duration {
+	var wait time.Duration
+	if !e.deadline.IsZero() {
+		wait = e.deadline.Sub(now)
+	}
+	if len(e.inbox) > 0 && !e.inbox[0].held {
+		if next := e.inbox[0].at.Sub(now); wait == 0 || next < wait {
+			wait = next
+		}
+	}
+	return wait
+}
+
+// Write sends bytes. It does not wait: what a process sends while it stands still goes out when it is thawed.
+func (e *end) Write(data []byte) (int, error) {
+	e.network.mutex.Lock()
+	closed := e.closed
+	e.network.mutex.Unlock()
+	if closed != nil {
+		return 0, closed
+	}
+	if len(data) == 0 {
+		return 0, nil
+	}
+	copied := append([]byte(nil), data...)
+	e.process.send(func() {
+		e.network.mutex.Lock()
+		defer e.network.mutex.Unlock()
+		if e.closed == nil {
+			e.transmit(segment{data: copied})
+		}
+	})
+	return len(data), nil
+}
+
+// transmit sends a segment to the peer. The caller holds the mutex, as for all that follows.
+func (e *end) transmit(one segment) {
+	now := time.Now()
+	e.sent++
+	blocked := e.network.blocked(e.path)
+	if e.peer.closed != nil {
+		if !blocked && !e.network.blocked(e.path.back()) && one.finish == nil {
+			e.resetLater(2 * e.network.delay(e.path, e.stream, e.sent))
+		} else {
+			e.watch(userTimeout)
+		}
+		return
+	}
+	one.held = blocked
+	one.at = now.Add(e.network.delay(e.path, e.stream, e.sent))
+	e.peer.arrive(one)
+	if e.cut {
+		e.watch(userTimeout)
+	}
+}
+
+// arrive queues a segment behind those before it.
+func (e *end) arrive(one segment) {
+	if len(e.inbox) > 0 {
+		before := e.inbox[len(e.inbox)-1]
+		if before.finish != nil {
+			return
+		}
+		if !one.at.After(before.at) {
+			one.at = before.at.Add(1)
+		}
+		one.held = one.held || before.held
+	}
+	e.inbox = append(e.inbox, one)
+	if len(e.inbox) == 1 {
+		e.notify()
+	}
+}
+
+func (e *end) resetLater(after time.Duration) {
+	time.AfterFunc(after, func() {
+		e.network.mutex.Lock()
+		defer e.network.mutex.Unlock()
+		if e.closed == nil {
+			e.fail(errReset)
+		}
+	})
+}
+
+// follow takes over that paths were opened or closed.
+func (e *end) follow(now time.Time) {
+	forward, back := e.network.blocked(e.path), e.network.blocked(e.path.back())
+	cut := forward || back
+	if cut && !e.cut {
+		e.since = now
+	}
+	e.cut = cut
+	e.hold(back, now)
+	if cut && e.closed == nil {
+		e.watch(userTimeout)
+	}
+}
+
+// hold holds up what has not arrived, or lets it go on.
+func (e *end) hold(blocked bool, now time.Time) {
+	for i := range e.inbox {
+		one := &e.inbox[i]
+		switch {
+		case blocked && one.at.After(now):
+			one.held = true
+		case !blocked && one.held:
+			one.held = false
+			one.at = now.Add(e.network.delay(e.path.back(), e.stream, uint64(i)) + time.Duration(i))
+		}
+	}
+	e.notify()
+}
+
+// watch looks after a time whether the connection is to be given up.
+func (e *end) watch(after time.Duration) {
+	if e.watched {
+		return
+	}
+	e.watched = true
+	time.AfterFunc(after, func() {
+		e.network.mutex.Lock()
+		defer e.network.mutex.Unlock()
+		e.watched = false
+		if e.closed == nil {
+			e.look(time.Now())
+		}
+	})
+}
+
+// look gives up a connection whose bytes are not acknowledged, or whose peer is gone.
+func (e *end) look(now time.Time) {
+	cutFor := now.Sub(e.since)
+	switch {
+	case e.cut && cutFor >= probeTime, e.cut && cutFor >= userTimeout && e.unacknowledged():
+		e.fail(errTimeout)
+	case e.cut:
+		e.watch(max(userTimeout-cutFor, 0) + time.Millisecond*50)
+	case e.peer.closed != nil && !e.told():
+		e.fail(errReset)
+	}
+}
+
+// unacknowledged tells whether bytes that this end has sent wait for an acknowledgement.
+func (e *end) unacknowledged() bool {
+	if e.peer.closed != nil {
+		return true
+	}
+	for _, one := range e.peer.inbox {
+		if one.held {
+			return true
+		}
+	}
+	return e.network.blocked(e.path.back()) && e.sent > 0
+}
+
+// told tells whether the peer's end is on its way to this end.
+func (e *end) told() bool {
+	return len(e.inbox) > 0 && e.inbox[len(e.inbox)-1].finish != nil
+}
+
+// fail ends the connection at this end, and resets the peer if that can be reached.
+func (e *end) fail(reason error) {
+	e.dropHeld()
+	e.forget(reason)
+	if e.peer.closed != nil {
+		return
+	}
+	if e.network.blocked(e.path) {
+		e.peer.watch(probeTime)
+		return
+	}
+	e.peer.resetLater(e.network.delay(e.path, e.stream, e.sent))
+}
+
+// dropHeld loses what a cut holds up of what this end has sent.
+func (e *end) dropHeld() {
+	for i, one := range e.peer.inbox {
+		if one.held {
+			e.peer.inbox = e.peer.inbox[:i]
+			return
+		}
+	}
+}
+
+func (e *end) forget(reason error) {
+	e.closed = reason
+	e.inbox = nil
+	delete(e.network.ends, e)
+	delete(e.process.ends, e)
+	e.notify()
+}
+
+// Close ends the connection: what was sent still arrives, if no cut holds it up for too long.
+func (e *end) Close() error {
+	e.network.mutex.Lock()
+	defer e.network.mutex.Unlock()
+	e.shut()
+	return nil
+}
+
+func (e *end) shut() {
+	if e.closed != nil {
+		return
+	}
+	finish := io.EOF
+	if len(e.inbox) > 0 && e.inbox[0].finish == nil {
+		finish = errReset // bytes that nobody has read
+	}
+	e.forget(net.ErrClosed)
+	if e.peer.closed != nil {
+		return
+	}
+	e.sent++
+	e.peer.arrive(segment{
+		at: time.Now().Add(e.network.delay(e.path, e.stream, e.sent)), held: e.network.blocked(e.path), finish: finish,
+	})
+	if e.cut {
+		e.dropLater()
+	}
+	e.peer.watch(probeTime)
+}
+
+// dropLater loses what a closed end has sent if a cut holds it up for too long.
+func (e *end) dropLater() {
+	since := e.since
+	time.AfterFunc(userTimeout, func() {
+		e.network.mutex.Lock()
+		defer e.network.mutex.Unlock()
+		if e.peer.closed == nil && e.peer.cut && !e.peer.since.After(since) {
+			e.dropHeld()
+		}
+	})
+}
+
+// vanish ends the connection without a word, as a loss of power does.
+func (e *end) vanish() {
+	if e.closed != nil {
+		return
+	}
+	e.dropHeld()
+	e.forget(errVanished)
+	if e.peer.closed == nil {
+		e.peer.watch(probeTime)
+	}
+}
--- /dev/null
+++ b/internal/controlsim/simnet/process.go
@@ -0,0 +1,129 @@
+package simnet
+
+import (
+	"sync"
+	"time"
+)
+
+// Process is one simulated process. It can stand still and be killed, and owns connections and listeners.
+type Process struct {
+	network *Network
+	host    string // IP
+
+	mutex     sync.Mutex
+	frozen    chan struct{} // nil: it runs; closed by Thaw
+	ended     chan struct{} // closed by the end
+	dead      bool
+	held      []func() // what it has sent while it stands still
+	ends      map[*end]struct{}
+	listeners map[*listener]struct{}
+}
+
+// NewProcess returns a process on the machine with that IP.
+func (n *Network) NewProcess(host string) *Process {
+	return &Process{
+		network: n, host: host, ended: make(chan struct{}),
+		ends: make(map[*end]struct{}), listeners: make(map[*listener]struct{}),
+	}
+}
+
+// Freeze has the process stand still: it gets and sends nothing, and Await waits.
+func (p *Process) Freeze() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.frozen == nil && !p.dead {
+		p.frozen = make(chan struct{})
+	}
+}
+
+// Thaw lets the process go on.
+func (p *Process) Thaw() {
+	p.mutex.Lock()
+	if p.frozen != nil {
+		close(p.frozen)
+		p.frozen = nil
+	}
+	held := p.held
+	p.held = nil
+	p.mutex.Unlock()
+	for _, send := range held {
+		send()
+	}
+}
+
+// Frozen tells whether the process stands still.
+func (p *Process) Frozen() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.frozen != nil
+}
+
+// Dead tells whether the process was killed.
+func (p *Process) Dead() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.dead
+}
+
+// Ended is closed once the process is killed.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Await returns once the process runs: at once, or when it is thawed. It is false once the process is dead.
+func (p *Process) Await() bool {
+	for {
+		p.mutex.Lock()
+		frozen, dead := p.frozen, p.dead
+		p.mutex.Unlock()
+		switch {
+		case dead:
+			return false
+		case frozen == nil:
+			return true
+		}
+		select {
+		case <-frozen:
+		case <-p.ended:
+		}
+	}
+}
+
+// Now is the process's clock: whoever asks while it stands still waits.
+func (p *Process) Now() time.Time {
+	p.Await()
+	return time.Now()
+}
+
+// send carries out what the process sends, at once or when it is thawed.
+func (p *Process) send(function func()) {
+	p.mutex.Lock()
+	if p.dead {
+		p.mutex.Unlock()
+		return
+	}
+	if p.frozen != nil {
+		p.held = append(p.held, function)
+		p.mutex.Unlock()
+		return
+	}
+	p.mutex.Unlock()
+	function()
+}
+
+// Kill ends the process. The machine's kernel closes its connections and listeners.
+func (p *Process) Kill() { p.end(false) }
+
+// LosePower ends the process with its machine: its connections end without a word, and what they hold is lost.
+func (p *Process) LosePower() { p.end(true) }
+
+func (p *Process) end(silent bool) {
+	p.mutex.Lock()
+	if p.dead {
+		p.mutex.Unlock()
+		return
+	}
+	p.dead = true
+	p.held = nil
+	close(p.ended)
+	p.mutex.Unlock()
+	p.network.release(p, silent)
+}
