--- a/coord/agreement/node.go
+++ b/coord/agreement/node.go
@@ -281,6 +281,7 @@
 		Applied:   n.applied,
 		First:     n.log.first(),
 		Last:      n.log.last(),
+		Durable:   n.disk.stable,
 		Confirmed: n.current,
 	}
 	if n.role == RoleLeader {
--- a/coord/agreement/types.go
+++ b/coord/agreement/types.go
@@ -160,6 +160,7 @@
 	Applied   uint64
 	First     uint64 // first entry in the log
 	Last      uint64 // last entry in the log
+	Durable   uint64 // last entry that is durable at this member
 	Confirmed time.Duration
 	// Confirmed: of a leader, when a majority last answered a heartbeat sent by then; of a follower, when it
 	// last heard its leader and held all that the leader had then committed.
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -225,6 +225,9 @@
 // Status returns the last published state, without waiting for the loop.
 func (g *Group) Status() Status { return g.loop.read() }
 
+// Timeless returns the last published state without its age. It asks no clock.
+func (g *Group) Timeless() Status { return g.loop.readTimeless() }
+
 // closeBudget bounds the wait for the write in hand at the end.
 const closeBudget = 500 * time.Millisecond
 
--- a/coord/replica/loop.go
+++ b/coord/replica/loop.go
@@ -33,6 +33,7 @@
 	shared       atomic.Pointer[Status] // for other goroutines
 	sharedAge    atomic.Int64           // Status.Confirmed of the node
 	sharedWeight atomic.Int64           // bytes on disk
+	sharedStable atomic.Uint64          // Status.Durable of the node
 }
 
 func newLoop(options *Options, node decider, submit func(job)) *loop {
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -78,6 +78,7 @@
 	ConfirmedAge time.Duration // since agreement.Status.Confirmed
 	Writable     bool          // the disk takes writes in time
 	DiskBytes    int64
+	Durable      uint64 // highest index that is durable here
 }
 
 // withDefaults fills in what may be left out.
--- a/coord/replica/status.go
+++ b/coord/replica/status.go
@@ -11,6 +11,7 @@
 func (l *loop) publish() {
 	l.sharedAge.Store(int64(l.status.Confirmed))
 	l.sharedWeight.Store(l.disk.diskBytes)
+	l.sharedStable.Store(l.status.Durable)
 	l.handOver.ended(l.status)
 	changed := l.hasChanged()
 	if !changed && l.published.Applied == l.applied && l.published.Commit == l.status.Commit {
@@ -51,9 +52,15 @@
 
 // read returns the last published state. Any goroutine may call it.
 func (l *loop) read() Status {
+	return withAge(l.readTimeless(), time.Duration(l.sharedAge.Load()), l.options.Clock.Now())
+}
+
+// readTimeless is read without the age, and asks no clock.
+func (l *loop) readTimeless() Status {
 	status := *l.shared.Load()
 	status.DiskBytes = l.sharedWeight.Load()
-	return withAge(status, time.Duration(l.sharedAge.Load()), l.options.Clock.Now())
+	status.Durable = l.sharedStable.Load()
+	return status
 }
 
 func withAge(status Status, confirmed, now time.Duration) Status {
--- /dev/null
+++ b/internal/controlsim/call.go
@@ -0,0 +1,92 @@
+package controlsim
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"ospreybend/internal/controlsim/simnet"
+	"ospreybend/internal/keeper"
+)
+
+// callTimeout is how long a caller waits in silence before it goes on to another node.
+const callTimeout = time.Second
+
+// call sends a call to a machine's API, as over HTTP. The status is 0 if no answer came in time. A call that has arrived
+// is carried out though its caller may have gone.
+func (w *world) call(from string, to *machine, request keeper.APIRequest) keeper.APIResponse {
+	answered := make(chan keeper.APIResponse, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	w.running.Go(func() { w.deliver(ctx, from, to, request, answered) })
+	select {
+	case response := <-answered:
+		return response
+	case <-ctx.Done():
+		return keeper.APIResponse{}
+	}
+}
+
+// deliver brings a call to the machine and its answer back. ctx ends when the caller waits no longer.
+func (w *world) deliver(ctx context.Context, from string, to *machine, request keeper.APIRequest, answered chan<- keeper.APIResponse) {
+	path := simnet.Path{From: from, To: to.ip}
+	if !w.travel(ctx, path) {
+		return
+	}
+	served, process := to.serving()
+	if served == nil {
+		answered <- keeper.APIResponse{} // the port refuses
+		return
+	}
+	if !process.Await() {
+		return
+	}
+	response := served.Handle(context.Background(), request)
+	if !process.Await() || w.losesReplies(from) {
+		return
+	}
+	if w.travel(ctx, simnet.Path{From: to.ip, To: from}) {
+		answered <- response
+	}
+}
+
+// travel waits until something has come along a path. It is false if ctx ends before.
+func (w *world) travel(ctx context.Context, path simnet.Path) bool {
+	for {
+		changed := w.network.Changed()
+		if !sleep(ctx, w.network.Delay(path)) {
+			return false
+		}
+		if w.network.Open(path) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// sleep waits for a time, or returns false once ctx has ended.
+func sleep(ctx context.Context, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// clear tells whether an answer of the API ends an operator's call, and whether that was taken.
+func clear(status int) (ends, taken bool) {
+	switch status {
+	case http.StatusOK:
+		return true, true
+	case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true, false
+	}
+	return false, false
+}
--- /dev/null
+++ b/internal/controlsim/disk.go
@@ -0,0 +1,196 @@
+package controlsim
+
+import (
+	"sync"
+	"time"
+
+	"ospreybend/coord/seglog"
+	"ospreybend/coord/seglog/seglogtest"
+	"ospreybend/internal/controlsim/schedule"
+	"ospreybend/internal/controlsim/simnet"
+)
+
+// Times that a disk takes.
+const (
+	syncTime   = 400 * time.Microsecond
+	slowFactor = 100
+)
+
+// machineDisk is the disk of a machine, whatever process uses it.
+type machineDisk struct {
+	mutex   sync.Mutex // held while an operation is carried out, never while one waits
+	content *seglogtest.Disk
+	trouble schedule.Variant // empty: none
+	over    chan struct{}    // closed when the trouble is over
+}
+
+func newMachineDisk() *machineDisk { return &machineDisk{content: seglogtest.NewDisk()} }
+
+// disturb brings trouble to the disk until it is calmed.
+func (d *machineDisk) disturb(trouble schedule.Variant) (calm func()) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	over := make(chan struct{})
+	d.trouble, d.over = trouble, over
+	if trouble == schedule.DiskFull {
+		d.content.Room = 0
+	}
+	return func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		close(over)
+		if d.over == over {
+			d.trouble, d.over = "", nil
+			d.content.Room = seglogtest.Unlimited
+		}
+	}
+}
+
+// wipe empties the disk; what processes had open is dead.
+func (d *machineDisk) wipe() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.content.Restart()
+	d.content = seglogtest.NewDisk()
+	d.resume()
+}
+
+// losePower leaves what was synced and, by the seed's draws, parts of the rest.
+func (d *machineDisk) losePower(seed uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.content.LosePower(seglogtest.NewRandom(seed))
+	d.resume()
+}
+
+// kill leaves the disk as the process left it.
+func (d *machineDisk) kill() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.content.Restart()
+	d.resume()
+}
+
+// resume brings the trouble back that a restart of the content has lifted.
+func (d *machineDisk) resume() {
+	if d.trouble == schedule.DiskFull {
+		d.content.Room = 0
+	}
+}
+
+// processDisk is a machine's disk as one process uses it: it is dead with the process, and waits while that stands still.
+type processDisk struct {
+	disk    *machineDisk
+	process *simnet.Process
+}
+
+var _ seglog.FileSystem = processDisk{}
+
+// operate carries out an operation that takes a time.
+func (d processDisk) operate(takes time.Duration, operation func(content *seglogtest.Disk) error) error {
+	if !d.await(takes) {
+		return seglogtest.ErrNoPower
+	}
+	d.disk.mutex.Lock()
+	defer d.disk.mutex.Unlock()
+	if d.process.Dead() {
+		return seglogtest.ErrNoPower
+	}
+	return operation(d.disk.content)
+}
+
+// await waits until the operation is done. It is false if the process ends before.
+func (d processDisk) await(takes time.Duration) bool {
+	d.disk.mutex.Lock()
+	trouble, over := d.disk.trouble, d.disk.over
+	d.disk.mutex.Unlock()
+	switch trouble {
+	case schedule.DiskHang:
+		select {
+		case <-over:
+		case <-d.process.Ended():
+		}
+	case schedule.DiskSlow:
+		takes = slowFactor * max(takes, syncTime)
+	}
+	if takes > 0 {
+		time.Sleep(takes)
+	}
+	return d.process.Await()
+}
+
+func (d processDisk) MakeDirectory(directory string) error {
+	return d.operate(0, func(content *seglogtest.Disk) error { return content.MakeDirectory(directory) })
+}
+
+func (d processDisk) Create(path string) (seglog.File, error) {
+	return d.open(func(content *seglogtest.Disk) (seglog.File, error) { return content.Create(path) })
+}
+
+func (d processDisk) OpenAppend(path string) (seglog.File, error) {
+	return d.open(func(content *seglogtest.Disk) (seglog.File, error) { return content.OpenAppend(path) })
+}
+
+func (d processDisk) open(open func(content *seglogtest.Disk) (seglog.File, error)) (seglog.File, error) {
+	var opened seglog.File
+	err := d.operate(0, func(content *seglogtest.Disk) (err error) {
+		opened, err = open(content)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return processFile{disk: d, file: opened}, nil
+}
+
+func (d processDisk) ReadFile(path string) (data []byte, err error) {
+	err = d.operate(0, func(content *seglogtest.Disk) (err error) {
+		data, err = content.ReadFile(path)
+		return err
+	})
+	return data, err
+}
+
+func (d processDisk) Rename(from, to string) error {
+	return d.operate(0, func(content *seglogtest.Disk) error { return content.Rename(from, to) })
+}
+
+func (d processDisk) Remove(path string) error {
+	return d.operate(0, func(content *seglogtest.Disk) error { return content.Remove(path) })
+}
+
+func (d processDisk) List(directory string) (files []seglog.FileInfo, err error) {
+	err = d.operate(0, func(content *seglogtest.Disk) (err error) {
+		files, err = content.List(directory)
+		return err
+	})
+	return files, err
+}
+
+func (d processDisk) SyncDirectory(directory string) error {
+	return d.operate(syncTime, func(content *seglogtest.Disk) error { return content.SyncDirectory(directory) })
+}
+
+// processFile is an open file of a process.
+type processFile struct {
+	disk processDisk
+	file seglog.File
+}
+
+func (f processFile) Write(data []byte) (count int, err error) {
+	err = f.disk.operate(0, func(*seglogtest.Disk) (err error) {
+		count, err = f.file.Write(data)
+		return err
+	})
+	return count, err
+}
+
+func (f processFile) Truncate(size int64) error {
+	return f.disk.operate(0, func(*seglogtest.Disk) error { return f.file.Truncate(size) })
+}
+
+func (f processFile) Sync() error {
+	return f.disk.operate(syncTime, func(*seglogtest.Disk) error { return f.file.Sync() })
+}
+
+func (f processFile) Close() error { return f.file.Close() }
--- /dev/null
+++ b/internal/controlsim/drawn_test.go
@@ -0,0 +1,38 @@
+package controlsim
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"ospreybend/internal/controlsim/schedule"
+)
+
+var shapes = []schedule.Shape{
+	{Keepers: 3, Tolerance: 1, Agents: 3, Operators: 2, Workers: 4, Length: 40 * time.Second},
+	{Keepers: 5, Tolerance: 2, Agents: 3, Operators: 2, Workers: 4, Length: 40 * time.Second},
+	{Keepers: 9, Tolerance: 4, Agents: 3, Operators: 2, Workers: 4, Length: 40 * time.Second},
+}
+
+// TestDrawnSchedulesKeepAllPromises plays schedules of fixed seeds. SIMULATED_FROM and SIMULATED_COUNT take others.
+func TestDrawnSchedulesKeepAllPromises(t *testing.T) {
+	from, count := number("SIMULATED_FROM", 1), number("SIMULATED_COUNT", 5)
+	for _, shape := range shapes {
+		for seed := from; seed < from+count; seed++ {
+			began := time.Now()
+			report := Play(t, schedule.Draw(seed, shape))
+			t.Logf("%d keepers, seed %d: %+v in %v", shape.Keepers, seed, report.Figures, time.Since(began))
+			if report.Failed() {
+				t.Errorf("%v", report)
+			}
+		}
+	}
+}
+
+func number(variable string, otherwise uint64) uint64 {
+	if value, err := strconv.ParseUint(os.Getenv(variable), 10, 64); err == nil {
+		return value
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/controlsim/edge.go
@@ -0,0 +1,189 @@
+package controlsim
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/agent"
+	"ospreybend/internal/catalog"
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/simnet"
+	"ospreybend/internal/feedlink"
+	"ospreybend/internal/registry"
+	"ospreybend/internal/settings"
+)
+
+// edge is a machine of the edge: an agent, and the view that its proxy takes.
+type edge struct {
+	world     *world
+	index     int
+	ip        string
+	processes [2]*simnet.Process // of the agent and the proxy
+}
+
+// run runs both processes until ctx ends.
+func (e *edge) run(ctx context.Context) {
+	own, proxy := e.world.network.NewProcess(e.ip), e.world.network.NewProcess(e.ip)
+	e.processes = [2]*simnet.Process{own, proxy}
+	e.world.running.Go(func() {
+		options := agent.Options{
+			Dial: own.Dial, Listen: own.Listen, Random: e.world.sharedRandom("agent", e.index), Origin: time.Now(),
+		}
+		if err := agent.RunWith(ctx, e.settings(), options, zap.NewNop()); err != nil {
+			e.world.record.fault("an agent ended by itself: " + err.Error())
+		}
+		own.Kill()
+	})
+	e.world.running.Go(func() {
+		_ = e.client(proxy).Run(ctx)
+		proxy.Kill()
+	})
+}
+
+func (e *edge) settings() settings.Settings {
+	config := settings.Defaults()
+	config.NodeName, config.IP, config.Zone, config.Region = e.name(), e.ip, "zone", "region"
+	config.PortRange = [2]int{peerPort, peerPort + 15}
+	config.Seeds = e.world.seeds()
+	return config
+}
+
+func (e *edge) name() string { return "edge-" + e.ip }
+
+// client is the reader of the feed that a proxy is.
+func (e *edge) client(process *simnet.Process) *feedlink.Client {
+	config := e.settings()
+	random := e.world.random("proxy", e.index)
+	return feedlink.NewClient(feedlink.ClientOptions{
+		Hello: feedlink.Hello{Node: e.name(), Zone: "zone", Region: "region", IP: e.ip, Role: feedlink.RoleProxy, Incarnation: random.Uint64()},
+		Choice: feedlink.ChoiceOptions{
+			Node: e.name(), Fixed: feedlink.LoopbackAddress(config.PortRange[0] + 1), SilentAfter: feedlink.LoopbackSilentAfter,
+		},
+		Dial:   process.Dial,
+		Random: random.Float64,
+	}, newFollower(e))
+}
+
+// follower makes views as a proxy does, and records what they show.
+type follower struct {
+	edge    *edge
+	builder *catalog.Builder
+	whole   bool
+	shown   history.View
+	told    map[string]history.State // of workers, as recorded
+	items   map[shards.ID]map[string]history.State
+}
+
+func newFollower(e *edge) *follower {
+	return &follower{
+		edge: e, builder: catalog.NewBuilder(), told: make(map[string]history.State),
+		items: make(map[shards.ID]map[string]history.State),
+	}
+}
+
+// Snapshot implements feedlink.Handler.
+func (f *follower) Snapshot(shard shards.ID, snapshot feed.Snapshot) {
+	before := f.builder.Offsets()[shard]
+	f.builder.ApplySnapshot(shard, snapshot)
+	if shard == shards.Configuration || snapshot.Index <= before {
+		return
+	}
+	f.items[shard] = make(map[string]history.State)
+	f.put(shard, snapshot.Items)
+}
+
+// Change implements feedlink.Handler.
+func (f *follower) Change(shard shards.ID, change feed.Change) {
+	before := f.builder.Offsets()[shard]
+	f.builder.ApplyChange(shard, change)
+	if shard == shards.Configuration || change.Index <= before {
+		return
+	}
+	for _, key := range change.Delete {
+		delete(f.items[shard], key)
+	}
+	f.put(shard, change.Put)
+}
+
+func (f *follower) put(shard shards.ID, items []feed.Item) {
+	if f.items[shard] == nil {
+		f.items[shard] = make(map[string]history.State)
+	}
+	for _, item := range items {
+		instance, err := registry.DecodeItem(item.Value)
+		if err != nil || instance.Service == registry.NodesService {
+			continue
+		}
+		f.items[shard][item.Key] = stateOf(instance)
+	}
+}
+
+func stateOf(instance registry.Instance) history.State {
+	if instance.State == registry.Draining {
+		return history.Draining
+	}
+	return history.Ready
+}
+
+// BatchDone implements feedlink.BatchHandler.
+func (f *follower) BatchDone() { f.publish() }
+
+// Status implements feedlink.Handler: no view is published before the first one.
+func (f *follower) Status(feedlink.Status) {
+	f.whole = true
+	f.publish()
+}
+
+// Connected implements feedlink.Handler.
+func (f *follower) Connected(string) {}
+
+// Disconnected implements feedlink.Handler.
+func (f *follower) Disconnected(error) {}
+
+// publish records what the view shows now, if that is news.
+func (f *follower) publish() {
+	if !f.whole {
+		return
+	}
+	record := f.edge.world.record
+	view := f.builder.View()
+	now := history.View{Agent: f.edge.index, Life: 1, At: record.now(), Generation: view.Generation}
+	if mark := view.Services[markService]; mark != nil {
+		now.Order = strings.TrimPrefix(mark.HealthPath, "/")
+	}
+	if now.Generation != f.shown.Generation || now.Order != f.shown.Order {
+		f.shown = now
+		record.view(now)
+	}
+	f.publishStates(now.At)
+}
+
+func (f *follower) publishStates(at time.Duration) {
+	states := make(map[string]history.State)
+	for _, items := range f.items {
+		maps.Copy(states, items)
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.told)) {
+		if _, there := states[id]; !there {
+			f.tell(at, id, history.Absent)
+			delete(f.told, id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(states)) {
+		if f.told[id] != states[id] {
+			f.told[id] = states[id]
+			f.tell(at, id, states[id])
+		}
+	}
+}
+
+func (f *follower) tell(at time.Duration, id string, state history.State) {
+	f.edge.world.record.presence(history.Presence{Agent: f.edge.index, Life: 1, At: at, Instance: id, State: state})
+}
--- /dev/null
+++ b/internal/controlsim/events.go
@@ -0,0 +1,301 @@
+package controlsim
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+	"ospreybend/internal/controlsim/simnet"
+)
+
+// Times within events.
+const (
+	handOverPause = 300 * time.Millisecond // between the start of a successor and the SIGTERM of the old machine
+	slowDelay     = 400 * time.Millisecond // of a slow link
+)
+
+// playEvents carries all events out, each at its time, and returns when all are over.
+func (w *world) playEvents(ctx context.Context) {
+	var playing sync.WaitGroup
+	for _, event := range w.schedule.Events {
+		playing.Go(func() { w.playEvent(ctx, event) })
+	}
+	if left := w.schedule.Length - w.record.now(); left > 0 {
+		time.Sleep(left)
+	}
+	playing.Wait()
+}
+
+func (w *world) playEvent(ctx context.Context, event schedule.Event) {
+	time.Sleep(event.At - w.record.now())
+	if event.On != "" && !w.awaitTrigger(event.On) {
+		return
+	}
+	time.Sleep(event.Delay)
+	if play := w.players()[event.Kind]; play != nil {
+		play(ctx, event)
+	}
+}
+
+func (w *world) players() map[schedule.Kind]func(context.Context, schedule.Event) {
+	return map[schedule.Kind]func(context.Context, schedule.Event){
+		schedule.Kill:        w.playDown((*machine).kill),
+		schedule.Power:       w.playDown((*machine).losePower),
+		schedule.Wipe:        w.playDown((*machine).wipe),
+		schedule.Freeze:      w.playFreeze,
+		schedule.Cut:         w.playCut,
+		schedule.Replace:     w.playReplace,
+		schedule.Disk:        w.playDisk,
+		schedule.Link:        w.playLink,
+		schedule.KillAll:     w.playAllDown((*machine).kill),
+		schedule.PowerAll:    w.playAllDown((*machine).losePower),
+		schedule.RestartAll:  w.playAllDown((*machine).terminate),
+		schedule.Roll:        w.playRoll,
+		schedule.LoseReplies: w.playLoseReplies,
+		schedule.Race:        w.playRace,
+		schedule.Storm:       w.playStorm,
+		schedule.Bad:         w.playBad,
+		schedule.Worker:      w.playWorkers,
+	}
+}
+
+// trouble notes a trouble of the core.
+func (w *world) trouble(event schedule.Event, lost []int) (over func()) {
+	return w.record.trouble(history.Trouble{What: event.String(), Core: true, Lost: lost})
+}
+
+// playDown takes machines down in a way, and starts them again.
+func (w *world) playDown(down func(*machine)) func(context.Context, schedule.Event) {
+	return func(_ context.Context, event schedule.Event) {
+		over := w.trouble(event, event.Keepers)
+		struck := w.places(event.Keepers)
+		for _, m := range struck {
+			down(m)
+		}
+		time.Sleep(event.For)
+		w.startAll(struck)
+		over()
+	}
+}
+
+// startAll starts those of the machines that are down and still have their place.
+func (w *world) startAll(machines []*machine) {
+	for _, m := range machines {
+		if !m.isRetired() {
+			m.start(w.seeds(), false)
+		}
+	}
+}
+
+// playAllDown takes the whole core down; the event's keepers lose their disks too.
+func (w *world) playAllDown(down func(*machine)) func(context.Context, schedule.Event) {
+	return func(_ context.Context, event schedule.Event) {
+		over := w.record.trouble(history.Trouble{What: event.String(), Core: true, Lasting: true, Lost: w.allPlaces()})
+		all := w.everyPlace()
+		var going sync.WaitGroup
+		for _, m := range all {
+			going.Go(func() {
+				down(m)
+				if slices.Contains(event.Keepers, m.place) {
+					m.wipe()
+				}
+			})
+		}
+		going.Wait()
+		time.Sleep(event.For)
+		w.startAll(all)
+		over()
+	}
+}
+
+func (w *world) allPlaces() []int {
+	all := make([]int, w.schedule.Keepers)
+	for place := range all {
+		all[place] = place
+	}
+	return all
+}
+
+func (w *world) playFreeze(_ context.Context, event schedule.Event) {
+	over := w.record.trouble(history.Trouble{
+		What: event.String(), Core: len(event.Keepers) > 0, Agents: event.Agents, Lost: event.Keepers,
+	})
+	var thaw []func()
+	for _, m := range w.places(event.Keepers) {
+		thaw = append(thaw, m.freeze())
+	}
+	for _, i := range event.Agents {
+		for _, process := range w.edges[i].processes {
+			process.Freeze()
+			thaw = append(thaw, process.Thaw)
+		}
+	}
+	time.Sleep(event.For)
+	for _, end := range thaw {
+		end()
+	}
+	over()
+}
+
+// playCut cuts machines off. With Restart their processes are restarted amid it, and know only each other.
+func (w *world) playCut(_ context.Context, event schedule.Event) {
+	over := w.record.trouble(history.Trouble{What: event.String(), Core: true, Agents: event.Agents, Lost: event.Keepers})
+	struck := w.places(event.Keepers)
+	heal := w.network.Cut(w.cutOf(event, struck))
+	if event.Restart {
+		w.restartBehind(event, struck)
+	} else {
+		time.Sleep(event.For)
+	}
+	heal()
+	over()
+}
+
+// restartBehind kills and starts the machines behind a cut whose seeds are just these.
+func (w *world) restartBehind(event schedule.Event, struck []*machine) {
+	var seeds []string
+	for _, m := range struck {
+		seeds = append(seeds, controlAddress(m.ip))
+	}
+	time.Sleep(event.For / 3)
+	for _, m := range struck {
+		m.kill()
+	}
+	time.Sleep(event.For / 10)
+	for _, m := range struck {
+		if !m.isRetired() {
+			m.start(seeds, false)
+		}
+	}
+	time.Sleep(event.For - event.For/3 - event.For/10)
+}
+
+// cutOf returns which paths a cut blocks.
+func (w *world) cutOf(event schedule.Event, struck []*machine) func(simnet.Path) bool {
+	inside := make(map[string]bool)
+	for _, m := range struck {
+		inside[m.ip] = true
+	}
+	for _, i := range event.Agents {
+		inside[w.edges[i].ip] = true
+	}
+	crosses := func(p simnet.Path) bool { return inside[p.From] != inside[p.To] }
+	switch event.Variant {
+	case schedule.CutKeepers:
+		return func(p simnet.Path) bool { return crosses(p) && isKeeper(p.From) && isKeeper(p.To) }
+	case schedule.CutInward:
+		return func(p simnet.Path) bool { return crosses(p) && inside[p.To] && isMachine(p.From) }
+	case schedule.CutOutward:
+		return func(p simnet.Path) bool { return crosses(p) && inside[p.From] && isMachine(p.To) }
+	case schedule.CutAll:
+		return crosses
+	}
+	return func(p simnet.Path) bool { return crosses(p) && isMachine(p.From) && isMachine(p.To) }
+}
+
+// playReplace has an empty machine at another address take a machine's place.
+func (w *world) playReplace(_ context.Context, event schedule.Event) {
+	over := w.trouble(event, event.Keepers)
+	var going sync.WaitGroup
+	for _, place := range event.Keepers {
+		going.Go(func() {
+			if event.Variant == schedule.Planned {
+				w.replacePlanned(place)
+			} else {
+				w.replaceLost(place, event.For)
+			}
+		})
+	}
+	going.Wait()
+	over()
+}
+
+func (w *world) replacePlanned(place int) {
+	old, successor := w.succeed(place)
+	successor.start(w.seeds(), false)
+	time.Sleep(handOverPause)
+	old.retire()
+	old.terminate()
+}
+
+func (w *world) replaceLost(place int, after time.Duration) {
+	w.at(place).losePower()
+	time.Sleep(after)
+	old, successor := w.succeed(place)
+	old.retire()
+	successor.start(w.seeds(), false)
+}
+
+func (w *world) playDisk(_ context.Context, event schedule.Event) {
+	over := w.record.trouble(history.Trouble{What: event.String(), Core: true, Lasting: true, Lost: event.Keepers})
+	var calm []func()
+	for _, m := range w.places(event.Keepers) {
+		calm = append(calm, m.disk.disturb(event.Variant))
+	}
+	time.Sleep(event.For)
+	for _, end := range calm {
+		end()
+	}
+	over()
+}
+
+func (w *world) playLink(_ context.Context, event schedule.Event) {
+	core := len(event.Keepers) > 0
+	over := w.record.trouble(history.Trouble{What: event.String(), Core: core, Lasting: core, Agents: event.Agents, Lost: event.Keepers})
+	hosts := make(map[string]bool)
+	for _, m := range w.places(event.Keepers) {
+		hosts[m.ip] = true
+	}
+	for _, i := range event.Agents {
+		hosts[w.edges[i].ip] = true
+	}
+	touches := func(p simnet.Path) bool { return p.From != p.To && (hosts[p.From] || hosts[p.To]) }
+	switch event.Variant {
+	case schedule.LinkReset:
+		w.network.Reset(touches)
+	case schedule.LinkHold:
+		heal := w.network.Cut(touches)
+		time.Sleep(event.For)
+		heal()
+	case schedule.LinkSlow:
+		heal := w.network.Slow(func(p simnet.Path) time.Duration {
+			if touches(p) {
+				return slowDelay
+			}
+			return 0
+		})
+		time.Sleep(event.For)
+		heal()
+	}
+	over()
+}
+
+// playRoll ends and starts machines one after the other.
+func (w *world) playRoll(_ context.Context, event schedule.Event) {
+	for _, place := range event.Keepers {
+		began := time.Now()
+		over := w.trouble(event, []int{place})
+		m := w.at(place)
+		m.terminate()
+		w.startAll([]*machine{m})
+		over()
+		time.Sleep(event.For - time.Since(began))
+	}
+}
+
+func isKeeper(ip string) bool { return kindOf(ip) == '0' }
+
+// isMachine tells whether an IP is one of the system's own machines.
+func isMachine(ip string) bool { return kindOf(ip) == '0' || kindOf(ip) == '1' }
+
+// kindOf returns the digit of an address that tells the kind of its machine.
+func kindOf(ip string) byte {
+	const place = len("10.")
+	if len(ip) <= place {
+		return 0
+	}
+	return ip[place]
+}
--- /dev/null
+++ b/internal/controlsim/guards.go
@@ -0,0 +1,58 @@
+package controlsim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/keeper"
+)
+
+// Prefixes of the names of guards, by what they guard.
+const (
+	keeperPrefix        = "keeper."
+	agreementPrefix     = "agreement."
+	configurationPrefix = "configuration."
+)
+
+// Guards lists the names that a schedule can leave out.
+func Guards() []string {
+	var names []string
+	for _, guard := range keeper.Guards() {
+		names = append(names, keeperPrefix+string(guard))
+	}
+	for _, rule := range agreement.Rules() {
+		names = append(names, agreementPrefix+string(rule))
+	}
+	for _, rule := range configuration.Rules() {
+		names = append(names, configurationPrefix+string(rule))
+	}
+	return names
+}
+
+// omissions is what a schedule leaves out, sorted by what it guards.
+type omissions struct {
+	keeper        []keeper.Guard
+	agreement     []agreement.Rule
+	configuration []configuration.Rule
+}
+
+func parseOmissions(names []string) (omissions, error) {
+	var out omissions
+	for _, name := range names {
+		if !slices.Contains(Guards(), name) {
+			return out, fmt.Errorf("controlsim: there is no guard %q", name)
+		}
+		switch {
+		case strings.HasPrefix(name, keeperPrefix):
+			out.keeper = append(out.keeper, keeper.Guard(strings.TrimPrefix(name, keeperPrefix)))
+		case strings.HasPrefix(name, agreementPrefix):
+			out.agreement = append(out.agreement, agreement.Rule(strings.TrimPrefix(name, agreementPrefix)))
+		default:
+			out.configuration = append(out.configuration, configuration.Rule(strings.TrimPrefix(name, configurationPrefix)))
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/controlsim/machine.go
@@ -0,0 +1,261 @@
+package controlsim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/internal/controlsim/simnet"
+	"ospreybend/internal/keeper"
+	"ospreybend/internal/settings"
+)
+
+// machine is one machine of the core, with its disk and the keeper that runs on it.
+type machine struct {
+	world *world
+	place int
+	ip    string
+	disk  *machineDisk
+
+	mutex   sync.Mutex
+	running *keeperProcess // nil: none was started, or it is down
+	starts  int
+	member  agreement.MemberID // of this disk, as the last keeper had it
+	retired bool               // another machine has its place
+}
+
+// keeperProcess is one life of a machine's keeper.
+type keeperProcess struct {
+	process *simnet.Process
+	stop    context.CancelFunc // as SIGTERM does
+	ended   chan struct{}      // closed once nothing of it runs any more
+	keeper  *keeper.Keeper     // nil until it is open
+	serving bool               // its API takes calls
+}
+
+// settings returns the settings file of a start.
+func (m *machine) settings(seeds []string, bootstrap bool) settings.Settings {
+	config := settings.Defaults()
+	config.NodeName = "core-" + m.ip
+	config.IP, config.Zone, config.Region = m.ip, "zone", "region"
+	config.PortRange = [2]int{peerPort, peerPort + 15}
+	config.Listen.Control = controlAddress(m.ip)
+	config.Seeds, config.Bootstrap = seeds, bootstrap
+	config.DataDir = "/data"
+	config.HeartbeatMs = int(beatInterval / time.Millisecond)
+	config.FaultTolerance.Machines = m.world.schedule.Tolerance
+	return config
+}
+
+// start starts a keeper unless one is running.
+func (m *machine) start(seeds []string, bootstrap bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running != nil {
+		return
+	}
+	m.starts++
+	m.world.network.SetPower(m.ip, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	life := &keeperProcess{process: m.world.network.NewProcess(m.ip), stop: cancel, ended: make(chan struct{})}
+	m.running = life
+	outside := m.environment(life, m.starts)
+	config := m.settings(seeds, bootstrap)
+	m.world.running.Go(func() {
+		defer close(life.ended)
+		defer cancel()
+		m.run(ctx, life, config, outside)
+	})
+}
+
+func (m *machine) environment(life *keeperProcess, start int) keeper.Environment {
+	w := m.world
+	return keeper.Environment{
+		FileSystem: processDisk{disk: m.disk, process: life.process},
+		Now:        life.process.Now,
+		Random:     w.sharedRandom("keeper "+m.ip, start),
+		Dial:       life.process.Dial,
+		Listen:     life.process.Listen,
+		Observe:    func(status replica.Status) { w.record.observe(m, status) },
+		Omit:       w.omit.keeper, OmitRules: w.omit.agreement, OmitStore: w.omit.configuration,
+	}
+}
+
+// run is one life of the keeper.
+func (m *machine) run(ctx context.Context, life *keeperProcess, config settings.Settings, outside keeper.Environment) {
+	opened, err := keeper.Open(ctx, config, outside, zap.NewNop())
+	if err == nil {
+		m.mutex.Lock()
+		life.keeper, m.member = opened, opened.Self().ID
+		m.mutex.Unlock()
+		m.world.record.knowMember(opened.Self().ID, m)
+		err = opened.Serve(ctx, &apiServer{machine: m, life: life, stop: make(chan struct{})})
+		opened.Close()
+	}
+	if !life.process.Dead() && ctx.Err() == nil {
+		m.world.record.fault("the keeper of " + m.ip + " ended by itself: " + errorText(err))
+	}
+	life.process.Kill()
+	m.forget(life)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "no error"
+	}
+	return err.Error()
+}
+
+// forget notes that a life has ended.
+func (m *machine) forget(life *keeperProcess) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == life {
+		m.running = nil
+	}
+}
+
+// take takes the running keeper away, so that another may be started, or returns nil.
+func (m *machine) take() *keeperProcess {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	life := m.running
+	m.running = nil
+	if life != nil {
+		life.serving = false
+	}
+	return life
+}
+
+// kill ends the process; its disk stays.
+func (m *machine) kill() {
+	if life := m.take(); life != nil {
+		life.process.Kill()
+		m.disk.kill()
+		life.stop()
+	}
+}
+
+// losePower ends the process without a word; what was not synced may be lost.
+func (m *machine) losePower() {
+	m.mutex.Lock()
+	draws := m.world.random("power "+m.ip, m.starts)
+	m.mutex.Unlock()
+	life := m.take()
+	m.world.network.SetPower(m.ip, false)
+	if life != nil {
+		life.process.LosePower()
+	}
+	m.disk.losePower(draws.Uint64())
+	if life != nil {
+		life.stop()
+	}
+}
+
+// wipe loses the disk, and the process with it if it runs.
+func (m *machine) wipe() {
+	m.losePower()
+	m.disk.wipe()
+	m.mutex.Lock()
+	lost := m.member
+	m.mutex.Unlock()
+	m.world.record.gone(lost)
+}
+
+// terminate ends the process as SIGTERM does, and after the time of grace as SIGKILL does.
+func (m *machine) terminate() {
+	m.mutex.Lock()
+	life := m.running
+	m.mutex.Unlock()
+	if life == nil {
+		return
+	}
+	life.stop()
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-life.ended:
+	case <-timer.C:
+		m.kill()
+	}
+}
+
+// freeze has the process stand still.
+func (m *machine) freeze() (thaw func()) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == nil {
+		return func() {}
+	}
+	process := m.running.process
+	process.Freeze()
+	return process.Thaw
+}
+
+// serving returns the keeper whose API takes calls, and its process.
+func (m *machine) serving() (*keeper.Keeper, *simnet.Process) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == nil || !m.running.serving {
+		return nil, nil
+	}
+	return m.running.keeper, m.running.process
+}
+
+// inspect returns the state of the keeper's groups, nil if it has none.
+func (m *machine) inspect() []replica.Status {
+	m.mutex.Lock()
+	var opened *keeper.Keeper
+	if m.running != nil {
+		opened = m.running.keeper
+	}
+	m.mutex.Unlock()
+	if opened == nil {
+		return nil
+	}
+	return opened.Inspect()
+}
+
+// apiServer stands for the HTTP server of a keeper.
+type apiServer struct {
+	machine *machine
+	life    *keeperProcess
+	stop    chan struct{}
+}
+
+// Run takes calls until Shutdown.
+func (s *apiServer) Run() error {
+	s.set(true)
+	<-s.stop
+	return nil
+}
+
+// Shutdown takes no more calls.
+func (s *apiServer) Shutdown(context.Context) error {
+	s.set(false)
+	close(s.stop)
+	return nil
+}
+
+func (s *apiServer) set(serving bool) {
+	s.machine.mutex.Lock()
+	defer s.machine.mutex.Unlock()
+	s.life.serving = serving && s.machine.running == s.life
+}
+
+// retire notes that another machine has the place.
+func (m *machine) retire() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.retired = true
+}
+
+func (m *machine) isRetired() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.retired
+}
--- /dev/null
+++ b/internal/controlsim/operator.go
@@ -0,0 +1,204 @@
+package controlsim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+	"ospreybend/internal/keeper"
+)
+
+// How operators go about.
+const (
+	shortestPause = 300 * time.Millisecond // between two orders
+	longestPause  = 1500 * time.Millisecond
+	firstRetry    = 100 * time.Millisecond // between two attempts, doubled with each up to the last
+	lastRetry     = time.Second
+	readShare     = 4 // one of so many steps is a read
+	largestStep   = 5 // of generations
+	lastChance    = 3 // attempt at which any 4xx ends the call
+)
+
+// operator sends orders and reads, as PROTOCOL says.
+type operator struct {
+	world *world
+	index int
+	host  string
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	known  uint64 // the newest generation that it has seen
+	orders int
+	last   order // accepted one but the newest
+	newest order
+}
+
+// run sends orders one after the other until ctx ends. The first operator sends the first configuration.
+func (o *operator) run(ctx context.Context) {
+	if o.index == 0 {
+		o.send(ctx, o.makeOrder(0))
+	}
+	for sleep(ctx, o.pause()) {
+		if o.draw(readShare) == 0 || o.base() == 0 {
+			o.read(ctx, o.pick())
+			continue
+		}
+		o.send(ctx, o.makeOrder(o.base()))
+	}
+}
+
+func (o *operator) draw(below int) int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.random.IntN(below)
+}
+
+func (o *operator) pause() time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return shortestPause + rand64(o.random, longestPause-shortestPause)
+}
+
+func rand64(random *rand.Rand, below time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(below)))
+}
+
+func (o *operator) base() uint64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.known
+}
+
+// makeOrder makes a new order on top of a generation.
+func (o *operator) makeOrder(base uint64) order {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	generation := base + 1 + uint64(o.random.IntN(largestStep))
+	if base > 0 && o.random.IntN(2) == 0 {
+		return updateOrder(o.nextName(), base, generation)
+	}
+	return replaceOrder(o.nextName(), base, generation)
+}
+
+func (o *operator) nextName() string {
+	o.orders++
+	return fmt.Sprintf("o%d-%d", o.index, o.orders)
+}
+
+func (o *operator) newName() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.nextName()
+}
+
+// pick chooses a keeper of the list.
+func (o *operator) pick() *machine {
+	listed := o.world.listed()
+	return listed[o.draw(len(listed))]
+}
+
+// send resends an order unchanged until it has a clear answer, and tells whether it was taken.
+func (o *operator) send(ctx context.Context, sent order) bool {
+	return o.sendFirst(ctx, sent, o.pick())
+}
+
+// sendFirst is send with the keeper of the first attempt.
+func (o *operator) sendFirst(ctx context.Context, sent order, to *machine) bool {
+	retry := firstRetry
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		status := o.attempt(sent, to, attempt)
+		if ends, taken := clear(status); ends || attempt >= lastChance && isRefusal(status) {
+			o.settle(ctx, sent, taken)
+			return taken
+		}
+		if !sleep(ctx, retry/2+o.share(retry/2)) {
+			return false
+		}
+		retry = min(2*retry, lastRetry)
+		to = o.pick()
+	}
+	return false
+}
+
+func (o *operator) share(most time.Duration) time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return rand64(o.random, most+1)
+}
+
+func isRefusal(status int) bool {
+	return status >= 400 && status < 500 && status != 408 && status != 429
+}
+
+// attempt sends an order once and records that.
+func (o *operator) attempt(sent order, to *machine, attempt int) (status int) {
+	record := o.world.record
+	called := record.now()
+	o.world.raise(schedule.Sent)
+	response := o.world.call(o.host, to, sent.request())
+	outcome := history.Unknown
+	switch ends, taken := clear(response.Status); {
+	case taken:
+		outcome = history.Acknowledged
+	case ends, attempt >= lastChance && isRefusal(response.Status):
+		outcome = history.Refused
+	}
+	record.operation(history.Operation{
+		Client: o.index, Keeper: to.place, Call: called, Return: record.now(), Kind: sent.kind, Base: sent.base,
+		Generation: sent.generation, Order: sent.name, Invalid: sent.invalid, Outcome: outcome, Status: response.Status,
+	})
+	if outcome == history.Acknowledged {
+		o.world.raise(schedule.Acknowledgement)
+	}
+	return response.Status
+}
+
+// settle takes note of the answer to an order. After a refusal the operator reads what is in force.
+func (o *operator) settle(ctx context.Context, sent order, taken bool) {
+	if !taken {
+		if !sent.invalid {
+			o.read(ctx, o.pick())
+		}
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if sent.generation > o.known {
+		o.known = sent.generation
+		o.last, o.newest = o.newest, sent
+	}
+}
+
+// read asks for the newest configuration once.
+func (o *operator) read(_ context.Context, from *machine) {
+	record := o.world.record
+	called := record.now()
+	response := o.world.call(o.host, from, keeper.APIRequest{Call: keeper.APIRead})
+	done := history.Operation{
+		Client: o.index, Keeper: from.place, Call: called, Return: record.now(), Kind: history.Read,
+		Outcome: history.Unknown, Status: response.Status,
+	}
+	if _, taken := clear(response.Status); taken {
+		generation, name, err := readDocument(response.Body)
+		if err != nil {
+			record.fault("a read gave no configuration: " + err.Error())
+			return
+		}
+		done.Generation, done.Order, done.Outcome = generation, name, history.Acknowledged
+		o.mutex.Lock()
+		o.known = max(o.known, generation)
+		o.mutex.Unlock()
+	}
+	record.operation(done)
+}
+
+// accepted returns an order of this operator that was accepted and is not the newest one.
+func (o *operator) accepted() (order, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.last, o.last.name != ""
+}
--- /dev/null
+++ b/internal/controlsim/play.go
@@ -0,0 +1,78 @@
+package controlsim
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// Report is what became of a schedule.
+type Report struct {
+	Schedule   schedule.Schedule
+	Violations []history.Violation
+	Faults     []string // what must not be whatever the history says
+	History    history.History
+	Figures    Figures
+}
+
+// Figures count what a run had.
+type Figures struct {
+	Virtual  time.Duration // on the fake clock
+	Attempts int           // of orders
+	Taken    int           // of these, acknowledged
+	Reads    int
+	Views    int
+}
+
+// Failed tells whether a promise was broken.
+func (r Report) Failed() bool { return len(r.Violations) > 0 || len(r.Faults) > 0 }
+
+// String lists what was broken, and the schedule as a script that can be replayed.
+func (r Report) String() string {
+	var text strings.Builder
+	for _, violation := range r.Violations {
+		text.WriteString(violation.String() + "\n")
+	}
+	for _, fault := range r.Faults {
+		text.WriteString("fault at " + fault + "\n")
+	}
+	text.WriteString(r.Schedule.Format())
+	return text.String()
+}
+
+// Play plays a schedule in a bubble of its own and checks what was seen. It is to be called outside of a bubble.
+func Play(t *testing.T, s schedule.Schedule) Report {
+	t.Helper()
+	report := Report{Schedule: s}
+	synctest.Test(t, func(t *testing.T) {
+		w, err := newWorld(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.run()
+		report.History, report.Faults = w.record.history()
+	})
+	report.Violations = report.History.Check()
+	report.Figures = figuresOf(report.History)
+	return report
+}
+
+func figuresOf(h history.History) Figures {
+	figures := Figures{Virtual: h.End, Views: len(h.Views)}
+	for _, operation := range h.Operations {
+		switch {
+		case operation.Kind == history.Read:
+			figures.Reads++
+		default:
+			figures.Attempts++
+			if operation.Outcome == history.Acknowledged {
+				figures.Taken++
+			}
+		}
+	}
+	return figures
+}
--- /dev/null
+++ b/internal/controlsim/record.go
@@ -0,0 +1,241 @@
+package controlsim
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// recorder collects what is seen of a run.
+type recorder struct {
+	world *world
+	start time.Time
+
+	mutex      sync.Mutex
+	seen       history.History
+	faults     []string
+	departures map[string]*departing
+	members    map[agreement.MemberID]*knownMember
+	standings  [shards.Count]history.Standing // the last ones
+	leaders    map[uint64]bool                // terms of the configuration's group that had one
+}
+
+// knownMember is what is known of a member ID.
+type knownMember struct {
+	machine *machine
+	gone    bool
+	durable [shards.Count]uint64
+}
+
+// departing is a departure under way.
+type departing struct {
+	record *recorder
+	index  int
+}
+
+func newRecorder(w *world) *recorder {
+	return &recorder{
+		world: w, start: time.Now(), departures: make(map[string]*departing),
+		members: make(map[agreement.MemberID]*knownMember), leaders: make(map[uint64]bool),
+	}
+}
+
+// now is the time since the start.
+func (r *recorder) now() time.Duration { return time.Since(r.start) }
+
+func (r *recorder) operation(one history.Operation) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.seen.Operations = append(r.seen.Operations, one)
+}
+
+func (r *recorder) view(one history.View) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.seen.Views = append(r.seen.Views, one)
+}
+
+func (r *recorder) beat(one history.Beat) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.seen.Beats = append(r.seen.Beats, one)
+}
+
+func (r *recorder) presence(one history.Presence) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.seen.Presences = append(r.seen.Presences, one)
+}
+
+// fault notes something that must not be, whatever the history says.
+func (r *recorder) fault(text string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.faults = append(r.faults, r.now().String()+": "+text)
+}
+
+// departure notes that a worker has begun to leave.
+func (r *recorder) departure(id string) *departing {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known := r.departures[id]; known != nil {
+		return known
+	}
+	made := &departing{record: r, index: len(r.seen.Departures)}
+	r.departures[id] = made
+	r.seen.Departures = append(r.seen.Departures, history.Departure{Instance: id, From: r.now()})
+	return made
+}
+
+// acknowledged notes the first acknowledgement of the departure.
+func (d *departing) acknowledged() {
+	d.record.mutex.Lock()
+	defer d.record.mutex.Unlock()
+	if one := &d.record.seen.Departures[d.index]; one.Acknowledged == 0 {
+		one.Acknowledged = d.record.now()
+	}
+}
+
+// trouble notes the beginning of a trouble; over notes its end.
+func (r *recorder) trouble(one history.Trouble) (over func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	one.From = r.now()
+	one.To, one.Until = time.Hour, time.Hour
+	index := len(r.seen.Troubles)
+	r.seen.Troubles = append(r.seen.Troubles, one)
+	return func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.seen.Troubles[index].To = r.now()
+		r.seen.Troubles[index].Until = r.now() + schedule.CatchUp
+	}
+}
+
+// knowMember notes where a member ID is.
+func (r *recorder) knowMember(id agreement.MemberID, m *machine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.members[id] == nil {
+		r.members[id] = &knownMember{machine: m}
+	}
+}
+
+// gone notes that a member's disk is lost for good.
+func (r *recorder) gone(id agreement.MemberID) {
+	r.mutex.Lock()
+	if known := r.members[id]; known != nil {
+		known.gone = true
+	}
+	r.mutex.Unlock()
+	r.sample()
+}
+
+// observe takes note of a change of a group's status at a machine. It must not block.
+func (r *recorder) observe(_ *machine, status replica.Status) {
+	if !status.IsLeader() {
+		return
+	}
+	if status.Shard == shards.Configuration && r.firstOfTerm(status.Term) {
+		r.world.raise(schedule.Election)
+	}
+	r.sample()
+}
+
+func (r *recorder) firstOfTerm(term uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	first := !r.leaders[term]
+	r.leaders[term] = true
+	return first
+}
+
+// sample records each group's members, as its leader has them, and what is durable at them.
+func (r *recorder) sample() {
+	all := r.world.everyMachine()
+	states := make([][]replica.Status, len(all))
+	for i, m := range all {
+		states[i] = m.inspect()
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var leading [shards.Count]replica.Status
+	var committed [shards.Count]uint64
+	for i, m := range all {
+		for _, status := range states[i] {
+			r.noteDurable(m, status)
+			committed[status.Shard] = max(committed[status.Shard], status.Commit)
+			if status.IsLeader() && status.Term >= leading[status.Shard].Term {
+				leading[status.Shard] = status
+			}
+		}
+	}
+	for shard, status := range leading {
+		if status.Term > 0 {
+			r.stand(shard, status.Members, committed[shard])
+		}
+	}
+}
+
+func (r *recorder) noteDurable(m *machine, status replica.Status) {
+	m.mutex.Lock()
+	id := m.member
+	m.mutex.Unlock()
+	if known := r.members[id]; known != nil {
+		known.durable[status.Shard] = status.Durable
+	}
+}
+
+// stand records a group's standing unless it is as before.
+func (r *recorder) stand(shard int, members []agreement.Member, committed uint64) {
+	now := history.Standing{At: r.now(), Group: shard, Committed: committed}
+	for _, member := range members {
+		if !member.Voter {
+			continue
+		}
+		voter := history.Voter{ID: uint64(member.ID), Place: -1}
+		if known := r.members[member.ID]; known != nil {
+			voter.Place, voter.Gone, voter.Durable = known.machine.place, known.gone || known.machine.isRetired(), known.durable[shard]
+		}
+		now.Voters = append(now.Voters, voter)
+	}
+	slices.SortFunc(now.Voters, func(a, b history.Voter) int { return cmp.Compare(a.ID, b.ID) })
+	before := r.standings[shard]
+	if before.Committed == now.Committed && slices.Equal(before.Voters, now.Voters) {
+		return
+	}
+	r.standings[shard] = now
+	r.seen.Standings = append(r.seen.Standings, now)
+}
+
+// history returns what was recorded, in the order of time.
+func (r *recorder) history() (history.History, []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	seen := r.seen
+	slices.SortStableFunc(seen.Operations, func(a, b history.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	slices.SortStableFunc(seen.Views, func(a, b history.View) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(seen.Presences, func(a, b history.Presence) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(seen.Standings, func(a, b history.Standing) int { return cmp.Compare(a.At, b.At) })
+	return seen, slices.Clone(r.faults)
+}
+
+// end notes the end of the run and what was promised in it.
+func (r *recorder) end() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.world.schedule
+	r.seen.End, r.seen.Bounds = r.now(), bounds
+	r.seen.Tolerance, r.seen.Agents = s.Tolerance, s.Agents
+	r.seen.Troubles = append(r.seen.Troubles, history.Trouble{
+		What: "formation", To: formation, Core: true, Lasting: true, Lost: r.world.allPlaces(), Until: formation,
+	})
+	r.seen.Wanted = min(max(2*s.Tolerance+1, seedCount), s.Keepers)
+}
--- /dev/null
+++ b/internal/controlsim/scripts.go
@@ -0,0 +1,140 @@
+package controlsim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// repeatAfter is how soon after the first attempt the same order is sent to another keeper.
+const repeatAfter = 2 * time.Millisecond
+
+func (w *world) playLoseReplies(_ context.Context, event schedule.Event) {
+	var hosts []string
+	for _, i := range event.Operators {
+		hosts = append(hosts, w.operators[i].host)
+	}
+	end := w.loseReplies(hosts)
+	time.Sleep(event.For)
+	end()
+}
+
+// playRace has operators send at once on top of one version.
+func (w *world) playRace(ctx context.Context, event schedule.Event) {
+	if len(event.Operators) == 0 {
+		return
+	}
+	first := w.operators[event.Operators[0]]
+	base := w.newestBase(event.Operators)
+	if base == 0 {
+		return
+	}
+	shared := first.makeOrder(base)
+	var racing sync.WaitGroup
+	for _, i := range event.Operators {
+		o := w.operators[i]
+		racing.Go(func() { w.race(ctx, event.Variant, o, base, shared) })
+	}
+	racing.Wait()
+}
+
+func (w *world) race(ctx context.Context, variant schedule.Variant, o *operator, base uint64, shared order) {
+	switch variant {
+	case schedule.RaceBodies:
+		o.send(ctx, replaceOrder(o.newName(), base, shared.generation))
+	case schedule.RaceSame:
+		o.send(ctx, shared)
+	case schedule.RaceRepeat:
+		w.sendTwice(ctx, o, o.makeOrder(base))
+	case schedule.RaceOld:
+		if old, found := o.accepted(); found {
+			o.send(ctx, old)
+		}
+	}
+}
+
+// sendTwice sends an order to a second keeper while the first attempt is under way.
+func (w *world) sendTwice(ctx context.Context, o *operator, sent order) {
+	var both sync.WaitGroup
+	both.Go(func() { o.send(ctx, sent) })
+	if sleep(ctx, repeatAfter) {
+		both.Go(func() { o.send(ctx, sent) })
+	}
+	both.Wait()
+}
+
+// newestBase is the newest generation that any of the operators has seen.
+func (w *world) newestBase(operators []int) uint64 {
+	var base uint64
+	for _, i := range operators {
+		base = max(base, w.operators[i].base())
+	}
+	return base
+}
+
+// playStorm has operators send many changes one upon the other.
+func (w *world) playStorm(ctx context.Context, event schedule.Event) {
+	var storming sync.WaitGroup
+	for _, i := range event.Operators {
+		o := w.operators[i]
+		storming.Go(func() {
+			for range event.Count {
+				if base := o.base(); base > 0 && ctx.Err() == nil {
+					o.send(ctx, o.makeOrder(base))
+				}
+			}
+		})
+	}
+	storming.Wait()
+}
+
+// playBad has operators send what must be refused.
+func (w *world) playBad(ctx context.Context, event schedule.Event) {
+	for _, i := range event.Operators {
+		o := w.operators[i]
+		if base := o.base(); base > 0 {
+			o.send(ctx, badOrder(o.newName(), base, base+1, event.Variant))
+		}
+	}
+}
+
+// playWorkers has workers leave, crash or be late.
+func (w *world) playWorkers(ctx context.Context, event schedule.Event) {
+	var leaving sync.WaitGroup
+	for _, i := range event.Workers {
+		one := w.workers[i]
+		leaving.Go(func() {
+			if event.Variant == schedule.WorkerLate {
+				one.beLate(ctx, event.For)
+				return
+			}
+			if gone := one.take(); gone != nil {
+				gone.leave(ctx, event.Variant)
+			}
+			sleep(ctx, event.For)
+			one.start(ctx)
+		})
+	}
+	leaving.Wait()
+}
+
+// beLate has a worker's heartbeats come late for a time.
+func (w *worker) beLate(ctx context.Context, late time.Duration) {
+	w.mutex.Lock()
+	running := w.incarnation
+	w.mutex.Unlock()
+	if running == nil {
+		return
+	}
+	running.beLateBy(late)
+	sleep(ctx, late)
+	running.beLateBy(0)
+}
+
+func (i *incarnation) beLateBy(late time.Duration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.late = late
+}
--- a/internal/controlsim/simnet/connection.go
+++ b/internal/controlsim/simnet/connection.go
@@ -81,7 +81,7 @@
 		if !e.process.Await() {
 			return 0, net.ErrClosed
 		}
-		count, err, wait := e.take(buffer)
+		count, wait, err := e.take(buffer)
 		if count > 0 || err != nil {
 			return count, err
 		}
@@ -104,29 +104,29 @@
 }
 
 // take returns what has arrived, or why there is nothing, or how long to wait.
-func (e *end) take(buffer []byte) (count int, err error, wait time.Duration) {
+func (e *end) take(buffer []byte) (count int, wait time.Duration, err error) {
 	e.network.mutex.Lock()
 	defer e.network.mutex.Unlock()
 	now := time.Now()
 	switch {
 	case e.closed != nil:
-		return 0, e.closed, 0
+		return 0, 0, e.closed
 	case !e.deadline.IsZero() && !now.Before(e.deadline):
-		return 0, os.ErrDeadlineExceeded, 0
+		return 0, 0, os.ErrDeadlineExceeded
 	}
 	if len(e.inbox) == 0 || e.inbox[0].held || e.inbox[0].at.After(now) {
-		return 0, nil, e.wait(now)
+		return 0, e.wait(now), nil
 	}
 	first := &e.inbox[0]
 	if first.finish != nil {
-		return 0, first.finish, 0
+		return 0, 0, first.finish
 	}
 	count = copy(buffer, first.data)
 	first.data = first.data[count:]
 	if len(first.data) == 0 {
 		e.inbox = e.inbox[1:]
 	}
-	return count, nil, 0
+	return count, 0, nil
 }
 
 // wait says how long until the next segment or the deadline; 0: neither is known.
--- /dev/null
+++ b/internal/controlsim/world.go
@@ -0,0 +1,296 @@
+package controlsim
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+	"ospreybend/internal/controlsim/simnet"
+)
+
+// Ports and times of the simulated site.
+const (
+	peerPort       = 7000
+	controlPort    = 8000
+	startSpread    = 300 * time.Millisecond // within which all machines start
+	listLag        = time.Second            // of the list that callers choose keepers from
+	grace          = 8 * time.Second        // between SIGTERM and SIGKILL
+	sampleInterval = 250 * time.Millisecond
+	tail           = 8 * time.Second // after the last event
+	seedCount      = 3
+	formation      = 4 * time.Second // in which the core has to be formed whole
+)
+
+// bounds are the times that are promised to callers.
+var bounds = history.Bounds{
+	Contact: 3 * time.Second, ConfigApply: 2 * time.Second, Drain: drainTime, Registration: 2 * time.Second, ServeAgain: 6 * time.Second,
+}
+
+// world is everything of one run.
+type world struct {
+	schedule schedule.Schedule
+	omit     omissions
+	network  *simnet.Network
+	record   *recorder
+	running  sync.WaitGroup // everything that was started
+	scripts  context.Context
+
+	edges     []*edge
+	operators []*operator
+	workers   []*worker
+
+	mutex    sync.Mutex
+	machines []*machine // all that there ever were
+	posts    []post     // the core as callers list it
+	current  []*machine // by place
+	lost     map[string]int
+	triggers map[schedule.Trigger]chan struct{}
+}
+
+// post is a machine's time on the list of the core.
+type post struct {
+	machine    *machine
+	from, till time.Time // till is zero while it is on it
+}
+
+func newWorld(s schedule.Schedule) (*world, error) {
+	omit, err := parseOmissions(s.Omit)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{
+		schedule: s, omit: omit, network: simnet.New(s.Seed), lost: make(map[string]int),
+		triggers: make(map[schedule.Trigger]chan struct{}),
+	}
+	w.record = newRecorder(w)
+	for place := range s.Keepers {
+		m := w.newMachine(place)
+		w.current = append(w.current, m)
+		w.posts = append(w.posts, post{machine: m, from: time.Now().Add(-listLag)})
+	}
+	for i := range s.Agents {
+		w.edges = append(w.edges, &edge{world: w, index: i, ip: address(1, i)})
+	}
+	for i := range s.Operators {
+		w.operators = append(w.operators, &operator{world: w, index: i, host: address(9, i), random: w.random("operator", i)})
+	}
+	for i := range s.Workers {
+		w.workers = append(w.workers, &worker{world: w, index: i, host: address(2, i), random: w.random("worker", i)})
+	}
+	return w, nil
+}
+
+// address is the IP of one machine of a kind.
+func address(kind, number int) string { return fmt.Sprintf("10.%d.0.%d", kind, number+1) }
+
+func controlAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(controlPort)) }
+
+// random returns the draws of one part of the world, which depend on the seed alone. They may be used by one goroutine.
+func (w *world) random(part string, number int) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s/%d", part, number)
+	return rand.New(rand.NewPCG(w.schedule.Seed, h.Sum64()))
+}
+
+// sharedRandom is random for several goroutines.
+func (w *world) sharedRandom(part string, number int) func() uint64 {
+	random := w.random(part, number)
+	var mutex sync.Mutex
+	return func() uint64 {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return random.Uint64()
+	}
+}
+
+func (w *world) newMachine(place int) *machine {
+	m := &machine{world: w, place: place, ip: address(0, len(w.machines)), disk: newMachineDisk()}
+	w.machines = append(w.machines, m)
+	return m
+}
+
+// everyMachine returns all machines that there ever were.
+func (w *world) everyMachine() []*machine {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.machines)
+}
+
+// at returns the machine that has a place now.
+func (w *world) at(place int) *machine {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.current[place]
+}
+
+func (w *world) places(places []int) []*machine {
+	var found []*machine
+	for _, place := range places {
+		found = append(found, w.at(place))
+	}
+	return found
+}
+
+func (w *world) everyPlace() []*machine {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.current)
+}
+
+// succeed has a new machine take a place. The old one stays on the list of callers for a while.
+func (w *world) succeed(place int) (old, successor *machine) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	old = w.current[place]
+	successor = w.newMachine(place)
+	w.current[place] = successor
+	now := time.Now()
+	for i := range w.posts {
+		if w.posts[i].machine == old {
+			w.posts[i].till = now
+		}
+	}
+	w.posts = append(w.posts, post{machine: successor, from: now})
+	return old, successor
+}
+
+// listed returns the core as callers know it, which lags.
+func (w *world) listed() []*machine {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	as := time.Now().Add(-listLag)
+	var listed []*machine
+	for _, one := range w.posts {
+		if !one.from.After(as) && (one.till.IsZero() || one.till.After(as)) {
+			listed = append(listed, one.machine)
+		}
+	}
+	return listed
+}
+
+// seeds returns what a settings file names that is written now.
+func (w *world) seeds() []string {
+	var seeds []string
+	for _, m := range w.listed() {
+		if len(seeds) < seedCount {
+			seeds = append(seeds, controlAddress(m.ip))
+		}
+	}
+	return seeds
+}
+
+// raise wakes what waits for a trigger.
+func (w *world) raise(trigger schedule.Trigger) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if waiting := w.triggers[trigger]; waiting != nil {
+		close(waiting)
+		delete(w.triggers, trigger)
+	}
+}
+
+// awaitTrigger waits for a trigger. It is false if that doesn't come in time.
+func (w *world) awaitTrigger(trigger schedule.Trigger) bool {
+	w.mutex.Lock()
+	if w.triggers[trigger] == nil {
+		w.triggers[trigger] = make(chan struct{})
+	}
+	raised := w.triggers[trigger]
+	w.mutex.Unlock()
+	timer := time.NewTimer(schedule.TriggerWindow)
+	defer timer.Stop()
+	select {
+	case <-raised:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// losesReplies tells whether answers to a caller are lost now.
+func (w *world) losesReplies(host string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lost[host] > 0
+}
+
+// loseReplies loses the answers to callers until the function returned is called.
+func (w *world) loseReplies(hosts []string) (end func()) {
+	add := func(count int) {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		for _, host := range hosts {
+			w.lost[host] += count
+		}
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+// run plays the schedule and ends everything.
+func (w *world) run() {
+	scripts, stopScripts := context.WithCancel(context.Background())
+	defer stopScripts()
+	w.scripts = scripts
+	edges, stopEdges := context.WithCancel(context.Background())
+	defer stopEdges()
+	w.startCore()
+	for _, e := range w.edges {
+		e.run(edges)
+	}
+	w.startScripts(scripts)
+	w.playEvents(scripts)
+	time.Sleep(tail)
+	w.record.end()
+	stopScripts()
+	w.endEverything(stopEdges)
+}
+
+// startCore starts all keepers in a drawn order.
+func (w *world) startCore() {
+	random := w.random("start", 0)
+	seeds := w.seeds()
+	for _, m := range w.current {
+		delay := rand64(random, startSpread)
+		w.running.Go(func() {
+			time.Sleep(delay)
+			m.start(seeds, true)
+		})
+	}
+}
+
+func (w *world) startScripts(ctx context.Context) {
+	for _, o := range w.operators {
+		w.running.Go(func() { o.run(ctx) })
+	}
+	for _, one := range w.workers {
+		one.start(ctx)
+	}
+	w.running.Go(func() {
+		for sleep(ctx, sampleInterval) {
+			w.record.sample()
+		}
+	})
+}
+
+// endEverything stops all processes and waits for what they had started.
+func (w *world) endEverything(stopEdges context.CancelFunc) {
+	stopEdges()
+	for _, e := range w.edges {
+		for _, process := range e.processes {
+			process.Kill()
+		}
+	}
+	for _, m := range w.everyMachine() {
+		m.kill()
+	}
+	w.running.Wait()
+}
--- a/internal/keeper/environment.go
+++ b/internal/keeper/environment.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
 	"ospreybend/coord/seglog"
+	"ospreybend/internal/configuration"
 	"ospreybend/internal/peerlink"
 )
 
@@ -21,9 +23,12 @@
 	Dial       func(ctx context.Context, address string) (net.Conn, error)     // of peers
 	Listen     func(ctx context.Context, address string) (net.Listener, error) // for peers and agents
 
+	Observe func(replica.Status) // told of each change of a group's status; must not block
+
 	// What is left out, by tests alone: they show that a simulation notices the absence.
 	Omit      []Guard
 	OmitRules []agreement.Rule
+	OmitStore []configuration.Rule
 }
 
 func (e Environment) withDefaults() Environment {
@@ -42,6 +47,9 @@
 	if e.Listen == nil {
 		e.Listen = peerlink.Listen
 	}
+	if e.Observe == nil {
+		e.Observe = func(replica.Status) {}
+	}
 	return e
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -80,7 +80,7 @@
 
 func newMachine(id shards.ID, beat time.Duration, outside Environment) machine {
 	if id == shards.Configuration {
-		return newConfigurationMachine()
+		return newConfigurationMachine(outside)
 	}
 	return newRegistryMachine(beat, outside)
 }
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -53,8 +53,8 @@
 	store *configuration.Store
 }
 
-func newConfigurationMachine() *configurationMachine {
-	return &configurationMachine{feedState: newFeedState(), store: configuration.NewStore()}
+func newConfigurationMachine(outside Environment) *configurationMachine {
+	return &configurationMachine{feedState: newFeedState(), store: configuration.NewStore(outside.OmitStore...)}
 }
 
 // Apply carries out a change to the configuration; its result is a configuration.Outcome.
--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -78,6 +78,7 @@
 	}
 	k.ownersChanged.raise()
 	k.readers.wake()
+	k.outside.Observe(status)
 }
 
 // noteLeader ends the calls that wait for an owner of the shard who is no longer the leader.
--- a/internal/keeper/status.go
+++ b/internal/keeper/status.go
@@ -204,3 +204,17 @@
 	}
 	return 0
 }
+
+// Self returns this keeper as a member of its groups.
+func (k *Keeper) Self() agreement.Member { return k.self }
+
+// Inspect returns the state of all groups without its age. It asks no clock.
+func (k *Keeper) Inspect() []replica.Status {
+	var all []replica.Status
+	for _, shard := range k.shards {
+		if group, ok := shard.group.(*replica.Group); ok {
+			all = append(all, group.Timeless())
+		}
+	}
+	return all
+}
