--- a/coord/seglog/cut_test.go
+++ b/coord/seglog/cut_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -68,21 +69,22 @@
 	return changed
 }
 
-// TestCutSegments cuts each segment at each byte. All states passed through are prefixes, and what
-// is recovered must be one of them.
+// TestCutSegments cuts each segment at each byte. Of the last segment all states passed through are prefixes, and what
+// is recovered must be one of them. Without a part of another one the log is older than what was promised with it:
+// such a disk is refused as damaged.
 func TestCutSegments(t *testing.T) {
 	for seed := range uint64(3) {
 		written := write(t, seed, 8)
 		written.record.acknowledged = 0
 		for _, name := range written.segments() {
 			for cut := range written.files[name] {
-				checkPrefix(t, written, name, written.files[name][:cut])
+				checkChanged(t, written, name, written.files[name][:cut])
 			}
 		}
 	}
 }
 
-// TestDamagedSegments changes each byte of each segment.
+// TestDamagedSegments changes each byte of each segment, as TestCutSegments does.
 func TestDamagedSegments(t *testing.T) {
 	for seed := range uint64(3) {
 		written := write(t, seed, 8)
@@ -91,12 +93,43 @@
 			for position := range written.files[name] {
 				data := bytes.Clone(written.files[name])
 				data[position] ^= 0x41
-				checkPrefix(t, written, name, data)
+				checkChanged(t, written, name, data)
 			}
 		}
 	}
 }
 
+// TestMissingSegments takes each segment away but the last.
+func TestMissingSegments(t *testing.T) {
+	for seed := range uint64(3) {
+		written := write(t, seed, 8)
+		for _, name := range written.segments() {
+			disk := written.disk.Clone()
+			if err := disk.Remove(filepath.Join(directory, name)); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := open(disk); !written.isLast(name) && !errors.Is(err, seglog.ErrDamaged) {
+				t.Fatalf("without %s: %v", name, err)
+			}
+		}
+	}
+}
+
+// isLast tells whether no segment stands behind the one of the name.
+func (w writtenDisk) isLast(name string) bool { return name == slices.Max(w.segments()) }
+
+// checkChanged opens the disk with other content in one segment.
+func checkChanged(t *testing.T, written writtenDisk, name string, data []byte) {
+	t.Helper()
+	if written.isLast(name) {
+		checkPrefix(t, written, name, data)
+		return
+	}
+	if _, _, err := open(written.with(name, data)); !errors.Is(err, seglog.ErrDamaged) {
+		t.Fatalf("%s with %d bytes: %v", name, len(data), err)
+	}
+}
+
 // checkPrefix opens the changed disk, then writes to it and opens it again.
 func checkPrefix(t *testing.T, written writtenDisk, name string, data []byte) {
 	t.Helper()
--- a/coord/seglog/record.go
+++ b/coord/seglog/record.go
@@ -122,6 +122,7 @@
 	offset   int // after the last undamaged record
 	chain    uint32
 	previous uint32 // check value of the last record of the segment before
+	first    uint64 // index of the entry after the last one when the segment was started
 }
 
 // newRecordReader checks the header. ok is false if it is missing, damaged or of another segment.
@@ -137,7 +138,8 @@
 		return nil, false
 	}
 	previous := binary.LittleEndian.Uint32(data[headerBytes-8:])
-	return &recordReader{data: data, offset: headerBytes, chain: chain, previous: previous}, true
+	first := binary.LittleEndian.Uint64(data[preambleBytes+8:])
+	return &recordReader{data: data, offset: headerBytes, chain: chain, previous: previous, first: first}, true
 }
 
 // next returns the next record, which counts once accept is called. ok is false at the end of the
--- a/coord/seglog/recovery.go
+++ b/coord/seglog/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"path/filepath"
 	"slices"
 
@@ -39,6 +40,10 @@
 	if log.segmentBytes == 0 {
 		log.segmentBytes = DefaultSegmentBytes
 	}
+	log.omitted = make(map[Guard]bool, len(options.Omit))
+	for _, guard := range options.Omit {
+		log.omitted[guard] = true
+	}
 	return log
 }
 
@@ -55,7 +60,9 @@
 	log      *Log
 	segments []foundSegment // in order of their numbers
 	stored   agreement.Stored
-	kept     int // segments that count
+	kept     int  // segments that count
+	stopped  int  // first segment behind those that were looked at
+	severed  bool // the last one looked at has what was written behind more than there is
 }
 
 func (r *recovery) read() error {
@@ -71,10 +78,24 @@
 	}
 	r.voidOldSegments()
 	r.replay()
+	if err := r.checkComplete(); err != nil {
+		return err
+	}
 	r.finish()
 	return nil
 }
 
+// checkComplete refuses a log in which a segment stands behind the place where recovery has stopped, was started behind
+// more than the one before it holds, or has a whole record that cannot follow: all that it follows was durable when it
+// was made, so that what is missing was promised once.
+func (r *recovery) checkComplete() error {
+	if !r.log.holds(GuardAllSegments) || (r.stopped >= len(r.segments) && !r.severed) {
+		return nil
+	}
+	return fmt.Errorf("%w: %s, and %s stands behind it",
+		ErrDamaged, segmentName(r.log.nextSegment), r.segments[len(r.segments)-1].name)
+}
+
 // readSnapshots takes the newest snapshot. A damaged one is an error: it was durable before it got
 // its name.
 func (r *recovery) readSnapshots(files []FileInfo) error {
@@ -137,6 +158,9 @@
 
 // voidOldSegments leaves out the segments that the snapshot makes void.
 func (r *recovery) voidOldSegments() {
+	if !r.log.holds(GuardSegmentsVoid) {
+		return
+	}
 	first := r.log.nextSegment // the snapshot's first segment, or 1
 	void := 0
 	for void < len(r.segments) && r.segments[void].sequence < first {
@@ -152,6 +176,7 @@
 		if r.segments[i].sequence != r.log.nextSegment {
 			return // the one before it is missing
 		}
+		r.stopped = i + 1
 		complete := r.replaySegment(&r.segments[i])
 		if r.segments[i].good > 0 {
 			r.kept = i + 1
@@ -166,12 +191,20 @@
 // replaySegment tells whether all of the segment counts.
 func (r *recovery) replaySegment(found *foundSegment) bool {
 	reader, ok := newRecordReader(found.data, found.sequence)
-	if !ok || !r.follows(reader) {
+	if !ok {
+		return false
+	}
+	if !r.follows(reader) {
+		r.severed = true
 		return false
 	}
 	for {
 		kind, body, ok := reader.next()
-		if !ok || !r.apply(found, kind, body) {
+		if !ok {
+			break
+		}
+		if !r.apply(found, kind, body) {
+			r.severed = true
 			break
 		}
 		reader.accept()
@@ -181,9 +214,12 @@
 	return found.good == len(found.data)
 }
 
-// follows tells whether the segment before ended as it did when this one was started.
+// follows tells whether the segment before ended as it did when this one was started, and nothing is missing in between.
 func (r *recovery) follows(reader *recordReader) bool {
-	return r.kept == 0 || reader.previous == r.segments[r.kept-1].chain
+	if reader.first > r.log.last+1 && r.log.holds(GuardSegmentOrder) {
+		return false
+	}
+	return r.kept == 0 || reader.previous == r.segments[r.kept-1].chain || !r.log.holds(GuardSegmentOrder)
 }
 
 // apply takes one record. It returns false for one that cannot follow those before it.
@@ -232,6 +268,9 @@
 // makeDurable cuts off and removes what does not count and syncs the rest: a process that was
 // killed may have left records that it had not synced. It must succeed before the log is written.
 func (r *recovery) makeDurable() error {
+	if !r.log.holds(GuardRecoverySynced) {
+		return r.openLast()
+	}
 	if err := r.removeDropped(); err != nil {
 		return err
 	}
@@ -268,7 +307,7 @@
 		return err
 	}
 	current := &appendFile{segment: last.segment, file: file, good: int64(last.good), chain: last.chain, named: true}
-	if err := current.cut(); err != nil {
+	if err := r.cutLast(current); err != nil {
 		_ = file.Close() // nothing was written
 		return err
 	}
@@ -278,3 +317,11 @@
 	r.log.current = current
 	return nil
 }
+
+// cutLast takes off what does not count in the last segment and makes the rest durable.
+func (r *recovery) cutLast(last *appendFile) error {
+	if !r.log.holds(GuardRecoverySynced) {
+		return nil
+	}
+	return last.cut()
+}
--- a/coord/seglog/seglog.go
+++ b/coord/seglog/seglog.go
@@ -13,9 +13,11 @@
 // and holds the hard state of its moment, which may stand in one of these.
 //
 // Recovery reads the newest snapshot and then the segments in order, up to the first record that is
-// incomplete, damaged or does not follow. From there on everything is dropped: only writes that
-// were never reported as durable can look like this after a loss of power. Damage to synced data is
-// cut in the same way, since nothing tells the two apart; a damaged snapshot gives ErrDamaged.
+// incomplete, damaged or does not follow. What stands there in the last segment is dropped: only writes
+// that were never reported as durable can look like this after a loss of power, and damage to the synced
+// end of the last segment cannot be told from it. A segment is started only once all of the one before is
+// durable: where one that should stand before others is missing, damaged or not whole, ErrDamaged is given,
+// as for a damaged snapshot, since the log may be older than what was promised with it.
 // What recovery returns is durable again before Open returns.
 package seglog
 
@@ -35,6 +37,7 @@
 	FileSystem   FileSystem // nil: the operating system's
 	Directory    string     // of this log alone; made if it is missing
 	SegmentBytes int64      // 0: DefaultSegmentBytes
+	Omit         []Guard    // guards left out, by tests alone
 }
 
 // Log is the durable state of one group. Its methods must not be called at the same time.
@@ -51,6 +54,7 @@
 	last        uint64   // index of the last entry, or of the snapshot
 	removable   []string // names of files that are not needed, to be removed
 	closed      bool
+	omitted     map[Guard]bool
 }
 
 // Errors of a log. Other errors are those of the file system: the call may then be made again with
@@ -159,7 +163,11 @@
 	for covered < len(l.sealed) && l.sealed[covered].greatest <= snapshot.Index {
 		covered++
 	}
-	if err := l.writeSnapshot(snapshot, l.hardState, l.sequenceAfter(covered)); err != nil {
+	hardState := l.hardState
+	if !l.holds(GuardSnapshotVote) {
+		hardState = agreement.HardState{}
+	}
+	if err := l.writeSnapshot(snapshot, hardState, l.sequenceAfter(covered)); err != nil {
 		return err
 	}
 	l.voidSegments(covered, false)
--- a/coord/seglog/segment.go
+++ b/coord/seglog/segment.go
@@ -48,7 +48,7 @@
 // prepare makes the current segment fit for a write: what a failed write left is cut off, and a
 // new segment is started if there is none or if it is full.
 func (l *Log) prepare() error {
-	if l.current != nil && l.current.dirty {
+	if l.current != nil && l.current.dirty && l.holds(GuardFailedWriteCut) {
 		if err := l.current.cut(); err != nil {
 			return err
 		}
@@ -154,7 +154,7 @@
 	if err := current.file.Sync(); err != nil {
 		return err
 	}
-	if !current.named {
+	if !current.named && l.holds(GuardNameSynced) {
 		if err := l.fileSystem.SyncDirectory(l.directory); err != nil {
 			return err
 		}
--- a/coord/seglog/snapshot.go
+++ b/coord/seglog/snapshot.go
@@ -54,7 +54,7 @@
 	}
 	name := snapshotName(snapshot.Index)
 	l.removable = slices.DeleteFunc(l.removable, func(one string) bool { return one == name })
-	if err := writeFileDurably(l.fileSystem, l.directory, snapshotTemporary, name, data); err != nil {
+	if err := l.storeSnapshot(name, data); err != nil {
 		l.discard(name)
 		return err
 	}
@@ -65,6 +65,24 @@
 	return nil
 }
 
+// storeSnapshot writes the snapshot's file.
+func (l *Log) storeSnapshot(name string, data []byte) error {
+	switch {
+	case !l.holds(GuardSnapshotWhole):
+		if err := writeAndSync(l.fileSystem, filepath.Join(l.directory, name), data); err != nil {
+			return err
+		}
+		return l.fileSystem.SyncDirectory(l.directory)
+	case !l.holds(GuardSnapshotNamed):
+		path := filepath.Join(l.directory, snapshotTemporary)
+		if err := writeAndSync(l.fileSystem, path, data); err != nil {
+			return err
+		}
+		return l.fileSystem.Rename(path, filepath.Join(l.directory, name))
+	}
+	return writeFileDurably(l.fileSystem, l.directory, snapshotTemporary, name, data)
+}
+
 // discard marks a snapshot that may have got its name, but not durably, for removal.
 func (l *Log) discard(name string) {
 	if name != l.snapshot.name {
