Tell the keepers' list in a status only when it has changed

Cause: of the bytes that a keeper sends to each agent at rest, three quarters were the list of keepers, repeated every 400 ms; it grows with the keepers and is sent to every node. A status now carries the list when it is the connection's first or differs from the one before; the client fills it in, so that its handler sees it with each status. Old readers take an empty list as no news already.

--- a/internal/feedlink/client.go
+++ b/internal/feedlink/client.go
@@ -52,6 +52,7 @@
 	choice   *Choice
 	receiver *receiver
 	outbox   *outbox
+	keepers  []Keeper // that a server has named last; it names them again when they change
 }
 
 // NewClient prepares a client.
--- a/internal/feedlink/follow.go
+++ b/internal/feedlink/follow.go
@@ -103,6 +103,10 @@
 	if err != nil {
 		return err
 	}
+	if len(status.Keepers) == 0 {
+		status.Keepers = c.keepers
+	}
+	c.keepers = status.Keepers
 	now := time.Now()
 	c.choice.Status(now, status)
 	c.handler.Status(status)
--- a/internal/feedlink/messages.go
+++ b/internal/feedlink/messages.go
@@ -46,7 +46,7 @@
 type Status struct {
 	Sequence uint64 // of the statuses of one connection; set by the server's session
 	Shards   []ShardStatus
-	Keepers  []Keeper
+	Keepers  []Keeper // on the wire empty where they are as in the status before
 }
 
 // Current tells whether all shards of the status are current. A status without shards is not.
--- a/internal/feedlink/writer.go
+++ b/internal/feedlink/writer.go
@@ -96,7 +96,12 @@
 func (w *feedWriter) status(status Status) error {
 	w.sequence++
 	status.Sequence = w.sequence
+	keepers := status.Keepers
+	if w.sequence > 1 && slices.Equal(keepers, w.lastStatus.Keepers) {
+		status.Keepers = nil // the reader keeps those that it was told of
+	}
 	w.lastStatus = status
+	w.lastStatus.Keepers = keepers
 	w.statusAt = time.Now()
 	return w.add(AppendStatus(w.buffer, status))
 }
