--- a/coord/feed/buffer.go
+++ b/coord/feed/buffer.go
@@ -14,6 +14,9 @@
 	itemTreeDegree = 32
 	changeOverhead = 64 // bytes counted for a change beside its keys and values
 	itemOverhead   = 32 // bytes counted for an item or a deleted key beside its text
+
+	// sharedLagBytes is how much of changes may follow a snapshot that is handed to a further reader.
+	sharedLagBytes = 32 << 10
 )
 
 // Buffer holds the items of one shard and the latest changes to them. Values that are handed in
@@ -25,6 +28,7 @@
 	backlog         []Change
 	backlogBytes    int
 	maxBacklogBytes int
+	shared          *Snapshot // handed out last by From; nil: none
 }
 
 // NewBuffer returns an empty buffer at index 0, which keeps at most maxBacklogBytes of changes.
@@ -44,6 +48,7 @@
 	b.floor = snapshot.Index
 	b.backlog = nil
 	b.backlogBytes = 0
+	b.shared = nil
 	b.items = newItemTree()
 	for _, item := range snapshot.Items {
 		b.items.ReplaceOrInsert(item)
@@ -105,6 +110,36 @@
 	return append([]Change(nil), b.backlog[first:]...), true
 }
 
+// From returns what takes a reader on from index: the changes above it, or a snapshot and the changes above that. Both
+// are nil if there is nothing above index. A reader that has nothing gets a snapshot, since changes tell of items that
+// are gone. Readers that come one after the other get the same snapshot, so that it is made and encoded once.
+func (b *Buffer) From(index uint64) (changes []Change, snapshot *Snapshot) {
+	if index >= b.index {
+		return nil, nil
+	}
+	if index > 0 {
+		if changes, ok := b.Since(index); ok {
+			return changes, nil
+		}
+	}
+	if b.shared != nil {
+		if changes, ok := b.Since(b.shared.Index); ok && sizeOf(changes) <= sharedLagBytes {
+			return changes, b.shared
+		}
+	}
+	made := b.Snapshot()
+	b.shared = &made
+	return nil, b.shared
+}
+
+func sizeOf(changes []Change) int {
+	total := 0
+	for _, change := range changes {
+		total += size(change)
+	}
+	return total
+}
+
 // Snapshot returns all items, sorted by key, at the buffer's index.
 func (b *Buffer) Snapshot() Snapshot {
 	items := make([]Item, 0, b.items.Len())
--- a/coord/feed/buffer_test.go
+++ b/coord/feed/buffer_test.go
@@ -167,3 +167,78 @@
 	))
 	properties.TestingRun(t)
 }
+
+// take applies what From returned to what a reader holds.
+func take(held map[string]string, changes []feed.Change, snapshot *feed.Snapshot) {
+	if snapshot != nil {
+		clear(held)
+		for _, item := range snapshot.Items {
+			held[item.Key] = string(item.Value)
+		}
+	}
+	for _, change := range changes {
+		for _, key := range change.Delete {
+			delete(held, key)
+		}
+		for _, item := range change.Put {
+			held[item.Key] = string(item.Value)
+		}
+	}
+}
+
+func itemsOf(buffer *feed.Buffer) map[string]string {
+	items := make(map[string]string)
+	snapshot := buffer.Snapshot()
+	take(items, nil, &snapshot)
+	return items
+}
+
+func TestFromTakesEveryReaderOn(t *testing.T) {
+	buffer := feed.NewBuffer(1500)
+	indexes := []uint64{0}
+	states := []map[string]string{{}}
+	for index := uint64(1); index <= 400; index++ {
+		change := put(index, fmt.Sprintf("key-%d", index%60), fmt.Sprint(index))
+		if index%3 == 0 {
+			change.Delete = []string{fmt.Sprintf("key-%d", index%7)}
+		}
+		mustAppend(t, buffer, change)
+		indexes = append(indexes, index)
+		states = append(states, itemsOf(buffer))
+	}
+	for position, index := range indexes {
+		changes, snapshot := buffer.From(index)
+		held := states[position]
+		take(held, changes, snapshot)
+		if want := itemsOf(buffer); !reflect.DeepEqual(held, want) {
+			t.Fatalf("a reader at %d has %v, not %v", index, held, want)
+		}
+		if snapshot != nil && len(changes) > 0 && changes[0].Index <= snapshot.Index {
+			t.Fatalf("a reader at %d gets change %d after a snapshot at %d", index, changes[0].Index, snapshot.Index)
+		}
+	}
+	if changes, snapshot := buffer.From(400); changes != nil || snapshot != nil {
+		t.Fatal("a reader that has all gets something")
+	}
+}
+
+func TestReadersShareASnapshotUntilMuchHasChanged(t *testing.T) {
+	buffer := feed.NewBuffer(largeBacklog)
+	for index := uint64(1); index <= 100; index++ {
+		mustAppend(t, buffer, put(index, fmt.Sprintf("key-%d", index), "1"))
+	}
+	_, first := buffer.From(0)
+	mustAppend(t, buffer, put(101, "key-1", "2"))
+	changes, second := buffer.From(0)
+	if first == nil || second != first || len(changes) != 1 || changes[0].Index != 101 {
+		t.Fatalf("the second reader gets %p and %d changes, the first got %p", second, len(changes), first)
+	}
+	mustAppend(t, buffer, put(102, "large", string(make([]byte, 64<<10))))
+	if changes, third := buffer.From(0); third == nil || third.Index != 102 || len(changes) != 0 {
+		t.Fatalf("the third reader gets an old snapshot and %d changes", len(changes))
+	}
+	buffer.Reset(feed.Snapshot{Index: 200, Items: []feed.Item{{Key: "a"}}})
+	if _, fourth := buffer.From(0); fourth == nil || fourth.Index != 200 {
+		t.Fatal("after a reset a reader gets what was before")
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -141,6 +141,7 @@
 			IP:          config.IP,
 			Role:        feedlink.RoleAgent,
 			Incarnation: options.Random(),
+			Compressed:  true,
 		},
 		Choice: feedlink.ChoiceOptions{
 			Node:     config.NodeName,
--- a/internal/feedlink/codec.go
+++ b/internal/feedlink/codec.go
@@ -19,6 +19,7 @@
 		Node, Zone, Region, IP, Role string
 		Incarnation                  int64
 		Offsets                      []wireOffset
+		Compressed                   bool
 	}
 
 	wireSnapshot struct {
@@ -102,7 +103,7 @@
 func AppendHello(buffer []byte, hello Hello) ([]byte, error) {
 	wire := wireHello{
 		Node: hello.Node, Zone: hello.Zone, Region: hello.Region, IP: hello.IP, Role: hello.Role,
-		Incarnation: int64(hello.Incarnation),
+		Incarnation: int64(hello.Incarnation), Compressed: hello.Compressed,
 	}
 	for _, offset := range hello.Offsets {
 		wire.Offsets = append(wire.Offsets, wireOffset{Shard: int64(offset.Shard), Index: int64(offset.Index)})
@@ -113,12 +114,15 @@
 // DecodeHello reads the body of a frame of KindHello.
 func DecodeHello(body []byte) (Hello, error) {
 	var wire wireHello
-	if err := decode(KindHello, helloSchema, body, &wire); err != nil {
-		return Hello{}, err
+	if decode(KindHello, helloSchema, body, &wire) != nil {
+		wire = wireHello{}
+		if err := decode(KindHello, earlierHelloSchema, body, &wire); err != nil {
+			return Hello{}, err
+		}
 	}
 	hello := Hello{
 		Node: wire.Node, Zone: wire.Zone, Region: wire.Region, IP: wire.IP, Role: wire.Role,
-		Incarnation: uint64(wire.Incarnation),
+		Incarnation: uint64(wire.Incarnation), Compressed: wire.Compressed,
 	}
 	for _, offset := range wire.Offsets {
 		hello.Offsets = append(hello.Offsets, Offset{Shard: shards.ID(offset.Shard), Index: uint64(offset.Index)})
--- /dev/null
+++ b/internal/feedlink/compression.go
@@ -0,0 +1,84 @@
+package feedlink
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"io"
+	"sync"
+)
+
+const (
+	// compressedFrom is the length from which frames are worth compressing.
+	compressedFrom = 512
+	// compressionLevel is the fastest: a keeper compresses once for all its readers, but on the way of each change.
+	compressionLevel = flate.BestSpeed
+)
+
+var errFalseLength = errors.New("feedlink: compressed frames are not as long as they say")
+
+// wireCompressed mirrors compressedSchema.
+type wireCompressed struct {
+	Length   int64 // of the frames
+	Deflated []byte
+}
+
+// deflaters and inflaters are kept, as each holds some tens of kilobytes or more.
+var (
+	deflaters = sync.Pool{New: func() any {
+		writer, err := flate.NewWriter(nil, compressionLevel)
+		if err != nil {
+			panic(err) // the level is a constant
+		}
+		return writer
+	}}
+	inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+)
+
+// compressFrames returns frames as one frame of KindCompressed, or as they are if that is not shorter.
+func compressFrames(frames []byte) ([]byte, error) {
+	if len(frames) < compressedFrom {
+		return frames, nil
+	}
+	var deflated bytes.Buffer
+	writer := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(writer)
+	writer.Reset(&deflated)
+	if _, err := writer.Write(frames); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	message := wireCompressed{Length: int64(len(frames)), Deflated: deflated.Bytes()}
+	compressed, err := appendMessage(nil, KindCompressed, compressedSchema, message)
+	if err != nil || len(compressed) >= len(frames) {
+		return frames, err
+	}
+	return compressed, nil
+}
+
+// decompressFrames returns the frames that the body of a frame of KindCompressed holds.
+func decompressFrames(body []byte) ([]byte, error) {
+	var message wireCompressed
+	if err := decode(KindCompressed, compressedSchema, body, &message); err != nil {
+		return nil, err
+	}
+	if message.Length < 0 || message.Length > MaxFrameBytes {
+		return nil, ErrFrameTooLong
+	}
+	reader := inflaters.Get().(io.ReadCloser)
+	defer inflaters.Put(reader)
+	if err := reader.(flate.Resetter).Reset(bytes.NewReader(message.Deflated), nil); err != nil {
+		return nil, err
+	}
+	frames, err := readBody(reader, int(message.Length))
+	if err != nil {
+		return nil, &DecodeError{Kind: KindCompressed, Cause: err}
+	}
+	var further [1]byte
+	if count, err := reader.Read(further[:]); count > 0 || !errors.Is(err, io.EOF) {
+		return nil, &DecodeError{Kind: KindCompressed, Cause: errFalseLength}
+	}
+	return frames, nil
+}
--- a/internal/feedlink/follow.go
+++ b/internal/feedlink/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -66,10 +67,34 @@
 		return c.takeStatus(body)
 	case KindReport:
 		return c.takeReport(body)
+	case KindCompressed:
+		return c.takeCompressed(body)
 	}
 	return UnexpectedKindError{Kind: kind}
 }
 
+// takeCompressed hands over the frames within a frame.
+func (c *Client) takeCompressed(body []byte) error {
+	frames, err := decompressFrames(body)
+	if err != nil {
+		return err
+	}
+	reader := bytes.NewReader(frames)
+	for reader.Len() > 0 {
+		kind, inner, err := ReadFrame(reader)
+		if err != nil {
+			return err
+		}
+		if kind == KindCompressed {
+			return UnexpectedKindError{Kind: kind}
+		}
+		if err := c.take(kind, inner); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Client) takeSnapshotPart(body []byte) error {
 	part, err := DecodeSnapshotPart(body)
 	if err != nil {
--- a/internal/feedlink/frames.go
+++ b/internal/feedlink/frames.go
@@ -19,6 +19,8 @@
 	KindChanges  Kind = 3
 	KindStatus   Kind = 4
 	KindReport   Kind = 5 // either direction
+	// KindCompressed holds frames of the kinds 2 to 5, for a reader whose Hello says that it takes them.
+	KindCompressed Kind = 6
 
 	// FirstPeerKind is the lowest kind that belongs to another protocol.
 	FirstPeerKind Kind = 32
--- a/internal/feedlink/messages.go
+++ b/internal/feedlink/messages.go
@@ -26,6 +26,7 @@
 	Role        string // RoleAgent or RoleProxy
 	Incarnation uint64 // differs between two starts of the same node's process
 	Offsets     []Offset
+	Compressed  bool // the reader takes frames of KindCompressed
 }
 
 // ShardStatus is what a server says of one shard.
--- a/internal/feedlink/schemas.go
+++ b/internal/feedlink/schemas.go
@@ -7,16 +7,25 @@
 const itemSchema = `{"type":"record","name":"Item","fields":[
 	{"name":"Key","type":"string"},{"name":"Value","type":"bytes"}]}`
 
+// helloFields are those of a reader that does not know of KindCompressed.
+const helloFields = `{"name":"Node","type":"string"},
+	{"name":"Zone","type":"string"},
+	{"name":"Region","type":"string"},
+	{"name":"IP","type":"string"},
+	{"name":"Role","type":"string"},
+	{"name":"Incarnation","type":"long"},
+	{"name":"Offsets","type":{"type":"array","items":{"type":"record","name":"Offset","fields":[
+		{"name":"Shard","type":"long"},{"name":"Index","type":"long"}]}}}`
+
 var (
-	helloSchema = avro.MustParse(`{"type":"record","name":"Hello","fields":[
-		{"name":"Node","type":"string"},
-		{"name":"Zone","type":"string"},
-		{"name":"Region","type":"string"},
-		{"name":"IP","type":"string"},
-		{"name":"Role","type":"string"},
-		{"name":"Incarnation","type":"long"},
-		{"name":"Offsets","type":{"type":"array","items":{"type":"record","name":"Offset","fields":[
-			{"name":"Shard","type":"long"},{"name":"Index","type":"long"}]}}}]}`)
+	earlierHelloSchema = avro.MustParse(`{"type":"record","name":"Hello","fields":[` + helloFields + `]}`)
+
+	helloSchema = avro.MustParse(`{"type":"record","name":"Hello","fields":[` + helloFields + `,
+		{"name":"Compressed","type":"boolean"}]}`)
+
+	compressedSchema = avro.MustParse(`{"type":"record","name":"Compressed","fields":[
+		{"name":"Length","type":"long"},
+		{"name":"Deflated","type":"bytes"}]}`)
 
 	snapshotSchema = avro.MustParse(`{"type":"record","name":"SnapshotPart","fields":[
 		{"name":"Shard","type":"long"},
--- a/internal/feedlink/server.go
+++ b/internal/feedlink/server.go
@@ -32,9 +32,10 @@
 	StatusInterval = 400 * time.Millisecond
 	// LoopbackStatusInterval is the same to the proxy of the same machine.
 	LoopbackStatusInterval = 2 * time.Second
-	// GatherInterval is the shortest time between two looks at the source, so that one write
-	// carries all that was committed in between.
-	GatherInterval = 20 * time.Millisecond
+	// GatherInterval is the shortest time between two looks at the source for the first news after a calm, so that one
+	// write carries all that was committed in between. While news go on coming, all sessions look at its multiples since
+	// the origin: those that have got as far need the same frames.
+	GatherInterval = 40 * time.Millisecond
 )
 
 // SessionOptions change a session's intervals; zero values stand for the constants.
@@ -42,7 +43,8 @@
 	StatusInterval time.Duration
 	GatherInterval time.Duration
 	WriteLimit     time.Duration
-	Origin         time.Time // of the grid of statuses; zero: the start of the process
+	Encoder        *Encoder  // shared by the sessions of a server; nil: frames are not compressed
+	Origin         time.Time // of the intervals' multiples; zero: the start of the process
 }
 
 func (o SessionOptions) withDefaults() SessionOptions {
@@ -80,13 +82,17 @@
 // NewSession prepares a session. The connection's first frame, hello, has been read.
 func NewSession(connection net.Conn, hello Hello, source Source, options SessionOptions) *Session {
 	options = options.withDefaults()
+	writer := newFeedWriter(connection, hello.Offsets, options.WriteLimit)
+	if hello.Compressed {
+		writer.encoder = options.Encoder
+	}
 	return &Session{
 		connection: connection,
 		hello:      hello,
 		source:     source,
 		options:    options,
 		outbox:     newOutbox(),
-		writer:     newFeedWriter(connection, hello.Offsets, options.WriteLimit),
+		writer:     writer,
 	}
 }
 
@@ -146,25 +152,27 @@
 		}
 		looked := time.Now()
 		timer.Reset(s.untilStatus(looked))
-		if !s.await(ctx, wake, timer) {
-			return ctx.Err()
-		}
-		if !pause(ctx, s.options.GatherInterval-time.Since(looked)) {
+		if !s.await(ctx, wake, timer, looked) {
 			return ctx.Err()
 		}
 	}
 }
 
-// await returns once there may be something to send, or false once ctx has ended.
-func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer) bool {
+// await returns at the next look at the source, or false once ctx has ended.
+func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer, looked time.Time) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-wake:
 	case <-timer.C:
+		return true
+	case <-wake:
 	case <-s.outbox.ready:
 	}
-	return true
+	now := time.Now()
+	if now.Sub(looked) >= s.options.GatherInterval {
+		return true
+	}
+	return pause(ctx, s.options.GatherInterval-s.sinceMultiple(now, s.options.GatherInterval))
 }
 
 // sendNews sends, in this order, what the shards have, the status if it is due, and reports. The
@@ -197,11 +205,16 @@
 		return 0
 	}
 	latest := s.writer.statusAt.Add(s.options.StatusInterval)
-	beyond := latest.Sub(s.options.Origin) % s.options.StatusInterval
+	return latest.Add(-s.sinceMultiple(latest, s.options.StatusInterval)).Sub(now)
+}
+
+// sinceMultiple returns how long before a moment the last multiple of an interval since the origin was.
+func (s *Session) sinceMultiple(moment time.Time, interval time.Duration) time.Duration {
+	beyond := moment.Sub(s.options.Origin) % interval
 	if beyond < 0 {
-		beyond += s.options.StatusInterval
+		beyond += interval
 	}
-	return latest.Add(-beyond).Sub(now)
+	return beyond
 }
 
 // processStart is the usual origin of the grid of statuses.
--- a/internal/feedlink/writer.go
+++ b/internal/feedlink/writer.go
@@ -22,6 +22,7 @@
 type feedWriter struct {
 	connection net.Conn
 	limit      time.Duration
+	encoder    *Encoder // nil: frames are not compressed
 	buffer     []byte
 	sent       map[shards.ID]uint64
 
@@ -44,46 +45,72 @@
 		if err := w.snapshot(shard, *snapshot); err != nil {
 			return err
 		}
+		w.sent[shard] = snapshot.Index
 	}
-	return w.changes(shard, changes)
+	for len(changes) > 0 && changes[0].Index <= w.sent[shard] {
+		changes = changes[1:]
+	}
+	if len(changes) == 0 {
+		return nil
+	}
+	if err := w.changes(shard, changes); err != nil {
+		return err
+	}
+	w.sent[shard] = changes[len(changes)-1].Index
+	return nil
 }
 
 func (w *feedWriter) snapshot(shard shards.ID, snapshot feed.Snapshot) error {
-	items := snapshot.Items
-	first := true
-	for {
-		count := partLength(items, itemBytes)
-		part := SnapshotPart{
-			Shard: shard, Index: snapshot.Index, Items: items[:count],
-			First: first, Last: count == len(items),
-		}
+	if w.encoder != nil {
+		return w.addAll(w.encoder.snapshot(shard, snapshot))
+	}
+	for _, part := range snapshotParts(shard, snapshot) {
 		if err := w.add(AppendSnapshotPart(w.buffer, part)); err != nil {
 			return err
 		}
-		if part.Last {
-			w.sent[shard] = snapshot.Index
-			return nil
-		}
-		items = items[count:]
-		first = false
 	}
+	return nil
 }
 
 func (w *feedWriter) changes(shard shards.ID, changes []feed.Change) error {
-	for len(changes) > 0 && changes[0].Index <= w.sent[shard] {
-		changes = changes[1:]
+	if w.encoder != nil {
+		return w.addAll(w.encoder.changes(shard, w.sent[shard], changes))
 	}
-	for len(changes) > 0 {
-		count := partLength(changes, changeBytes)
-		if err := w.add(AppendChanges(w.buffer, Changes{Shard: shard, Changes: changes[:count]})); err != nil {
+	for _, part := range changeParts(shard, changes) {
+		if err := w.add(AppendChanges(w.buffer, part)); err != nil {
 			return err
 		}
-		w.sent[shard] = changes[count-1].Index
-		changes = changes[count:]
 	}
 	return nil
 }
 
+// snapshotParts cuts a snapshot into the parts that one frame each carries.
+func snapshotParts(shard shards.ID, snapshot feed.Snapshot) []SnapshotPart {
+	var parts []SnapshotPart
+	for items := snapshot.Items; ; {
+		count := partLength(items, itemBytes)
+		parts = append(parts, SnapshotPart{
+			Shard: shard, Index: snapshot.Index, Items: items[:count],
+			First: len(parts) == 0, Last: count == len(items),
+		})
+		if count == len(items) {
+			return parts
+		}
+		items = items[count:]
+	}
+}
+
+// changeParts cuts changes into those that one frame each carries.
+func changeParts(shard shards.ID, changes []feed.Change) []Changes {
+	var parts []Changes
+	for len(changes) > 0 {
+		count := partLength(changes, changeBytes)
+		parts = append(parts, Changes{Shard: shard, Changes: changes[:count]})
+		changes = changes[count:]
+	}
+	return parts
+}
+
 // statusChanged tells whether the reader has to know of a status at once.
 func (w *feedWriter) statusChanged(status Status) bool {
 	sameCurrency := func(a, b ShardStatus) bool { return a.Shard == b.Shard && a.Current == b.Current }
@@ -108,6 +135,16 @@
 
 func (w *feedWriter) report(report Report) error { return w.add(AppendReport(w.buffer, report)) }
 
+// addAll takes frames that are shared with other writers.
+func (w *feedWriter) addAll(frames [][]byte, err error) error {
+	for _, frame := range frames {
+		if err == nil {
+			err = w.add(append(w.buffer, frame...), nil)
+		}
+	}
+	return err
+}
+
 // add takes the buffer with one more frame, and sends it once it is long enough.
 func (w *feedWriter) add(buffer []byte, err error) error {
 	if err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"ospreybend/coord/replica"
 	"ospreybend/coord/seglog"
 	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
 	"ospreybend/internal/peerlink"
 	"ospreybend/internal/settings"
 )
@@ -38,6 +39,7 @@
 	network   transport
 	directory *directory
 	nodes     *nodeTable
+	encoder   *feedlink.Encoder // of the feed's sessions
 
 	presences     *presences
 	candidates    candidates
@@ -65,7 +67,7 @@
 	outside = outside.withDefaults()
 	k := &Keeper{
 		settings: config, outside: outside, log: log, self: self, nodes: newNodeTable(), presences: newPresences(),
-		opened: make(chan struct{}), started: outside.Now(),
+		encoder: feedlink.NewEncoder(), opened: make(chan struct{}), started: outside.Now(),
 	}
 	place := keeperInfo{Address: self.Address, Zone: config.Zone, Region: config.Region}
 	k.directory = newDirectory(place, seedAddresses(config))
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -23,14 +23,7 @@
 func (s *feedState) since(index uint64) ([]feed.Change, *feed.Snapshot) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if index >= s.buffer.Index() {
-		return nil, nil
-	}
-	if changes, ok := s.buffer.Since(index); ok {
-		return changes, nil
-	}
-	snapshot := s.buffer.Snapshot()
-	return nil, &snapshot
+	return s.buffer.From(index)
 }
 
 func (s *feedState) index() uint64 {
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -73,7 +73,7 @@
 	}
 	k.metrics.feedSessions.Add(1)
 	defer k.metrics.feedSessions.Add(-1)
-	options := feedlink.SessionOptions{Origin: k.started}
+	options := feedlink.SessionOptions{Encoder: k.encoder, Origin: k.started}
 	_ = feedlink.NewSession(connection, hello, k, options).Run(ctx)
 }
 
--- a/internal/scale/trial/agents.go
+++ b/internal/scale/trial/agents.go
@@ -69,7 +69,7 @@
 	agent := &hollowAgent{held: map[shards.ID]uint64{}}
 	agent.client = feedlink.NewClient(feedlink.ClientOptions{
 		Hello: feedlink.Hello{Node: options.node, Zone: options.zone, Region: "local", IP: options.ip,
-			Role: feedlink.RoleAgent, Incarnation: rand.Uint64()},
+			Role: feedlink.RoleAgent, Incarnation: rand.Uint64(), Compressed: true},
 		Choice: feedlink.ChoiceOptions{Node: options.node, Zone: options.zone, Region: "local",
 			Seeds: options.seeds, FeedPort: options.feedPort},
 		Dial: options.dial,
