Count a request's time from its first byte, and bound all that it waits for by it

A request's limit began when its body had been read, so a body that trickled in lengthened the route's time, of two X-Request-Deadline fields the first counted and of a fraction none, and a write to a client that reads nothing could last 5 s beyond the limit. The allowance is now the shortest that the client names and at most the route's time, from the first byte on; the front ends a body by it, and writing too.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -109,14 +109,9 @@
 // Serve answers one request. It returns when the answer has been written or broken off.
 func (d *Dispatcher) Serve(responder Responder, request *front.Request) {
 	view := d.view.Load()
-	if view == nil || view.Generation == 0 {
-		d.refuse(responder, request, defaultRetryAfter)
-		return
-	}
-	route := view.Match(plainHost(request.Host), request.Path)
+	route := d.routeOf(view, request)
 	if route == nil {
-		d.counts.unrouted.Add(1)
-		_ = responder.Answer(statusNotFound, nil, nil)
+		d.serveUnrouted(responder, request, view)
 		return
 	}
 	if request.Fields.Get(fieldRequestID) == "" {
@@ -126,6 +121,24 @@
 	d.serveRoute(responder, request, view, route)
 }
 
+// routeOf returns the route of a request by a view, or nil.
+func (d *Dispatcher) routeOf(view *catalog.View, request *front.Request) *configuration.Route {
+	if view == nil || view.Generation == 0 {
+		return nil
+	}
+	return view.Match(plainHost(request.Host), request.Path)
+}
+
+// serveUnrouted answers a request without a route.
+func (d *Dispatcher) serveUnrouted(responder Responder, request *front.Request, view *catalog.View) {
+	if view == nil || view.Generation == 0 {
+		d.refuse(responder, request, defaultRetryAfter)
+		return
+	}
+	d.counts.unrouted.Add(1)
+	_ = responder.Answer(statusNotFound, nil, nil)
+}
+
 func (d *Dispatcher) serveRoute(responder Responder, request *front.Request, view *catalog.View,
 	route *configuration.Route) {
 	service := d.target(view, route)
--- a/internal/dispatch/fields.go
+++ b/internal/dispatch/fields.go
@@ -31,11 +31,7 @@
 	fieldRetryAfter  = "Retry-After"
 )
 
-const (
-	stagePrefill = "prefill"
-
-	// Priorities that workers take: 0 to 9, 0 first.
-)
+const stagePrefill = "prefill"
 
 // ownFields are set by the system alone; a client's are not passed on.
 var ownFields = []string{fieldStage, fieldKVFrom, fieldTarget, fieldVersion, fieldPriority, fieldDeadline}
@@ -63,24 +59,12 @@
 	return kept
 }
 
-// parseDeadline reads how long the client waits, in whole milliseconds; fallback stands for a
-// field that is missing or cannot be read.
-func parseDeadline(value string, fallback time.Duration) time.Duration {
-	millis, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-	if err != nil || millis < 0 || millis > int64(fallback/time.Millisecond) {
-		return fallback
-	}
-	return time.Duration(millis) * time.Millisecond
-}
-
 // unlimitedWait stands for a client that does not tell how long it waits.
 const unlimitedWait = time.Duration(math.MaxInt64)
 
 // ClientWait is how long the client of a request waits by its X-Request-Deadline; a client that does not tell waits
 // without a limit.
-func ClientWait(r *front.Request) time.Duration {
-	return parseDeadline(r.Fields.Get(fieldDeadline), unlimitedWait)
-}
+func ClientWait(r *front.Request) time.Duration { return allowance(r.Fields, unlimitedWait) }
 
 // parseTokenCount reads "IN,OUT"; what cannot be read is 0.
 func parseTokenCount(value string) (in, out int) {
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -12,6 +12,8 @@
 
 // Responder takes the one answer to a request; *front.ResponseWriter is one.
 type Responder interface {
+	// EndBy bounds writing to a client that does not read: a write fails that is not done by then, or a moment later.
+	EndBy(after time.Duration)
 	// Answer sends a whole answer.
 	Answer(status int, fields httpwire.Fields, body []byte) error
 	// Begin starts an answer that comes in pieces; its head is written with the first of them.
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -17,6 +17,8 @@
 
 	"ospreybend/internal/configuration"
 	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+	"ospreybend/internal/httpwire"
 	"ospreybend/internal/selection"
 )
 
@@ -30,6 +32,58 @@
 	arrived int             // counted calls that reached a worker
 	read    int             // prompts read
 	handles map[string]bool // handles given; true: taken
+	waits   clientWait
+	slowIn  time.Duration // what the request took to come in
+}
+
+// clientWait is what a client says of its time, and what it means at a route that holds requests for 4 s.
+type clientWait struct {
+	fields []string
+	means  time.Duration
+}
+
+var clientWaits = []clientWait{
+	{[]string{"3000"}, 3 * time.Second}, {nil, 4 * time.Second}, {[]string{""}, 4 * time.Second}, {[]string{"-5"}, 4 * time.Second},
+	{[]string{"99999999999999999999"}, 4 * time.Second}, {[]string{"soon"}, 4 * time.Second}, {[]string{"0"}, 0},
+	{[]string{"3000", "500"}, 500 * time.Millisecond}, {[]string{"x", "2500"}, 2500 * time.Millisecond}, {[]string{"700, 900"}, 700 * time.Millisecond},
+}
+
+// ask sends the request as drawn, from a client that may leave.
+func (c *chaos) ask(asked *client) {
+	if c.random.Intn(6) == 0 {
+		asked.leavesIn = time.Duration(1+c.random.Intn(1500)) * time.Millisecond
+	}
+	c.waits = clientWaits[c.random.Intn(len(clientWaits))]
+	if c.random.Intn(4) == 0 {
+		c.slowIn = time.Duration(c.random.Intn(1000)) * time.Millisecond
+	}
+	c.rig.askAs(asked, func(request *front.Request) {
+		request.Fields = request.Fields.Without(fieldDeadline)
+		for _, value := range c.waits.fields {
+			request.Fields = append(request.Fields, httpwire.Field{Name: "x-request-DEADLINE", Value: value})
+		}
+		request.ReadAt = time.Now()
+		request.FirstByteAt = request.ReadAt.Add(-c.slowIn)
+	})
+}
+
+// callFault names what is wrong with the times of calls to workers: each is handed the time that is left, and none is sent for a
+// client that has left.
+func (c *chaos) callFault(asked *client) string {
+	end := asked.asked + c.waits.means - c.slowIn
+	for _, call := range c.rig.calls {
+		told, err := strconv.Atoi(call.field(fieldDeadline))
+		handed := time.Duration(told) * time.Millisecond
+		switch {
+		case call.call.Fields.Count(fieldDeadline) != 1 || err != nil || handed <= 0:
+			return "no time handed on"
+		case call.at+handed > end || call.at+handed < end-time.Millisecond:
+			return fmt.Sprintf("handed %v with %v left", handed, end-call.at)
+		case asked.leavesIn > 0 && call.at > asked.asked+asked.leavesIn:
+			return "sent for a client that has left"
+		}
+	}
+	return ""
 }
 
 func newChaos(r *rig, seed int64) *chaos {
@@ -202,12 +256,15 @@
 		return fmt.Sprintf("%d answers", seen.answers)
 	case seen.finished && seen.broken:
 		return "complete and broken off"
-	case seen.took > 3*time.Second+20*time.Millisecond:
+	case seen.took > max(0, c.waits.means-c.slowIn)+20*time.Millisecond:
 		return "held too long: " + seen.took.String()
 	}
 	if body := c.bodyFault(seen); body != "" {
 		return body
 	}
+	if call := c.callFault(seen); call != "" {
+		return call
+	}
 	c.rig.chooser.endings(t)
 	return c.handleFault()
 }
@@ -246,10 +303,7 @@
 			r := newRig(t)
 			c := newChaos(r, seed)
 			asked := &client{r: r}
-			if c.random.Intn(6) == 0 {
-				asked.leavesIn = time.Duration(1+c.random.Intn(1500)) * time.Millisecond
-			}
-			r.askAs(asked, nil)
+			c.ask(asked)
 			found = c.fault(t, asked)
 		})
 		return found
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -295,8 +295,10 @@
 	answers  int
 	finished bool
 	broken   bool
-	leaves   bool // takes nothing more
+	leaves   bool          // takes nothing more
+	asked    time.Duration // when it sent its request
 	took     time.Duration
+	endBy    time.Duration
 	pieces   []time.Duration
 }
 
@@ -329,6 +331,8 @@
 
 func (c *client) Break() { c.broken = true }
 
+func (c *client) EndBy(after time.Duration) { c.endBy = c.r.now() + after }
+
 // ask sends a request and waits for the end of its answer.
 func (r *rig) ask(change func(*front.Request)) *client {
 	c := &client{r: r}
@@ -354,9 +358,9 @@
 	if change != nil {
 		change(request)
 	}
-	start := r.now()
+	c.asked = r.now()
 	r.dispatcher.Serve(c, request)
-	c.took = r.now() - start
+	c.took = r.now() - c.asked
 	synctest.Wait()
 }
 
--- a/internal/dispatch/small_test.go
+++ b/internal/dispatch/small_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ospreybend/internal/configuration"
+	"ospreybend/internal/httpwire"
 )
 
 func TestTargetsAreDrawnByWeight(t *testing.T) {
@@ -22,11 +23,17 @@
 	for value, want := range map[string]time.Duration{
 		"": time.Second, "x": time.Second, "-1": time.Second, "99999999999999999999": time.Second,
 		"1500": time.Second, "250": 250 * time.Millisecond, "0": 0,
+		"NaN": time.Second, "Inf": time.Second, "-Inf": time.Second, "1e300": time.Second, "0x1p9": 512 * time.Millisecond,
+		"250.5": 250500 * time.Microsecond, "400, 250": 250 * time.Millisecond, "x, 300": 300 * time.Millisecond,
 	} {
-		if got := parseDeadline(value, time.Second); got != want {
+		fields := httpwire.Fields{{Name: "x-request-deadline", Value: value}}
+		if got := allowance(fields, time.Second); got != want {
 			t.Errorf("%q: %v, want %v", value, got, want)
 		}
 	}
+	if got := allowance(nil, time.Second); got != time.Second {
+		t.Errorf("without the field: %v", got)
+	}
 }
 
 func TestPrefixThatCannotBeReadIsLeftOut(t *testing.T) {
--- /dev/null
+++ b/internal/dispatch/timeout_test.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+)
+
+// TestEveryRequestIsAnsweredAtTheRoutesTime lets a request hang at each stage, from a client that says nothing of its own time.
+func TestEveryRequestIsAnsweredAtTheRoutesTime(t *testing.T) {
+	const routesTime = 1500 * time.Millisecond
+	cases := map[string]struct {
+		kind   configuration.RouteType
+		offers []string
+		plays  script
+		status int // 0: broken off
+	}{
+		"a connection does not come up": {configuration.Streaming, []string{"d1"}, notSentAtEnd, 503},
+		"a prompt is not read":          {configuration.Streaming, []string{"p1>d1"}, silent(), 503},
+		"no first event comes":          {configuration.Streaming, []string{"d1"}, silent(), 504},
+		"no answer comes":               {configuration.NonIdempotent, []string{"d1"}, silent(), 504},
+		"an answer comes late":          {configuration.Idempotent, []string{"d1"}, after(routesTime+time.Millisecond, answers(200, "late", signed)), 504},
+		"a stream stops":                {configuration.Streaming, []string{"d1"}, streams(1, 3, hang), 0},
+		"a stream goes on":              {configuration.Streaming, []string{"d1"}, streams(1, 1000, nil), 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *rig) {
+				r.route.Type, r.route.Timeout = c.kind, routesTime
+				r.setRoute()
+				for r.dispatcher.guard.spend(testService, 1) {
+				}
+				r.chooser.offers(c.offers...)
+				r.plays(c.offers[0][:2], c.plays)
+				asked := r.ask(func(request *front.Request) { request.Fields = request.Fields.Without(fieldDeadline) })
+				if asked.took < routesTime-time.Millisecond || asked.took > routesTime+time.Millisecond {
+					t.Errorf("held for %v", asked.took)
+				}
+				if asked.endBy-asked.asked != routesTime {
+					t.Errorf("writing is bounded by %v", asked.endBy-asked.asked)
+				}
+				if c.status == 0 && !asked.broken || c.status > 0 && asked.status != c.status {
+					t.Errorf("%+v", asked)
+				}
+			})
+		})
+	}
+}
+
+// TestTimeOfTheBodyCounts holds a request whose body was a second under way for a second less.
+func TestTimeOfTheBodyCounts(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1")
+		r.plays("d1", silent())
+		asked := r.ask(func(request *front.Request) {
+			request.ReadAt = time.Now()
+			request.FirstByteAt = request.ReadAt.Add(-time.Second)
+		})
+		if asked.took != 2*time.Second || r.calls[0].field(fieldDeadline) != "2000" {
+			t.Fatalf("held for %v, told %s", asked.took, r.calls[0].field(fieldDeadline))
+		}
+	})
+}
+
+// TestFurtherCallsAreHandedLess follows one request through a reading, a second one, a run and a run that resumes it.
+func TestFurtherCallsAreHandedLess(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.route.Resumable, r.route.MaxAttempts = true, 4
+		r.setRoute()
+		r.chooser.offers("p1>d1", "p2>d1", "d2")
+		r.plays("p1", after(100*time.Millisecond, breaks()))
+		r.plays("p2", after(100*time.Millisecond, hands("3fa0")))
+		r.plays("d1", after(100*time.Millisecond, streams(1, 3, cut)))
+		r.plays("d2", streams(4, 6, nil))
+		asked := r.ask(nil)
+		if asked.body != texts(1, 6) || !asked.finished || r.workersCalled() != "p1 p2 d1 d2 " {
+			t.Fatalf("%q after %s", asked.body, r.workersCalled())
+		}
+		for i, want := range []string{"3000", "2900", "2800", "2670"} {
+			if told := r.calls[i].field(fieldDeadline); told != want {
+				t.Errorf("call %d is told %s, not %s", i+1, told, want)
+			}
+		}
+	})
+}
+
+// TestHeldIsForTheRouteAndTheClient asks for how long requests may be held.
+func TestHeldIsForTheRouteAndTheClient(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		var held []time.Duration
+		note := func(request *front.Request) { held = append(held, r.dispatcher.Held(request)) }
+		r.others = func(string, *exchange.Call) script { return answers(200, "there", signed) }
+		r.ask(note)
+		r.ask(func(request *front.Request) {
+			request.Fields = request.Fields.Without(fieldDeadline)
+			note(request)
+		})
+		r.ask(func(request *front.Request) {
+			request.Path = "/none/"
+			note(request)
+		})
+		if held[0] != 3*time.Second || held[1] != 4*time.Second || held[2] != 0 {
+			t.Fatal(held)
+		}
+	})
+}
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -51,18 +51,18 @@
 
 func newTry(d *Dispatcher, responder Responder, request *front.Request, view *catalog.View,
 	route *configuration.Route, service *configuration.Service) *try {
-	now := d.now()
-	limit := now + parseDeadline(request.Fields.Get(fieldDeadline), route.Timeout)
+	arrived := d.now() - spent(request)
+	limit := arrived + allowance(request.Fields, route.Timeout)
 	t := &try{
 		d: d, responder: responder, request: request, view: view, route: route, service: service, limit: limit,
 	}
-	t.ask = askOf(request, route, service.Name, now, limit)
+	t.ask = askOf(request, route, service.Name, arrived, limit)
 	t.account = account{most: max(route.MaxAttempts, 1), spend: t.spend}
 	return t
 }
 
 // askOf is what the choice of workers depends on.
-func askOf(request *front.Request, route *configuration.Route, service string, now, limit time.Duration) selection.Request {
+func askOf(request *front.Request, route *configuration.Route, service string, arrived, limit time.Duration) selection.Request {
 	in, out := parseTokenCount(request.Fields.Get(fieldTokenCount))
 	return selection.Request{
 		Service:      service,
@@ -73,8 +73,8 @@
 		PromptTokens: in,
 		OutputTokens: out,
 		Streaming:    route.Type == configuration.Streaming,
-		Arrived:      now,
-		Objective:    now + route.TargetLatency,
+		Arrived:      arrived,
+		Objective:    arrived + route.TargetLatency,
 		Deadline:     limit,
 	}
 }
@@ -84,6 +84,7 @@
 	ctx, cancel := context.WithTimeout(t.request.Context, t.left())
 	defer cancel()
 	t.ctx = ctx
+	t.responder.EndBy(t.left())
 	defer t.freeHandle()
 	for t.step() {
 		t.steps++
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -31,6 +31,7 @@
 	rules   httpwire.Rules
 	begun   time.Time // the first byte, on the clock of the deadlines
 	armed   bool      // the deadline is set
+	headIn  bool      // the head has come whole
 	request *Request
 	head    httpwire.Head
 }
@@ -62,15 +63,20 @@
 	return a.orLate(a.conn.more())
 }
 
-// arm sets the deadline of the whole request, when it has not come at once.
+// arm sets the deadline of the whole request, when it has not come at once: a first time for the head, and once more for the
+// body, since the head tells how long the request may be held.
 func (a *arrival) arm() {
 	if a.armed {
 		return
 	}
 	a.armed = true
 	c := a.conn
+	most := a.limits.HeaderTimeout
+	if held := c.server.options.Held; held != nil && a.headIn {
+		most = min(most, positive(held(a.request), most))
+	}
 	c.server.mu.Lock()
-	c.setDeadline(a.limits.HeaderTimeout - time.Since(a.begun))
+	c.setDeadline(most - time.Since(a.begun))
 	c.server.mu.Unlock()
 }
 
@@ -111,6 +117,7 @@
 	r.Host = all.Get("Host")
 	r.Fields = httpwire.HopsOf(all).Strip(all)
 	expects := a.head.Expects()
+	a.headIn, a.armed = true, false
 	a.head.Method, a.head.Target, a.head.Raw = nil, nil, nil // the buffer goes on to be used
 	if expects {
 		a.head.Raw = []httpwire.RawField{expectField}
--- /dev/null
+++ b/internal/front/timeout_test.go
@@ -0,0 +1,65 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+)
+
+// A body that trickles in ends with the time for which its request may be held, not with the longer one for the request as such.
+func TestBodyBeyondTheRequestsTime(t *testing.T) {
+	held := make(chan string, 8)
+	w := start(t, Options{
+		Handler: func(*ResponseWriter, *Request) { t.Error("served") },
+		Limits:  func() configuration.Limits { return configuration.Limits{HeaderTimeout: time.Hour} },
+		Held: func(r *Request) time.Duration {
+			held <- r.Host + r.Path + r.Fields.Get("A")
+			return 50 * time.Millisecond
+		},
+	})
+	for _, framing := range []string{"Content-Length: 9\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\n"} {
+		p := w.dial()
+		p.send("POST /a?b HTTP/1.1\r\nHost: h\r\nA: c\r\n" + framing)
+		p.send("x")
+		p.expect(408, "")
+		if asked := <-held; asked != "h/ac" {
+			t.Errorf("asked for %q", asked)
+		}
+	}
+}
+
+// A stream to a client that reads nothing ends with the request's time, not with the longer one of a write.
+func TestWritingEndsWithTheRequestsTime(t *testing.T) {
+	failed := make(chan time.Duration, 1)
+	w := start(t, Options{WriteTimeout: time.Hour, Handler: func(w *ResponseWriter, r *Request) {
+		began := time.Now()
+		w.EndBy(50 * time.Millisecond)
+		_ = w.Begin(200, nil)
+		piece := make([]byte, 1<<20)
+		for w.Event(piece) == nil {
+		}
+		failed <- time.Since(began)
+	}})
+	p := w.dial()
+	p.send(get)
+	select {
+	case took := <-failed:
+		if took < 50*time.Millisecond {
+			t.Errorf("it ends after %v", took)
+		}
+	case <-time.After(patience):
+		t.Fatal("the write does not end")
+	}
+}
+
+// An answer that is due just at the end of the request's time is written.
+func TestAnswerAtTheEndOfTheRequestsTime(t *testing.T) {
+	w := start(t, Options{Handler: func(w *ResponseWriter, r *Request) {
+		w.EndBy(-time.Second)
+		_ = w.Answer(504, nil, []byte("late"))
+	}})
+	p := w.dial()
+	p.send(get)
+	p.expect(504, "late")
+}
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -43,6 +43,9 @@
 	Handler Handler
 	// Limits returns the limits in force; it is called several times for each request. A figure of zero or below stands for its default.
 	Limits func() configuration.Limits
+	// Held tells for how long a request with that head may be held, from its first byte on; its body has not come. A figure of zero
+	// or below stands for no bound. It may be left out.
+	Held func(r *Request) time.Duration
 	// MaxConnections is the most connections held at once; 0 stands for DefaultMaxConnections.
 	MaxConnections int
 	// BodyBudget is the most bytes of request bodies held at once, over all connections; 0 stands for no
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -12,6 +12,8 @@
 	wholeWrite = 64 << 10 // bytes of a body that are copied behind the head
 	firstWrite = 1 << 10  // bytes of a new buffer
 	keepPooled = 72 << 10 // bytes of a buffer that is kept for the next answer
+
+	leastWriteTime = 250 * time.Millisecond // of a write at or after the end of the request's time
 )
 
 type writeState uint8
@@ -37,6 +39,7 @@
 	old     bool // the client speaks HTTP/1.0
 	head    []byte
 	until   time.Time // deadline of writing that is set
+	endBy   time.Time // of all writing; zero: none
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, firstWrite); return &b }}
@@ -288,6 +291,15 @@
 	return err
 }
 
+// EndBy bounds writing to a client that does not read: a write fails that is not done by then. One that begins later has
+// leastWriteTime: an answer may be due just then.
+func (w *ResponseWriter) EndBy(after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endBy = time.Now().Add(after)
+	w.until = time.Time{}
+}
+
 // bound sets the deadline of writing, where less than half of its time is left.
 func (w *ResponseWriter) bound() {
 	limit := w.conn.server.writeTime
@@ -296,5 +308,11 @@
 		return
 	}
 	w.until = now.Add(limit)
+	if !w.endBy.IsZero() && w.until.After(w.endBy) {
+		w.until = w.endBy
+		if least := now.Add(min(leastWriteTime, limit)); w.until.Before(least) {
+			w.until = least
+		}
+	}
 	_ = w.conn.socket.SetWriteDeadline(w.until)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -123,6 +123,7 @@
 	return front.New(front.Options{
 		Handler:        p.take,
 		Limits:         p.clientLimits,
+		Held:           p.dispatcher.Held,
 		MaxConnections: clientConnections(limits),
 		BodyBudget:     bodyBudget(limits),
 		Log:            func(line string) { p.log.Warn("front", zap.String("what", line)) },
