Notice clients that leave behind unread bytes, and before their request is read

A connection on which more than 16 KiB had come behind the request in work was not read any more, so its end was met only after the answer, and a request that waited in the socket while its client left was still handed to a worker. The connection is now asked for the client's end by poll(2), each 100 ms while it is not read and once before a request is handed on. A client that has ended its side alone counts as gone. Tests close, half-close and reset at each stage, in the front and at the dispatcher; the first one does not end without the change.

--- /dev/null
+++ b/internal/dispatch/gone_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/front"
+)
+
+// TestNothingIsSentAfterTheClientHasLeft lets the client leave at each stage of its request. Every call under way ends at that
+// instant, and none follows though workers, attempts and budget are left.
+func TestNothingIsSentAfterTheClientHasLeft(t *testing.T) {
+	const leavesIn = 300 * time.Millisecond
+	cases := map[string]struct {
+		script  script
+		offers  []string
+		calls   string
+		deletes int
+	}{
+		"while a connection is made": {notSentAtEnd, []string{"d1", "d2"}, "d1 ", 0},
+		"before the first event":     {silent(), []string{"d1", "d2"}, "d1 ", 0},
+		"amid events":                {streams(1, 3, hang), []string{"d1", "d2"}, "d1 ", 0},
+		"between events":             {streams(1, 100, nil), []string{"d1", "d2"}, "d1 ", 0},
+		"while the prompt is read":   {silent(), []string{"p1>d1", "p2>d2"}, "p1 ", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *rig) {
+				r.route.Resumable = true
+				r.setRoute()
+				r.chooser.offers(c.offers...)
+				r.plays(c.offers[0][:2], c.script)
+				r.others = func(string, *exchange.Call) script { return answers(200, "there", signed) }
+				asked := &client{r: r, leavesIn: leavesIn}
+				r.askAs(asked, nil)
+				if asked.took != leavesIn || !asked.broken || asked.finished {
+					t.Errorf("%+v", asked)
+				}
+				if r.workersCalled() != c.calls || len(r.deletes) != c.deletes {
+					t.Errorf("called: %s, freed: %d", r.workersCalled(), len(r.deletes))
+				}
+				r.chooser.mustEnd(t, "abandoned")
+			})
+		})
+	}
+}
+
+// TestNoRunFollowsAReadingWhoseClientHasLeft lets the client leave just as the prompt is read.
+func TestNoRunFollowsAReadingWhoseClientHasLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		ctx, leave := context.WithCancel(t.Context())
+		r.chooser.offers("p1>d1", "d2")
+		r.plays("p1", func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+			leave()
+			return hands("3fa0")(ctx, call)
+		})
+		r.others = func(string, *exchange.Call) script { return answers(200, "there", signed) }
+		asked := r.ask(func(request *front.Request) { request.Context = ctx })
+		if !asked.broken || asked.answers != 0 || r.workersCalled() != "p1 " {
+			t.Fatalf("%+v, called: %s", asked, r.workersCalled())
+		}
+		if len(r.deletes) != 1 || r.deletes[0].call.Target != handlePath+"3fa0" {
+			t.Fatalf("freed: %+v", r.deletes)
+		}
+	})
+}
+
+// TestNoRepeatFollowsAFailureWhoseClientHasLeft lets a run fail at the moment when the client leaves.
+func TestNoRepeatFollowsAFailureWhoseClientHasLeft(t *testing.T) {
+	for name, kind := range map[string]configuration.RouteType{"idempotent": configuration.Idempotent, "stream": configuration.Streaming} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *rig) {
+				r.route.Type, r.route.Resumable = kind, true
+				r.setRoute()
+				ctx, leave := context.WithCancel(t.Context())
+				r.chooser.offers("d1", "d2")
+				r.plays("d1", func(ctx context.Context, call *exchange.Call) (*Answer, *exchange.Failure) {
+					leave()
+					return breaks()(ctx, call)
+				})
+				r.others = func(string, *exchange.Call) script { return answers(200, "there", signed) }
+				r.ask(func(request *front.Request) { request.Context = ctx })
+				if r.workersCalled() != "d1 " {
+					t.Fatalf("called: %s", r.workersCalled())
+				}
+			})
+		})
+	}
+}
+
+// TestRequestOfAClientThatHasLeftReachesNobody asks for a client that left before its request was taken up.
+func TestRequestOfAClientThatHasLeftReachesNobody(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		r.chooser.offers("p1>d1", "d2")
+		r.others = func(string, *exchange.Call) script { return answers(200, "there", signed) }
+		asked := r.ask(func(request *front.Request) { request.Context = ctx })
+		if !asked.broken || len(r.calls) != 0 {
+			t.Fatalf("%+v, called: %s", asked, r.workersCalled())
+		}
+	})
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -6,14 +6,17 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"ospreybend/internal/httpwire"
 )
 
 const (
-	mostAhead = 16 << 10              // bytes kept of what a client sends while its request is in work
-	lastLook  = 10 * time.Millisecond // for a last read at a deadline: after a standstill of the process bytes may be there
+	mostAhead = 16 << 10 // bytes kept of what a client sends while its request is in work
+	// hangUpLook is the time between two looks for the end of a client whose further bytes are not read.
+	hangUpLook = 100 * time.Millisecond
+	lastLook   = 10 * time.Millisecond // for a last read at a deadline: after a standstill of the process bytes may be there
 )
 
 type connState uint8
@@ -29,8 +32,9 @@
 type conn struct {
 	server *Server
 	socket net.Conn
-	in     httpwire.Input // what has come and is not used yet
-	looked bool           // the last look at a deadline was taken
+	in     httpwire.Input  // what has come and is not used yet
+	looked bool            // the last look at a deadline was taken
+	raw    syscall.RawConn // nil where the connection is no socket
 
 	// under Server.mu
 	state    connState
@@ -41,7 +45,7 @@
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
-	return &conn{server: s, socket: socket, since: s.now()}
+	return &conn{server: s, socket: socket, raw: rawOf(socket), since: s.now()}
 }
 
 // serve reads and serves one request after the other.
@@ -120,6 +124,11 @@
 func (c *conn) work(a *arrival) bool {
 	r := a.request
 	s := c.server
+	if c.hasHungUp() {
+		s.bodyBytes.Add(-int64(cap(r.Body)))
+		s.counts.left.Add(1)
+		return false
+	}
 	s.counts.requests.Add(1)
 	s.counts.inWork.Add(1)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -190,7 +199,10 @@
 		state := c.noteAhead()
 		switch {
 		case state == working && c.in.Len() >= mostAhead:
-			<-done
+			if !c.awaitDone(done) {
+				c.gone(w)
+				return false
+			}
 			continue
 		case state == lingering:
 			dropInput(c.socket)
@@ -211,6 +223,22 @@
 	}
 }
 
+// awaitDone waits for a handler without reading: as much as may be kept has come. It returns false once the client has left.
+func (c *conn) awaitDone(done <-chan struct{}) bool {
+	look := time.NewTicker(hangUpLook)
+	defer look.Stop()
+	for {
+		select {
+		case <-done:
+			return true
+		case <-look.C:
+			if c.hasHungUp() {
+				return false
+			}
+		}
+	}
+}
+
 // noteAhead notes how much has come, and returns the state.
 func (c *conn) noteAhead() connState {
 	c.server.mu.Lock()
--- /dev/null
+++ b/internal/front/gone_test.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+)
+
+// leave ends a client's side in one of the ways that the network knows.
+var leave = map[string]func(p *peer){
+	"closed": func(p *peer) { p.socket.Close() },
+	"half-closed": func(p *peer) {
+		if err := p.socket.CloseWrite(); err != nil {
+			p.t.Error(err)
+		}
+	},
+	"reset": func(p *peer) {
+		_ = p.socket.SetLinger(0)
+		p.socket.Close()
+	},
+}
+
+// A handler hears that its client has left, whatever the client sent before: nothing, a part of its next request, or more than is
+// kept.
+func TestClientLeavesWhileItsRequestIsInWork(t *testing.T) {
+	behind := map[string]string{"nothing": "", "a part": "GET /early", "much": strings.Repeat(get, 2*mostAhead/len(get))}
+	for way, end := range leave {
+		for what, text := range behind {
+			t.Run(way+" behind "+what, func(t *testing.T) {
+				began, ended := make(chan bool), make(chan error, 1)
+				w := start(t, Options{Handler: func(w *ResponseWriter, r *Request) {
+					began <- true
+					<-r.Context.Done()
+					ended <- w.Answer(200, nil, nil)
+				}})
+				p := w.dial()
+				p.send(get + text)
+				<-began
+				end(p)
+				select {
+				case err := <-ended:
+					if err != ErrGone {
+						t.Errorf("the answer ends with %v", err)
+					}
+				case <-time.After(patience):
+					t.Fatal("the handler does not hear of it")
+				}
+				if n := w.server.Counts(); n.Left != 1 || n.Requests != 1 {
+					t.Errorf("%+v", n)
+				}
+			})
+		}
+	}
+}
+
+// A client that stays is served all that it sent, though it was more than is kept.
+func TestMuchBehindARequest(t *testing.T) {
+	w := start(t, Options{Handler: echo})
+	p := w.dial()
+	const requests = 1000
+	go p.send(strings.Repeat(get, requests))
+	for range requests {
+		p.expect(200, "GET /a ")
+	}
+}
+
+// A request that is read only after its client has left is not served.
+func TestRequestOfAClientThatHasLeft(t *testing.T) {
+	for way, end := range leave {
+		t.Run(way, func(t *testing.T) {
+			listener, err := Listen("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			s := New(Options{
+				Handler: func(*ResponseWriter, *Request) { t.Error("served") },
+				Limits:  func() configuration.Limits { return configuration.Limits{} },
+			})
+			p := (&world{t: t, address: listener.Addr().String()}).dial()
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.send(get)
+			end(p)
+			c := newConn(s, accepted)
+			for until := time.Now().Add(patience); !c.hasHungUp(); runtime.Gosched() {
+				if time.Now().After(until) {
+					t.Fatal("the end does not come")
+				}
+			}
+			c.serve()
+			if n := s.Counts(); n.Requests != 0 {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// A client that leaves amid its body is not served.
+func TestClientLeavesAmidItsBody(t *testing.T) {
+	for way, end := range leave {
+		t.Run(way, func(t *testing.T) {
+			w := start(t, Options{Handler: func(*ResponseWriter, *Request) { t.Error("served") }})
+			p := w.dial()
+			p.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+			w.await(func(states map[connState]int) bool { return states[reading] == 1 })
+			end(p)
+			w.await(func(states map[connState]int) bool { return len(states) == 0 })
+		})
+	}
+}
+
+// Two requests with one ID that come at once on two connections get an answer each, their own.
+func TestOneIDOnTwoConnections(t *testing.T) {
+	both := make(chan bool)
+	w := start(t, Options{Handler: func(w *ResponseWriter, r *Request) {
+		both <- true
+		both <- true
+		_ = w.Answer(200, nil, r.Body)
+	}})
+	first, second := w.dial(), w.dial()
+	for body, p := range map[string]*peer{"one": first, "two": second} {
+		p.send("POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\nContent-Length: 3\r\n\r\n" + body)
+	}
+	for range 4 {
+		<-both
+	}
+	first.expect(200, "one")
+	second.expect(200, "two")
+}
+
+// The rest of a body that was refused early is no request: nothing of it is answered or served.
+func TestRestOfARefusedBody(t *testing.T) {
+	w := start(t, Options{
+		Handler: func(*ResponseWriter, *Request) { t.Error("served") },
+		Limits:  func() configuration.Limits { return configuration.Limits{MaxBodyBytes: 16} },
+	})
+	p := w.dial()
+	rest := strings.Repeat("GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", 100)
+	p.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3500\r\n\r\n")
+	response, err := http.ReadResponse(p.in, nil)
+	if err != nil || response.StatusCode != 413 || !response.Close {
+		t.Fatal(response, err)
+	}
+	p.send(rest)
+	if behind := p.rest(); behind != "" {
+		t.Errorf("%q behind the answer", behind)
+	}
+}
--- /dev/null
+++ b/internal/front/hangup.go
@@ -0,0 +1,37 @@
+package front
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// rawOf returns the socket below a connection, or nil where there is none.
+func rawOf(connection net.Conn) syscall.RawConn {
+	system, ok := connection.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// hasHungUp tells whether the client has ended its side or the whole connection, without reading: what was sent before the end may
+// wait unread. A client that has ended its side alone counts as gone: on the wire it cannot be told from one that has closed
+// the connection, until an answer is written to it.
+func (c *conn) hasHungUp() bool {
+	if c.raw == nil {
+		return false
+	}
+	ended := false
+	err := c.raw.Control(func(descriptor uintptr) {
+		asked := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+		count, err := unix.Poll(asked, 0)
+		ended = err == nil && count > 0
+	})
+	return err != nil || ended
+}
