Deny nothing by a configuration that is not known to be the newest

A proxy that is out of touch, or whose agent is, answered 404 for routes added meanwhile and 413 or 431 by older limits; clients do not ask again after these. Tests ask a proxy whose agent is behind, or gone.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,7 +23,7 @@
 	statusGatewayTimeout = 504
 )
 
-// Options of a dispatcher. All but Log are required.
+// Options of a dispatcher. All but Log, Confirmed and Changed are required.
 type Options struct {
 	Workers Workers
 	Chooser Chooser
@@ -31,6 +31,9 @@
 	Now     func() time.Duration // monotonic
 	Draw    func() float64       // uniform in [0, 1); called from several goroutines
 	Log     *zap.Logger
+	// Confirmed tells whether the view in force is known to be the newest but for moments. It is asked for requests without a
+	// route, and may be left out: every view counts as the newest then.
+	Confirmed func() bool
 	// Changed is called when what this node has under way has changed; it must not block. It may be left out.
 	Changed func()
 }
@@ -61,6 +64,8 @@
 	log     *zap.Logger
 	freeing chan struct{} // one element for each call under way that frees a handle
 	counts  counters
+	// confirmed tells whether the view in force is known to be the newest but for moments
+	confirmed func() bool
 }
 
 // New makes a dispatcher. It answers 503 until it has a view with a configuration.
@@ -73,8 +78,13 @@
 	if changed == nil {
 		changed = func() {}
 	}
+	confirmed := options.Confirmed
+	if confirmed == nil {
+		confirmed = func() bool { return true }
+	}
 	return &Dispatcher{
-		workers: options.Workers,
+		confirmed: confirmed,
+		workers:   options.Workers,
 		guard: &guard{
 			now:     options.Now,
 			chooser: options.Chooser,
@@ -129,9 +139,10 @@
 	return view.Match(plainHost(request.Host), request.Path)
 }
 
-// serveUnrouted answers a request without a route.
+// serveUnrouted answers a request without a route. A client that gets 404 does not ask again: that there is no route is
+// said only by a configuration that is known to be the newest.
 func (d *Dispatcher) serveUnrouted(responder Responder, request *front.Request, view *catalog.View) {
-	if view == nil || view.Generation == 0 {
+	if view == nil || view.Generation == 0 || !d.confirmed() {
 		d.refuse(responder, request, defaultRetryAfter)
 		return
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -307,6 +307,9 @@
 
 // fail answers a request that cannot be read, and ends the connection.
 func (c *conn) fail(fault *httpwire.Fault) {
+	if isOverLimit(fault) && !c.server.confirmed() {
+		fault = &unsureFault
+	}
 	switch fault.Status {
 	case statusTimeout:
 		c.server.counts.timedOut.Add(1)
@@ -321,3 +324,8 @@
 		discard(c.socket)
 	}
 }
+
+// isOverLimit tells whether a request is refused for a limit that a configuration sets.
+func isOverLimit(fault *httpwire.Fault) bool {
+	return fault.Status == statusTooLarge || fault.Status == statusLongHead
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 const (
 	statusTimeout     = 408
 	statusTooLarge    = 413
+	statusLongHead    = 431
 	statusUnavailable = 503
 
 	firstBody = 64 << 10 // bytes made for a body at first; more as they come
@@ -21,7 +22,9 @@
 var (
 	fullFault = httpwire.Fault{Status: statusUnavailable, Text: "there is no place for the request"}
 	lateFault = httpwire.Fault{Status: statusTimeout, Text: "the request did not come in time"}
-	longFault = httpwire.Fault{Status: statusTooLarge, Text: "the body is too long"}
+	// unsureFault stands in for faults over a limit that may not be in force any more.
+	unsureFault = httpwire.Fault{Status: statusUnavailable, Text: "the limits in force are not known"}
+	longFault   = httpwire.Fault{Status: statusTooLarge, Text: "the body is too long"}
 )
 
 // arrival is one request as far as it has come in.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -88,6 +88,9 @@
 	return limits
 }
 
+// confirmed tells whether the limits are known to be those in force.
+func (s *Server) confirmed() bool { return s.options.Confirmed == nil || s.options.Confirmed() }
+
 // Serve accepts connections until Close, and returns nil then. An error of the listener that does not pass is returned.
 func (s *Server) Serve(listener net.Listener) error {
 	if !s.track(listener) {
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -46,6 +46,9 @@
 	// Held tells for how long a request with that head may be held, from its first byte on; its body has not come. A figure of zero
 	// or below stands for no bound. It may be left out.
 	Held func(r *Request) time.Duration
+	// Confirmed tells whether the limits are known to be those in force. Where they are not, a request beyond them is answered 503 and
+	// may come again. It may be left out: the limits count as those in force then.
+	Confirmed func() bool
 	// MaxConnections is the most connections held at once; 0 stands for DefaultMaxConnections.
 	MaxConnections int
 	// BodyBudget is the most bytes of request bodies held at once, over all connections; 0 stands for no
--- /dev/null
+++ b/internal/front/unsure_test.go
@@ -0,0 +1,29 @@
+package front
+
+import (
+	"strings"
+	"testing"
+
+	"ospreybend/internal/configuration"
+)
+
+// A request over a limit that may not be in force any more may come again.
+func TestLimitsThatAreNotConfirmed(t *testing.T) {
+	limits := func() configuration.Limits { return configuration.Limits{MaxHeaderBytes: 512, MaxBodyBytes: 16} }
+	w := start(t, Options{Handler: echo, Limits: limits, Confirmed: func() bool { return false }})
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\n"
+	for name, text := range map[string]string{
+		"long header": head + "A: " + strings.Repeat("a", 512) + "\r\n\r\n",
+		"long body":   head + "Content-Length: 17\r\n\r\n",
+		"long chunk":  head + "Transfer-Encoding: chunked\r\n\r\n11\r\n",
+	} {
+		p := w.dial()
+		p.send(text)
+		if response := p.expect(503, ""); response.Header.Get("Retry-After") == "" || !response.Close {
+			t.Errorf("%s: %v", name, response.Header)
+		}
+	}
+	p := w.dial()
+	p.send("GET  /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	p.expect(400, "")
+}
--- /dev/null
+++ b/internal/proxy/confirmation_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"ospreybend/coord/shards"
+	"ospreybend/internal/feedlink"
+)
+
+func statusOf(current bool) feedlink.Status {
+	return feedlink.Status{Shards: []feedlink.ShardStatus{
+		{Shard: shards.Configuration, Index: 4, Current: current}, {Shard: 1, Index: 9, Current: !current},
+	}}
+}
+
+func TestConfirmation(t *testing.T) {
+	var c confirmation
+	now := time.Now()
+	expect := func(after time.Duration, held bool) {
+		t.Helper()
+		if c.holds(now.Add(after)) != held {
+			t.Fatalf("after %v: %v", after, !held)
+		}
+	}
+	expect(0, false)
+	c.note(now, feedlink.Status{})
+	expect(0, false)
+	c.note(now, statusOf(false))
+	expect(0, false)
+	c.note(now, statusOf(true))
+	expect(0, true)
+	expect(confirmedFor, true)
+	expect(confirmedFor+1, false) // the process stood still, or the agent does
+	c.note(now.Add(time.Second), statusOf(true))
+	expect(confirmedFor+1, true)
+	c.lose()
+	expect(time.Second, false)
+	c.note(now, statusOf(true))
+	c.note(now, statusOf(false))
+	expect(0, false)
+}
+
+// TestUnknownRouteWithAnUnconfirmedConfiguration asks a proxy whose agent cannot tell whether its configuration is the newest.
+func TestUnknownRouteWithAnUnconfirmedConfiguration(t *testing.T) {
+	s := newSystemOn(t, &standInAgent{behind: true})
+	s.awaitReady()
+	s.mustAnswer("/a/x", 200, "POST /a/x "+requestBody)
+	if status, _, err := s.ask("/none/"); status != http.StatusServiceUnavailable || err != nil {
+		t.Fatal(status, err)
+	}
+}
+
+// TestUnknownRouteWithoutTheAgent asks a proxy whose agent has gone.
+func TestUnknownRouteWithoutTheAgent(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	s.await("confirmed", s.proxy.isConfirmed)
+	s.mustAnswer("/none/", 404, "")
+	s.proxy.stopFeed()
+	s.await("unconfirmed", func() bool { return !s.proxy.isConfirmed() })
+	s.mustAnswer("/a/x", 200, "POST /a/x "+requestBody)
+	s.mustAnswer("/none/", 503, "")
+}
--- a/internal/proxy/follower.go
+++ b/internal/proxy/follower.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"ospreybend/coord/feed"
@@ -11,15 +13,16 @@
 
 // follower makes views of what the feed tells, and publishes them. One goroutine calls it.
 type follower struct {
-	builder *catalog.Builder
-	publish func(*catalog.View)
-	log     *zap.Logger
-	changed bool // the newest view is not published
-	whole   bool // each shard has come as far as the server had it
+	builder   *catalog.Builder
+	publish   func(*catalog.View)
+	confirmed *confirmation
+	log       *zap.Logger
+	changed   bool // the newest view is not published
+	whole     bool // each shard has come as far as the server had it
 }
 
-func newFollower(publish func(*catalog.View), log *zap.Logger) *follower {
-	return &follower{builder: catalog.NewBuilder(), publish: publish, log: log}
+func newFollower(publish func(*catalog.View), confirmed *confirmation, log *zap.Logger) *follower {
+	return &follower{builder: catalog.NewBuilder(), publish: publish, confirmed: confirmed, log: log}
 }
 
 // Snapshot implements feedlink.Handler.
@@ -41,9 +44,10 @@
 
 // Status implements feedlink.Handler. The first one follows all that the server had of every shard:
 // no view is published before, since it would have routes and no workers.
-func (f *follower) Status(feedlink.Status) {
+func (f *follower) Status(status feedlink.Status) {
 	f.whole = true
 	f.publishChanged()
+	f.confirmed.note(time.Now(), status)
 }
 
 // Connected implements feedlink.Handler.
@@ -52,7 +56,10 @@
 }
 
 // Disconnected implements feedlink.Handler.
-func (f *follower) Disconnected(err error) { f.log.Info("feed lost", zap.Error(err)) }
+func (f *follower) Disconnected(err error) {
+	f.confirmed.lose()
+	f.log.Info("feed lost", zap.Error(err))
+}
 
 func (f *follower) publishChanged() {
 	if !f.changed || !f.whole {
--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -50,7 +50,7 @@
 
 func TestNoViewBeforeEveryShardHasCome(t *testing.T) {
 	var published []*catalog.View
-	f := newFollower(func(view *catalog.View) { published = append(published, view) }, zap.NewNop())
+	f := newFollower(func(view *catalog.View) { published = append(published, view) }, new(confirmation), zap.NewNop())
 	f.Snapshot(0, feed.Snapshot{Index: 3, Items: configurationItems("3")})
 	f.BatchDone()
 	if published != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,7 @@
 	front      *front.Server
 	readiness  *front.Server
 	sharer     *sharer
+	confirmed  confirmation
 	draining   atomic.Bool
 	refusing   atomic.Bool // the grace is nearly over
 	drainSpan  atomic.Pointer[drainSpan]
@@ -103,6 +104,8 @@
 		Draw:    rand.Float64,
 		Log:     log,
 		Changed: p.sharer.note,
+
+		Confirmed: p.isConfirmed,
 	})
 	p.sharer.start(p.dispatcher)
 	p.front = p.newFront(loaded.Limits)
@@ -124,12 +127,16 @@
 		Handler:        p.take,
 		Limits:         p.clientLimits,
 		Held:           p.dispatcher.Held,
+		Confirmed:      p.isConfirmed,
 		MaxConnections: clientConnections(limits),
 		BodyBudget:     bodyBudget(limits),
 		Log:            func(line string) { p.log.Warn("front", zap.String("what", line)) },
 	})
 }
 
+// isConfirmed tells whether the configuration in force is known to be the newest.
+func (p *proxy) isConfirmed() bool { return p.confirmed.holds(time.Now()) }
+
 // clientLimits are the limits of the configuration in force.
 func (p *proxy) clientLimits() configuration.Limits {
 	view := p.dispatcher.View()
@@ -154,7 +161,7 @@
 	hello := feedlink.Hello{
 		Node: loaded.NodeName, Zone: loaded.Zone, Region: loaded.Region, IP: loaded.IP, Incarnation: rand.Uint64(),
 	}
-	client := feedlink.NewProxyClient(hello, port, newFollower(p.publish, p.log))
+	client := feedlink.NewProxyClient(hello, port, newFollower(p.publish, &p.confirmed, p.log))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopFeed = cancel
 	go func() { _ = client.Run(ctx) }()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -46,7 +46,10 @@
 }
 
 // standInAgent is a feed with fixed items.
-type standInAgent struct{ snapshots map[shards.ID]feed.Snapshot }
+type standInAgent struct {
+	snapshots map[shards.ID]feed.Snapshot
+	behind    bool // it does not know whether its configuration is the newest
+}
 
 func (a *standInAgent) Shards() []shards.ID { return []shards.ID{0, 1} }
 
@@ -58,7 +61,9 @@
 	return nil, &snapshot
 }
 
-func (a *standInAgent) Status() feedlink.Status { return feedlink.Status{} }
+func (a *standInAgent) Status() feedlink.Status {
+	return feedlink.Status{Shards: []feedlink.ShardStatus{{Index: 4, Current: !a.behind}, {Shard: 1, Index: 9, Current: true}}}
+}
 
 func (a *standInAgent) Subscribe(chan<- struct{}) func() { return func() {} }
 
@@ -134,23 +139,31 @@
 // system is a proxy among stand-ins on loopback.
 type system struct {
 	t         *testing.T
+	agent     *standInAgent
 	proxy     *proxy
 	worker    *standInWorker
 	front     string
 	readiness string
 	client    *http.Client
+	waits     string // what the client says of its time; empty: nothing
 }
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, worker: &standInWorker{hold: make(chan struct{}), arrived: make(chan struct{}, 8)}}
+	return newSystemOn(t, &standInAgent{})
+}
+
+// newSystemOn starts a proxy on an agent, whose items it sets.
+func newSystemOn(t *testing.T, agent *standInAgent) *system {
+	t.Helper()
+	s := &system{t: t, agent: agent, worker: &standInWorker{hold: make(chan struct{}), arrived: make(chan struct{}, 8)}}
 	server := httptest.NewServer(s.worker)
 	t.Cleanup(server.Close)
 	feedListener := listen(t)
-	agent := &standInAgent{snapshots: map[shards.ID]feed.Snapshot{
+	agent.snapshots = map[shards.ID]feed.Snapshot{
 		0: {Index: 4, Items: configurationItems("7")},
 		1: {Index: 9, Items: []feed.Item{workerItem("w1", server.Listener.Addr().String())}},
-	}}
+	}
 	agent.serve(t, feedListener)
 	s.startProxy(feedListener.Addr().(*net.TCPAddr).Port)
 	s.client = &http.Client{Timeout: patience, Transport: &http.Transport{}}
@@ -217,6 +230,9 @@
 	}
 	request.Host = testHost
 	request.Header.Set("X-Request-Id", "9c41d07be2a35f68")
+	if s.waits != "" {
+		request.Header.Set("X-Request-Deadline", s.waits)
+	}
 	response, err := s.client.Do(request)
 	if err != nil {
 		return 0, "", err
@@ -243,6 +259,7 @@
 	s := newSystem(t)
 	s.awaitReady()
 	s.mustAnswer("/a/x?y=1", 200, "POST /a/x?y=1 "+requestBody)
+	s.await("confirmed", s.proxy.isConfirmed) // the view is put in force a moment before
 	s.mustAnswer("/none/", 404, "")
 }
 
