Bound a request late in a drain by the route's time, and take none at the very end

Change: closing.takes decides by the first byte and by Held, the shortest of the client's and the route's time; once all is quiet every further request is refused until the process has closed. A settings file that cannot be read is read again for half a second, and a SIGHUP at the end does not end the process by itself.

--- a/internal/dispatch/fields.go
+++ b/internal/dispatch/fields.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"math"
 	"strconv"
 	"strings"
 	"time"
 
-	"ospreybend/internal/front"
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/selection"
 )
@@ -59,13 +57,6 @@
 	return kept
 }
 
-// unlimitedWait stands for a client that does not tell how long it waits.
-const unlimitedWait = time.Duration(math.MaxInt64)
-
-// ClientWait is how long the client of a request waits by its X-Request-Deadline; a client that does not tell waits
-// without a limit.
-func ClientWait(r *front.Request) time.Duration { return allowance(r.Fields, unlimitedWait) }
-
 // parseTokenCount reads "IN,OUT"; what cannot be read is 0.
 func parseTokenCount(value string) (in, out int) {
 	first, second, _ := strings.Cut(value, ",")
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"ospreybend/internal/dispatch"
 	"ospreybend/internal/front"
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/settings"
@@ -25,12 +24,6 @@
 	// endMargin is left of the platform's grace for ending.
 	endMargin = 700 * time.Millisecond
 	pollTime  = 100 * time.Millisecond
-	// lastTime is the end of the grace in which no request is taken any more: one that waits for a worker would be cut, while
-	// a refusal sends the client to another node at once.
-	lastTime = 1500 * time.Millisecond
-	// cutExcused is how long after SIGTERM a request may come and still be cut at the end of the grace. What comes
-	// later must be answered, so it is taken only if its client does not wait beyond the end (less than the pages' 3 s).
-	cutExcused = 2800 * time.Millisecond
 	// lateRetryAfter is what a client is told that is refused then, in seconds.
 	lateRetryAfter = "0.01"
 	// settleTime is how long calls that free handles may take at the end; it is part of endMargin.
@@ -40,49 +33,36 @@
 // drain tells the platform to send no more clients, and returns once nothing is in work and nothing new
 // comes, or the grace is nearly over.
 func (p *proxy) drain() {
+	told := time.Now()
 	grace := max(settings.Seconds(p.settings.Load().Bounds.GraceS)-endMargin, 0)
-	p.drainSpan.Store(&drainSpan{started: time.Now(), grace: grace})
-	p.draining.Store(true)
+	p.closing.Store(&closing{told: told, end: told.Add(grace)})
 	p.log.Info("draining", zap.Duration("at most", grace))
 	p.front.Drain(min(noticeTime, grace))
-	last := time.AfterFunc(max(grace-lastTime, 0), func() { p.refusing.Store(true) })
-	defer last.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	if awaitQuiet(ctx, p.front.Counts) {
-		_ = p.front.Wait(ctx)
-	}
+	quiet := awaitQuiet(ctx, p.front.Counts)
+	p.ending.Store(true) // a request that comes on a connection which is still open is refused, and not cut
 	settleCtx, stop := context.WithTimeout(context.Background(), settleTime)
 	defer stop()
 	p.dispatcher.Settle(settleCtx)
+	if quiet {
+		_ = p.front.Wait(ctx)
+	}
 	p.log.Info("ending", zap.Int64("cut", p.front.Counts().InWork))
 }
 
-// drainSpan is the time that a draining process has.
-type drainSpan struct {
-	started time.Time
-	grace   time.Duration // from started until requests in work are cut
-}
-
-// takes tells whether a request is taken that comes after the drain has begun for so long. wait is how long its
-// client waits for the answer.
-func (s drainSpan) takes(since, wait time.Duration) bool {
-	return since < cutExcused || wait <= s.grace-since
-}
-
-// endsInTime tells whether a request that has just come can be answered before the process ends, whatever its answer takes,
-// or came so early that it may be cut.
-func (p *proxy) endsInTime(r *front.Request) bool {
-	span := p.drainSpan.Load()
-	if span == nil {
+// takes tells whether a request is served, and not refused since the process is about to end.
+func (p *proxy) takes(r *front.Request) bool {
+	told := p.closing.Load()
+	if told == nil {
 		return true
 	}
-	return span.takes(time.Since(span.started), dispatch.ClientWait(r))
+	return !p.ending.Load() && told.takes(time.Now(), r.FirstByteAt, p.dispatcher.Held(r))
 }
 
-// take serves a request, or refuses it if the process might end before its answer does.
+// take serves a request, or refuses it if the process is about to end.
 func (p *proxy) take(w *front.ResponseWriter, r *front.Request) {
-	if !p.refusing.Load() && p.endsInTime(r) {
+	if p.takes(r) {
 		p.dispatcher.Serve(w, r)
 		return
 	}
@@ -142,15 +122,15 @@
 		}
 	}()
 	return func() {
-		signal.Stop(signals)
+		signal.Ignore(syscall.SIGHUP) // a signal that nobody catches would end the process before its time
 		close(stopped)
 	}
 }
 
 // reload takes over what may change while the process runs: the memory limit and the grace. A file
-// that cannot be read changes nothing.
+// that cannot be read, also not a moment later, changes nothing.
 func (p *proxy) reload(path string) {
-	loaded, err := settings.Load(path)
+	loaded, err := settings.LoadWhole(path)
 	if err != nil {
 		p.log.Warn("settings not reloaded", zap.Error(err))
 		return
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -59,7 +59,8 @@
 // TestDrainTakesLateOnlyWhatEndsInTime: what comes 3 s after SIGTERM or later must have its whole answer.
 func TestDrainTakesLateOnlyWhatEndsInTime(t *testing.T) {
 	const grace = 7300 * time.Millisecond
-	span := drainSpan{grace: grace}
+	told := time.Now()
+	span := closing{told: told, end: told.Add(grace)}
 	for _, c := range []struct {
 		since, wait time.Duration
 		takes       bool
@@ -72,7 +73,8 @@
 		{4728 * time.Millisecond, 2600 * time.Millisecond, false},
 		{grace, time.Millisecond, false},
 	} {
-		if got := span.takes(c.since, c.wait); got != c.takes {
+		at := told.Add(c.since)
+		if got := span.takes(at, at, c.wait); got != c.takes {
 			t.Errorf("%v after SIGTERM, a client that waits %v: taken %v", c.since, c.wait, got)
 		}
 	}
@@ -82,7 +84,8 @@
 func TestDrainingProxyRefusesWhatMayOutlastIt(t *testing.T) {
 	s := newSystem(t)
 	s.awaitReady()
-	s.proxy.drainSpan.Store(&drainSpan{started: time.Now().Add(-4 * time.Second), grace: 7 * time.Second})
+	now := time.Now()
+	s.proxy.closing.Store(&closing{told: now.Add(-4 * time.Second), end: now.Add(3 * time.Second)})
 	if status, _, err := s.ask("/a/x"); status != 503 || err != nil {
 		t.Fatal(status, err)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,9 +51,8 @@
 	readiness  *front.Server
 	sharer     *sharer
 	confirmed  confirmation
-	draining   atomic.Bool
-	refusing   atomic.Bool // the grace is nearly over
-	drainSpan  atomic.Pointer[drainSpan]
+	closing    atomic.Pointer[closing] // nil: the process was not told to end
+	ending     atomic.Bool             // nothing is taken any more
 	stopFeed   context.CancelFunc
 	failed     chan error
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -332,7 +332,7 @@
 		s.proxy.drain()
 		close(drained)
 	}()
-	s.await("refusing", s.proxy.refusing.Load)
+	s.await("told to end", func() bool { return s.proxy.closing.Load() != nil })
 	if status, _, err := s.ask("/a/x"); status != http.StatusServiceUnavailable || err != nil {
 		t.Fatal(status, err)
 	}
--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -35,7 +35,7 @@
 // ready tells whether clients may be sent here: a configuration has come, and the process is not to end.
 func (p *proxy) ready() bool {
 	view := p.dispatcher.View()
-	return view != nil && view.Generation > 0 && !p.draining.Load()
+	return view != nil && view.Generation > 0 && p.closing.Load() == nil
 }
 
 // writeMetrics answers with the process's figures, a name and a number in each line.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -45,6 +46,23 @@
 	return settings, nil
 }
 
+// Times of LoadWhole.
+const (
+	mostReads = 6
+	readPause = 100 * time.Millisecond
+)
+
+// LoadWhole is Load for a file that may just be written: one that cannot be read is read again for half a second.
+func LoadWhole(path string) (Settings, error) {
+	for reads := 1; ; reads++ {
+		loaded, err := Load(path)
+		if err == nil || reads == mostReads {
+			return loaded, err
+		}
+		time.Sleep(readPause)
+	}
+}
+
 // Parse reads and checks settings.
 func Parse(content []byte) (Settings, error) {
 	settings := Defaults()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,8 +1,12 @@
 package settings
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 const example = `{"nodeName":"edge-a-1","role":"proxy","ip":"10.1.0.35","zone":"a","zones":{"a":"r"},
@@ -49,3 +53,26 @@
 		}
 	}
 }
+
+// TestLoadWholeWaitsForTheRest reads a file whose second half is written 250 ms later.
+func TestLoadWholeWaitsForTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "boot.json")
+		write := func(text string) {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Error(err)
+			}
+		}
+		write(example[:len(example)/2])
+		time.AfterFunc(250*time.Millisecond, func() { write(example) })
+		loaded, err := LoadWhole(path)
+		if err != nil || loaded.Bounds.GraceS != 8.5 {
+			t.Fatal(loaded.Bounds, err)
+		}
+		write("")
+		began := time.Now()
+		if _, err := LoadWhole(path); err == nil || time.Since(began) > time.Second {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+	})
+}
