Show that each guard on departures and unconfirmed views is needed

The test of the whole program expects 503 in place of 404 while a proxy has no agent, and 404 again afterwards: without an agent nobody knows that there is no such route.

--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -153,3 +154,28 @@
 		t.Errorf("%q behind the answer", behind)
 	}
 }
+
+// A write to a client that reads no more ends when the client ends its side, not only with the time of the write.
+func TestClientLeavesWhileItIsWrittenTo(t *testing.T) {
+	failed := make(chan error, 1)
+	w := start(t, Options{WriteTimeout: time.Hour, Handler: func(w *ResponseWriter, r *Request) {
+		_ = w.Begin(200, nil)
+		failed <- w.Event(make([]byte, 32<<20)) // more than sockets hold
+	}})
+	p := w.dial()
+	p.send(get)
+	if _, err := io.CopyN(io.Discard, p.in, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.socket.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-failed:
+		if err == nil {
+			t.Error("a client that has left took the piece")
+		}
+	case <-time.After(patience):
+		t.Fatal("the write does not end")
+	}
+}
--- a/internal/front/timeout_test.go
+++ b/internal/front/timeout_test.go
@@ -18,9 +18,17 @@
 			return 50 * time.Millisecond
 		},
 	})
-	for _, framing := range []string{"Content-Length: 9\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\n"} {
+	heads := [][]string{
+		{"POST /a?b HTTP/1.1\r\nHost: h\r\nA: c\r\nContent-Length: 9\r\n\r\n"},
+		{"POST /a?b HTTP/1.1\r\nHost: h\r\nA: c\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"},
+		{"POST /a?b HTTP/1.1\r\n", "Host: h\r\nA: c\r\nContent-Length: 9\r\n\r\n"},
+	}
+	for _, pieces := range heads {
 		p := w.dial()
-		p.send("POST /a?b HTTP/1.1\r\nHost: h\r\nA: c\r\n" + framing)
+		for _, piece := range pieces {
+			p.send(piece)
+			w.await(func(states map[connState]int) bool { return states[reading] == 1 })
+		}
 		p.send("x")
 		p.expect(408, "")
 		if asked := <-held; asked != "h/ac" {
--- a/internal/localfleet/whole_program_test.go
+++ b/internal/localfleet/whole_program_test.go
@@ -283,8 +283,9 @@
 		t.Error("a proxy without its agent does not serve")
 	}
 	r.update(1, addRoute(2, "second"))
-	if !r.answers("/second/x", http.StatusNotFound)() {
-		t.Error("a change has come without an agent: the proxies do not read from their own agents")
+	// Without an agent nobody knows whether there is such a route by now, and 404 would say that there is none.
+	if !r.answers("/second/x", http.StatusServiceUnavailable)() {
+		t.Error("a change has come without an agent, or is denied: the proxies do not read from their own agents")
 	}
 	for edge := range edges {
 		if _, err := r.fleet.StartAgent(edge); err != nil {
@@ -292,6 +293,7 @@
 		}
 	}
 	r.await("the change after the agents are back", r.answers("/second/x", http.StatusOK))
+	r.await("a route that there is not, after the agents are back", r.answers("/third/x", http.StatusNotFound))
 }
 
 func TestStreamIsCompletedAfterSIGTERM(t *testing.T) {
--- a/internal/proxy/confirmation_test.go
+++ b/internal/proxy/confirmation_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/coord/shards"
+	"ospreybend/internal/catalog"
 	"ospreybend/internal/feedlink"
 )
 
@@ -63,3 +67,21 @@
 	s.mustAnswer("/a/x", 200, "POST /a/x "+requestBody)
 	s.mustAnswer("/none/", 503, "")
 }
+
+// TestFollowerTakesTheConfirmationFromTheAgent follows an agent that says that it is current, and is lost.
+func TestFollowerTakesTheConfirmationFromTheAgent(t *testing.T) {
+	var c confirmation
+	f := newFollower(func(*catalog.View) {}, &c, zap.NewNop())
+	f.Connected("127.0.0.1:1")
+	if c.holds(time.Now()) {
+		t.Fatal("confirmed by a connection")
+	}
+	f.Status(statusOf(true))
+	if !c.holds(time.Now()) {
+		t.Fatal("not confirmed by a status")
+	}
+	f.Disconnected(errors.New("as the test wants"))
+	if c.holds(time.Now()) {
+		t.Fatal("confirmed without an agent")
+	}
+}
