Look at all keepers in turn once one that an agent reads from is not current

Found by the simulation: with three of nine keepers cut off from the others for 20 s, an agent whose two nearest were among them showed a configuration of 2.4 s before at 3 s after the cut: it stayed 0.9 s with the first, 1.35 s with the second and 1.8 s with the next, each of them saying from the start that it was not current. After the first one the agent now keeps each of the others for 150 ms after such a status (450 ms without one) until it has seen all, and only then for 1.8 s each, as in a core without a leader. PlayLogged plays a schedule with the keepers' log.

--- a/internal/controlsim/machine.go
+++ b/internal/controlsim/machine.go
@@ -87,7 +87,7 @@
 
 // run is one life of the keeper.
 func (m *machine) run(ctx context.Context, life *keeperProcess, config settings.Settings, outside keeper.Environment) {
-	opened, err := keeper.Open(ctx, config, outside, zap.NewNop())
+	opened, err := keeper.Open(ctx, config, outside, m.world.log.With(zap.String("machine", m.ip)))
 	if err == nil {
 		m.mutex.Lock()
 		life.keeper, m.member = opened, opened.Self().ID
--- a/internal/controlsim/play.go
+++ b/internal/controlsim/play.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/internal/controlsim/history"
 	"ospreybend/internal/controlsim/schedule"
 )
@@ -46,10 +48,16 @@
 
 // Play plays a schedule in a bubble of its own and checks what was seen. It is to be called outside of a bubble.
 func Play(t *testing.T, s schedule.Schedule) Report {
+	t.Helper()
+	return PlayLogged(t, s, zap.NewNop())
+}
+
+// PlayLogged is Play with a log of what the keepers do, for the search of a cause.
+func PlayLogged(t *testing.T, s schedule.Schedule, log *zap.Logger) Report {
 	t.Helper()
 	report := Report{Schedule: s}
 	synctest.Test(t, func(t *testing.T) {
-		w, err := newWorld(s)
+		w, err := newWorld(s, log)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/controlsim/world.go
+++ b/internal/controlsim/world.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/internal/controlsim/history"
 	"ospreybend/internal/controlsim/schedule"
 	"ospreybend/internal/controlsim/simnet"
@@ -38,6 +40,7 @@
 type world struct {
 	schedule schedule.Schedule
 	omit     omissions
+	log      *zap.Logger // of the keepers
 	network  *simnet.Network
 	record   *recorder
 	running  sync.WaitGroup // everything that was started
@@ -61,13 +64,13 @@
 	from, till time.Time // till is zero while it is on it
 }
 
-func newWorld(s schedule.Schedule) (*world, error) {
+func newWorld(s schedule.Schedule, log *zap.Logger) (*world, error) {
 	omit, err := parseOmissions(s.Omit)
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		schedule: s, omit: omit, network: simnet.New(s.Seed), lost: make(map[string]int),
+		schedule: s, omit: omit, log: log, network: simnet.New(s.Seed), lost: make(map[string]int),
 		triggers: make(map[schedule.Trigger]chan struct{}),
 	}
 	w.record = newRecorder(w)
--- a/internal/feedlink/choice.go
+++ b/internal/feedlink/choice.go
@@ -11,10 +11,13 @@
 	SilentAfter = 900 * time.Millisecond
 	// LoopbackSilentAfter is the same for the agent of the own machine.
 	LoopbackSilentAfter = 5 * time.Second
-	// StaleAfter is how long a server may not be current before the client leaves it, where there
-	// is another. It grows by half for each server in a row that was not, up to twice.
+	// StaleAfter is how long a server may not be current before the client leaves it, where there is another. Once a
+	// server was left for that, the client looks at all others in turn, each for little longer than it takes to say
+	// whether it is current: several may be cut off together. If none is, it stays with each for twice as long.
 	StaleAfter = 900 * time.Millisecond
 
+	lookAfter     = 150 * time.Millisecond // how long a server of that round is kept that says that it is not current
+	hearAfter     = 450 * time.Millisecond // the same of one that has not said anything yet
 	dialShortest  = 100 * time.Millisecond // that a first attempt may take, doubled with each failure up to DialLimit
 	retryShortest = 20 * time.Millisecond  // wait before a new attempt
 	retryLongest  = 500 * time.Millisecond // the same after several failures
@@ -57,7 +60,8 @@
 	connectedAt time.Time
 	heardAt     time.Time
 	staleSince  time.Time
-	current     bool    // by the connection's last status
+	told        bool    // the connection has had a status
+	current     bool    // by the last one
 	patience    float64 // factor of nearerAfter and spreadAfter, drawn for each connection
 }
 
@@ -113,7 +117,7 @@
 	c.connectedAt = now
 	c.heardAt = now
 	c.staleSince = now
-	c.current = false
+	c.told, c.current = false, false
 	c.patience = 1 + c.random()
 }
 
@@ -124,7 +128,7 @@
 func (c *Choice) Status(now time.Time, status Status) {
 	c.candidates.learn(status.Keepers)
 	wasCurrent := c.current
-	c.current = status.Current()
+	c.told, c.current = true, status.Current()
 	switch {
 	case c.current:
 		c.failures, c.staleLeaves = 0, 0
@@ -194,7 +198,15 @@
 func (c *Choice) staleAt() time.Time { return c.staleSince.Add(c.stalePatience()) }
 
 func (c *Choice) stalePatience() time.Duration {
-	return c.options.StaleAfter * time.Duration(2+min(c.staleLeaves, 2)) / 2
+	switch {
+	case c.staleLeaves == 0:
+		return c.options.StaleAfter
+	case c.staleLeaves < c.candidates.len() && c.told:
+		return min(lookAfter, c.options.StaleAfter)
+	case c.staleLeaves < c.candidates.len():
+		return min(hearAfter, c.options.StaleAfter)
+	}
+	return 2 * c.options.StaleAfter
 }
 
 // minds tells whether it matters that the server is not current.
--- a/internal/feedlink/choice_test.go
+++ b/internal/feedlink/choice_test.go
@@ -156,6 +156,41 @@
 	}
 }
 
+// Several keepers may be cut off together. The views that follow them must be as new as promised soon after.
+func TestServersThatAreCutOffTogetherAreLeftInTime(t *testing.T) {
+	seeds := append(threeSeeds(), "10.0.0.4:8146", "10.0.0.5:8146", "10.0.0.6:8146", "10.0.0.7:8146", "10.0.0.8:8146", "10.0.0.9:8146")
+	const (
+		cutOff   = 4
+		promised = 2200 * time.Millisecond // contactMs less the time after which a keeper that is cut off says so
+	)
+	s := newScript(t, seeds...)
+	for range cutOff {
+		s.connect()
+		s.status(false)
+		_, reason := s.followUntilLeft(false, 10*time.Second)
+		s.choice.Ended(s.now, reason)
+	}
+	s.connect()
+	if elapsed := s.now.Sub(start); elapsed > promised {
+		t.Errorf("the fifth server was tried after %v", elapsed)
+	}
+}
+
+func TestAllServersAreGivenTimeWhereNoneIsCurrent(t *testing.T) {
+	s := newScript(t, threeSeeds()...)
+	var elapsed time.Duration
+	for range 5 {
+		s.connect()
+		s.status(false)
+		var reason error
+		elapsed, reason = s.followUntilLeft(false, 10*time.Second)
+		s.choice.Ended(s.now, reason)
+	}
+	if elapsed != 2*StaleAfter {
+		t.Errorf("the fifth server was left after %v", elapsed)
+	}
+}
+
 func TestAStallOfTheOwnProcessIsNoReasonToLeaveAtOnce(t *testing.T) {
 	s := newScript(t, threeSeeds()...)
 	s.connect()
