--- a/internal/feedlink/follow.go
+++ b/internal/feedlink/follow.go
@@ -115,7 +115,11 @@
 		return err
 	}
 	for _, change := range changes.Changes {
-		if c.receiver.change(changes.Shard, change) {
+		above, err := c.receiver.change(changes.Shard, change)
+		if err != nil {
+			return err
+		}
+		if above {
 			c.handler.Change(changes.Shard, change)
 		}
 	}
--- a/internal/feedlink/receiver.go
+++ b/internal/feedlink/receiver.go
@@ -60,11 +60,15 @@
 	return snapshot, true, nil
 }
 
-// change tells whether a change is above what is held, and counts it as held then.
-func (r *receiver) change(shard shards.ID, change feed.Change) bool {
+// change tells whether a change is above what is held, and counts it as held then. It cannot come amid the parts of its
+// shard's snapshot, which would be below what is held once they are whole.
+func (r *receiver) change(shard shards.ID, change feed.Change) (above bool, err error) {
+	if _, begun := r.partial[shard]; begun {
+		return false, ErrBrokenSnapshot
+	}
 	if change.Index <= r.offsets[shard] {
-		return false
+		return false, nil
 	}
 	r.offsets[shard] = change.Index
-	return true
+	return true, nil
 }
--- a/internal/feedlink/receiver_test.go
+++ b/internal/feedlink/receiver_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// A change amid a snapshot's parts would raise the offset above the snapshot, which then would be dropped as old.
+func TestAChangeAmidASnapshotEndsTheConnection(t *testing.T) {
+	handler := newRecorder()
+	client := propertyClient(handler)
+	err := takeFrames(t, client,
+		partFrame(t, SnapshotPart{Index: 9, First: true, Items: items("a", "1")}),
+		changesFrame(t, put(10, "k", "ten")),
+	)
+	if !errors.Is(err, ErrBrokenSnapshot) || len(handler.items[1]) != 0 {
+		t.Fatalf("%v, %v", err, handler.items[1])
+	}
+	if offsets := client.receiver.connected(); len(offsets) > 0 && offsets[0].Index > 0 {
+		t.Fatalf("offsets %v", offsets)
+	}
+}
+
 func TestAWriterSendsOnlyWhatIsAboveTheOffset(t *testing.T) {
 	connection := &capture{}
 	writer := newFeedWriter(connection, []Offset{{Shard: 1, Index: 5}}, WriteLimit)
--- /dev/null
+++ b/internal/keeper/repeats_test.go
@@ -0,0 +1,129 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"ospreybend/internal/localfleet"
+)
+
+// orderOf is one operator's order, which it sends unchanged until it has a clear answer.
+type orderOf struct {
+	base uint64
+	body string
+}
+
+// raceAt sends orders to keepers at the same time, each to all of them, and returns the clear answers of each.
+func (f *fleet) raceAt(keepers []int, orders ...orderOf) [][]int {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), fleetLimit)
+	defer cancel()
+	answers := make([][]int, len(orders))
+	var waiting sync.WaitGroup
+	for number, order := range orders {
+		answers[number] = make([]int, len(keepers))
+		for place, keeper := range keepers {
+			waiting.Go(func() {
+				_ = localfleet.Await(ctx, pollPause, func() bool {
+					status, _ := f.do(keeper, http.MethodPost, "/-/Config.Replace", order.base, order.body)
+					answers[number][place] = status
+					return status != 0 && status < http.StatusInternalServerError
+				})
+			})
+		}
+	}
+	waiting.Wait()
+	return answers
+}
+
+// expectRace wants one order acknowledged at all keepers and the others refused at all; it returns the one.
+func (f *fleet) expectRace(orders []orderOf, answers [][]int) orderOf {
+	f.t.Helper()
+	won := -1
+	for number, statuses := range answers {
+		for _, status := range statuses {
+			switch {
+			case status != statuses[0]:
+				f.t.Fatalf("one order has the answers %v", statuses)
+			case status != http.StatusOK && status != http.StatusPreconditionFailed:
+				f.t.Fatalf("answers %v", answers)
+			}
+		}
+		if statuses[0] == http.StatusOK {
+			if won >= 0 {
+				f.t.Fatalf("two changes on one base are acknowledged: %v", answers)
+			}
+			won = number
+		}
+	}
+	if won < 0 {
+		f.t.Fatalf("none is acknowledged: %v", answers)
+	}
+	return orders[won]
+}
+
+// TestRacesAndRepeatsAtAllKeepers has operators send two changes with one number to all keepers at once, and repeats of what
+// was taken after a change of leader, a lost disk and a restart of all.
+func TestRacesAndRepeatsAtAllKeepers(t *testing.T) {
+	f := newFleet(t, 3)
+	all := []int{0, 1, 2}
+	for _, i := range all {
+		f.start(i)
+	}
+	f.await("formation", func() bool { return f.settled(0, 3) && f.settled(1, 3) && f.settled(2, 3) })
+	var won []orderOf
+	lost := map[orderOf]bool{}
+	race := func(keepers ...int) {
+		base := len(won)
+		orders := []orderOf{
+			{uint64(base), configurationOf(base + 1)},
+			{uint64(base), configurationOf(base+1) + " "},
+			{uint64(base), fmt.Sprintf(`{"generation":%d,"routes":[],"services":[]}`, base+1)},
+		}
+		for _, order := range orders {
+			lost[order] = true
+		}
+		winner := f.expectRace(orders, f.raceAt(keepers, orders...))
+		delete(lost, winner)
+		won = append(won, winner)
+	}
+	repeat := func(keepers ...int) {
+		for _, order := range won {
+			for _, i := range keepers {
+				status, content := f.insist(i, http.MethodPost, "/-/Config.Replace", order.base, order.body)
+				f.expect(http.StatusOK, status, content)
+			}
+		}
+		for order := range lost {
+			status, content := f.insist(keepers[0], http.MethodPost, "/-/Config.Replace", order.base, order.body)
+			f.expect(http.StatusPreconditionFailed, status, content)
+		}
+	}
+	race(all...)
+	race(all...)
+	repeat(all...)
+
+	f.finish(0) // its shards go to others
+	race(1, 2)
+	repeat(1, 2)
+
+	f.processes[0].config.DataDir = t.TempDir() // it comes back without its disk
+	f.processes[0].config.Bootstrap = false
+	f.start(0)
+	f.await("repair", func() bool { return f.settled(0, 3) && f.settled(1, 3) && f.settled(2, 3) })
+	repeat(0)
+	race(all...)
+
+	for _, i := range all {
+		f.finish(i)
+	}
+	for _, i := range all {
+		f.processes[i].config.Bootstrap = false
+		f.start(i)
+	}
+	f.await("return", func() bool { return f.settled(0, 3) && f.settled(1, 3) && f.settled(2, 3) })
+	repeat(all...)
+}
