Bound what updates may make of a configuration

Cause: each call is bounded by 8 MiB and a frame between keepers by 16 MiB, but updates could add up to any length. An update that would make the whole larger than 8 MiB is refused with 413 (code 1032); what makes a large one smaller is taken. The check comes when the entry is applied, so all keepers decide alike.

--- a/internal/configuration/codes.go
+++ b/internal/configuration/codes.go
@@ -27,6 +27,7 @@
 	NoTimeout            Code = 1029
 	BadPrefix            Code = 1030
 	BadCommand           Code = 1031
+	TooLarge             Code = 1032
 )
 
 // CodeEntry is one line of the table of codes.
@@ -53,6 +54,7 @@
 	{Code: NoTimeout, Name: "no_timeout", Status: http.StatusBadRequest, Text: "a route's timeoutMs is missing or not above 0"},
 	{Code: BadPrefix, Name: "bad_prefix", Status: http.StatusBadRequest, Text: "a route's pathPrefix does not begin and end with a slash"},
 	{Code: BadCommand, Name: "bad_command", Status: http.StatusBadRequest, Text: "the entry in the log cannot be read"},
+	{Code: TooLarge, Name: "too_large", Status: http.StatusRequestEntityTooLarge, Text: "the whole configuration would be larger than 8 MiB"},
 }...)
 
 // Codes returns all codes in rising order.
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -205,6 +205,18 @@
 	return nil
 }
 
+// size returns about the bytes that render gives.
+func (d *document) size() int {
+	total := 0
+	for _, part := range d.members {
+		total += len(part.name) + len(part.raw)
+		for _, entry := range part.items {
+			total += len(entry.raw)
+		}
+	}
+	return total
+}
+
 // render returns the document as JSON.
 func (d *document) render() []byte {
 	var encoder jx.Encoder
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -15,6 +15,10 @@
 	acceptedKept   = 4096 // accepted changes whose repetition is acknowledged again
 	baseBytes      = 8
 	decimalNumbers = 10
+
+	// largestDocument bounds what updates may make of a configuration, so that its snapshots and reads fit into one frame
+	// between keepers. A whole one is bounded by the call that brings it.
+	largestDocument = 8 << 20
 )
 
 type digest [digestBytes]byte
@@ -119,6 +123,9 @@
 	if refusal := checkRise(after.generation, s.document.generation); refusal != nil && s.holds(RuleGenerationRises) {
 		return nil, refusal
 	}
+	if command.Kind == Update && after.size() > largestDocument {
+		return nil, refuse(TooLarge, "")
+	}
 	return after, after.check()
 }
 
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -281,6 +281,26 @@
 	}
 }
 
+// Updates make a configuration no larger than what keepers can send to one another, and may make a large one smaller.
+func TestUpdatesAreBounded(t *testing.T) {
+	store := NewStore()
+	mustAccept(t, store, replaceCommand(0, `{"generation":1,"routes":[],"services":[],"notes":[{"name":"a"}]}`))
+	half := strings.Repeat("x", largestDocument/2)
+	note := func(generation uint64, name string) Command {
+		return updateCommand(generation-1, fmt.Sprintf(`{"generation":%d,"upsert":{"notes":[{"name":%q,"text":%q}]}}`, generation, name, half))
+	}
+	mustAccept(t, store, note(2, "a"))
+	before := store.Snapshot()
+	if outcome := applied(store, note(3, "b")); outcome.Code != TooLarge || outcome.Status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("%+v", outcome)
+	}
+	if !bytes.Equal(before, store.Snapshot()) {
+		t.Fatal("the state has changed")
+	}
+	mustAccept(t, store, updateCommand(2, `{"generation":3,"remove":{"notes":["a"]}}`))
+	mustAccept(t, store, note(4, "b"))
+}
+
 func TestUnreadableEntryChangesNothing(t *testing.T) {
 	store := NewStore()
 	whole := EncodeCommand(replaceCommand(0, exampleWhole(7)))
