Let a keeper that ends hand its places to a successor that was just started

Need: a planned replacement (the new keeper first, then SIGTERM of the old one) left each group with one voter less until the old one had been silent for 2 s. Change: after its leaderships, a keeper that ends tells the leaders of its groups. A leader that has a learner whose process began at most a minute ago, and that holds nearly all durably, makes the leaving voter a learner and then the other one a voter, and answers when both are committed; the old one ends after at most a second either way. Where no such learner stands by, as at a mere restart, it answers at once: no entry is written.

--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -26,6 +26,7 @@
 	callCurrency   peerlink.CallKind = 8  // which shards a keeper could own
 	callPresences  peerlink.CallKind = 9  // instances whose heartbeats another keeper has acknowledged
 	callIdentity   peerlink.CallKind = 10 // which member lives at this address
+	callLeave      peerlink.CallKind = 11 // a keeper that is about to end offers its places in groups
 )
 
 // call is what the owner of a shard is asked.
--- a/internal/keeper/guards.go
+++ b/internal/keeper/guards.go
@@ -18,7 +18,7 @@
 	GuardIdentityAsked    Guard = "identity-asked"    // a request to join counts once its address has told the same member ID
 	GuardReplacedRetired  Guard = "replaced-retired"  // the ID of a member whose disk was lost never comes back
 	GuardPromotedDurable  Guard = "promoted-durable"  // a voter gives way to a learner that has acknowledged nearly all as durable
-	GuardSuccessorFirst   Guard = "successor-first"   // a leaving voter goes once its successor is a voter
+	GuardSuccessorReady   Guard = "successor-ready"   // a leaving voter gives its place only to a successor that can take it
 )
 
 // Guards returns all guards that can be left out.
@@ -26,6 +26,6 @@
 	return []Guard{
 		GuardReadConfirmed, GuardFeedCurrent, GuardBeatCurrent, GuardBeatRecorded, GuardOwnershipBarrier,
 		GuardOwnershipTerm, GuardFoundingOnce, GuardOrphans, GuardMemberAddressed,
-		GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorFirst,
+		GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorReady,
 	}
 }
--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -212,6 +212,9 @@
 	if made.voters() < len(made.Members) {
 		made.Promotable = shard.group.Promotable()
 	}
+	if made.Leaving = k.leavingMembers(shard, now); len(made.Leaving) > 0 {
+		made.Successors = k.successors(status)
+	}
 	return made
 }
 
--- a/internal/keeper/join_test.go
+++ b/internal/keeper/join_test.go
@@ -152,3 +152,41 @@
 		t.Fatalf("%+v, %v", told, err)
 	}
 }
+
+func TestLeavingVoterHandsItsPlaceToItsSuccessorAlone(t *testing.T) {
+	const id = shards.ID(1)
+	body, err := codec.Marshal(groupsSchema, []groupState{{Shard: int(id), Voter: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range []struct {
+		name      string
+		successor identityReply
+		want      []replica.Change
+	}{
+		{"a successor that was just started", identityReply{ID: 4, Age: successorAge},
+			[]replica.Change{{Add: &agreement.Member{ID: 3, Address: "k3"}}, {Add: &agreement.Member{ID: 4, Address: "k4", Voter: true}}}},
+		{"a stand-by that was there before", identityReply{ID: 4, Age: successorAge + time.Millisecond}, nil},
+		{"a successor that is about to end", identityReply{ID: 4, Leaving: true}, nil},
+		{"another member at the successor's address", identityReply{ID: 5}, nil},
+	} {
+		k, _, _ := scripted(t)
+		k.network = &livingNetwork{living: map[string]identityReply{"k4": one.successor}}
+		group := newChangingGroup(voter(1), voter(2), voter(3), learner(4))
+		k.settings.FaultTolerance.Machines = 1
+		group.promotable = ids(4)
+		k.shards[id].group = group
+		if _, err := k.Call(limited(t), peerlink.Hello{Address: "k3", Member: 3}, callLeave, body); err != nil {
+			t.Fatal(err)
+		}
+		calm(t, k, k.shards[id])
+		for _, want := range one.want {
+			if got := <-group.changes; !sameChange(got, want) {
+				t.Fatalf("%s: got %s, want %s", one.name, changeText(got), changeText(want))
+			}
+		}
+		if len(group.changes) > 0 {
+			t.Fatalf("%s: %s", one.name, changeText(<-group.changes))
+		}
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -182,6 +182,8 @@
 	switch kind {
 	case callJoin:
 		return k.takeJoin(peer, body)
+	case callLeave:
+		return k.takeLeave(ctx, peer, body)
 	case callIdentity:
 		return encodeIdentity(identityReply{
 			ID: k.self.ID, Age: k.outside.Now().Sub(k.started), Leaving: k.leaving.Load(),
--- /dev/null
+++ b/internal/keeper/leave.go
@@ -0,0 +1,217 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/peerlink"
+	"ospreybend/internal/strictavro"
+)
+
+// leave ends the feed's sessions, so that agents go elsewhere at once, hands over all leaderships and, where a successor
+// stands by, the places in the groups, and stops the API, which until then takes calls.
+func (k *Keeper) leave(api Server) {
+	k.leaving.Store(true)
+	k.stopFeed()
+	k.handOverAll()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownBudget)
+	defer cancel()
+	_ = api.Shutdown(ctx)
+	k.stopWork()
+}
+
+// handOverAll transfers the leadership of all shards that this keeper leads, and then its places.
+func (k *Keeper) handOverAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), transferBudget)
+	defer cancel()
+	started := k.outside.Now()
+	var waiting sync.WaitGroup
+	for _, shard := range k.shards {
+		if shard.group.Status().IsLeader() {
+			waiting.Go(func() { k.handOver(ctx, shard) })
+		}
+	}
+	waiting.Wait()
+	k.giveUpPlaces(ctx)
+	k.log.Info("leaving", zap.Duration("handed over in", k.outside.Now().Sub(started)))
+}
+
+// handOver transfers the leadership of one shard, and tries again while the group refuses.
+func (k *Keeper) handOver(ctx context.Context, shard *shard) {
+	for {
+		err := shard.group.Transfer(ctx)
+		if err == nil || !shard.group.Status().IsLeader() {
+			return
+		}
+		if !pause(ctx, nil, ownerRetryPause) {
+			k.log.Warn("leadership is not handed over", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+			return
+		}
+	}
+}
+
+// giveUpPlaces tells the leaders of the groups in which this keeper votes that it is about to end, and waits for what
+// they make of it. A leader without a successor at hand answers at once; one that leads no more is asked for no longer.
+func (k *Keeper) giveUpPlaces(ctx context.Context) {
+	left := slices.Clone(allShards[:])
+	for len(left) > 0 {
+		var waiting sync.WaitGroup
+		var mutex sync.Mutex
+		var elsewhere []shards.ID
+		for address, places := range k.placesByLeader(ctx, left) {
+			waiting.Go(func() {
+				refused := k.giveUp(ctx, address, places)
+				mutex.Lock()
+				defer mutex.Unlock()
+				elsewhere = append(elsewhere, refused...)
+			})
+		}
+		waiting.Wait()
+		left = elsewhere
+		if !pause(ctx, nil, releasePoll) {
+			return
+		}
+	}
+}
+
+// giveUp tells one leader, and returns the groups that it does not lead.
+func (k *Keeper) giveUp(ctx context.Context, leader string, places []groupState) (elsewhere []shards.ID) {
+	body, err := codec.Marshal(groupsSchema, places)
+	if err != nil {
+		return nil
+	}
+	reply, err := k.network.Call(ctx, leader, callLeave, body)
+	if err != nil {
+		k.log.Debug("a leader does not take leave", zap.String("leader", leader), zap.Error(err))
+		return nil
+	}
+	var states []groupState
+	if strictavro.Unmarshal(codec, groupsSchema, reply, &states) != nil {
+		return nil
+	}
+	for _, state := range states {
+		elsewhere = append(elsewhere, shards.ID(state.Shard))
+	}
+	return elsewhere
+}
+
+// placesByLeader returns the groups in which this keeper votes, out of some, by the address of their leader. Where
+// leadership has just been handed over, the new leader may be known a moment later.
+func (k *Keeper) placesByLeader(ctx context.Context, among []shards.ID) map[string][]groupState {
+	ctx, cancel := context.WithTimeout(ctx, leaderKnownBudget)
+	defer cancel()
+	found := make(map[string][]groupState)
+	for _, id := range among {
+		group := k.shards[id].group
+		status := group.Status()
+		for isVoter(status, k.self.ID) && status.Leader.Address == "" && pause(ctx, nil, releasePoll) {
+			status = group.Status()
+		}
+		leader := status.Leader.Address
+		if isVoter(status, k.self.ID) && leader != "" && leader != k.self.Address {
+			found[leader] = append(found[leader], groupState{Shard: int(id), Voter: true})
+		}
+	}
+	return found
+}
+
+// takeLeave notes as the leader of groups that a voter is about to end, and returns once its place is taken or nobody is
+// there to take it. The reply names the groups that this keeper does not lead.
+func (k *Keeper) takeLeave(ctx context.Context, peer peerlink.Hello, body []byte) ([]byte, error) {
+	var states []groupState
+	if err := strictavro.Unmarshal(codec, groupsSchema, body, &states); err != nil {
+		return nil, err
+	}
+	var waiting sync.WaitGroup
+	elsewhere := []groupState{}
+	for _, state := range states {
+		if state.Shard < 0 || state.Shard >= shards.Count {
+			continue
+		}
+		shard := k.shards[state.Shard]
+		if !shard.group.Status().IsLeader() {
+			elsewhere = append(elsewhere, state)
+			continue
+		}
+		k.noteLeaving(shard, peer.Member)
+		waiting.Go(func() { k.awaitRelease(ctx, shard, peer.Member) })
+	}
+	waiting.Wait()
+	return codec.Marshal(groupsSchema, elsewhere)
+}
+
+// awaitRelease waits until no change of members is under way or to be made, and no successor may still catch up.
+func (k *Keeper) awaitRelease(ctx context.Context, shard *shard, leaving agreement.MemberID) {
+	for {
+		status := shard.group.Status()
+		if !status.IsLeader() {
+			return
+		}
+		known := k.situation(shard, status)
+		_, found := nextStep(known)
+		catchingUp := isVoter(status, leaving) && len(known.Successors) > 0
+		if !found && !catchingUp && !k.isReconciling(shard) {
+			return
+		}
+		k.startReconcile(shard)
+		if !pause(ctx, nil, releasePoll) {
+			return
+		}
+	}
+}
+
+// isReconciling tells whether a change of members may be made that is not committed yet.
+func (k *Keeper) isReconciling(shard *shard) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return shard.reconciling
+}
+
+func (k *Keeper) noteLeaving(shard *shard, member agreement.MemberID) {
+	now := k.outside.Now()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if shard.leaving == nil {
+		shard.leaving = make(map[agreement.MemberID]time.Time)
+	}
+	shard.leaving[member] = now
+}
+
+// leavingMembers returns the members that said not long ago that they are about to end.
+func (k *Keeper) leavingMembers(shard *shard, now time.Time) []agreement.MemberID {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var found []agreement.MemberID
+	for member, at := range shard.leaving {
+		if now.Sub(at) > leavingFresh {
+			delete(shard.leaving, member)
+			continue
+		}
+		found = append(found, member)
+	}
+	slices.Sort(found)
+	return found
+}
+
+// successors returns the learners whose process began so short a time ago that they were started to take the place of a
+// voter that is leaving. A stand-by that has been there for long proves nothing of the kind: the voter may only restart.
+func (k *Keeper) successors(status replica.Status) []agreement.MemberID {
+	var found []agreement.MemberID
+	for _, member := range status.Members {
+		if member.Voter {
+			continue
+		}
+		told, err := k.askIdentity(k.workContext, member.Address)
+		if err == nil && told.ID == member.ID && !told.Leaving && told.Age <= successorAge {
+			found = append(found, member.ID)
+		}
+	}
+	return found
+}
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -38,8 +38,8 @@
 //     majority harder to reach, and its ID is retired;
 //  2. with more voters than wanted, one that is leaving becomes a learner, else one that is silent goes;
 //  3. a learner that is known to hold nearly all becomes a voter if a place is free; else the voter that is silent
-//     longest makes room for it, if that is long enough; else it becomes a voter beyond the wanted number if a voter is
-//     leaving whose successor it is, so that rule 2 can let that one go;
+//     longest makes room for it, if that is long enough; else a voter that is leaving does, if the learner is its
+//     successor, and becomes a learner itself;
 //  4. a candidate becomes a learner: one for each place that is free or held by a silent voter, and some spares, so that
 //     taking a lost voter's place is one change and no transfer of the state;
 //  5. a learner that no longer asks and is silent for long goes.
@@ -68,17 +68,28 @@
 }
 
 func releaseSurplus(s situation) (step, bool) {
-	if s.voters() <= s.Wanted && s.holds(GuardSuccessorFirst) {
+	if s.voters() <= s.Wanted && s.holds(GuardSuccessorReady) {
 		return step{}, false
 	}
-	if leaving, found := s.leavingVoter(); found {
-		leaving.Voter = false
-		return step{Change: replica.Change{Add: &leaving}}, true
+	if released, found := s.releaseLeaving(); found {
+		return released, true
 	}
 	gone, found := s.longestSilent(goneAfter)
 	return step{Change: replica.Change{Remove: gone}}, found && s.voters() > s.Wanted
 }
 
+// releaseLeaving makes a voter that is about to end a learner. The voter goes before its successor comes: with both as
+// voters, the loss of that one machine's place would cost two votes.
+func (s situation) releaseLeaving() (step, bool) {
+	for _, member := range s.Members {
+		if member.Voter && member.ID != s.Self && slices.Contains(s.Leaving, member.ID) {
+			member.Voter = false
+			return step{Change: replica.Change{Add: &member}}, true
+		}
+	}
+	return step{}, false
+}
+
 func promoteLearner(s situation) (step, bool) {
 	for _, learner := range s.Members {
 		if learner.Voter || slices.Contains(s.Leaving, learner.ID) || !s.mayPromote(learner.ID) {
@@ -92,8 +103,8 @@
 		if gone, found := s.longestSilent(goneAfter); found {
 			return step{Change: replica.Change{Remove: gone}}, true
 		}
-		if _, found := s.leavingVoter(); found && s.voters() == s.Wanted && slices.Contains(s.Successors, learner.ID) {
-			return step{Change: replica.Change{Add: &promoted}}, true
+		if released, found := s.releaseLeaving(); found && slices.Contains(s.Successors, learner.ID) {
+			return released, true
 		}
 	}
 	return step{}, false
@@ -187,16 +198,6 @@
 	return count
 }
 
-// leavingVoter returns a voter, the leader apart, that is about to end.
-func (s situation) leavingVoter() (agreement.Member, bool) {
-	for _, member := range s.Members {
-		if member.Voter && member.ID != s.Self && slices.Contains(s.Leaving, member.ID) {
-			return member, true
-		}
-	}
-	return agreement.Member{}, false
-}
-
 // silentVoters counts the voters, the leader apart, that are silent for at least a time.
 func (s situation) silentVoters(atLeast time.Duration) int {
 	count := 0
--- /dev/null
+++ b/internal/keeper/replace_test.go
@@ -0,0 +1,75 @@
+package keeper
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"ospreybend/coord/agreement"
+)
+
+// places counts the voters and learners of all shards by address, as the shards' leaders among some keepers see them. It
+// returns false while a shard has no leader among them.
+func (f *fleet) places(among ...int) (voters, learners map[string]int, led bool) {
+	voters, learners = map[string]int{}, map[string]int{}
+	leaders := 0
+	for _, i := range among {
+		report, _ := f.status(i)
+		for _, shard := range report.Shards {
+			if shard.Role != roleName(agreement.RoleLeader) {
+				continue
+			}
+			leaders++
+			for _, member := range shard.Members {
+				if member.Voter {
+					voters[member.Address]++
+				} else {
+					learners[member.Address]++
+				}
+			}
+		}
+	}
+	return voters, learners, leaders == len(allShards)
+}
+
+// TestPlannedReplacementLeavesNoGap starts a fourth keeper, ends a voter as a SIGTERM does, and expects the place to be
+// taken before that process has ended.
+func TestPlannedReplacementLeavesNoGap(t *testing.T) {
+	f := newFleet(t, 4)
+	for i := range 3 {
+		f.start(i)
+	}
+	f.await("formation", func() bool { return f.settled(0, 3) && f.settled(1, 3) && f.settled(2, 3) })
+	status, content := f.insist(0, http.MethodPost, "/-/Config.Replace", 0, configurationOf(1))
+	f.expect(http.StatusOK, status, content)
+
+	f.processes[3].config.Bootstrap = false
+	f.start(3)
+	shards := len(allShards)
+	newcomer := ownAddress(f.processes[3].config)
+	f.await("a warm learner", func() bool {
+		_, learners, _ := f.places(0, 1, 2)
+		report, answers := f.status(3)
+		for _, shard := range report.Shards {
+			answers = answers && shard.Current
+		}
+		return answers && learners[newcomer] == shards
+	})
+	took := f.finish(0)
+	t.Logf("the old keeper left in %s", took)
+	if took > 2*time.Second {
+		t.Errorf("leaving took %s", took)
+	}
+	ended := time.Now()
+	var voters map[string]int
+	f.await("leaders", func() (led bool) {
+		voters, _, led = f.places(1, 2, 3)
+		return led
+	})
+	if voters[newcomer] != shards || voters[ownAddress(f.processes[0].config)] != 0 || time.Since(ended) >= goneAfter {
+		t.Fatalf("%s after the old keeper ended, the voters are %v", time.Since(ended), voters)
+	}
+	f.finish(2) // a second loss right after the replacement
+	status, content = f.insist(1, http.MethodPost, "/-/Config.Replace", 1, configurationOf(2))
+	f.expect(http.StatusOK, status, content)
+}
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -129,47 +129,6 @@
 	}
 }
 
-// leave ends the feed's sessions, so that agents go elsewhere at once, hands over all leaderships
-// and stops the API, which until then takes calls.
-func (k *Keeper) leave(api Server) {
-	k.leaving.Store(true)
-	k.stopFeed()
-	k.handOverAll()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownBudget)
-	defer cancel()
-	_ = api.Shutdown(ctx)
-	k.stopWork()
-}
-
-// handOverAll transfers the leadership of all shards that this keeper leads.
-func (k *Keeper) handOverAll() {
-	ctx, cancel := context.WithTimeout(context.Background(), transferBudget)
-	defer cancel()
-	started := k.outside.Now()
-	var waiting sync.WaitGroup
-	for _, shard := range k.shards {
-		if shard.group.Status().IsLeader() {
-			waiting.Go(func() { k.handOver(ctx, shard) })
-		}
-	}
-	waiting.Wait()
-	k.log.Info("leaving", zap.Duration("handed over in", k.outside.Now().Sub(started)))
-}
-
-// handOver transfers the leadership of one shard, and tries again while the group refuses.
-func (k *Keeper) handOver(ctx context.Context, shard *shard) {
-	for {
-		err := shard.group.Transfer(ctx)
-		if err == nil || !shard.group.Status().IsLeader() {
-			return
-		}
-		if !pause(ctx, nil, ownerRetryPause) {
-			k.log.Warn("leadership is not handed over", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
-			return
-		}
-	}
-}
-
 // closeAllGroups closes the replicas at the same time, since each may wait for a disk that hangs.
 func (k *Keeper) closeAllGroups() {
 	var closing sync.WaitGroup
--- a/internal/keeper/shard.go
+++ b/internal/keeper/shard.go
@@ -45,10 +45,11 @@
 	better time.Time // of maintain alone: since when the preferred owner could take over
 
 	// Guarded by the keeper's mutex.
-	ledSince      time.Time        // zero: not leading
-	reconciling   bool             // changes of members are under way
-	leader        agreement.Member // as the group's last status said
-	leaderContext context.Context  // ends when that is no longer the leader
+	ledSince      time.Time                        // zero: not leading
+	reconciling   bool                             // changes of members are under way
+	leaving       map[agreement.MemberID]time.Time // members that are about to end, and when they said so
+	leader        agreement.Member                 // as the group's last status said
+	leaderContext context.Context                  // ends when that is no longer the leader
 	leaderGone    context.CancelFunc
 }
 
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -43,6 +43,10 @@
 	spreadCalm         = 5 * time.Second  // how long a better owner must be current
 	spreadInterval     = 5 * time.Second  // least time between two moves
 	transferBudget     = time.Second
+	leaderKnownBudget  = 300 * time.Millisecond
+	releasePoll        = 10 * time.Millisecond
+	leavingFresh       = 3 * time.Second  // a member that said so longer ago and still votes has come back
+	successorAge       = 60 * time.Second // of a process that was started to take a leaving voter's place
 	shutdownBudget     = 300 * time.Millisecond
 	openRetryInterval  = 500 * time.Millisecond
 	leastSpares        = 2  // learners that a group keeps beyond its voters; more if it bears more losses
