--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,7 @@
 	machine *listMachine
 	cut     bool          // no messages in or out
 	stalled bool          // its writer does not run
+	stopped bool          // its process has ended
 	retryAt time.Duration // of a failed write; 0: none
 }
 
@@ -65,6 +67,8 @@
 	clock   *fakeClock
 	peers   []*peer
 	network []envelope
+
+	newMachine func() Machine // nil: a listMachine
 }
 
 func testMember(number int, voter bool) agreement.Member {
@@ -97,12 +101,16 @@
 func (c *cluster) open(p *peer, founders []agreement.Member) {
 	c.t.Helper()
 	p.machine = &listMachine{}
+	machine := Machine(p.machine)
+	if c.newMachine != nil {
+		machine = c.newMachine()
+	}
 	group, err := Open(Options{
 		Directory:  "group",
 		FileSystem: p.disk,
 		Self:       p.member,
 		Founders:   founders,
-		Machine:    p.machine,
+		Machine:    machine,
 		Send:       func(_ agreement.Member, message agreement.Message) { c.send(p, message) },
 		Clock:      c.clock,
 	})
@@ -124,6 +132,11 @@
 	c.open(p, nil)
 }
 
+// remove takes a peer out of the cluster for good.
+func (c *cluster) remove(gone *peer) {
+	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool { return p == gone })
+}
+
 func (c *cluster) send(from *peer, message agreement.Message) {
 	if !from.cut {
 		c.network = append(c.network, envelope{due: c.clock.now + testDelay, message: message})
@@ -149,6 +162,9 @@
 		due = min(due, one.due)
 	}
 	for _, p := range c.peers {
+		if p.stopped {
+			continue
+		}
 		if len(p.group.inbox.events) > 0 || p.mayWrite() {
 			return c.clock.now
 		}
@@ -180,6 +196,9 @@
 }
 
 func (p *peer) work(now time.Duration) {
+	if p.stopped {
+		return
+	}
 	if len(p.group.inbox.events) > 0 || now >= p.group.loop.next() {
 		p.group.loop.turn(p.group.inbox.take())
 	}
--- a/coord/seglog/seglogtest/disk.go
+++ b/coord/seglog/seglogtest/disk.go
@@ -57,6 +57,7 @@
 	Room       int64 // bytes that writes may still add
 	Operations int64 // changing operations left until the power goes
 	Refuse     bool  // every change fails
+	Full       bool  // every write fails, also one that makes or changes a name; files can be removed
 	FailIn     int64 // this many changing operations from now, one fails; 0: none
 	SyncCount  int   // syncs of files so far
 	OnSync     func()
@@ -118,6 +119,28 @@
 	return nil
 }
 
+// write counts one changing operation that takes room.
+func (d *Disk) write() error {
+	if err := d.operate(); err != nil {
+		return err
+	}
+	if d.Full {
+		return ErrFull
+	}
+	return nil
+}
+
+// Used returns the bytes of all files.
+func (d *Disk) Used() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	total := int64(0)
+	for _, one := range d.names {
+		total += int64(len(one.data))
+	}
+	return total
+}
+
 // failsNow counts down to the one operation that fails.
 func (d *Disk) failsNow() bool {
 	if d.FailIn == 0 {
@@ -134,7 +157,7 @@
 	if d.directories[directory] {
 		return nil
 	}
-	if err := d.operate(); err != nil {
+	if err := d.write(); err != nil {
 		return err
 	}
 	d.directories[directory] = true
@@ -145,7 +168,7 @@
 func (d *Disk) Create(path string) (seglog.File, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if err := d.operate(); err != nil {
+	if err := d.write(); err != nil {
 		return nil, err
 	}
 	if existing := d.names[path]; existing != nil {
@@ -187,7 +210,7 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if err := d.operate(); err != nil {
+	if err := d.write(); err != nil {
 		return err
 	}
 	moved := d.names[from]
--- a/coord/seglog/seglogtest/file.go
+++ b/coord/seglog/seglogtest/file.go
@@ -27,6 +27,9 @@
 		f.content.write(append([]byte(nil), data[:len(data)/2]...))
 		return len(data) / 2, err
 	}
+	if f.disk.Full {
+		return 0, ErrFull
+	}
 	fits := min(int64(len(data)), max(f.disk.Room, 0))
 	f.disk.Room -= fits
 	f.content.write(append([]byte(nil), data[:fits]...))
@@ -135,7 +138,7 @@
 func (d *Disk) restart() {
 	d.generation++
 	d.Room, d.Operations = Unlimited, Unlimited
-	d.Refuse, d.FailIn = false, 0
+	d.Refuse, d.Full, d.FailIn = false, false, 0
 }
 
 func (c *content) losePower(random *rand.Rand, allLost bool) {
