Wait for a full disk at a keeper's start, and remember that its replicas were lost

A keeper whose disk could not store its member ID, as a full one, ended its process at once, which costs and brings nothing, while a replica that could not be opened was already tried again. The start now tries until the disk takes it; only files of another format end it. What a try has found out is kept for the next: were the replicas of a lost disk removed at one try, a later one would take the disk for new and found the groups again at the system's first start. TestStartOnAFullDiskWaits and TestLostDiskStaysLostWhileItIsFull show both on a disk in memory.

--- /dev/null
+++ b/internal/keeper/full_disk_test.go
@@ -0,0 +1,72 @@
+package keeper
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/seglog/seglogtest"
+	"ospreybend/internal/settings"
+)
+
+// startOnDisk is the start of a seed at the system's first start.
+func startOnDisk(disk *seglogtest.Disk) *identityStart {
+	config := settings.Defaults()
+	config.Bootstrap, config.DataDir = true, "data"
+	config.PortRange = [2]int{7000, 7015}
+	config.Seeds = []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+	outside := Environment{FileSystem: disk}.withDefaults()
+	return &identityStart{config: config, address: seedAddresses(config)[0], outside: outside}
+}
+
+// awaitAfter fills the disk, begins the start, makes room after a while and returns the ID.
+func awaitAfter(t *testing.T, disk *seglogtest.Disk, span time.Duration) (self agreement.Member, founders []agreement.Member) {
+	t.Helper()
+	disk.Full = true
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		self, founders, err = startOnDisk(disk).await(context.Background(), zap.NewNop())
+		done <- err
+	}()
+	time.Sleep(span)
+	synctest.Wait()
+	if len(done) > 0 {
+		t.Fatalf("the start has ended on a full disk: %v", <-done)
+	}
+	disk.Full = false
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	return self, founders
+}
+
+// TestStartOnAFullDiskWaits has a process whose disk takes no member ID wait instead of ending.
+func TestStartOnAFullDiskWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := seglogtest.NewDisk()
+		self, founders := awaitAfter(t, disk, 10*time.Second)
+		if self.ID != memberID(self.Address, foundingNonce) || len(founders) != 3 {
+			t.Fatal(self, founders)
+		}
+	})
+}
+
+// TestLostDiskStaysLostWhileItIsFull has the replicas of a lost disk removed at a try that cannot store a new ID: the
+// ID of a later try founds nothing all the same.
+func TestLostDiskStaysLostWhileItIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := seglogtest.NewDisk()
+		disk.WriteFile(filepath.Join("data", "member"), []byte("?"))
+		disk.WriteFile(filepath.Join("data", "shard-1", "segment"), []byte("promises"))
+		self, founders := awaitAfter(t, disk, 3*time.Second)
+		if self.ID == memberID(self.Address, foundingNonce) || founders != nil {
+			t.Fatalf("member %+v founds %v", self, founders)
+		}
+	})
+}
--- a/internal/keeper/identity.go
+++ b/internal/keeper/identity.go
@@ -1,13 +1,16 @@
 package keeper
 
 import (
+	"context"
 	"encoding/binary"
+	"errors"
 	"path/filepath"
 	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/seglog"
@@ -37,28 +40,57 @@
 	return directories
 }
 
-// identity returns this disk's member ID, which a first start draws and writes, and the founders of the
-// groups if this process is one of them. A founder is a seed at the system's first start. A disk with replicas whose
-// member ID is missing or damaged counts as lost: the replicas are removed, and the new ID founds nothing.
+// identityStart is a process's way to the identity of its disk, which may take several tries.
+type identityStart struct {
+	config  settings.Settings
+	address string
+	outside Environment
+	lost    bool // replicas without a member ID were found and removed
+}
+
+// identity returns this disk's member ID, and the founders of the groups if this process is one of them.
 func identity(config settings.Settings, address string, outside Environment) (agreement.Member, []agreement.Member, error) {
-	seeds := seedAddresses(config)
-	lost, err := removeOrphans(config, outside)
+	return (&identityStart{config: config, address: address, outside: outside}).try()
+}
+
+// await tries until ctx ends while the disk refuses, as a full one does. Files of another format are refused at once.
+func (s *identityStart) await(ctx context.Context, log *zap.Logger) (agreement.Member, []agreement.Member, error) {
+	for {
+		self, founders, err := s.try()
+		var otherFormat seglog.ErrFormat
+		if err == nil || errors.As(err, &otherFormat) {
+			return self, founders, err
+		}
+		log.Error("the member ID cannot be read or stored", zap.Error(err))
+		if !pause(ctx, nil, openRetryInterval) {
+			return agreement.Member{}, nil, err
+		}
+	}
+}
+
+// try returns the member ID, which a first start draws and writes, and the founders of the groups if this process is
+// one of them. A founder is a seed at the system's first start. A disk with replicas whose member ID is missing or
+// damaged counts as lost: the replicas are removed, and the new ID founds nothing, also if it is drawn at a later try.
+func (s *identityStart) try() (agreement.Member, []agreement.Member, error) {
+	seeds := seedAddresses(s.config)
+	lost, err := removeOrphans(s.config, s.outside)
+	s.lost = s.lost || lost
 	if err != nil {
 		return agreement.Member{}, nil, eris.Wrap(err, "replicas without a member ID")
 	}
-	founds := slices.Contains(seeds, address) && (config.Bootstrap && !lost || !outside.holds(GuardFoundingOnce))
+	founds := slices.Contains(seeds, s.address) && (s.config.Bootstrap && !s.lost || !s.outside.holds(GuardFoundingOnce))
 	draw := func() agreement.MemberID {
 		if founds {
-			return memberID(address, foundingNonce)
+			return memberID(s.address, foundingNonce)
 		}
-		return memberID(address, outside.Random()|1)
+		return memberID(s.address, s.outside.Random()|1)
 	}
-	id, _, err := seglog.MemberID(outside.FileSystem, config.DataDir, draw)
+	id, _, err := seglog.MemberID(s.outside.FileSystem, s.config.DataDir, draw)
 	if err != nil {
 		return agreement.Member{}, nil, eris.Wrap(err, "member ID")
 	}
-	self := agreement.Member{ID: id, Address: address, Voter: true}
-	if !founds || id != memberID(address, foundingNonce) {
+	self := agreement.Member{ID: id, Address: s.address, Voter: true}
+	if !founds || id != memberID(s.address, foundingNonce) {
 		return self, nil, nil
 	}
 	return self, foundersOf(seeds), nil
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -54,7 +54,8 @@
 }
 
 func openReplicas(ctx context.Context, config settings.Settings, outside Environment, log *zap.Logger) (*Keeper, error) {
-	self, founders, err := identity(config, ownAddress(config), outside.withDefaults())
+	start := &identityStart{config: config, address: ownAddress(config), outside: outside.withDefaults()}
+	self, founders, err := start.await(ctx, log)
 	if err != nil {
 		return nil, err
 	}
