Remember a departure in every shard where a late heartbeat could come

The departure of an instance that nobody knows is asked of all four shards. Where one of them could not commit it, the sender's next try was acknowledged by another's memory alone, and a heartbeat that came late to its service's own shard brought the instance back after its acknowledged end. A departure without any heartbeat has its own reason now (Unheard, final like the others): it counts for its shard alone, while the shard that had a record acknowledges by itself.

--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"ospreybend/coord/feed"
 	"ospreybend/coord/shards"
@@ -13,11 +14,16 @@
 // was away for longer gets a snapshot, over loopback.
 const backlogBytes = 64 << 10
 
+// toldFor is how long a keeper's word counts that it is current. The agent leaves a keeper that is silent for so long, but
+// not before it runs again where it stood still itself.
+const toldFor = feedlink.SilentAfter + feedlink.StatusInterval
+
 // store holds the items of all shards as the keeper sent them.
 type store struct {
 	mu       sync.Mutex
 	buffers  map[shards.ID]*feed.Buffer
 	current  map[shards.ID]bool // by the keeper's last status; empty without a keeper
+	toldAt   time.Time          // when that status came
 	wakes    map[chan<- struct{}]struct{}
 	toReport func(report feedlink.Report)
 
@@ -81,6 +87,7 @@
 		known, ok := s.current[shard.Shard]
 		changed = changed || !ok || known != shard.Current
 	}
+	s.toldAt = time.Now()
 	clear(s.current)
 	for _, shard := range status {
 		s.current[shard.Shard] = shard.Current
@@ -134,14 +141,15 @@
 	return nil, &snapshot
 }
 
-// Status implements feedlink.Source: a shard is current where the keeper is.
+// Status implements feedlink.Source: a shard is current where the keeper is and has said so within toldFor.
 func (s *store) Status() feedlink.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var status feedlink.Status
+	told := time.Since(s.toldAt) <= toldFor
 	for _, shard := range s.sortedShards() {
 		status.Shards = append(status.Shards, feedlink.ShardStatus{
-			Shard: shard, Index: s.buffers[shard].Index(), Current: s.current[shard],
+			Shard: shard, Index: s.buffers[shard].Index(), Current: told && s.current[shard],
 		})
 	}
 	return status
--- a/internal/keeper/handle.go
+++ b/internal/keeper/handle.go
@@ -142,7 +142,7 @@
 }
 
 // depart has the owner of an instance's shard remove it. Where no replica here knows the instance,
-// all owners are asked; it is acknowledged once each has either removed it or does not know it.
+// all owners are asked; it is acknowledged once the one that knows it has removed it, or each remembers that it is gone.
 func (k *Keeper) depart(ctx context.Context, id string) answer {
 	for _, shard := range allShards {
 		machine := k.instances(shard)
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -192,25 +192,26 @@
 	return true
 }
 
-// deregister decides on a departure; known tells whether the instance is in the store, or was removed from it for good.
+// deregister decides on a departure; known tells whether the instance is in the store, or was.
 func (m *registryMachine) deregister(now time.Time, id string) (decision registry.Decision, known, owned bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if !m.owned {
 		return registry.Decision{}, false, false
 	}
+	known = m.store.Knows(id)
 	if m.store.Removed(id) {
-		return registry.Decision{Action: registry.Acknowledge}, true, true
+		return registry.Decision{Action: registry.Acknowledge}, known, true
 	}
-	held := m.store.Instance(id)
-	return m.owner.Deregister(now, id, held), held != nil, true
+	return m.owner.Deregister(now, id, known), known, true
 }
 
-// holds tells whether this replica knows an instance, and whether it knows that it is gone for good.
+// holds tells whether this replica knows an instance, and whether it is gone for good then.
 func (m *registryMachine) holds(id string) (known, removed bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.store.Instance(id) != nil, m.store.Removed(id)
+	known = m.store.Knows(id)
+	return known, known && m.store.Removed(id)
 }
 
 // expired returns the commands that remove instances which fell silent.
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -15,6 +15,7 @@
 	Deregistered Reason = 1 // it said so; final
 	Expired      Reason = 2 // it fell silent; a later heartbeat brings it back
 	Superseded   Reason = 3 // another instance has its address; final
+	Unheard      Reason = 4 // it said that it goes before any heartbeat of it came; final
 )
 
 // final tells whether heartbeats no longer bring the instance back.
--- /dev/null
+++ b/internal/registry/departure_test.go
@@ -0,0 +1,138 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// TestLateWordsBringNobodyBack has an instance leave in each way that ends for good, and every word that it sent before come late:
+// to the same owner, to a new one, and after a restart from a snapshot.
+func TestLateWordsBringNobodyBack(t *testing.T) {
+	ready := worker(1)
+	draining := ready
+	draining.State = Draining
+	ways := map[string]func(s *shard){
+		"drains, then leaves": func(s *shard) {
+			s.beat(ready, 1)
+			s.beat(draining, 6)
+			s.deregister(ready.ID)
+		},
+		"leaves without draining": func(s *shard) {
+			s.beat(ready, 1)
+			s.beat(ready, 5)
+			s.deregister(ready.ID)
+		},
+		"leaves before it is heard": func(s *shard) { s.deregister(ready.ID) },
+		"leaves after it fell silent": func(s *shard) {
+			s.register(workers(4))
+			s.beat(ready, 1)
+			s.advance(2*span, worker(0), worker(2), worker(3))
+			if s.store.Instance(ready.ID) != nil {
+				t.Fatal("it did not expire")
+			}
+			s.deregister(ready.ID)
+		},
+	}
+	later := map[string]func(s *shard){
+		"the same owner": func(*shard) {},
+		"a new owner":    func(s *shard) { s.gain() },
+		"a restart": func(s *shard) {
+			restored := NewStore()
+			if err := restored.Restore(s.store.Snapshot()); err != nil {
+				t.Fatal(err)
+			}
+			s.store = restored
+			s.gain()
+		},
+	}
+	for way, leave := range ways {
+		for when, then := range later {
+			s := newShard()
+			s.gain()
+			leave(s)
+			then(s)
+			for _, sequence := range []uint64{0, 1, 3, 5, 6, 7, 99} {
+				for _, word := range []Instance{ready, draining} {
+					s.beat(word, sequence)
+					s.owner.Heard(s.now, word.ID, sequence)
+				}
+			}
+			if s.store.Instance(ready.ID) != nil {
+				t.Errorf("%s, %s: it is back", way, when)
+			}
+		}
+	}
+}
+
+// TestDrainIsNotRevokedByLateWords drains an instance and lets words come that it sent before, also to a new owner.
+func TestDrainIsNotRevokedByLateWords(t *testing.T) {
+	draining := worker(1)
+	draining.State = Draining
+	for _, newOwner := range []bool{false, true} {
+		s := newShard()
+		s.gain()
+		s.beat(worker(1), 1)
+		s.beat(worker(1), 4)
+		s.beat(draining, 5)
+		if newOwner {
+			s.gain()
+		}
+		for _, sequence := range []uint64{0, 1, 2, 4, 5} {
+			s.beat(worker(1), sequence)
+		}
+		if held := s.store.Instance(worker(1).ID); held == nil || held.State != Draining {
+			t.Errorf("new owner %v: %+v", newOwner, held)
+		}
+	}
+}
+
+// TestWordsInAnyOrderEndWithTheLast draws orders in which the words of one instance come, each possibly twice, with changes of the
+// owner between them, and checks that the last word holds.
+func TestWordsInAnyOrderEndWithTheLast(t *testing.T) {
+	for seed := range int64(500) {
+		random := rand.New(rand.NewSource(seed))
+		s := newShard()
+		s.gain()
+		states := []State{Ready, Ready, Ready, Draining, Draining}
+		leaves := random.Intn(2) == 0
+		words := append(random.Perm(len(states)), random.Perm(len(states))...)
+		departure := random.Intn(len(words))
+		for position, number := range words {
+			if leaves && position == departure {
+				s.deregister(worker(1).ID)
+			}
+			word := worker(1)
+			word.State = states[number]
+			s.beat(word, uint64(number+1))
+			if random.Intn(4) == 0 {
+				s.gain()
+			}
+		}
+		held := s.store.Instance(worker(1).ID)
+		if leaves && held != nil || !leaves && (held == nil || held.State != Draining) {
+			t.Fatal(fmt.Sprintf("seed %d: leaves %v, order %v:", seed, leaves, words), held)
+		}
+	}
+}
+
+// TestHomeOfADeparture tells departures of known instances from those of unknown ones.
+func TestHomeOfADeparture(t *testing.T) {
+	s := newShard()
+	s.gain()
+	s.beat(worker(1), 1)
+	if !s.store.Knows("i01") || s.store.Knows("i02") {
+		t.Fatal("a registration decides")
+	}
+	s.deregister("i01")
+	s.deregister("i02")
+	if !s.store.Knows("i01") || s.store.Knows("i02") || !s.store.Removed("i01") || !s.store.Removed("i02") {
+		t.Fatal("a departure changes nothing of that")
+	}
+	s.apply(EncodePut(worker(3), 1))
+	s.apply(EncodeRemove("i03", Expired, 1))
+	s.apply(EncodeRemove("i03", Unheard, 0))
+	if !s.store.Knows("i03") || !s.store.Removed("i03") {
+		t.Fatal("one that fell silent had a record")
+	}
+}
--- a/internal/registry/owner.go
+++ b/internal/registry/owner.go
@@ -192,14 +192,17 @@
 		left.Stage == right.Stage
 }
 
-// Deregister decides on a departure; known is the store's record of that instance, or nil. One of an instance that is not
+// Deregister decides on a departure; known tells whether the store knows the instance. One of an instance that is not
 // known costs an entry too: an owner that has been replaced may not know it, and a heartbeat may come late.
-func (o *Owner) Deregister(now time.Time, id string, known *Instance) Decision {
+func (o *Owner) Deregister(now time.Time, id string, known bool) Decision {
 	if !o.owned {
 		return Decision{Action: Refuse, Refusal: refuse(NotOwner, "")}
 	}
 	o.arrive(now)
 	held := o.instances[id]
+	if held == nil && !known {
+		return Decision{Action: Propose, Command: EncodeRemove(id, Unheard, unknownSequence)}
+	}
 	sequence := uint64(unknownSequence)
 	if held != nil {
 		sequence = held.sequence
--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -54,7 +54,7 @@
 }
 
 func (s *shard) deregister(id string) (Action, Code) {
-	return s.decide(s.owner.Deregister(s.now, id, s.store.Instance(id)))
+	return s.decide(s.owner.Deregister(s.now, id, s.store.Knows(id)))
 }
 
 // advance lets time pass in ticks; each one heartbeats those that are alive and expires others.
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -179,6 +179,9 @@
 		return Gone
 	}
 	stone.reason = decoded.reason
+	if dead && decoded.reason == Unheard {
+		stone.reason = Deregistered // it had a record here once
+	}
 	stone.sequence = max(stone.sequence, decoded.sequence)
 	s.exhume(id)
 	s.bury(id, stone)
@@ -251,6 +254,12 @@
 	return dead && stone.reason.final()
 }
 
+// Knows tells whether an instance has, or had, a record here: its heartbeats come to this shard and to no other.
+func (s *Store) Knows(id string) bool {
+	stone, dead := s.tombstones[id]
+	return s.records[id] != nil || dead && stone.reason != Unheard
+}
+
 // Items returns the feed's items, sorted by key (the instance's ID).
 func (s *Store) Items() []feed.Item {
 	items := make([]feed.Item, 0, len(s.records))
