--- a/cmd/ospreyfleet/main.go
+++ b/cmd/ospreyfleet/main.go
@@ -86,6 +86,8 @@
 		return parsed.Measure.Scale.run(out, errors)
 	case parsed.Measure != nil && parsed.Measure.Traffic != nil:
 		return parsed.Measure.Traffic.run(out, errors)
+	case parsed.Measure != nil && parsed.Measure.Simulate != nil:
+		return parsed.Measure.Simulate.run(out, errors)
 	}
 	_ = parser.WriteHelpForSubcommand(errors, parser.SubcommandNames()...)
 	return exitUsage
--- a/cmd/ospreyfleet/main_test.go
+++ b/cmd/ospreyfleet/main_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestHelpOfEachCommand(t *testing.T) {
-	for _, words := range [][]string{{}, {"proxy"}, {"agent"}, {"keeper"}, {"check"}, {"demo"}, {"measure"}, {"measure", "scale"}, {"measure", "traffic"}} {
+	for _, words := range [][]string{{}, {"proxy"}, {"agent"}, {"keeper"}, {"check"}, {"demo"}, {"measure"}, {"measure", "scale"}, {"measure", "traffic"}, {"measure", "simulate"}} {
 		code, out, faults := call(append(words, "--help")...)
 		usage := strings.Join(append([]string{"Usage: ospreyfleet"}, words...), " ")
 		if code != exitOK || !strings.Contains(out, usage) || faults != "" {
@@ -52,6 +52,8 @@
 		{[]string{"measure", "traffic", "--rates", "many"}, "REQUESTSxTOKENS"},
 		{[]string{"measure", "traffic", "--windows", "0"}, "windows must be positive"},
 		{[]string{"measure", "scale", "--far-loss", "1"}, "far-loss"},
+		{[]string{"measure", "simulate", "--keepers", "three"}, "joined by commas"},
+		{[]string{"measure", "simulate", "--schedules", "0"}, "must be positive"},
 	}
 	for _, one := range cases {
 		code, _, faults := call(one.line...)
--- a/cmd/ospreyfleet/measure.go
+++ b/cmd/ospreyfleet/measure.go
@@ -21,8 +21,9 @@
 
 // measureCommand are the measurements.
 type measureCommand struct {
-	Traffic *trafficCommand `arg:"subcommand:traffic" help:"give one proxy rates of requests and measure what each request and each event takes"`
-	Scale   *scaleCommand   `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
+	Traffic  *trafficCommand  `arg:"subcommand:traffic" help:"give one proxy rates of requests and measure what each request and each event takes"`
+	Simulate *simulateCommand `arg:"subcommand:simulate" help:"play drawn schedules of faults, orders and workers against the whole control plane on a fake clock, and check every history"`
+	Scale    *scaleCommand    `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
 }
 
 // scaleCommand are the flags of measure scale.
--- /dev/null
+++ b/cmd/ospreyfleet/measure_simulate.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"ospreybend/internal/controlsim/campaign"
+	"ospreybend/internal/controlsim/schedule"
+	"ospreybend/internal/scale/trial"
+)
+
+// simulateCommand are the flags of measure simulate.
+type simulateCommand struct {
+	Keepers   string        `arg:"--keepers" default:"3,5,9" help:"counts of keepers joined by commas, one part of the campaign each"`
+	Tolerate  int           `arg:"--tolerate" default:"0" help:"keepers that may be lost at once; 0: as many as leave a majority"`
+	Schedules int           `arg:"--schedules" default:"200" help:"for each count of keepers, and at most for each guard that is left out"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"of the first schedule; the others follow"`
+	Length    time.Duration `arg:"--length" default:"45s" help:"simulated time in which faults and orders come"`
+	Agents    int           `arg:"--agents" default:"4"`
+	Operators int           `arg:"--operators" default:"2"`
+	Workers   int           `arg:"--workers" default:"6"`
+	Omit      []string      `arg:"--omit,separate" help:"guard to leave out, played until its absence is found; may be given again, each is a part of its own"`
+	Schedule  string        `arg:"--schedule" help:"file with one schedule, which alone is played"`
+	Processes int           `arg:"--processes" default:"0" help:"that play at once, each on one core; 0: half as many as there are cores"`
+	Limit     time.Duration `arg:"--limit" default:"2m" help:"real time for one schedule"`
+	Shrink    time.Duration `arg:"--shrink" default:"2m" help:"real time for shrinking each failure; 0: none is shrunk"`
+	MostFound int           `arg:"--most-found" default:"5" help:"violations after which a part is ended; 0: all schedules are played"`
+	JSON      string        `arg:"--json" help:"file for the whole result"`
+}
+
+// run plays schedules of the simulated control plane and shows what they broke.
+func (c *simulateCommand) run(out, errors io.Writer) int {
+	shapes, err := c.shapes()
+	if err != nil {
+		fmt.Fprintln(errors, "measure simulate:", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result := campaign.Result{Command: c.text(), Build: revision(), Load: fmt.Sprint(trial.LoadAverage())}
+	result.Parts, err = c.play(ctx, shapes, out)
+	result.WriteText(out)
+	if err != nil {
+		fmt.Fprintln(errors, "measure simulate:", err)
+	}
+	if c.JSON != "" {
+		if failure := writeFile(c.JSON, result.WriteJSON); failure != nil {
+			fmt.Fprintln(errors, "measure simulate:", failure)
+			return exitFault
+		}
+	}
+	if err != nil || result.Violations() > 0 || len(result.Missed()) > 0 {
+		return exitFault
+	}
+	return exitOK
+}
+
+// play builds the simulation and plays the campaign, or the one schedule of a file.
+func (c *simulateCommand) play(ctx context.Context, shapes []schedule.Shape, out io.Writer) ([]campaign.Part, error) {
+	var text []byte
+	if c.Schedule != "" {
+		var err error
+		if text, err = os.ReadFile(c.Schedule); err != nil {
+			return nil, err
+		}
+	}
+	directory, err := os.MkdirTemp("", "ospreyfleet-simulate-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(directory)
+	fmt.Fprintln(out, "building the simulation")
+	binary, err := campaign.Build(ctx, directory)
+	if err != nil {
+		return nil, err
+	}
+	player := campaign.Player{Binary: binary, Limit: c.Limit}
+	if c.Schedule != "" {
+		part, err := campaign.PlayText(ctx, player, string(text))
+		return []campaign.Part{part}, err
+	}
+	return campaign.Play(ctx, campaign.Plan{Player: player, Shapes: shapes, First: c.Seed, Schedules: c.Schedules, Processes: c.processes(),
+		Shrink: c.Shrink, MostFound: c.MostFound, Progress: out})
+}
+
+// shapes are the parts that the flags ask for: each count of keepers, without each guard that is left out.
+func (c *simulateCommand) shapes() ([]schedule.Shape, error) {
+	if c.Tolerate < 0 || c.Schedules < 1 || c.Length <= 0 || c.Agents < 1 || c.Operators < 1 || c.Workers < 0 || c.Processes < 0 || c.Limit <= 0 {
+		return nil, fmt.Errorf("schedules, length, agents, operators and limit must be positive, the other counts not negative")
+	}
+	var shapes []schedule.Shape
+	for _, word := range strings.Split(c.Keepers, ",") {
+		keepers, err := strconv.Atoi(word)
+		if err != nil || keepers < 1 {
+			return nil, fmt.Errorf("keepers must be positive numbers joined by commas, not %q", c.Keepers)
+		}
+		shape := schedule.Shape{Keepers: keepers, Tolerance: c.tolerance(keepers), Agents: c.Agents, Operators: c.Operators, Workers: c.Workers, Length: c.Length}
+		if len(c.Omit) == 0 {
+			shapes = append(shapes, shape)
+		}
+		for _, guard := range c.Omit {
+			shape.Omit = []string{guard}
+			shapes = append(shapes, shape)
+		}
+	}
+	return shapes, nil
+}
+
+// tolerance is how many of the keepers may be lost at once.
+func (c *simulateCommand) tolerance(keepers int) int {
+	if c.Tolerate > 0 {
+		return c.Tolerate
+	}
+	return (keepers - 1) / 2
+}
+
+// processes is how many play at once.
+func (c *simulateCommand) processes() int {
+	if c.Processes > 0 {
+		return c.Processes
+	}
+	return max(1, runtime.NumCPU()/2)
+}
+
+// text is the command line that was played, with the defaults that decide what is drawn.
+func (c *simulateCommand) text() string {
+	if c.Schedule != "" {
+		return "ospreyfleet measure simulate --schedule " + c.Schedule
+	}
+	text := fmt.Sprintf("ospreyfleet measure simulate --keepers %s --tolerate %d --schedules %d --seed %d --length %v --agents %d --operators %d --workers %d --processes %d",
+		c.Keepers, c.Tolerate, c.Schedules, c.Seed, c.Length, c.Agents, c.Operators, c.Workers, c.processes())
+	for _, guard := range c.Omit {
+		text += " --omit " + guard
+	}
+	return text
+}
--- a/internal/controlsim/campaign/campaign.go
+++ b/internal/controlsim/campaign/campaign.go
@@ -49,7 +49,8 @@
 		most = 1
 	}
 	tally := newTally(shape, p.First, most, p.Progress)
-	err := p.share(ctx, tally)
+	player := p.player(shape)
+	err := p.share(ctx, tally, player)
 	part := tally.part()
 	if len(shape.Omit) > 0 && len(part.Failures) > 1 {
 		part.Failures = part.Failures[:1]
@@ -60,15 +61,43 @@
 	return part, err
 }
 
+// player plays the shape's requests. Without a guard only those findings count which are not there with the guard.
+func (p Plan) player(shape schedule.Shape) func(context.Context, Request, func(Line)) error {
+	if len(shape.Omit) == 0 {
+		return p.Player.Play
+	}
+	return func(ctx context.Context, request Request, ended func(Line)) error {
+		var lines []Line
+		if err := p.Player.Play(ctx, request, func(line Line) { lines = append(lines, line) }); err != nil {
+			return err
+		}
+		for _, line := range lines {
+			if len(line.Violations) > 0 && p.breaksWithAll(ctx, line.Seed, shape) {
+				line.Violations = nil
+			}
+			ended(line)
+		}
+		return nil
+	}
+}
+
+// breaksWithAll reports whether the seed's schedule breaks anything with all guards in force.
+func (p Plan) breaksWithAll(ctx context.Context, seed uint64, shape schedule.Shape) bool {
+	shape.Omit = nil
+	broken := false
+	err := p.Player.Play(ctx, Request{Text: schedule.Draw(seed, shape).Format(), Count: 1}, func(line Line) { broken = len(line.Violations) > 0 })
+	return err != nil || broken
+}
+
 // share hands chunks of seeds to the processes until all are played or enough is found.
-func (p Plan) share(ctx context.Context, tally *tally) error {
+func (p Plan) share(ctx context.Context, tally *tally, play func(context.Context, Request, func(Line)) error) error {
 	chunks := make(chan Request)
 	failed := make(chan error, p.Processes)
 	var playing sync.WaitGroup
 	for range p.Processes {
 		playing.Go(func() {
 			for request := range chunks {
-				if err := p.Player.Play(ctx, request, tally.take); err != nil {
+				if err := play(ctx, request, tally.take); err != nil {
 					failed <- err
 					return
 				}
--- a/internal/controlsim/campaign/campaign_test.go
+++ b/internal/controlsim/campaign/campaign_test.go
@@ -21,6 +21,7 @@
 	seedDies    = 17
 	seedFails   = 31
 	seedEndless = 63
+	seedAlways  = 102
 )
 
 // TestPlayRequest stands in for the simulation: the campaign runs this test binary, too, with a request.
@@ -44,6 +45,8 @@
 			panic("scripted end")
 		case one.Seed == seedEndless:
 			<-time.After(time.Hour)
+		case one.Seed == seedAlways:
+			line.Violations = []campaign.Finding{{Check: "scripted", Text: "with each guard, too"}}
 		case one.Seed == seedFails && has(one, schedule.Worker), len(one.Omit) > 0 && one.Seed%10 == 4:
 			line.Violations = []campaign.Finding{{Check: "scripted", Text: "a worker"}}
 		}
@@ -114,6 +117,8 @@
 	}
 }
 
+// TestCampaignStopsOnceAnAbsentGuardIsFound has seeds that break something: 102 with all guards in force too, which tells
+// nothing about the one that is left out, and 104 only without it.
 func TestCampaignStopsOnceAnAbsentGuardIsFound(t *testing.T) {
 	without := shape
 	without.Omit = []string{"guard"}
--- /dev/null
+++ b/internal/controlsim/request_test.go
@@ -0,0 +1,60 @@
+package controlsim
+
+import (
+	"os"
+	"testing"
+
+	"ospreybend/internal/controlsim/campaign"
+	"ospreybend/internal/controlsim/history"
+)
+
+// checkFault names what must not be whatever the history says.
+const checkFault = "fault"
+
+// TestPlayRequest plays what `ospreyfleet measure simulate` asks a process for.
+func TestPlayRequest(t *testing.T) {
+	request, given, err := campaign.Requested()
+	if !given {
+		t.Skip("is run by ospreyfleet measure simulate")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	schedules, err := request.Schedules()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range schedules {
+		tell(t, campaign.Line{Seed: one.Seed, Begins: true})
+		report := Play(t, one)
+		tell(t, campaign.Line{Seed: one.Seed, Violations: findings(report), Counts: countsOf(report.History)})
+	}
+}
+
+func tell(t *testing.T, line campaign.Line) {
+	t.Helper()
+	if err := line.Write(os.Stdout); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func findings(report Report) []campaign.Finding {
+	var found []campaign.Finding
+	for _, violation := range report.Violations {
+		found = append(found, campaign.Finding{Check: violation.Check, Text: violation.String()})
+	}
+	for _, fault := range report.Faults {
+		found = append(found, campaign.Finding{Check: checkFault, Text: fault})
+	}
+	return found
+}
+
+func countsOf(h history.History) campaign.Counts {
+	counts := campaign.Counts{Operations: len(h.Operations), Views: len(h.Views), Beats: len(h.Beats), Departures: len(h.Departures), Struck: len(h.Troubles)}
+	for _, operation := range h.Operations {
+		if operation.Outcome == history.Acknowledged {
+			counts.Acknowledged++
+		}
+	}
+	return counts
+}
