Fuzz the exchange with workers that send anything, cut anywhere

FuzzExchange plays six requests on one pool against a worker whose answers, cuts, resets, late answers and pieces are drawn: no byte of one answer reaches another request, no whole answer is made of one that is not, each request arrives once at most. The same runs with a fixed seed in the ordinary tests, 4,000 runs, and 300 drawn inputs are the corpus.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -200,6 +200,29 @@
 	_ = raw.Read(func(fd uintptr) bool { return peeked(fd) })
 }
 
+// A late answer that is cut within its head must not lend its status to the next answer. The worker sends it with the answer,
+// so that it is not found on the resting connection.
+func TestAnswerCutBeforeTheNext(t *testing.T) {
+	const late = "HTTP/1.1 421 No\r\nVersions: 1\r\nX-Request-Id: r0\r\n"
+	for at := 1; at < strings.Index(late, "X-Request-Id"); at++ {
+		w := play(t, cutsOff(late[:at]+plain))
+		r, f := pool(t, Options{}).Do(within(t), w.call())
+		if r != nil {
+			t.Errorf("cut at %d: %d %v", at, r.Status, r.Result)
+		}
+		expectFailure(t, f, Broken, Malformed)
+	}
+}
+
+// A field may name the protocol.
+func TestFieldThatNamesTheProtocol(t *testing.T) {
+	w := play(t, answers(strings.Replace(plain, "Content", "Via: HTTP/1.1 200gate, HTTP/1.1 gate\r\nContent", 1)))
+	r, f := pool(t, Options{}).Do(within(t), w.call())
+	if f != nil || string(r.Body) != "ok" {
+		t.Errorf("%+v, %v", r, f)
+	}
+}
+
 // A request that was written on a kept connection which is then reset is not sent again.
 func TestNothingIsSentTwice(t *testing.T) {
 	w := play(t, func(p *peerSide) {
--- /dev/null
+++ b/internal/exchange/fuzz_test.go
@@ -0,0 +1,331 @@
+package exchange_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreybend/internal/exchange"
+	"ospreybend/internal/exchange/exchangetest"
+	"ospreybend/internal/httpwire"
+)
+
+const (
+	fuzzRequests = 6 // of one run, one after the other on one pool
+	fuzzPieces   = 4 // at most, of what comes back for one request
+)
+
+// program is a run that is read off drawn bytes; behind their end all are 0.
+type program struct{ data []byte }
+
+func (p *program) next() int {
+	if len(p.data) == 0 {
+		return 0
+	}
+	b := p.data[0]
+	p.data = p.data[1:]
+	return int(b)
+}
+
+func (p *program) below(n int) int { return p.next() % n }
+
+// bytes takes some bytes as they are. They begin no answer, as whatever they made of the next one could not be told from an answer.
+func (p *program) bytes() string {
+	n := min(p.below(40), len(p.data))
+	raw := p.data[:n]
+	p.data = p.data[n:]
+	return strings.ReplaceAll(string(raw), "HTTP/", "HTTQ/")
+}
+
+// drawnWorker answers as a program says, and keeps what it has really answered.
+type drawnWorker struct {
+	program  *program
+	serial   int
+	whole    map[string][]string // by request: the bodies of whole answers
+	begun    map[string][]string // and of those that may have been cut
+	rejected map[string]bool     // requests to whom it was said that they have not run
+}
+
+func newDrawnWorker(data []byte) *drawnWorker {
+	return &drawnWorker{program: &program{data}, whole: map[string][]string{}, begun: map[string][]string{}, rejected: map[string]bool{}}
+}
+
+// draft is one answer.
+type draft struct {
+	id       string
+	head     string
+	body     string // as the client is to have it
+	text     string // as it is sent, behind the head
+	toEnd    bool
+	rejected bool
+}
+
+// connection draws the turns of a connection.
+func (w *drawnWorker) connection(int) []exchangetest.Turn {
+	var turns []exchangetest.Turn
+	for range fuzzRequests + 1 {
+		turns = append(turns, w.turn())
+	}
+	return turns
+}
+
+// turn draws how much of a request is taken. What comes back is drawn once it is asked.
+func (w *drawnWorker) turn() exchangetest.Turn {
+	turn := exchangetest.Turn{}
+	if how := w.program.below(12); how <= int(exchangetest.Blocked) {
+		turn.Sent = exchangetest.Sent(how)
+	}
+	for range w.program.below(8) {
+		turn.Pieces = append(turn.Pieces, w.program.next())
+	}
+	turn.End = exchangetest.End(w.program.below(3))
+	if turn.Sent == exchangetest.BodyInPart { // a connection that takes no more has ended
+		turn.End = max(turn.End, exchangetest.FIN)
+	}
+	turn.Answer = func(request exchangetest.Request) string { return w.answer(request.ID, turn.End) }
+	return turn
+}
+
+// answer draws what comes back, up to an end of which the connection knows.
+func (w *drawnWorker) answer(id string, end exchangetest.End) string {
+	text := ""
+	for range w.program.below(fuzzPieces + 1) {
+		switch kind := w.program.below(10); kind {
+		case 0:
+			text += w.program.bytes()
+		case 1:
+			text += "HTTP/1.1 100 Continue\r\n\r\n"
+		case 2:
+			d := w.draft(w.anotherID(id))
+			if d.toEnd {
+				return text + d.head + d.text
+			}
+			text += d.head + d.text
+		case 3:
+			return text + w.cut(w.draft(id), end)
+		default:
+			d := w.draft(id)
+			text += d.head + d.text
+			w.note(d, end)
+			if d.toEnd {
+				return text
+			}
+		}
+	}
+	return text
+}
+
+// note keeps an answer that is not cut.
+func (w *drawnWorker) note(d draft, end exchangetest.End) {
+	w.begun[d.id] = append(w.begun[d.id], d.body)
+	if !d.toEnd || end == exchangetest.FIN {
+		w.whole[d.id] = append(w.whole[d.id], d.body)
+	}
+	w.rejected[d.id] = w.rejected[d.id] || d.rejected
+}
+
+// cut is a part of an answer that misses its last byte at least. Behind it nothing comes.
+func (w *drawnWorker) cut(d draft, end exchangetest.End) string {
+	text := d.head + d.text
+	if d.toEnd {
+		text += "?"
+		d.body += "?"
+	}
+	at := (w.program.next()<<8 + w.program.next()) % len(text)
+	w.begun[d.id] = append(w.begun[d.id], d.body)
+	if at >= len(d.head) {
+		w.rejected[d.id] = w.rejected[d.id] || d.rejected
+		if d.toEnd && end == exchangetest.FIN { // nobody can tell it from a whole one
+			w.whole[d.id] = append(w.whole[d.id], text[len(d.head):at])
+		}
+	}
+	return text[:at]
+}
+
+// anotherID draws the id of an earlier request, of none that was made, none, or two. A worker cannot know that of a later one.
+func (w *drawnWorker) anotherID(id string) string {
+	switch other := w.program.below(fuzzRequests + 3); {
+	case other == fuzzRequests:
+		return ""
+	case other == fuzzRequests+1:
+		return id + "\r\nX-Request-Id: " + id
+	case requestID(other) < id:
+		return requestID(other)
+	default:
+		return "f"
+	}
+}
+
+func requestID(number int) string { return fmt.Sprintf("9c41d07be2a35f6%d", number) }
+
+// draft draws an answer that is sent for an id. Its body names the id and bears a number of its own.
+func (w *drawnWorker) draft(id string) draft {
+	w.serial++
+	d := draft{id: id, body: fmt.Sprintf("<%s/%d>", id, w.serial)}
+	head := &strings.Builder{}
+	head.WriteString([]string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 Oh\r\n", "HTTP/1.1 503 Odd\r\n", "HTTP/1.0 200 OK\r\n"}[w.program.below(4)])
+	switch w.program.below(8) {
+	case 0:
+		head.Reset()
+		head.WriteString("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n")
+		d.rejected = true
+	case 1:
+		head.Reset()
+		head.WriteString("HTTP/1.1 421 No\r\n")
+		d.rejected = true
+	case 2, 3:
+		head.WriteString("content-type: text/event-stream\r\n")
+		d.body = fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", d.body, d.body)
+	}
+	if id != "" {
+		head.WriteString("X-Request-Id: " + id + "\r\n")
+	}
+	if w.program.below(8) == 0 {
+		head.WriteString("Connection: close\r\n")
+	}
+	framing, text := w.frame(d.body, strings.HasPrefix(head.String(), "HTTP/1.0"))
+	d.head, d.text, d.toEnd = head.String()+framing+"\r\n", text, framing == ""
+	return d
+}
+
+// frame draws how a body is delimited.
+func (w *drawnWorker) frame(body string, old bool) (fields, text string) {
+	switch kind := w.program.below(3); {
+	case kind == 0 || kind == 1 && old:
+		return fmt.Sprintf("Content-Length: %d\r\n", len(body)), body
+	case kind == 1:
+		at := w.program.below(len(body)-1) + 1
+		return "Transfer-Encoding: chunked\r\n", exchangetest.Chunk(body[:at]) + exchangetest.Chunk(body[at:]) + "0\r\n\r\n"
+	default:
+		return "", body
+	}
+}
+
+// FuzzExchange lets a worker send anything, cut anywhere, and end connections at any byte, while requests follow one another on
+// a pool. No byte of one answer reaches another request, and no whole answer is made of one that is not.
+func FuzzExchange(f *testing.F) {
+	random := rand.New(rand.NewSource(42))
+	for range 300 {
+		data := make([]byte, random.Intn(400))
+		_, _ = random.Read(data)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		synctest.Test(t, func(t *testing.T) { playDrawn(t, data) })
+	})
+}
+
+// TestDrawnWorkers plays what FuzzExchange plays, with a fixed seed.
+func TestDrawnWorkers(t *testing.T) {
+	random := rand.New(rand.NewSource(7))
+	for n := range 4000 {
+		data := make([]byte, random.Intn(600))
+		_, _ = random.Read(data)
+		synctest.Test(t, func(t *testing.T) {
+			playDrawn(t, data)
+			if t.Failed() {
+				t.Fatalf("run %d: %x", n, data)
+			}
+		})
+	}
+}
+
+func playDrawn(t *testing.T, data []byte) {
+	drawn := newDrawnWorker(data)
+	workers := exchangetest.NewWorkers()
+	workers.Play(workerAddress, drawn.connection)
+	pool := exchange.New(exchange.Options{Dial: workers.Dial})
+	for number := range fuzzRequests {
+		drawn.ask(t, pool, number)
+		if drawn.program.below(6) == 0 { // while the connections rest
+			for _, conn := range workers.Conns(workerAddress) {
+				late := drawn.draft(requestID(number))
+				conn.Surplus(drawn.cut(late, exchangetest.Open))
+			}
+		}
+	}
+	pool.Close()
+	if open := pool.Counts().Open; open != 0 {
+		t.Errorf("%d connections are left open", open)
+	}
+	drawn.checkArrivals(t, workers.Conns(workerAddress))
+}
+
+// ask makes a request and compares its answer with those that were given.
+func (w *drawnWorker) ask(t *testing.T, pool *exchange.Pool, number int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	size := 5
+	if w.program.below(3) == 0 {
+		size = 10 << 10 // is written while the answer is awaited
+	}
+	id := requestID(number)
+	response, failure := pool.Do(ctx, &exchange.Call{Address: workerAddress, Method: "POST", Target: "/", Events: true,
+		Body:   bytes.Repeat([]byte{byte('a' + number)}, size),
+		Fields: httpwire.Fields{{Name: "Host", Value: "h"}, {Name: "X-Request-Id", Value: id}}})
+	switch {
+	case failure != nil:
+		return
+	case response.Result != exchange.Answered:
+		if !w.rejected[id] {
+			t.Errorf("request %s is said not to have run: %+v", id, response)
+		}
+	case response.Stream == nil:
+		if !slices.Contains(w.whole[id], string(response.Body)) {
+			t.Errorf("request %s got %q, not of %q", id, response.Body, w.whole[id])
+		}
+	default:
+		w.readEvents(t, id, response.Stream)
+	}
+}
+
+// readEvents reads a stream: only whole events of one answer, and its end only behind all of them.
+func (w *drawnWorker) readEvents(t *testing.T, id string, stream *exchange.Stream) {
+	defer stream.Close()
+	got := ""
+	var err error
+	for err == nil {
+		var batch *exchange.Batch
+		if batch, err = stream.Next(); err == nil {
+			got += string(batch.Raw)
+		}
+	}
+	part := func(body string) bool { return strings.HasPrefix(body, got) }
+	switch {
+	case got != "" && !strings.HasSuffix(got, "\n\n"):
+		t.Errorf("request %s got the part of an event: %q", id, got)
+	case err == io.EOF && !slices.Contains(w.whole[id], got):
+		t.Errorf("request %s got the stream %q, not of %q", id, got, w.whole[id])
+	case err != io.EOF && !slices.ContainsFunc(w.begun[id], part):
+		t.Errorf("request %s got the events %q, not of %q", id, got, w.begun[id])
+	}
+}
+
+// checkArrivals looks at what came to the worker: each request once at most, and none with another's bytes.
+func (w *drawnWorker) checkArrivals(t *testing.T, conns []*exchangetest.Conn) {
+	count := map[string]int{}
+	for _, conn := range conns {
+		for _, request := range conn.Requests() {
+			if request.Head == "" {
+				continue
+			}
+			count[request.ID]++
+			own := bytes.Count(request.Body, []byte{'a' + request.ID[len(request.ID)-1] - '0'})
+			if own != len(request.Body) {
+				t.Errorf("request %s came with %d of %d bytes of others", request.ID, len(request.Body)-own, len(request.Body))
+			}
+		}
+	}
+	for id, n := range count {
+		if n > 1 {
+			t.Errorf("request %s came %d times", id, n)
+		}
+	}
+}
--- a/internal/exchange/trip.go
+++ b/internal/exchange/trip.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,6 +28,7 @@
 	errForeign  = errors.New("exchange: the answer carries another request's id")
 	errSwitched = errors.New("exchange: the worker changes the protocol")
 	errLong     = errors.New("exchange: the answer is too long")
+	errJoined   = errors.New("exchange: an answer begins within the head of another")
 )
 
 // trip is a call on a connection.
@@ -90,7 +92,7 @@
 		return t.failure(Ended, io.ErrUnexpectedEOF)
 	case errors.Is(err, errForeign):
 		return t.failure(Foreign, err)
-	case errors.As(err, &fault), errors.Is(err, errSwitched), errors.Is(err, errLong):
+	case errors.As(err, &fault), errors.Is(err, errSwitched), errors.Is(err, errLong), errors.Is(err, errJoined):
 		return t.failure(Malformed, err)
 	}
 	return t.failure(ReadError, err)
@@ -138,6 +140,9 @@
 			if used, fault = reader.Read(c.in.Bytes(), &t.head); fault != nil {
 				return fault
 			}
+			if used > 0 && holdsStatusLine(c.in.Bytes()[reader.Start():used]) {
+				return errJoined
+			}
 			if used > 0 {
 				break
 			}
@@ -158,6 +163,41 @@
 	}
 }
 
+// holdsStatusLine tells whether another answer begins within a head: a late one was cut there, and what follows may be the
+// answer to this request, under the other one's status.
+func holdsStatusLine(head []byte) bool {
+	const version = "HTTP/1."
+	for at := 1; at < len(head); {
+		found := bytes.Index(head[at:], []byte(version))
+		if found < 0 {
+			return false
+		}
+		at += found + len(version)
+		if isVersionAndStatus(head[at:]) {
+			return true
+		}
+	}
+	return false
+}
+
+// isVersionAndStatus tells whether a text begins as a status line does behind "HTTP/1.": with a digit and a status.
+func isVersionAndStatus(text []byte) bool {
+	const end = len("1 200")
+	if len(text) <= end || text[1] != ' ' || text[end] != ' ' && text[end] != '\r' {
+		return false
+	}
+	return isNumber(text[:1]) && isNumber(text[2:end])
+}
+
+func isNumber(text []byte) bool {
+	for _, c := range text {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
 // isOwn tells whether the answer carries the id of the request, or as the request none. One with two ids is nobody's.
 func (t *trip) isOwn() bool {
 	return t.fields.Count(requestID) <= 1 && t.fields.Get(requestID) == t.call.Fields.Get(requestID)
