Cut a simulated keeper off for twenty seconds in every way, with callers that reach it alone

Behind the cut nothing may be acknowledged or refused for good, reads and orders are linearizable, drains take effect and views go on. Eight guards are left out by name, and each omission is found. Operators and workers that a cut names reach its keepers alone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,10 +42,11 @@
 	ProbePeers bool // take part in the probing between agents
 	Probing    membership.Options
 
-	Dial   func(ctx context.Context, address string) (net.Conn, error)     // of keepers; nil: feedlink.Dial
-	Listen func(ctx context.Context, address string) (net.Listener, error) // for the proxy; nil: feedlink.Listen
-	Random func() uint64                                                   // nil: rand.Uint64
-	Origin time.Time                                                       // of the grid of statuses; zero: the start of the process
+	Dial       func(ctx context.Context, address string) (net.Conn, error)     // of keepers; nil: feedlink.Dial
+	Listen     func(ctx context.Context, address string) (net.Listener, error) // for the proxy; nil: feedlink.Listen
+	Random     func() uint64                                                   // nil: rand.Uint64
+	StaleAfter time.Duration                                                   // how long a keeper may not be current; zero: feedlink.StaleAfter
+	Origin     time.Time                                                       // of the grid of statuses; zero: the start of the process
 }
 
 func (o Options) withDefaults() Options {
@@ -144,11 +145,12 @@
 			Compressed:  true,
 		},
 		Choice: feedlink.ChoiceOptions{
-			Node:     config.NodeName,
-			Zone:     config.Zone,
-			Region:   config.Region,
-			Seeds:    config.Seeds,
-			FeedPort: feedPort,
+			Node:       config.NodeName,
+			Zone:       config.Zone,
+			Region:     config.Region,
+			Seeds:      config.Seeds,
+			FeedPort:   feedPort,
+			StaleAfter: options.StaleAfter,
 		},
 		Dial:   options.Dial,
 		Random: options.fraction,
--- /dev/null
+++ b/internal/controlsim/cutoff_test.go
@@ -0,0 +1,278 @@
+package controlsim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/controlsim/history"
+	"ospreybend/internal/controlsim/schedule"
+)
+
+// Times of the scenarios of a cut.
+const (
+	cutAt     = 6 * time.Second
+	cutFor    = 20 * time.Second
+	cutLength = cutAt + cutFor + 6*time.Second
+	leaseOver = 1200 * time.Millisecond // after which a keeper that is cut off acknowledges nothing
+	// A follower whose words are lost is current for as long as the leader's connection to it lasts, which is not acknowledged.
+	outwardLeaseOver = 2500 * time.Millisecond
+	readInterval     = 300 * time.Millisecond // of reads behind the cut
+	hurry            = time.Second            // in which a new leader may be there beside the old one
+)
+
+// Roles of the operators and workers in these scenarios.
+const (
+	outsideOperator = 0 // goes to all keepers
+	insideOperator  = 1 // reaches the cut ones alone
+	steadyWorker    = 0 // has its heartbeats go there alone
+	drainWorker     = 1 // drains there
+	leaveWorker     = 2 // deregisters there without a word before
+	crashWorker     = 3 // reaches all, and is there throughout
+)
+
+// cutScenario is one way in which a keeper is cut off.
+type cutScenario struct {
+	variant  schedule.Variant // empty: it is frozen
+	follower bool             // not the leader of the configuration's group
+	agents   []int            // that are cut off along with it
+	restart  bool             // its process is restarted behind the cut
+	wiped    bool             // and has lost its disk
+	early    bool             // workers leave right after the beginning, when it does not know yet
+	others   bool             // the other processes are restarted at the beginning, and soon have a leader
+}
+
+func (c cutScenario) String() string {
+	name := string(c.variant)
+	if name == "" {
+		name = "frozen"
+	}
+	for _, one := range []struct {
+		holds bool
+		name  string
+	}{{!c.follower, "leader"}, {c.follower, "follower"}, {len(c.agents) > 0, "with agents"}, {c.restart, "restarted"}, {c.wiped, "wiped"}, {c.early, "early"}, {c.others, "while the others restart"}} {
+		if one.holds {
+			name += " " + one.name
+		}
+	}
+	return name
+}
+
+// cutScenarios are all ways in which the operators say that a keeper was cut off.
+func cutScenarios() []cutScenario {
+	var all []cutScenario
+	for _, follower := range []bool{false, true} {
+		for _, variant := range []schedule.Variant{schedule.CutKeepers, schedule.CutSide, schedule.CutInward, schedule.CutOutward, ""} {
+			all = append(all, cutScenario{variant: variant, follower: follower})
+		}
+		all = append(all,
+			cutScenario{variant: schedule.CutSide, follower: follower, agents: []int{0, 1}},
+			cutScenario{variant: schedule.CutKeepers, follower: follower, restart: true},
+			cutScenario{variant: schedule.CutSide, follower: follower, agents: []int{0}, restart: true},
+			cutScenario{variant: schedule.CutKeepers, follower: follower, restart: true, wiped: true},
+			cutScenario{variant: schedule.CutKeepers, follower: follower, early: true},
+			cutScenario{variant: schedule.CutKeepers, follower: follower, others: true},
+		)
+	}
+	return all
+}
+
+// playCutScenario cuts a keeper off for twenty seconds, with callers that reach it alone.
+func playCutScenario(t *testing.T, seed uint64, c cutScenario, omit ...string) (Report, []string) {
+	t.Helper()
+	s := schedule.Schedule{
+		Seed: seed, Keepers: 3, Tolerance: 1, Agents: 4, Operators: 2, Workers: 4, Length: cutLength, Omit: omit,
+	}
+	var wrong []string
+	report := playScript(t, s, zap.NewNop(), func(w *world, ctx context.Context) {
+		time.Sleep(cutAt)
+		victim := w.victim(c.follower)
+		if victim < 0 {
+			wrong = append(wrong, "no group is led")
+			return
+		}
+		began, ended := w.cutOff(ctx, c, victim)
+		time.Sleep(cutLength - w.record.now())
+		wrong = append(wrong, w.acknowledgedBehind(victim, began+c.lease(), ended)...)
+	})
+	return report, wrong
+}
+
+// lease is how long after the beginning the keeper may still acknowledge what changes nothing.
+func (c cutScenario) lease() time.Duration {
+	if c.variant == schedule.CutOutward {
+		return outwardLeaseOver
+	}
+	return leaseOver
+}
+
+// victim returns the place of the keeper that leads the configuration's group, or of one that doesn't.
+func (w *world) victim(follower bool) int {
+	leads := func(status replica.Status) bool { return status.Shard == shards.Configuration && status.IsLeader() }
+	for _, m := range w.everyPlace() {
+		if slices.ContainsFunc(m.inspect(), leads) != follower {
+			return m.place
+		}
+	}
+	return -1
+}
+
+// cutOff carries the scenario out and returns when the cut began and ended.
+func (w *world) cutOff(ctx context.Context, c cutScenario, victim int) (began, ended time.Duration) {
+	began = w.record.now()
+	event := schedule.Event{
+		At: began, Kind: schedule.Cut, Variant: c.variant, Keepers: []int{victim}, Agents: c.agents, For: cutFor, Restart: c.restart,
+		Operators: []int{insideOperator}, Workers: []int{steadyWorker, drainWorker, leaveWorker},
+	}
+	amid, stop := context.WithTimeout(ctx, cutFor)
+	defer stop()
+	w.running.Go(func() { w.leaveBehind(ctx, c.early) })
+	w.running.Go(func() { w.readBehind(amid, w.at(victim)) })
+	if c.others {
+		w.running.Go(func() { w.restartOthers(ctx, victim) })
+	}
+	if c.wiped {
+		w.running.Go(func() {
+			time.Sleep(cutFor/3 + cutFor/20)
+			w.at(victim).wipe()
+		})
+	}
+	if c.variant == "" {
+		event.Kind = schedule.Freeze
+		w.confine(event, w.places(event.Keepers))
+		w.playFreeze(ctx, event)
+		w.confine(event, nil)
+	} else {
+		w.playCut(ctx, event)
+	}
+	return began, w.record.now()
+}
+
+// leaveBehind has workers leave in the middle of the cut, which they can tell the cut keeper alone.
+func (w *world) leaveBehind(ctx context.Context, early bool) {
+	if early {
+		time.Sleep(readInterval)
+	} else {
+		time.Sleep(cutFor / 2)
+	}
+	for worker, variant := range map[int]schedule.Variant{drainWorker: schedule.WorkerDrain, leaveWorker: schedule.WorkerDeregister} {
+		gone := w.workers[worker].take()
+		w.running.Go(func() { gone.leave(ctx, variant) })
+	}
+}
+
+// restartOthers restarts the processes of all but one keeper at once, and has orders come as soon as they can be taken.
+func (w *world) restartOthers(ctx context.Context, victim int) {
+	var others []*machine
+	for _, m := range w.everyPlace() {
+		if m.place != victim {
+			m.kill()
+			others = append(others, m)
+		}
+	}
+	w.startAll(others)
+	outside := w.operators[outsideOperator]
+	outside.confine(others)
+	until, stop := context.WithTimeout(ctx, hurry)
+	defer stop()
+	w.running.Go(func() { w.readOften(until, w.at(victim)) })
+	for until.Err() == nil {
+		sent := outside.makeOrder(outside.base())
+		if ends, taken := clear(outside.attempt(sent, others[0], 1)); ends {
+			outside.settle(ctx, sent, taken)
+		}
+	}
+	outside.confine(nil)
+}
+
+// readOften reads from a keeper again and again until ctx ends.
+func (w *world) readOften(ctx context.Context, from *machine) {
+	for sleep(ctx, hurry/100) {
+		w.operators[insideOperator].read(ctx, from)
+	}
+}
+
+// readBehind reads from the cut keeper until ctx ends.
+func (w *world) readBehind(ctx context.Context, from *machine) {
+	for sleep(ctx, readInterval) {
+		w.operators[insideOperator].read(ctx, from)
+	}
+}
+
+// acknowledgedBehind lists what the cut keeper acknowledged, or refused for good, though it could not know.
+func (w *world) acknowledgedBehind(victim int, from, to time.Duration) []string {
+	seen, _ := w.record.history()
+	var wrong []string
+	for _, one := range seen.Operations {
+		if one.Keeper == victim && one.Call >= from && one.Return < to && one.Outcome != history.Unknown {
+			wrong = append(wrong, "behind the cut: "+one.String())
+		}
+	}
+	inside := func(instance string) bool {
+		return slices.ContainsFunc([]int{steadyWorker, drainWorker, leaveWorker}, func(worker int) bool {
+			return instance == fmt.Sprintf("w%d-1", worker)
+		})
+	}
+	for _, one := range seen.Beats {
+		if inside(one.Instance) && one.At >= from && one.At < to {
+			wrong = append(wrong, fmt.Sprintf("behind the cut, %s is acknowledged a heartbeat at %v", one.Instance, one.At))
+		}
+	}
+	for _, one := range seen.Departures {
+		if inside(one.Instance) && one.Acknowledged >= from && one.Acknowledged < to {
+			wrong = append(wrong, fmt.Sprintf("behind the cut, %s is acknowledged its departure at %v", one.Instance, one.Acknowledged))
+		}
+	}
+	return wrong
+}
+
+func TestAKeeperThatIsCutOffForTwentySecondsServesNothingAsCurrent(t *testing.T) {
+	for i, c := range cutScenarios() {
+		t.Run(c.String(), func(t *testing.T) {
+			report, wrong := playCutScenario(t, uint64(1+i), c)
+			if len(wrong) > 0 || report.Failed() {
+				t.Errorf("%v\n%v", wrong, report)
+			}
+			if report.Figures.Taken < 10 {
+				t.Errorf("only %d orders were taken", report.Figures.Taken)
+			}
+		})
+	}
+}
+
+// guardedCuts names the guards against cuts, each with a scenario that breaks a promise without it.
+var guardedCuts = []struct {
+	guard    string
+	scenario cutScenario
+	seed     uint64 // from which on one of ten shows it
+}{
+	{"keeper.read-confirmed", cutScenario{variant: schedule.CutKeepers, others: true}, 1},
+	{"agreement.read-confirmed", cutScenario{variant: schedule.CutKeepers, others: true}, 10},
+	{"keeper.feed-current", cutScenario{variant: schedule.CutKeepers}, 1},
+	{"keeper.beat-current", cutScenario{variant: schedule.CutKeepers, follower: true}, 1},
+	{"keeper.beat-recorded", cutScenario{variant: schedule.CutKeepers, follower: true, early: true}, 1},
+	{"keeper.founding-once", cutScenario{variant: schedule.CutKeepers, restart: true, wiped: true}, 1},
+	{"agreement.commit-majority", cutScenario{variant: schedule.CutKeepers}, 1},
+	{GuardLeaveStale, cutScenario{variant: schedule.CutKeepers}, 1},
+}
+
+func TestEachGuardAgainstCutsIsNeeded(t *testing.T) {
+	for _, one := range guardedCuts {
+		t.Run(one.guard, func(t *testing.T) {
+			const attempts = 10
+			for seed := range uint64(attempts) {
+				if report, wrong := playCutScenario(t, one.seed+seed, one.scenario, one.guard); len(wrong) > 0 || report.Failed() {
+					t.Logf("seed %d: %.300v %.300v", one.seed+seed, wrong, report.Violations)
+					return
+				}
+			}
+			t.Errorf("without %s, no promise is broken by %q", one.guard, one.scenario)
+		})
+	}
+}
--- a/internal/controlsim/edge.go
+++ b/internal/controlsim/edge.go
@@ -20,6 +20,9 @@
 	"ospreybend/internal/settings"
 )
 
+// never is a time that no run reaches.
+const never = 24 * time.Hour
+
 // edge is a machine of the edge: an agent, and the view that its proxy takes.
 type edge struct {
 	world     *world
@@ -36,7 +39,10 @@
 		options := agent.Options{
 			Dial: own.Dial, Listen: own.Listen, Random: e.world.sharedRandom("agent", e.index), Origin: time.Now(),
 		}
-		if err := agent.RunWith(ctx, e.settings(), options, zap.NewNop()); err != nil {
+		if e.world.omit.leaveStale {
+			options.StaleAfter = never
+		}
+		if err := agent.RunWith(ctx, e.settings(), options, e.world.log.With(zap.String("machine", e.ip))); err != nil {
 			e.world.record.fault("an agent ended by itself: " + err.Error())
 		}
 		own.Kill()
--- a/internal/controlsim/events.go
+++ b/internal/controlsim/events.go
@@ -140,20 +140,32 @@
 	over()
 }
 
-// playCut cuts machines off. With Restart their processes are restarted amid it, and know only each other.
+// playCut cuts machines off; the operators and workers that it names reach these alone. With Restart their processes are restarted amid it, and know only each other.
 func (w *world) playCut(_ context.Context, event schedule.Event) {
 	over := w.record.trouble(history.Trouble{What: event.String(), Core: true, Agents: event.Agents, Lost: event.Keepers})
 	struck := w.places(event.Keepers)
 	heal := w.network.Cut(w.cutOf(event, struck))
+	w.confine(event, struck)
 	if event.Restart {
 		w.restartBehind(event, struck)
 	} else {
 		time.Sleep(event.For)
 	}
 	heal()
+	w.confine(event, nil)
 	over()
 }
 
+// confine has the event's operators and workers reach some machines alone, until nil is given.
+func (w *world) confine(event schedule.Event, only []*machine) {
+	for _, i := range event.Operators {
+		w.operators[i].confine(only)
+	}
+	for _, i := range event.Workers {
+		w.workers[i].confine(only)
+	}
+}
+
 // restartBehind kills and starts the machines behind a cut whose seeds are just these.
 func (w *world) restartBehind(event schedule.Event, struck []*machine) {
 	var seeds []string
--- a/internal/controlsim/guards.go
+++ b/internal/controlsim/guards.go
@@ -17,6 +17,9 @@
 	configurationPrefix = "configuration."
 )
 
+// GuardLeaveStale has an agent leave a keeper that is not current.
+const GuardLeaveStale = "agent.leave-stale"
+
 // Guards lists the names that a schedule can leave out.
 func Guards() []string {
 	var names []string
@@ -29,7 +32,7 @@
 	for _, rule := range configuration.Rules() {
 		names = append(names, configurationPrefix+string(rule))
 	}
-	return names
+	return append(names, GuardLeaveStale)
 }
 
 // omissions is what a schedule leaves out, sorted by what it guards.
@@ -37,6 +40,7 @@
 	keeper        []keeper.Guard
 	agreement     []agreement.Rule
 	configuration []configuration.Rule
+	leaveStale    bool
 }
 
 func parseOmissions(names []string) (omissions, error) {
@@ -46,6 +50,8 @@
 			return out, fmt.Errorf("controlsim: there is no guard %q", name)
 		}
 		switch {
+		case name == GuardLeaveStale:
+			out.leaveStale = true
 		case strings.HasPrefix(name, keeperPrefix):
 			out.keeper = append(out.keeper, keeper.Guard(strings.TrimPrefix(name, keeperPrefix)))
 		case strings.HasPrefix(name, agreementPrefix):
--- a/internal/controlsim/operator.go
+++ b/internal/controlsim/operator.go
@@ -33,7 +33,8 @@
 	random *rand.Rand
 	known  uint64 // the newest generation that it has seen
 	orders int
-	last   order // accepted one but the newest
+	only   []*machine // that it reaches; nil: all
+	last   order      // accepted one but the newest
 	newest order
 }
 
@@ -95,10 +96,22 @@
 	return o.nextName()
 }
 
-// pick chooses a keeper of the list.
+// pick chooses a keeper of the list, or of those that it reaches.
 func (o *operator) pick() *machine {
 	listed := o.world.listed()
-	return listed[o.draw(len(listed))]
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if len(o.only) > 0 {
+		listed = o.only
+	}
+	return listed[o.random.IntN(len(listed))]
+}
+
+// confine has it reach some machines alone, until nil is given.
+func (o *operator) confine(only []*machine) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.only = only
 }
 
 // send resends an order unchanged until it has a clear answer, and tells whether it was taken.
--- a/internal/controlsim/play.go
+++ b/internal/controlsim/play.go
@@ -1,6 +1,7 @@
 package controlsim
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -54,6 +55,12 @@
 
 // PlayLogged is Play with a log of what the keepers do, for the search of a cause.
 func PlayLogged(t *testing.T, s schedule.Schedule, log *zap.Logger) Report {
+	t.Helper()
+	return playScript(t, s, log, (*world).playEvents)
+}
+
+// playScript is Play with a script in the place of the schedule's events.
+func playScript(t *testing.T, s schedule.Schedule, log *zap.Logger, script func(w *world, ctx context.Context)) Report {
 	t.Helper()
 	report := Report{Schedule: s}
 	synctest.Test(t, func(t *testing.T) {
@@ -61,7 +68,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.run()
+		w.run(func(ctx context.Context) { script(w, ctx) })
 		report.History, report.Faults = w.record.history()
 	})
 	report.Violations = report.History.Check()
--- a/internal/controlsim/schedule/types.go
+++ b/internal/controlsim/schedule/types.go
@@ -65,7 +65,8 @@
 // Variant says more about a Kind.
 type Variant string
 
-// Variants of Cut. All are between Keepers and the other keepers; all but the first also concern agents.
+// Variants of Cut. All are between Keepers and the other keepers; all but the first also concern agents. Operators and
+// Workers that are named reach Keepers alone while it lasts.
 const (
 	CutKeepers Variant = "keepers"  // from the other keepers alone: every agent, operator and worker still reaches them
 	CutSide    Variant = "side"     // from all but the Agents that are named, and from operators and workers as DEPLOY allows: either side may be reached
--- a/internal/controlsim/worker.go
+++ b/internal/controlsim/worker.go
@@ -19,6 +19,7 @@
 	drainTime     = 2 * time.Second        // drainMs
 	drainPatience = 5 * time.Second        // for the acknowledgement of a drain
 	drainSlack    = 300 * time.Millisecond // that it serves on beyond drainTime
+	nextNode      = 20 * time.Millisecond  // before the next node is called
 	services      = 6
 )
 
@@ -32,6 +33,7 @@
 	random      *rand.Rand
 	incarnation *incarnation // nil: none runs
 	number      int
+	only        []*machine // that it reaches; nil: all
 }
 
 // incarnation is one life of a worker.
@@ -74,9 +76,22 @@
 	return rand64(w.random, below)
 }
 
+// pick chooses a keeper of the list, or of those that it reaches.
 func (w *worker) pick() *machine {
 	listed := w.world.listed()
-	return listed[int(w.draw(time.Duration(len(listed))))]
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.only) > 0 {
+		listed = w.only
+	}
+	return listed[w.random.IntN(len(listed))]
+}
+
+// confine has it reach some machines alone, until nil is given.
+func (w *worker) confine(only []*machine) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.only = only
 }
 
 // run sends heartbeats until ctx ends.
@@ -102,6 +117,7 @@
 			i.worker.world.record.beat(history.Beat{Instance: i.id, At: i.worker.world.record.now(), Draining: draining})
 			return true
 		}
+		sleep(ctx, nextNode)
 	}
 	return false
 }
@@ -169,6 +185,7 @@
 			i.worker.world.raise(schedule.Drain)
 			return
 		}
+		sleep(patience, nextNode)
 	}
 }
 
--- a/internal/controlsim/world.go
+++ b/internal/controlsim/world.go
@@ -238,8 +238,8 @@
 	return func() { add(-1) }
 }
 
-// run plays the schedule and ends everything.
-func (w *world) run() {
+// run runs a script, which the schedule's events are as a rule, and ends everything.
+func (w *world) run(script func(ctx context.Context)) {
 	scripts, stopScripts := context.WithCancel(context.Background())
 	defer stopScripts()
 	w.scripts = scripts
@@ -250,7 +250,7 @@
 		e.run(edges)
 	}
 	w.startScripts(scripts)
-	w.playEvents(scripts)
+	script(scripts)
 	time.Sleep(tail)
 	w.record.end()
 	stopScripts()
