Let a simulated machine that is gone for good not be started again by another event

A machine that is replaced unplanned is retired at once, one whose place has gone to another is never started, and a second replacement of the place ends the first successor.

--- a/internal/controlsim/events.go
+++ b/internal/controlsim/events.go
@@ -233,11 +233,15 @@
 	old.terminate()
 }
 
+// replaceLost has a machine go for good, whatever else would start it again, and its successor come later.
 func (w *world) replaceLost(place int, after time.Duration) {
-	w.at(place).losePower()
+	lost := w.at(place)
+	lost.retire()
+	lost.losePower()
 	time.Sleep(after)
 	old, successor := w.succeed(place)
-	old.retire()
+	old.retire() // another machine by now, if two events replace this place
+	old.losePower()
 	successor.start(w.seeds(), false)
 }
 
--- a/internal/controlsim/machine.go
+++ b/internal/controlsim/machine.go
@@ -51,11 +51,11 @@
 	return config
 }
 
-// start starts a keeper unless one is running.
+// start starts a keeper unless one is running or the machine's place has gone to another.
 func (m *machine) start(seeds []string, bootstrap bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.running != nil {
+	if m.running != nil || m.retired {
 		return
 	}
 	m.starts++
