Record a group's members as the leader of its newest term has them

The recorder now keeps the membership of the newest term, and records it without a leader too, so that the instants between a leader's loss and the next election are checked as well.

--- a/internal/controlsim/record.go
+++ b/internal/controlsim/record.go
@@ -18,13 +18,14 @@
 	world *world
 	start time.Time
 
-	mutex      sync.Mutex
-	seen       history.History
-	faults     []string
-	departures map[string]*departing
-	members    map[agreement.MemberID]*knownMember
-	standings  [shards.Count]history.Standing // the last ones
-	leaders    map[uint64]bool                // terms of the configuration's group that had one
+	mutex       sync.Mutex
+	seen        history.History
+	faults      []string
+	departures  map[string]*departing
+	members     map[agreement.MemberID]*knownMember
+	standings   [shards.Count]history.Standing // the last ones
+	memberships [shards.Count]membership
+	leaders     map[uint64]bool // terms of the configuration's group that had one
 }
 
 // knownMember is what is known of a member ID.
@@ -178,12 +179,25 @@
 		}
 	}
 	for shard, status := range leading {
-		if status.Term > 0 {
-			r.stand(shard, status.Members, committed[shard])
+		known := &r.memberships[shard]
+		known.committed = max(known.committed, committed[shard])
+		if status.Term > 0 && status.Term >= known.term {
+			known.term, known.members = status.Term, status.Members
+		}
+		if known.term > 0 {
+			r.stand(shard, known.members, known.committed)
 		}
 	}
 }
 
+// membership is a group's membership as the leader of its newest term has it: one of a former term, frozen or cut off,
+// may have an older one.
+type membership struct {
+	term      uint64
+	members   []agreement.Member
+	committed uint64
+}
+
 func (r *recorder) noteDurable(m *machine, status replica.Status) {
 	m.mutex.Lock()
 	id := m.member
