Cut orders on their way to a keeper, and send many on one connection

Need: on the operators' HTTP an order that is cut must not be carried out, also if what came of it would be an order by itself, and each answer must reach its own call. No fault found. One kind was dropped while writing: with the last chunk there and only its empty line missing, the server takes the order, whose body is whole then.

--- /dev/null
+++ b/internal/keeper/http_test.go
@@ -0,0 +1,164 @@
+package keeper
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ospreybend/internal/configuration"
+)
+
+// httpHost is the API of a keeper whose group accepts everything, and counts it.
+type httpHost struct {
+	t        *testing.T
+	keeper   *Keeper
+	address  string
+	proposed atomic.Int64
+}
+
+func newHTTPHost(t *testing.T) *httpHost {
+	t.Helper()
+	k, groups, _ := scripted(t)
+	h := &httpHost{t: t, keeper: k}
+	groups[0].set(leaderStatus())
+	groups[0].submit = func(context.Context, []byte) (any, error) {
+		number := h.proposed.Add(1)
+		return configuration.Outcome{Status: http.StatusOK, Generation: uint64(number)}, nil
+	}
+	h.address = strings.TrimPrefix(serveAPI(t, k), "http://")
+	return h
+}
+
+func (h *httpHost) dial() net.Conn {
+	h.t.Helper()
+	connection, err := net.Dial("tcp4", h.address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = connection.Close() })
+	if err := connection.SetDeadline(time.Now().Add(fleetLimit)); err != nil {
+		h.t.Fatal(err)
+	}
+	return connection
+}
+
+// orderHead is the head of an order with further header lines.
+func orderHead(lines ...string) string {
+	return "POST /-/Config.Replace HTTP/1.1\r\nHost: control\r\nX-Base-Version: 0\r\n" + strings.Join(append(lines, "\r\n"), "\r\n")
+}
+
+func withLength(body string) string {
+	return orderHead(fmt.Sprintf("Content-Length: %d", len(body))) + body
+}
+
+func inChunks(body string) string {
+	return orderHead("Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+}
+
+// What is not a whole order is not carried out, also if what came so far would be one.
+func TestOrderThatIsCutIsNotCarriedOut(t *testing.T) {
+	body := configurationOf(1)
+	for name, sent := range map[string]string{
+		"in its first line":            withLength(body)[:12],
+		"in its head":                  withLength(body)[:40],
+		"after its head":               orderHead(fmt.Sprintf("Content-Length: %d", len(body))),
+		"in its body":                  withLength(body + " ")[:len(withLength(body+" "))-1],
+		"in its first chunk":           inChunks(body)[:len(inChunks(body))-9],
+		"after a chunk that is whole":  inChunks(body),
+		"in the last chunk":            inChunks(body) + "0",
+		"in a further chunk":           inChunks(body) + "5\r\n  ",
+		"with a length that is false":  orderHead("Content-Length: x") + body,
+		"with two lengths that differ": orderHead("Content-Length: 3", fmt.Sprintf("Content-Length: %d", len(body))) + body[:3],
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHTTPHost(t)
+			connection := h.dial()
+			if _, err := io.WriteString(connection, sent); err != nil {
+				t.Fatal(err)
+			}
+			if err := connection.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			answer, _ := io.ReadAll(connection)
+			if strings.Contains(string(answer), " 200 ") || h.proposed.Load() != 0 {
+				t.Fatalf("%d orders are carried out, the answer is %q", h.proposed.Load(), answer)
+			}
+		})
+	}
+}
+
+// Orders that follow one another on a connection have their answers in the same order, and no bytes of one another.
+func TestOrdersOnOneConnection(t *testing.T) {
+	h := newHTTPHost(t)
+	connection := h.dial()
+	const orders = 20
+	sent := ""
+	for number := range orders {
+		order := withLength(configurationOf(number + 1))
+		if number%2 == 1 {
+			order = inChunks(configurationOf(number+1)) + "0\r\n\r\n"
+		}
+		sent += order
+	}
+	go func() { _, _ = io.WriteString(connection, sent) }()
+	reader := bufio.NewReader(connection)
+	for number := range orders {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if want := string(generationBody(uint64(number + 1))); err != nil || string(body) != want {
+			t.Fatalf("answer %d is %q, %v", number, body, err)
+		}
+	}
+	if h.proposed.Load() != orders {
+		t.Fatalf("%d orders are carried out", h.proposed.Load())
+	}
+}
+
+// A keeper that is about to end answers, and tells its callers to come to others.
+func TestLeavingKeeperClosesConnections(t *testing.T) {
+	h := newHTTPHost(t)
+	h.keeper.leaving.Store(true)
+	connection := h.dial()
+	if _, err := io.WriteString(connection, withLength(configurationOf(1))+withLength(configurationOf(2))); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(connection)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.StatusCode != http.StatusOK || !response.Close {
+		t.Fatal(response, err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if rest, _ := io.ReadAll(reader); len(rest) != 0 || h.proposed.Load() != 1 {
+		t.Fatalf("%q follows, %d orders are carried out", rest, h.proposed.Load())
+	}
+}
+
+// An order that is too long is refused whatever the state is, and not carried out.
+func TestOrderThatIsTooLong(t *testing.T) {
+	h := newHTTPHost(t)
+	connection := h.dial()
+	head := orderHead(fmt.Sprintf("Content-Length: %d", maxBodyBytes+1))
+	if _, err := io.WriteString(connection, head); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusRequestEntityTooLarge || h.proposed.Load() != 0 {
+		t.Fatal(response.Status, h.proposed.Load())
+	}
+}
