--- a/internal/proxy/closing_test.go
+++ b/internal/proxy/closing_test.go
@@ -57,3 +57,30 @@
 		t.Fatal(status, err)
 	}
 }
+
+// TestReadinessTurnsWithTheSignal asks on a connection that got 200 before, right after the process was told to end, and while a
+// request is in work.
+func TestReadinessTurnsWithTheSignal(t *testing.T) {
+	s := newSystem(t)
+	s.awaitReady()
+	answered := make(chan string, 1)
+	go func() {
+		_, body, _ := s.ask("/a/held")
+		answered <- body
+	}()
+	<-s.worker.arrived
+	drained := make(chan struct{})
+	go func() {
+		s.proxy.drain()
+		close(drained)
+	}()
+	s.await("told to end", func() bool { return s.proxy.closing.Load() != nil })
+	for range 4 {
+		if status := s.readinessStatus(); status != http.StatusServiceUnavailable {
+			t.Errorf("still ready: %d", status)
+		}
+	}
+	close(s.worker.hold)
+	<-answered
+	<-drained
+}
