Join no event to a resumed stream that has no place in it

An event of a later worker whose id is no number was passed on behind the first worker's events, though nobody can tell whether it was passed on already. Such a stream now counts as cut: a further worker goes on behind the last event, or the client's connection is closed.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -13,6 +13,9 @@
 // freshLoad is how old the load that a stream's head told may be when the stream ends.
 const freshLoad = 500 * time.Millisecond
 
+// errNoPlace is why a stream is cut that goes on with an event of which nobody can tell whether it was passed on.
+var errNoPlace = errors.New("dispatch: an event of a resumed stream has no place")
+
 // relay is how far a stream has been passed on.
 type relay struct {
 	begun      bool   // a part of the answer was written to the client
@@ -58,6 +61,21 @@
 	return err == nil && number <= r.lastNumber
 }
 
+// places tells whether each event of a batch has a place among those passed on: one of a later worker whose ID is no number
+// has none.
+func (r *relay) places(batch *exchange.Batch) bool {
+	if !r.again || !r.passed {
+		return true
+	}
+	for i := range batch.Events {
+		event := &batch.Events[i]
+		if _, err := strconv.ParseInt(event.ID, 10, 64); event.HasID && err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // fresh returns the bytes of a batch that are to be passed on, and notes its events.
 func (r *relay) fresh(batch *exchange.Batch) []byte {
 	if !r.again || !r.passed {
@@ -97,6 +115,9 @@
 		if batch == nil {
 			batch = &exchange.Batch{Last: true}
 		}
+		if !t.relay.places(batch) {
+			return t.streamCut(ticket, w, errNoPlace)
+		}
 		if first && len(batch.Events) > 0 {
 			first = false
 			t.trace.noteFirst(t.d.now())
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -156,6 +156,28 @@
 	})
 }
 
+// An event of a later worker that cannot be placed behind those passed on is not joined to them: a further worker goes on, or the
+// stream is broken off.
+func TestResumedStreamJoinsNoEventWithoutPlace(t *testing.T) {
+	for _, third := range []bool{false, true} {
+		inBubble(t, func(t *testing.T, r *rig) {
+			r.resumable()
+			r.chooser.offers("d1", "d2")
+			r.plays("d1", streams(1, 3, cut))
+			r.plays("d2", streams(4, 6, func(s *scriptedEvents) {
+				s.events[1] = exchange.Event{Raw: []byte("id: x\ndata: x\n\n"), ID: "x", HasID: true}
+			}))
+			if third {
+				r.chooser.offers("d3")
+				r.plays("d3", streams(5, 6, nil))
+				r.ask(nil).mustBe(t, 200, texts(1, 6))
+				return
+			}
+			r.ask(nil).mustBreak(t, texts(1, 4))
+		})
+	}
+}
+
 func TestSilentResumableStreamGoesOnElsewhere(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.resumable()
