Wait longer to learn that a long request was written

A process that is held up may find the writer's end and the slack's end at once, and close a good connection or take a whole answer without length for a cut one. The slack is now 20 ms, and the writer's end is asked for once more behind it. Only an answer that comes before its request was read waits for so long.

--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -16,7 +16,7 @@
 	quietWrite = 8 << 10
 	// writerSlack is for how long a whole answer waits to learn that the request was written: a worker that has read it to its end
 	// has also made its write return.
-	writerSlack = 5 * time.Millisecond
+	writerSlack = 20 * time.Millisecond
 )
 
 // sending is how far a request has been written. The other fields may be read once over is closed.
@@ -43,12 +43,24 @@
 		select {
 		case <-s.over:
 		case <-slack.C:
-			return false
+			if !s.isOver() {
+				return false
+			}
 		}
 	}
 	return s.written == s.total
 }
 
+// isOver tells whether nothing more is written. After a pause of the whole process both the slack and the writing may be over.
+func (s *sending) isOver() bool {
+	select {
+	case <-s.over:
+		return true
+	default:
+		return false
+	}
+}
+
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
 // send writes the request, a long one while its answer is awaited: a worker may answer before it has read the body, and read on
