--- a/coord/agreement/follower.go
+++ b/coord/agreement/follower.go
@@ -17,7 +17,7 @@
 
 // noteCurrent records that the member holds all that its leader had committed.
 func (n *Node) noteCurrent(leaderCommit uint64) {
-	if leaderCommit <= n.verified && !n.silent() {
+	if (leaderCommit <= n.verified || !n.holds(RuleCurrentHeld)) && !n.silent() {
 		n.current = n.now
 	}
 }
--- a/coord/agreement/rules.go
+++ b/coord/agreement/rules.go
@@ -25,6 +25,7 @@
 	RuleLearnerNoMajority Rule = "learner-no-majority" // learners count in no majority
 	RuleRetiredStayOut    Rule = "retired-stay-out"    // an ID that was replaced is never a member again
 	RuleEmptySilent       Rule = "empty-silent"        // a member with an empty disk gives no vote
+	RuleCurrentHeld       Rule = "current-held"        // a follower is confirmed only if it holds all that its leader has committed
 	RuleCatchUpKept       Rule = "catch-up-kept"       // a leader keeps the entries that a member in touch asks for next
 )
 
--- a/coord/agreement/rules_test.go
+++ b/coord/agreement/rules_test.go
@@ -214,6 +214,12 @@
 		n.answer(2)
 		return n.ChangeMembers(n.now, Change{Add: &Member{ID: 4}}) == nil
 	},
+	RuleCurrentHeld: func(t *testing.T, omit ...Rule) bool {
+		n := newRuleNode(t, storedLog(), omit...)
+		n.now = time.Second
+		n.step(Message{Kind: MessageHeartbeat, From: 2, Term: 5, Commit: 9, Context: 1})
+		return n.Status().Confirmed > 0
+	},
 	RuleCatchUpKept: func(t *testing.T, omit ...Rule) bool {
 		n := newRuleNode(t, storedLog(), omit...)
 		n.config.Trailing = -1
--- a/coord/feed/buffer.go
+++ b/coord/feed/buffer.go
@@ -19,6 +19,16 @@
 	sharedLagBytes = 32 << 10
 )
 
+// Guard names one check of a buffer. Tests leave guards out to show that their absence is noticed. A running system
+// leaves out none.
+type Guard string
+
+// The guards that can be left out.
+const (
+	GuardBacklogFloor Guard = "backlog-floor" // a reader that lags behind the backlog gets a snapshot
+	GuardIndexRises   Guard = "index-rises"   // a change that is not above the last one is refused
+)
+
 // Buffer holds the items of one shard and the latest changes to them. Values that are handed in
 // and out are shared: nobody may write to them. It is not safe for concurrent use.
 type Buffer struct {
@@ -28,12 +38,17 @@
 	backlog         []Change
 	backlogBytes    int
 	maxBacklogBytes int
+	omitted         map[Guard]bool
 	shared          *Snapshot // handed out last by From; nil: none
 }
 
-// NewBuffer returns an empty buffer at index 0, which keeps at most maxBacklogBytes of changes.
-func NewBuffer(maxBacklogBytes int) *Buffer {
-	buffer := &Buffer{maxBacklogBytes: maxBacklogBytes}
+// NewBuffer returns an empty buffer at index 0, which keeps at most maxBacklogBytes of changes. Tests alone leave
+// guards out.
+func NewBuffer(maxBacklogBytes int, omit ...Guard) *Buffer {
+	buffer := &Buffer{maxBacklogBytes: maxBacklogBytes, omitted: make(map[Guard]bool, len(omit))}
+	for _, guard := range omit {
+		buffer.omitted[guard] = true
+	}
 	buffer.items = newItemTree()
 	return buffer
 }
@@ -59,7 +74,7 @@
 // without items is kept as well: the offsets of readers follow the log. Within a change, deleted
 // keys go before those that are put.
 func (b *Buffer) Append(change Change) error {
-	if change.Index <= b.index {
+	if change.Index <= b.index && !b.omitted[GuardIndexRises] {
 		return ErrIndexNotRising
 	}
 	for _, key := range change.Delete {
@@ -103,7 +118,7 @@
 // Since returns the changes above index in their order. It is false where some of them are no
 // longer held, so that the reader needs a snapshot. A reader that is ahead gets nothing.
 func (b *Buffer) Since(index uint64) (changes []Change, ok bool) {
-	if index < b.floor {
+	if index < b.floor && !b.omitted[GuardBacklogFloor] {
 		return nil, false
 	}
 	first := sort.Search(len(b.backlog), func(i int) bool { return b.backlog[i].Index > index })
--- /dev/null
+++ b/coord/feed/guards_test.go
@@ -0,0 +1,108 @@
+package feed_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"ospreybend/coord/feed"
+)
+
+// lagLength is how many changes the sequences of the tests have.
+const lagLength = 5
+
+// lagBacklogs are bounds of the backlog: none, one or two changes, all.
+var lagBacklogs = []int{0, 120, 240, 2000}
+
+// lagChange is one of four changes of two keys.
+func lagChange(index uint64, kind int) feed.Change {
+	value := []byte(fmt.Sprint(index))
+	switch kind {
+	case 0:
+		return feed.Change{Index: index, Put: []feed.Item{{Key: "a", Value: value}}}
+	case 1:
+		return feed.Change{Index: index, Put: []feed.Item{{Key: "b", Value: append(value, make([]byte, 100)...)}}}
+	case 2:
+		return feed.Change{Index: index, Delete: []string{"a"}}
+	}
+	return feed.Change{Index: index}
+}
+
+// lagProblem plays all sequences of changes, with readers that stopped after each of them and read on at the end, and
+// returns what differs first.
+func lagProblem(omit ...feed.Guard) error {
+	sequences := 1
+	for range lagLength {
+		sequences *= 4
+	}
+	for _, backlog := range lagBacklogs {
+		for sequence := range sequences {
+			if err := lagSequence(backlog, sequence, omit...); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func lagSequence(backlog, sequence int, omit ...feed.Guard) error {
+	buffer := feed.NewBuffer(backlog, omit...)
+	want := map[string]string{}
+	readers := []map[string]string{{}}
+	for index := uint64(1); index <= lagLength; index++ {
+		change := lagChange(index, sequence%4)
+		sequence /= 4
+		if err := buffer.Append(change); err != nil {
+			return err
+		}
+		follow(want, change)
+		readers = append(readers, stateOf(feed.Snapshot{Items: buffer.Snapshot().Items}))
+	}
+	for index, state := range readers {
+		changes, snapshot := buffer.From(uint64(index))
+		at := uint64(index)
+		if snapshot != nil {
+			if snapshot.Index < at {
+				return fmt.Errorf("a reader at %d gets a snapshot of %d", at, snapshot.Index)
+			}
+			state, at = stateOf(*snapshot), snapshot.Index
+		}
+		for _, change := range changes {
+			if change.Index <= at {
+				return fmt.Errorf("a reader at %d gets change %d", at, change.Index)
+			}
+			at = change.Index
+			follow(state, change)
+		}
+		if at != buffer.Index() || !reflect.DeepEqual(state, want) {
+			return fmt.Errorf("a reader from %d with a backlog of %d bytes ends at %d with %v, not %v", index, backlog, at, state, want)
+		}
+	}
+	return nil
+}
+
+// TestAReaderBehindTheBacklogHasNoGap shows that a reader that stopped at any index has the whole state afterwards and
+// never goes back, and that it would not without the snapshot for those behind the backlog.
+func TestAReaderBehindTheBacklogHasNoGap(t *testing.T) {
+	if err := lagProblem(); err != nil {
+		t.Fatal(err)
+	}
+	without := lagProblem(feed.GuardBacklogFloor)
+	if without == nil {
+		t.Fatal("backlog-floor left out: not noticed")
+	}
+	t.Log(without)
+}
+
+// TestAChangeThatIsNotAboveIsRefused shows the same for changes whose index does not rise.
+func TestAChangeThatIsNotAboveIsRefused(t *testing.T) {
+	harm := func(omit ...feed.Guard) bool {
+		buffer := feed.NewBuffer(largeBacklog, omit...)
+		mustAppend(t, buffer, put(4, "a", "new"))
+		err := buffer.Append(put(3, "a", "old"))
+		return err == nil && string(buffer.Snapshot().Items[0].Value) == "old"
+	}
+	if harm() || !harm(feed.GuardIndexRises) {
+		t.Fatalf("harm with the guard: %t, without: %t", harm(), harm(feed.GuardIndexRises))
+	}
+}
--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -68,7 +68,8 @@
 	peers   []*peer
 	network []envelope
 
-	newMachine func() Machine // nil: a listMachine
+	newMachine func() Machine   // nil: a listMachine
+	omit       []agreement.Rule // left out of all members
 }
 
 func testMember(number int, voter bool) agreement.Member {
@@ -113,6 +114,7 @@
 		Machine:    machine,
 		Send:       func(_ agreement.Member, message agreement.Message) { c.send(p, message) },
 		Clock:      c.clock,
+		Omit:       c.omit,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/coord/replica/storm_test.go
+++ b/coord/replica/storm_test.go
@@ -44,8 +44,9 @@
 	peak map[*peer]int64 // of the bytes on its disk
 }
 
-func newStorm(t *testing.T) *storm {
+func newStorm(t *testing.T, omit ...agreement.Rule) *storm {
 	c := newCluster(t, 0)
+	c.omit = omit
 	c.newMachine = func() Machine { return &documentMachine{} }
 	var members []agreement.Member
 	for number := 1; number <= 3; number++ {
@@ -280,3 +281,113 @@
 		}
 	}
 }
+
+// Checks of members whose state is old, as the keeper makes them.
+const (
+	currencyAge    = 800 * time.Millisecond // a replica confirmed longer ago feeds nothing as current
+	confirmedDelay = 2 * testDelay          // between what a leader has committed and what it says of it
+)
+
+// progress notes how far the group had committed at each time.
+type progress struct {
+	at     time.Duration
+	commit uint64
+}
+
+// oldState returns what a member with old state has done wrong at this moment: it leads, or calls itself current,
+// though it lacks what was committed when it was last confirmed.
+func (s *storm) oldState(history []progress) string {
+	for _, p := range s.peers {
+		status := p.group.Status()
+		if p.stopped || status.ConfirmedAge > currencyAge {
+			continue
+		}
+		confirmed := s.clock.now - status.ConfirmedAge - confirmedDelay
+		for at := len(history) - 1; at >= 0; at-- {
+			if history[at].at > confirmed {
+				continue
+			}
+			if status.Applied < history[at].commit {
+				return fmt.Sprintf("member %d is current at %d, committed was %d", p.member.ID, status.Applied, history[at].commit)
+			}
+			break
+		}
+	}
+	return ""
+}
+
+// watchReturns has members down for seconds amid changes, restarted and cut off, and returns what first went wrong.
+func watchReturns(t *testing.T, omit ...agreement.Rule) string {
+	s := newStorm(t, omit...)
+	var history []progress
+	problem := ""
+	note := func() bool {
+		highest := uint64(0)
+		for _, p := range s.peers {
+			highest = max(highest, p.group.Status().Commit)
+		}
+		history = append(history, progress{at: s.clock.now, commit: highest})
+		if problem == "" {
+			problem = s.oldState(history)
+		}
+		return problem != ""
+	}
+	for round := range 9 {
+		chosen := s.peers[round%len(s.peers)]
+		switch round % 3 {
+		case 0:
+			s.down(chosen, 4*time.Second)
+			s.comeBack(chosen, "restarted", 0)
+		case 1:
+			chosen.cut = true
+			s.forDuration(4 * time.Second)
+			chosen.cut = false
+		case 2:
+			chosen.stalled = true
+			s.forDuration(4 * time.Second)
+			chosen.stalled = false
+		}
+		until := s.clock.now + 2*time.Second
+		s.pass("time", testDuration, func() bool { return note() || s.clock.now >= until })
+	}
+	return problem
+}
+
+// TestMemberWithOldStateIsNotCurrent has members come back that lack hundreds of changes: until they hold what the
+// leader has committed they are not current, so that they feed nothing as such and acknowledge nothing by their state.
+// Without that check they would be.
+func TestMemberWithOldStateIsNotCurrent(t *testing.T) {
+	if problem := watchReturns(t); problem != "" {
+		t.Error(problem)
+	}
+	without := watchReturns(t, agreement.RuleCurrentHeld)
+	if without == "" {
+		t.Error("current-held left out: not noticed")
+	}
+	t.Log(without)
+}
+
+// TestMemberWithOldStateNeitherLeadsNorVouches cuts a leader off amid changes: it answers no read meanwhile, and when
+// it is back, with what it never got, it neither leads nor answers before it has caught up.
+func TestMemberWithOldStateNeitherLeadsNorVouches(t *testing.T) {
+	s := newStorm(t)
+	for range 6 {
+		old := s.leader()
+		old.cut = true
+		answered := newDone()
+		old.group.inbox.post(readEvent{answered})
+		s.forDuration(4 * time.Second)
+		if len(answered) == 0 || (<-answered).err == nil {
+			t.Fatal("a leader that is cut off answers a read")
+		}
+		target := s.leader().group.Status().Commit
+		old.cut = false
+		s.pass("caught up", testDuration, func() bool {
+			status := old.group.Status()
+			if status.IsLeader() && status.Applied < target {
+				t.Fatalf("member %d leads at %d, committed was %d", old.member.ID, status.Applied, target)
+			}
+			return status.Applied >= target
+		})
+	}
+}
--- a/internal/feedlink/client.go
+++ b/internal/feedlink/client.go
@@ -42,6 +42,7 @@
 	Choice ChoiceOptions
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // nil: Dial
 	Random func() float64                                              // uniform in [0, 1); nil: rand.Float64
+	Omit   []Guard                                                     // guards left out, by tests alone
 }
 
 // Client reads the feed from one server at a time and goes to another when that one fails.
@@ -70,7 +71,7 @@
 		handler:  handler,
 		dial:     dial,
 		choice:   NewChoice(options.Choice, random),
-		receiver: newReceiver(options.Hello.Offsets),
+		receiver: newReceiver(options.Hello.Offsets, options.Omit...),
 		outbox:   newOutbox(),
 	}
 }
