Measure how members of a group catch up, as a command

How long a member takes to be current after it was away, and what it is sent, was played on a fake clock only. ospreyfleet measure catchup runs three replicas of the configuration on disks and loopback, has one be away for given spans, makes the changes of that time, and has it come back restarted, wiped or replaced while changes go on; it shows time and bytes by what was lacked, as text, JSON and SVG.

--- a/cmd/ospreyfleet/main.go
+++ b/cmd/ospreyfleet/main.go
@@ -82,6 +82,8 @@
 		return parsed.Check.run(out, errors)
 	case parsed.Demo != nil:
 		return parsed.Demo.run(out, errors)
+	case parsed.Measure != nil && parsed.Measure.Catchup != nil:
+		return parsed.Measure.Catchup.run(out, errors)
 	case parsed.Measure != nil && parsed.Measure.Scale != nil:
 		return parsed.Measure.Scale.run(out, errors)
 	case parsed.Measure != nil && parsed.Measure.Traffic != nil:
--- a/cmd/ospreyfleet/measure.go
+++ b/cmd/ospreyfleet/measure.go
@@ -21,6 +21,7 @@
 
 // measureCommand are the measurements.
 type measureCommand struct {
+	Catchup  *catchupCommand  `arg:"subcommand:catchup" help:"have members of a replica group be away and come back amid changes, and measure how long each takes to be current and what it is sent"`
 	Traffic  *trafficCommand  `arg:"subcommand:traffic" help:"give one proxy rates of requests and measure what each request and each event takes"`
 	Simulate *simulateCommand `arg:"subcommand:simulate" help:"play drawn schedules of faults, orders and workers against the whole control plane on a fake clock, and check every history"`
 	Scale    *scaleCommand    `arg:"subcommand:scale" help:"play whole fleets of several sizes on loopback, most nodes and all workers hollow, and measure the control plane"`
--- /dev/null
+++ b/cmd/ospreyfleet/measure_catchup.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"ospreybend/internal/catchup"
+)
+
+// catchupCommand are the flags of measure catchup.
+type catchupCommand struct {
+	Away         string        `arg:"--away" default:"100ms,300ms,1s,3s,10s,30s,60s" help:"spans joined by commas that a member is away; the changes of that time are made as fast as the group takes them"`
+	Routes       int           `arg:"--routes" default:"450" help:"routes of the configuration"`
+	Rate         int           `arg:"--rate" default:"30" help:"changes a second, which go on while a member catches up"`
+	ReplaceEvery int           `arg:"--replace-every" default:"10" help:"each so-manieth change replaces the whole configuration, the others one route"`
+	Limit        time.Duration `arg:"--limit" default:"30s" help:"until a member must be current"`
+	JSON         string        `arg:"--json" help:"file for the whole result"`
+	Plot         string        `arg:"--plot" help:"file for the plot (SVG)"`
+}
+
+// run measures all returns and shows what they took.
+func (c *catchupCommand) run(out, errors io.Writer) int {
+	away, err := parseSpans(c.Away)
+	if err != nil || c.Routes < 1 || c.Rate < 1 || c.ReplaceEvery < 1 || c.Limit <= 0 {
+		fmt.Fprintln(errors, "measure catchup: away must be spans joined by commas; routes, rate, replace-every and limit must be positive")
+		return exitUsage
+	}
+	directory, err := os.MkdirTemp("", "ospreyfleet-catchup-")
+	if err != nil {
+		fmt.Fprintln(errors, "measure catchup:", err)
+		return exitFault
+	}
+	defer os.RemoveAll(directory)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result := catchup.Result{Build: revision(), Command: fmt.Sprintf("ospreyfleet measure catchup --away %s --routes %d --rate %d --replace-every %d",
+		c.Away, c.Routes, c.Rate, c.ReplaceEvery)}
+	result.Steps, err = catchup.Play(ctx, catchup.Plan{Directory: directory, Routes: c.Routes, Rate: c.Rate, ReplaceEvery: c.ReplaceEvery,
+		Away: away, Limit: c.Limit, Progress: out})
+	if err != nil {
+		fmt.Fprintln(errors, "measure catchup:", err)
+	}
+	fmt.Fprintf(out, "%d returns, the slowest took %v\n", len(result.Steps), result.Slowest().Round(time.Millisecond))
+	if failure := c.write(result); failure != nil {
+		fmt.Fprintln(errors, "measure catchup:", failure)
+		return exitFault
+	}
+	if err != nil {
+		return exitFault
+	}
+	return exitOK
+}
+
+// write writes the files that are asked for.
+func (c *catchupCommand) write(result catchup.Result) error {
+	if c.JSON != "" {
+		if err := writeFile(c.JSON, result.WriteJSON); err != nil {
+			return err
+		}
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return writeFile(c.Plot, result.WriteSVG)
+}
+
+// parseSpans reads spans joined by commas.
+func parseSpans(text string) ([]time.Duration, error) {
+	var spans []time.Duration
+	for _, one := range strings.Split(text, ",") {
+		span, err := time.ParseDuration(strings.TrimSpace(one))
+		if err != nil || span < 0 {
+			return nil, fmt.Errorf("measure catchup: %q is no span", one)
+		}
+		spans = append(spans, span)
+	}
+	return spans, nil
+}
--- /dev/null
+++ b/internal/catchup/catchup_test.go
@@ -0,0 +1,32 @@
+package catchup
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// catchUpBound is catchUpS of the operators' pages.
+const catchUpBound = 4 * time.Second
+
+// TestMembersAreCurrentWithinTheBound is the short form of "ospreyfleet measure catchup".
+func TestMembersAreCurrentWithinTheBound(t *testing.T) {
+	steps, err := Play(t.Context(), Plan{
+		Directory: t.TempDir(), Routes: 450, Rate: 30, ReplaceEvery: 10, Limit: 20 * time.Second,
+		Away: []time.Duration{100 * time.Millisecond, time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := Result{Command: "short", Steps: steps}
+	for _, step := range steps {
+		t.Log(step)
+	}
+	if len(steps) != 2*len(Manners()) || result.Slowest() > catchUpBound {
+		t.Errorf("%d steps, the slowest took %v", len(steps), result.Slowest())
+	}
+	var plot strings.Builder
+	if err := result.WriteSVG(&plot); err != nil || !strings.HasSuffix(plot.String(), "</svg>\n") {
+		t.Error(err, plot.Len())
+	}
+}
--- /dev/null
+++ b/internal/catchup/plan.go
@@ -0,0 +1,328 @@
+package catchup
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+	"ospreybend/internal/configuration"
+	"ospreybend/internal/peerlink"
+)
+
+// Manner is how a member comes back.
+type Manner string
+
+// The manners.
+const (
+	Restarted Manner = "restarted" // with its disk
+	Wiped     Manner = "wiped"     // at its address, without its disk, under a new ID
+	Replaced  Manner = "replaced"  // by a new one at another address
+)
+
+// Manners returns all manners.
+func Manners() []Manner { return []Manner{Restarted, Wiped, Replaced} }
+
+// Plan says what is measured.
+type Plan struct {
+	Directory    string
+	Routes       int
+	Rate         int // changes a second, which go on
+	ReplaceEvery int // each so-manieth change replaces the whole document
+	Away         []time.Duration
+	Limit        time.Duration // until a member must be current
+	Progress     io.Writer     // nil: none
+}
+
+// Step is one return.
+type Step struct {
+	Manner  Manner
+	Away    time.Duration
+	Lacked  int           // changes made meanwhile
+	Took    time.Duration // from its start until it had applied what the leader had
+	Voting  time.Duration // until it had a vote again
+	Bytes   int64         // sent to it until it was current
+	OnDisk  int64         // bytes of its replica then
+	Leading int64         // bytes of the leader's replica
+}
+
+// Errors of a measurement.
+var (
+	errNoLeader   = errors.New("catchup: no leader is elected")
+	errNotCurrent = errors.New("catchup: a member is not current in time")
+	errRefused    = errors.New("catchup: a change was refused")
+)
+
+// fleet is the group under measurement.
+type fleet struct {
+	plan       Plan
+	counted    *traffic
+	lastID     agreement.MemberID
+	generation uint64
+
+	mutex   sync.Mutex
+	members []*member
+}
+
+// present returns the members that run.
+func (f *fleet) present() []*member {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.members)
+}
+
+// take adds a member that has been started.
+func (f *fleet) take(one *member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.members = append(f.members, one)
+}
+
+// drop takes out a member that is to be stopped.
+func (f *fleet) drop(gone *member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.members = slices.DeleteFunc(f.members, func(one *member) bool { return one == gone })
+}
+
+// founders is how many members the group has.
+const founders = 3
+
+// pollPause is the pause between two looks at a replica's state.
+const pollPause = time.Millisecond
+
+// Play measures all returns.
+func Play(ctx context.Context, plan Plan) ([]Step, error) {
+	f := &fleet{plan: plan, counted: newTraffic()}
+	defer f.stop()
+	if err := f.found(); err != nil {
+		return nil, err
+	}
+	var steps []Step
+	for _, away := range plan.Away {
+		for _, manner := range Manners() {
+			step, err := f.measure(ctx, manner, away)
+			if err != nil {
+				return steps, fmt.Errorf("%s after %v: %w", manner, away, err)
+			}
+			steps = append(steps, step)
+			if plan.Progress != nil {
+				fmt.Fprintln(plan.Progress, step)
+			}
+		}
+	}
+	return steps, nil
+}
+
+func (f *fleet) stop() {
+	for _, one := range f.present() {
+		_ = one.stop()
+	}
+}
+
+// found starts the founders.
+func (f *fleet) found() error {
+	var listeners []net.Listener
+	var first []agreement.Member
+	for range founders {
+		listener, err := peerlink.Listen(context.Background(), "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f.lastID++
+		listeners = append(listeners, listener)
+		first = append(first, agreement.Member{ID: f.lastID, Address: listener.Addr().String(), Voter: true})
+	}
+	for at, self := range first {
+		started, err := startMember(self, first, memberDirectory(f.plan.Directory, self.ID), listeners[at], f.counted)
+		if err != nil {
+			return err
+		}
+		f.take(started)
+	}
+	return nil
+}
+
+// until polls until a condition holds.
+func (f *fleet) until(ctx context.Context, failure error, done func() bool) error {
+	limit := time.NewTimer(f.plan.Limit)
+	defer limit.Stop()
+	ticker := time.NewTicker(pollPause)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-limit.C:
+			return failure
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (f *fleet) leader(ctx context.Context) (*member, error) {
+	var found *member
+	err := f.until(ctx, errNoLeader, func() bool {
+		for _, one := range f.present() {
+			if one.group.Status().IsLeader() {
+				found = one
+			}
+		}
+		return found != nil
+	})
+	return found, err
+}
+
+// change makes the next change, also over a change of leader.
+func (f *fleet) change(ctx context.Context) error {
+	command := f.plan.change(f.generation)
+	encoded := configuration.EncodeCommand(command)
+	for {
+		leader, err := f.leader(ctx)
+		if err != nil {
+			return err
+		}
+		result, _, err := leader.group.Propose(ctx, encoded)
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
+		outcome := result.(configuration.Outcome)
+		if outcome.Status != 200 {
+			return fmt.Errorf("%w: %d %s", errRefused, outcome.Code, outcome.Text)
+		}
+		f.generation++
+		return nil
+	}
+}
+
+// goOn makes changes at the plan's rate until the context ends.
+func (f *fleet) goOn(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second / time.Duration(f.plan.Rate))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := f.change(ctx); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+}
+
+// measure has a follower go, makes the changes of the time that it is away, and has it come back.
+func (f *fleet) measure(ctx context.Context, manner Manner, away time.Duration) (Step, error) {
+	if err := f.change(ctx); err != nil {
+		return Step{}, err
+	}
+	leader, err := f.leader(ctx)
+	if err != nil {
+		return Step{}, err
+	}
+	followers := slices.DeleteFunc(f.present(), func(one *member) bool { return one == leader })
+	gone := followers[0]
+	f.drop(gone)
+	if err := gone.stop(); err != nil {
+		return Step{}, err
+	}
+	lacked := max(1, int(away.Seconds()*float64(f.plan.Rate)))
+	for range lacked {
+		if err := f.change(ctx); err != nil {
+			return Step{}, err
+		}
+	}
+	step := Step{Manner: manner, Away: away, Lacked: lacked}
+	going, endChanges := context.WithCancel(ctx)
+	changes := make(chan error, 1)
+	go func() { changes <- f.goOn(going) }()
+	err = f.comeBack(ctx, gone, &step)
+	endChanges()
+	return step, errors.Join(err, <-changes)
+}
+
+// comeBack starts the member, or what takes its place, and measures.
+func (f *fleet) comeBack(ctx context.Context, gone *member, step *Step) error {
+	self, address := gone.self, gone.self.Address
+	if step.Manner != Restarted {
+		f.lastID++
+		if err := gone.wipe(); err != nil {
+			return err
+		}
+		if step.Manner == Replaced {
+			address = "127.0.0.1:0"
+		}
+	}
+	listener, err := peerlink.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	if step.Manner != Restarted {
+		self = agreement.Member{ID: f.lastID, Address: listener.Addr().String()}
+	}
+	sent := f.counted.to(self.Address)
+	before, began := sent.Load(), time.Now()
+	back, err := startMember(self, nil, memberDirectory(f.plan.Directory, self.ID), listener, f.counted)
+	if err != nil {
+		return err
+	}
+	leader, err := f.leader(ctx)
+	f.take(back)
+	if err != nil {
+		return err
+	}
+	if step.Manner != Restarted {
+		err = errors.Join(f.alter(ctx, replica.Change{Remove: gone.self.ID}), f.alter(ctx, replica.Change{Add: &self}))
+	}
+	if err != nil {
+		return err
+	}
+	err = f.until(ctx, errNotCurrent, func() bool { return back.applied() > 1 && back.applied()+1 >= leader.applied() })
+	step.Took, step.Bytes, step.OnDisk = time.Since(began), sent.Load()-before, back.group.Status().DiskBytes
+	step.Leading = leader.group.Status().DiskBytes
+	if err != nil {
+		return err
+	}
+	if step.Manner == Restarted {
+		step.Voting = step.Took
+		return nil
+	}
+	self.Voter = true
+	err = f.alter(ctx, replica.Change{Add: &self})
+	step.Voting = time.Since(began)
+	return err
+}
+
+// alter makes a change of members, and tries again while the group refuses it.
+func (f *fleet) alter(ctx context.Context, change replica.Change) error {
+	limit := time.Now().Add(f.plan.Limit)
+	for {
+		leader, err := f.leader(ctx)
+		if err != nil {
+			return err
+		}
+		err = leader.group.ChangeMembers(ctx, change)
+		if err == nil || ctx.Err() != nil || time.Now().After(limit) {
+			return err
+		}
+		if err := f.until(ctx, nil, pastNow()); err != nil {
+			return err
+		}
+	}
+}
+
+// pastNow is a condition that holds a little later.
+func pastNow() func() bool {
+	later := time.Now().Add(10 * pollPause)
+	return func() bool { return time.Now().After(later) }
+}
