Name five guards of a replica group and show each missed when left out

Options.OmitGuards does, for tests alone; each guard has a course of events that does harm without it and none with it.

--- a/coord/replica/cluster_test.go
+++ b/coord/replica/cluster_test.go
@@ -70,6 +70,7 @@
 
 	newMachine func() Machine   // nil: a listMachine
 	omit       []agreement.Rule // left out of all members
+	omitGuards []Guard          // as well
 }
 
 func testMember(number int, voter bool) agreement.Member {
@@ -115,6 +116,7 @@
 		Send:       func(_ agreement.Member, message agreement.Message) { c.send(p, message) },
 		Clock:      c.clock,
 		Omit:       c.omit,
+		OmitGuards: c.omitGuards,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/coord/replica/drawn_test.go
+++ b/coord/replica/drawn_test.go
@@ -59,8 +59,9 @@
 	properties.TestingRun(t)
 }
 
-func playTroubles(t *testing.T, seed uint64) error {
+func playTroubles(t *testing.T, seed uint64, omit ...Guard) error {
 	run := &drawnRun{cluster: newCluster(t, 3), random: seglogtest.NewRandom(seed), refused: map[string]bool{}}
+	run.leaveOut(omit)
 	for number := range troublesOfRun {
 		run.trouble(number)
 		for range run.random.IntN(12) {
--- /dev/null
+++ b/coord/replica/guards_test.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"errors"
+	"testing"
+
+	"ospreybend/coord/agreement"
+)
+
+// leaveOut leaves guards out of all members, also of those that run.
+func (c *cluster) leaveOut(guards []Guard) {
+	c.omitGuards = guards
+	for _, p := range c.peers {
+		p.group.loop.options.OmitGuards = guards
+	}
+}
+
+// guardScenarios tell for each guard a course of events that does harm without it.
+var guardScenarios = map[Guard]func(t *testing.T, omit ...Guard) (harm bool){
+	// The next leader's entry takes the place of the one proposed.
+	GuardOutcomeOfTerm: func(t *testing.T, omit ...Guard) bool {
+		s, done := proposedAt(t, omit)
+		s.node.ready.Committed = []agreement.Entry{{Term: 2, Index: 1}}
+		s.turn(0)
+		return (<-done).err == nil
+	},
+	// The next leader commits the entry that this one proposed.
+	GuardLostUnknown: func(t *testing.T, omit ...Guard) bool {
+		s, done := proposedAt(t, omit)
+		s.node.status.Role = agreement.RoleFollower
+		s.turn(0)
+		if len(done) == 0 {
+			return false
+		}
+		return !errors.Is((<-done).err, ErrUnknownOutcome)
+	},
+	// A snapshot holds the entry, or another in its place.
+	GuardSkippedUnknown: func(t *testing.T, omit ...Guard) bool {
+		s, done := proposedAt(t, omit)
+		s.node.ready.Restore = &agreement.Snapshot{Index: 10, Term: 1, Data: []byte("{}")}
+		s.turn(0)
+		return !errors.Is((<-done).err, ErrUnknownOutcome)
+	},
+	// A majority confirms the leader before its machine is as far as the log.
+	GuardReadApplied: func(t *testing.T, omit ...Guard) bool {
+		s := newScript()
+		s.loop.options.OmitGuards = omit
+		done := newDone()
+		s.turn(0, readEvent{done})
+		s.node.ready.Reads = []agreement.ReadResult{{ID: s.node.reads[0], Index: 5, OK: true}}
+		s.commit(1, 4)
+		s.turn(0)
+		return len(done) > 0
+	},
+	// A write does not come back.
+	GuardStallHandsOver: func(t *testing.T, omit ...Guard) bool {
+		s := newScript()
+		s.loop.options.OmitGuards = omit
+		s.node.ready.Persist = &agreement.Persist{Sequence: 1}
+		s.turn(0)
+		s.turn(2 * stallAfter)
+		return s.node.writable
+	},
+}
+
+// proposedAt returns a leader with a proposal at index 1 of term 1.
+func proposedAt(t *testing.T, omit []Guard) (*script, chan outcome) {
+	t.Helper()
+	s := newScript()
+	s.loop.options.OmitGuards = omit
+	done := newDone()
+	s.turn(0, proposeEvent{done: done})
+	if len(done) > 0 {
+		t.Fatal((<-done).err)
+	}
+	return s, done
+}
+
+func TestEachGuardPreventsHarm(t *testing.T) {
+	for _, guard := range Guards() {
+		scenario := guardScenarios[guard]
+		if scenario == nil {
+			t.Errorf("%s: no scenario", guard)
+			continue
+		}
+		if scenario(t) {
+			t.Errorf("%s: harm although the guard holds", guard)
+		}
+		if !scenario(t, guard) {
+			t.Errorf("%s: no harm without the guard", guard)
+		}
+	}
+}
+
+// TestAbsentGuardsAreNoticedByDrawnTroubles leaves out the guards whose absence shows in histories of drawn troubles.
+func TestAbsentGuardsAreNoticedByDrawnTroubles(t *testing.T) {
+	for _, guard := range []Guard{GuardOutcomeOfTerm, GuardLostUnknown} {
+		var noticed error
+		runs := 0
+		for noticed == nil && runs < drawnRuns {
+			runs++
+			noticed = playTroubles(t, uint64(runs), guard)
+		}
+		if noticed == nil {
+			t.Errorf("%s: not noticed in %d runs", guard, runs)
+			continue
+		}
+		t.Logf("%s: noticed after %d runs: %v", guard, runs, noticed)
+	}
+}
--- a/coord/replica/health.go
+++ b/coord/replica/health.go
@@ -53,7 +53,7 @@
 // checkDisk tells the node whether its disk takes writes in time.
 func (l *loop) checkDisk() {
 	writable := !l.disk.failing && l.now < l.disk.stalledAt()
-	if writable == l.disk.writable {
+	if writable == l.disk.writable || !l.options.holds(GuardStallHandsOver) {
 		return
 	}
 	l.disk.writable = writable
--- a/coord/replica/loop.go
+++ b/coord/replica/loop.go
@@ -142,7 +142,7 @@
 	}
 	l.applied = snapshot.Index
 	l.compact.covered(snapshot.Index)
-	l.waiting.skipped(snapshot.Index)
+	l.waiting.skipped(snapshot.Index, l.options)
 	l.notifyApplied()
 }
 
@@ -154,7 +154,7 @@
 			result = l.options.Machine.Apply(entry)
 		}
 		l.applied = entry.Index
-		l.waiting.applied(entry, result, l.leader())
+		l.waiting.applied(entry, result, l.leader(), l.options)
 	}
 	if len(entries) > 0 {
 		l.notifyApplied()
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -54,6 +54,8 @@
 
 	// Omit leaves out rules of the agreement, by tests alone.
 	Omit []agreement.Rule
+	// OmitGuards leaves out guards of the group, by tests alone.
+	OmitGuards []Guard
 }
 
 // Defaults of Options.
--- a/coord/replica/proposals.go
+++ b/coord/replica/proposals.go
@@ -65,13 +65,13 @@
 
 // applied answers whoever waits for the entry's index. An entry of another term has taken the
 // place of the one proposed, which then never was and never will be committed.
-func (p *proposals) applied(entry agreement.Entry, result any, leader agreement.Member) {
+func (p *proposals) applied(entry agreement.Entry, result any, leader agreement.Member, options *Options) {
 	one := p.byIndex[entry.Index]
 	if one == nil {
 		return
 	}
 	delete(p.byIndex, entry.Index)
-	if one.term != entry.Term {
+	if one.term != entry.Term && options.holds(GuardOutcomeOfTerm) {
 		one.done <- outcome{err: ErrNotLeader{Leader: leader}}
 		return
 	}
@@ -79,11 +79,15 @@
 }
 
 // skipped answers those whose entries a snapshot stands for.
-func (p *proposals) skipped(index uint64) {
+func (p *proposals) skipped(index uint64, options *Options) {
+	skipped := error(ErrUnknownOutcome)
+	if !options.holds(GuardSkippedUnknown) {
+		skipped = ErrNotLeader{}
+	}
 	for at, one := range p.byIndex {
 		if at <= index {
 			delete(p.byIndex, at)
-			one.done <- outcome{err: ErrUnknownOutcome}
+			one.done <- outcome{err: skipped}
 		}
 	}
 }
@@ -94,6 +98,10 @@
 		l.waiting.losing = 0
 		return
 	}
+	if l.status.Role != agreement.RoleLeader && !l.options.holds(GuardLostUnknown) {
+		l.waiting.fail(ErrNotLeader{Leader: l.leader()})
+		return
+	}
 	l.waiting.lose(l.status, l.now+lossGraces*l.options.ElectionTimeout)
 }
 
--- a/coord/replica/reads.go
+++ b/coord/replica/reads.go
@@ -45,7 +45,7 @@
 func (l *loop) answerReads() {
 	var behind []confirmedRead
 	for _, read := range l.reads.behind {
-		if read.index <= l.applied {
+		if read.index <= l.applied || !l.options.holds(GuardReadApplied) {
 			answer(read.done, nil)
 		} else {
 			behind = append(behind, read)
