Replace a lost voter after a change of leader as soon as before it

Cause: a new leader counted each member's silence from the start of its own term, so a kill of the leader 2.5 s after another machine was lost for good gave that one 2 s more. A member that has left the new leader's heartbeats unanswered for a second now counts as silent for as long as nothing was heard of it at all, at most the 2 s after which a voter gives way.

--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -218,18 +218,14 @@
 	return made
 }
 
-// silences returns how long nothing was heard of each member's address, at most since this keeper leads.
+// silences returns how long nothing was heard of each member's address.
 func (k *Keeper) silences(shard *shard, members []agreement.Member, now time.Time) map[agreement.MemberID]time.Duration {
 	k.mutex.Lock()
 	ledSince := shard.ledSince
 	k.mutex.Unlock()
 	silent := make(map[agreement.MemberID]time.Duration, len(members))
 	for _, member := range members {
-		heard := k.network.LastHeard(member.Address)
-		if heard.Before(ledSince) {
-			heard = ledSince
-		}
-		silent[member.ID] = now.Sub(heard)
+		silent[member.ID] = silence(now, k.network.LastHeard(member.Address), ledSince)
 	}
 	return silent
 }
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -157,6 +157,20 @@
 	return step{Change: change, Confirm: asking}
 }
 
+// silence is how long a member counts as silent that was last heard at some time. Before a keeper leads, members have no
+// reason to talk to it, so only the time since then counts; one that has left its first heartbeats unanswered for
+// newLeaderPatience, though, was most likely silent before, too: a change of leader does not make a lost voter last longer.
+func silence(now, heard, ledSince time.Time) time.Duration {
+	if !heard.Before(ledSince) {
+		return now.Sub(heard)
+	}
+	led := now.Sub(ledSince)
+	if led < newLeaderPatience {
+		return led
+	}
+	return max(led, min(now.Sub(heard), goneAfter))
+}
+
 func (s situation) holds(guard Guard) bool { return !slices.Contains(s.Omit, guard) }
 
 func (s situation) member(id agreement.MemberID) (agreement.Member, bool) {
--- a/internal/keeper/reconcile_test.go
+++ b/internal/keeper/reconcile_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+func TestSilenceUnderANewLeader(t *testing.T) {
+	start := time.Now()
+	for _, one := range []struct {
+		name               string
+		heard, led, silent time.Duration // before now
+	}{
+		{"heard since it leads", 50 * time.Millisecond, time.Hour, 50 * time.Millisecond},
+		{"silent since it leads, for a moment", time.Hour, newLeaderPatience - 1, newLeaderPatience - 1},
+		{"heard shortly before it led, and not since", newLeaderPatience + time.Millisecond, newLeaderPatience, newLeaderPatience + time.Millisecond},
+		{"lost before it led", time.Hour, newLeaderPatience, goneAfter},
+		{"silent for long under this leader", time.Hour, lostLearnerAfter, lostLearnerAfter},
+	} {
+		if got := silence(start, start.Add(-one.heard), start.Add(-one.led)); got != one.silent {
+			t.Errorf("%s: %s, want %s", one.name, got, one.silent)
+		}
+	}
+}
+
 func sameChange(a, b replica.Change) bool {
 	if (a.Add == nil) != (b.Add == nil) || a.Remove != b.Remove || a.Retire != b.Retire {
 		return false
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -39,6 +39,7 @@
 	changeBudget       = 2 * time.Second  // of one change of members
 	candidateFresh     = 2 * time.Second  // a candidate asks every joinInterval
 	goneAfter          = 2 * time.Second  // a voter that is silent so long gives way to a candidate
+	newLeaderPatience  = time.Second      // see silence
 	lostLearnerAfter   = 10 * time.Second // a learner that is silent so long and does not ask goes
 	spreadCalm         = 5 * time.Second  // how long a better owner must be current
 	spreadInterval     = 5 * time.Second  // least time between two moves
