Play all orders of steps and faults against the decision on members

Need: the rule that decides on a group's members was tested by examples and by one drawn property without time. Now a model of machines, disks, silence, late requests to join, planned ends, old copies of disks and the core's rules on changes plays every order of steps, with faults between any two of them up to what the settings tolerate, against the real nextStep: 2, 3 and 5 founders, up to two spare machines. In each state a majority must stand any further loss within the tolerance; no member that lives is removed; a voter gives its place only to one that can take it; a replaced member never comes back; and where nothing happens by itself the group has all voters that it can have. Drawn orders do the same at 5, 7 and 9. Found: an old copy of a disk put back at its machine kept a dead voter from counting as silent for ever, since its address was heard; the member at an address where a retired one lives now goes, too.

--- /dev/null
+++ b/internal/keeper/members_exhaustive_test.go
@@ -0,0 +1,157 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// walked is how a state was first reached.
+type walked struct {
+	from modelState
+	step string
+}
+
+// explore plays all orders of steps, and returns the number of states and the first thing that is wrong, with the way there.
+func (m model) explore() (states int, wrong string) {
+	start := m.start()
+	reached := map[modelState]walked{start: {}}
+	queue := []modelState{start}
+	for len(queue) > 0 {
+		state := queue[0]
+		queue = queue[1:]
+		if wrong := m.check(state); wrong != "" {
+			return len(reached), wrong + wayTo(reached, start, state)
+		}
+		for _, next := range m.steps(state) {
+			if next.wrong != "" {
+				return len(reached), next.wrong + wayTo(reached, start, state) + "\n" + next.name
+			}
+			if _, known := reached[next.after]; !known {
+				reached[next.after] = walked{from: state, step: next.name}
+				queue = append(queue, next.after)
+			}
+		}
+	}
+	return len(reached), ""
+}
+
+// check looks at a state by itself, and, where nothing more happens by itself, at what it has come to.
+func (m model) check(state modelState) string {
+	if wrong := m.weakness(state); wrong != "" {
+		return wrong + " " + state.describe()
+	}
+	if len(m.calm(state)) == 0 {
+		if wrong := m.unfinished(state); wrong != "" {
+			return wrong + " " + state.describe()
+		}
+	}
+	return ""
+}
+
+func wayTo(reached map[modelState]walked, start, state modelState) string {
+	var names []string
+	for state != start {
+		names = append(names, reached[state].step)
+		state = reached[state].from
+	}
+	slices.Reverse(names)
+	return "\n" + strings.Join(names, "\n")
+}
+
+func TestEveryOrderOfStepsKeepsAMajority(t *testing.T) {
+	for _, m := range []model{
+		{founders: 3, tolerated: 1, faults: 3},
+		{founders: 3, spares: 1, tolerated: 1, faults: 2, freshSpares: true},
+		{founders: 3, spares: 1, tolerated: 1, faults: 2},
+		{founders: 3, spares: 1, tolerated: 1, faults: 2, freshSpares: true, oldDisks: true},
+		{founders: 3, spares: 2, tolerated: 1, faults: 1, freshSpares: true, oldDisks: true},
+		{founders: 2, spares: 1, tolerated: 1, faults: 1, freshSpares: true},
+		{founders: 5, tolerated: 2, faults: 2},
+		{founders: 5, spares: 1, tolerated: 2, faults: 1, freshSpares: true},
+	} {
+		t.Run(fmt.Sprintf("%d founders, %d spares, %d faults", m.founders, m.spares, m.faults), func(t *testing.T) {
+			t.Parallel()
+			states, wrong := m.explore()
+			if wrong != "" {
+				t.Fatal(wrong)
+			}
+			t.Logf("%d states", states)
+		})
+	}
+}
+
+// walk plays one drawn order of steps.
+func (m model) walk(random *rand.Rand, length int) (wrong string) {
+	state, names := m.start(), []string{}
+	for range length {
+		if wrong := m.check(state); wrong != "" {
+			return wrong + "\n" + strings.Join(names, "\n")
+		}
+		next := m.steps(state)
+		if calm := m.calm(state); len(calm) > 0 && random.IntN(2) == 0 {
+			next = calm
+		}
+		if len(next) == 0 {
+			return ""
+		}
+		chosen := next[random.IntN(len(next))]
+		names = append(names, chosen.name)
+		if chosen.wrong != "" {
+			return chosen.wrong + "\n" + strings.Join(names, "\n")
+		}
+		state = chosen.after
+	}
+	return m.settles(state)
+}
+
+// settles plays on without faults, and expects an end.
+func (m model) settles(state modelState) (wrong string) {
+	const most = 60
+	for range most {
+		next := m.calm(state)
+		if len(next) == 0 {
+			return ""
+		}
+		state = next[0].after
+	}
+	return "changes without end " + state.describe()
+}
+
+func TestDrawnOrdersOfStepsKeepAMajority(t *testing.T) {
+	const walks, length = 400, 150
+	for _, m := range []model{
+		{founders: 5, spares: 3, tolerated: 2, faults: 12, freshSpares: true},
+		{founders: 5, spares: 2, tolerated: 2, faults: 12, oldDisks: true},
+		{founders: 9, spares: 3, tolerated: 4, faults: 20, freshSpares: true},
+		{founders: 7, spares: 2, tolerated: 4, faults: 12, freshSpares: true},
+	} {
+		for seed := range uint64(walks) {
+			if wrong := m.walk(rand.New(rand.NewPCG(seed, uint64(m.founders))), length); wrong != "" {
+				t.Fatalf("%d founders, %d spares, seed %d: %s", m.founders, m.spares, seed, wrong)
+			}
+		}
+	}
+}
+
+// TestEachGuardOnMembersIsNeeded leaves out one guard at a time: some order of steps must then go wrong.
+func TestEachGuardOnMembersIsNeeded(t *testing.T) {
+	whole := model{founders: 3, spares: 1, tolerated: 1, faults: 2, freshSpares: true, oldDisks: true}
+	for _, guard := range []Guard{GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorReady} {
+		lacking := whole
+		lacking.omit = []Guard{guard}
+		states, wrong := lacking.explore()
+		if wrong == "" {
+			t.Errorf("without %s nothing goes wrong in %d states", guard, states)
+			continue
+		}
+		t.Logf("without %s, after %d states: %s", guard, states, wrong)
+	}
+	lacking := whole
+	lacking.omitRetired, lacking.omit = true, []Guard{GuardReplacedRetired}
+	if _, wrong := lacking.explore(); wrong == "" {
+		t.Error("without the core's memory nothing goes wrong")
+	}
+}
--- /dev/null
+++ b/internal/keeper/members_model_test.go
@@ -0,0 +1,451 @@
+package keeper
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ospreybend/coord/agreement"
+	"ospreybend/coord/replica"
+)
+
+// Bounds of the model: machines, and disks that one machine may have had.
+const (
+	modelMachines = 12
+	modelDisks    = 3
+)
+
+// modelRole is what a member is in the model's group.
+type modelRole uint8
+
+const (
+	roleNone modelRole = iota
+	roleLearner
+	roleVoter
+)
+
+// modelMachine is one machine of the core. Its disk is numbered: one that is lost is followed by an empty one.
+type modelMachine struct {
+	there   bool // it was started at some time
+	up      bool // its process runs and is reached
+	gone    bool // it never comes back
+	silent  bool // it is down for so long that the leader counts it as silent
+	leaving bool // it got a SIGTERM
+	lost    bool // it counts as lost
+	disk    uint8
+}
+
+// modelState is a group and its machines between two steps. A member is a machine with one of its disks.
+type modelState struct {
+	machines [modelMachines]modelMachine
+	roles    [modelMachines][modelDisks]modelRole
+	durable  [modelMachines][modelDisks]bool // it holds all that is committed
+	retired  [modelMachines][modelDisks]bool // the group remembers that it was replaced
+	replaced [modelMachines][modelDisks]bool // it was removed for another that lives at its address, remembered or not
+	leader   int8                            // machine; -1: none
+	faults   int8                            // that may still strike
+}
+
+// model is the game: what may happen in which state, and what must never.
+type model struct {
+	founders, spares int
+	tolerated        int
+	faults           int
+	freshSpares      bool // spares are started to take the place of a voter that leaves
+	oldDisks         bool // an old copy of a disk may be put back
+	omit             []Guard
+	omitRetired      bool // the group's core takes retired members back
+}
+
+// modelStep is a step and the state after it.
+type modelStep struct {
+	name  string
+	after modelState
+	wrong string // what must not happen did
+}
+
+func (m model) wanted() int { return 2*m.tolerated + 1 }
+
+// bears is how many machines may be lost at once: fewer than the settings tolerate if there are too few machines.
+func (m model) bears() int { return (min(m.wanted(), m.founders) - 1) / 2 }
+
+func (m model) start() modelState {
+	state := modelState{leader: -1, faults: int8(m.faults)}
+	for i := range m.founders {
+		state.machines[i] = modelMachine{there: true, up: true}
+		state.roles[i][0], state.durable[i][0] = roleVoter, true
+	}
+	return state
+}
+
+func modelID(machine, disk int) agreement.MemberID {
+	return agreement.MemberID(1 + machine*modelDisks + disk)
+}
+
+func modelPlace(id agreement.MemberID) (machine, disk int) {
+	return int(id-1) / modelDisks, int(id-1) % modelDisks
+}
+
+func modelAddress(machine int) string { return fmt.Sprintf("k%02d", machine) }
+
+// lives tells whether a member's process runs.
+func (s *modelState) lives(machine, disk int) bool {
+	return s.machines[machine].up && int(s.machines[machine].disk) == disk
+}
+
+// each calls a function for each member.
+func (s *modelState) each(function func(machine, disk int, role modelRole)) {
+	for machine := range s.roles {
+		for disk, role := range s.roles[machine] {
+			if role != roleNone {
+				function(machine, disk, role)
+			}
+		}
+	}
+}
+
+// count counts the voters, those that live, and those that live on machines that do not count as lost.
+func (s *modelState) count() (voters, living, standing int) {
+	s.each(func(machine, disk int, role modelRole) {
+		if role != roleVoter {
+			return
+		}
+		voters++
+		if s.lives(machine, disk) {
+			living++
+			if !s.machines[machine].lost {
+				standing++
+			}
+		}
+	})
+	return voters, living, standing
+}
+
+func (s *modelState) lostMachines() int {
+	count := 0
+	for _, machine := range s.machines {
+		if machine.lost {
+			count++
+		}
+	}
+	return count
+}
+
+// led tells whether a leader is there whom a majority follows.
+func (s *modelState) led() bool {
+	if s.leader < 0 {
+		return false
+	}
+	disk := int(s.machines[s.leader].disk)
+	voters, living, _ := s.count()
+	return s.lives(int(s.leader), disk) && s.roles[s.leader][disk] == roleVoter && living > voters/2
+}
+
+// situation is what the leader knows. Candidates are all processes that are no voters; late puts a request of a former
+// member in the place of the one from its address.
+func (m model) situation(s *modelState, late agreement.MemberID) situation {
+	made := situation{
+		Self: modelID(int(s.leader), int(s.machines[s.leader].disk)), Wanted: m.wanted(), Spares: max(leastSpares, m.tolerated),
+		Silent: map[agreement.MemberID]time.Duration{}, Omit: m.omit,
+	}
+	s.each(func(machine, disk int, role modelRole) {
+		id := modelID(machine, disk)
+		made.Members = append(made.Members, agreement.Member{ID: id, Address: modelAddress(machine), Voter: role == roleVoter})
+		if s.machines[machine].silent {
+			made.Silent[id] = lostLearnerAfter
+		}
+		if s.mayPromote(machine, disk) {
+			made.Promotable = append(made.Promotable, id)
+		}
+	})
+	for machine, one := range s.machines {
+		id := modelID(machine, int(one.disk))
+		for disk, retired := range s.retired[machine] {
+			if retired {
+				made.Retired = append(made.Retired, modelID(machine, disk))
+			}
+		}
+		asks := one.up && !one.leaving && s.roles[machine][one.disk] != roleVoter
+		if from, _ := modelPlace(max(late, 1)); late != 0 && from == machine {
+			id, asks = late, true
+		}
+		if asks {
+			made.Candidates = append(made.Candidates, candidate{ID: id, Address: modelAddress(machine)})
+		}
+		if one.up && one.leaving {
+			made.Leaving = append(made.Leaving, id)
+		}
+		if m.freshSpares && one.up && !one.leaving && machine >= m.founders {
+			made.Successors = append(made.Successors, id)
+		}
+	}
+	return made
+}
+
+// mayPromote is what the core's leader knows of a learner.
+func (s *modelState) mayPromote(machine, disk int) bool {
+	return s.roles[machine][disk] == roleLearner && s.lives(machine, disk) && s.durable[machine][disk]
+}
+
+// decide has the leader make its next change, after a request that came late if there is one.
+func (m model) decide(s modelState, late agreement.MemberID) (modelStep, bool) {
+	next, found := nextStep(m.situation(&s, late))
+	if !found {
+		return modelStep{}, false
+	}
+	if next.Confirm.ID != 0 {
+		machine, disk := modelPlace(next.Confirm.ID)
+		if !s.lives(machine, disk) || s.machines[machine].leaving {
+			return modelStep{}, false
+		}
+	}
+	made := modelStep{name: "change: " + changeText(next.Change), after: s}
+	made.wrong = m.apply(&made.after, next.Change)
+	return made, made.after != s || made.wrong != ""
+}
+
+// apply makes a change if the core's leader would, and tells what is wrong with it.
+func (m model) apply(s *modelState, change replica.Change) (wrong string) {
+	before := *s
+	if change.Add == nil {
+		wrong = m.remove(s, change)
+	} else {
+		wrong = m.add(s, *change.Add)
+	}
+	voters, living, _ := s.count()
+	if living <= voters/2 {
+		*s = before // a majority of the new voters must answer
+		return ""
+	}
+	return wrong
+}
+
+func (m model) remove(s *modelState, change replica.Change) (wrong string) {
+	machine, disk := modelPlace(change.Remove)
+	wasVoter := s.roles[machine][disk] == roleVoter
+	diskLost := int(s.machines[machine].disk) != disk
+	s.roles[machine][disk] = roleNone
+	s.durable[machine][disk] = false
+	s.retired[machine][disk] = change.Retire
+	s.replaced[machine][disk] = diskLost && s.machines[machine].up
+	switch {
+	case s.lives(machine, disk):
+		return fmt.Sprintf("member %d is removed although it lives", change.Remove)
+	case wasVoter && !diskLost && !m.hasHeir(s):
+		return fmt.Sprintf("voter %d gives its place to nobody", change.Remove)
+	}
+	return ""
+}
+
+func (m model) add(s *modelState, added agreement.Member) (wrong string) {
+	machine, disk := modelPlace(added.ID)
+	role := s.roles[machine][disk]
+	switch {
+	case s.retired[machine][disk] && !m.omitRetired:
+		return "" // refused
+	case added.Voter && role == roleLearner && s.mayPromote(machine, disk):
+		s.roles[machine][disk] = roleVoter
+	case !added.Voter && role == roleVoter:
+		s.roles[machine][disk] = roleLearner
+		if !m.hasHeir(s) {
+			return fmt.Sprintf("voter %d gives its place to nobody", added.ID)
+		}
+	case !added.Voter && role == roleNone:
+		s.roles[machine][disk] = roleLearner
+	}
+	if s.replaced[machine][disk] && s.roles[machine][disk] != roleNone {
+		return fmt.Sprintf("member %d is back although it was replaced", added.ID)
+	}
+	return ""
+}
+
+// hasHeir tells whether the group has its voters, or a learner that can take a free place at once.
+func (m model) hasHeir(s *modelState) bool {
+	voters, _, _ := s.count()
+	found := voters >= m.wanted()
+	s.each(func(machine, disk int, _ modelRole) {
+		found = found || (s.mayPromote(machine, disk) && !s.machines[machine].leaving)
+	})
+	return found
+}
+
+// lateRequests are the former members whose requests may still be on their way.
+func (s *modelState) lateRequests() []agreement.MemberID {
+	var found []agreement.MemberID
+	for machine, one := range s.machines {
+		for disk := range int(one.disk) {
+			found = append(found, modelID(machine, disk))
+		}
+	}
+	return found
+}
+
+// calm returns what happens without faults or late requests: the next election, change or catching up.
+func (m model) calm(s modelState) (next []modelStep) {
+	if !s.led() {
+		return s.elections()
+	}
+	if made, found := m.decide(s, 0); found {
+		next = append(next, made)
+	}
+	s.each(func(machine, disk int, role modelRole) {
+		if role == roleLearner && s.lives(machine, disk) && !s.durable[machine][disk] {
+			after := s
+			after.durable[machine][disk] = true
+			next = append(next, modelStep{name: fmt.Sprintf("%d catches up", modelID(machine, disk)), after: after})
+		}
+	})
+	return next
+}
+
+func (s modelState) elections() (next []modelStep) {
+	voters, living, _ := s.count()
+	if living <= voters/2 {
+		return nil
+	}
+	s.each(func(machine, disk int, role modelRole) {
+		if role == roleVoter && s.lives(machine, disk) && !s.machines[machine].leaving {
+			after := s
+			after.leader = int8(machine)
+			next = append(next, modelStep{name: fmt.Sprintf("%d leads", modelID(machine, disk)), after: after})
+		}
+	})
+	return next
+}
+
+// steps returns all that may happen in a state.
+func (m model) steps(s modelState) []modelStep {
+	next := m.calm(s)
+	settled := len(next) == 0
+	if s.led() {
+		for _, late := range s.lateRequests() {
+			if made, found := m.decide(s, late); found {
+				made.name = fmt.Sprintf("late request of %d, %s", late, made.name)
+				next = append(next, made)
+			}
+		}
+	}
+	for machine := range m.founders + m.spares {
+		next = append(next, m.happens(s, machine, settled)...)
+	}
+	return next
+}
+
+// happens returns what may befall one machine.
+func (m model) happens(s modelState, machine int, settled bool) (next []modelStep) {
+	befall := func(name string, change func(one *modelMachine, after *modelState)) {
+		after := s
+		change(&after.machines[machine], &after)
+		next = append(next, modelStep{name: fmt.Sprintf("machine %d %s", machine, name), after: after})
+	}
+	one := s.machines[machine]
+	if !one.there {
+		befall("is added", func(one *modelMachine, _ *modelState) { one.there, one.up = true, true })
+		return next
+	}
+	if !one.up && !one.silent {
+		befall("is silent", func(one *modelMachine, _ *modelState) { one.silent = true })
+	}
+	if !one.up && !one.gone {
+		befall("is back", func(one *modelMachine, _ *modelState) { one.up, one.silent = true, false })
+	}
+	if one.up && one.leaving {
+		befall("ends", func(one *modelMachine, _ *modelState) { one.up, one.leaving = false, false })
+	}
+	if one.lost && settled && m.recovered(&s, machine) {
+		befall("counts as lost no more", func(one *modelMachine, _ *modelState) { one.lost = false })
+	}
+	if m.oldDisks && !one.up && !one.gone && one.disk > 0 && s.retiredOrNone(machine) {
+		befall("gets an old disk back", func(one *modelMachine, _ *modelState) { one.disk--; one.up, one.silent = true, false })
+	}
+	if s.faults > 0 && (one.lost || s.lostMachines() < m.bears()) {
+		next = append(next, m.strikes(s, machine)...)
+	}
+	return next
+}
+
+// retiredOrNone tells whether the disk before the present one was replaced or was never a member's.
+func (s *modelState) retiredOrNone(machine int) bool {
+	return s.roles[machine][s.machines[machine].disk-1] == roleNone
+}
+
+// recovered tells whether a machine is back, or another has its place.
+func (m model) recovered(s *modelState, machine int) bool {
+	for disk, role := range s.roles[machine] {
+		if role == roleVoter && !s.lives(machine, disk) {
+			return false
+		}
+	}
+	_, living, _ := s.count()
+	one := s.machines[machine]
+	back := one.up && !one.leaving && !s.retired[machine][one.disk]
+	return back || (one.gone && living >= min(m.wanted(), m.founders))
+}
+
+// strikes returns the faults that may strike a machine.
+func (m model) strikes(s modelState, machine int) (next []modelStep) {
+	strike := func(name string, change func(one *modelMachine)) {
+		after := s
+		after.faults--
+		one := &after.machines[machine]
+		one.lost = true
+		change(one)
+		next = append(next, modelStep{name: fmt.Sprintf("machine %d %s", machine, name), after: after})
+	}
+	one := s.machines[machine]
+	if one.up {
+		strike("is down", func(one *modelMachine) { one.up, one.leaving = false, false })
+	}
+	if one.up && !one.leaving {
+		strike("gets a SIGTERM", func(one *modelMachine) { one.leaving = true })
+	}
+	if !one.gone && int(one.disk)+1 < modelDisks {
+		strike("loses its disk", func(one *modelMachine) { one.up, one.leaving = false, false; one.disk++ })
+	}
+	if !one.gone {
+		strike("is gone", func(one *modelMachine) { one.up, one.leaving, one.gone = false, false, true })
+	}
+	return next
+}
+
+// weakness tells what is wrong with a state; empty: nothing.
+func (m model) weakness(s modelState) string {
+	voters, _, standing := s.count()
+	further := m.bears() - s.lostMachines()
+	if standing-further <= voters/2 {
+		return fmt.Sprintf("%d of %d voters stand, %d further losses leave no majority", standing, voters, further)
+	}
+	return ""
+}
+
+// unfinished tells what a group lacks at which nothing more happens by itself; empty: nothing.
+func (m model) unfinished(s modelState) string {
+	available, silent := 0, true
+	for machine, one := range s.machines {
+		if one.up && one.leaving {
+			return "" // it ends first
+		}
+		silent = silent && (!one.there || one.up || one.silent)
+		if one.up && !s.retired[machine][one.disk] {
+			available++
+		}
+	}
+	voters, living, _ := s.count()
+	if !s.led() || !silent {
+		return ""
+	}
+	if living < min(m.wanted(), available) || (available >= m.wanted() && voters != living) {
+		return fmt.Sprintf("%d of %d voters live, with %d machines at hand", living, voters, available)
+	}
+	return ""
+}
+
+// describe tells the members of a state.
+func (s modelState) describe() string {
+	var parts []string
+	s.each(func(machine, disk int, role modelRole) {
+		parts = append(parts, fmt.Sprintf("%d(voter %v, lives %v)", modelID(machine, disk), role == roleVoter, s.lives(machine, disk)))
+	})
+	slices.Sort(parts)
+	return fmt.Sprint(parts)
+}
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -35,7 +35,8 @@
 // Changes are of one member:
 //
 //  1. a member whose address now belongs to another member ID has lost its disk: it is removed, which never makes a
-//     majority harder to reach, and its ID is retired;
+//     majority harder to reach, and its ID is retired. That holds also if the other ID is a retired one, as when an old
+//     copy of a disk was put back: it is not taken in, but the member is no longer there;
 //  2. with more voters than wanted, one that is leaving becomes a learner, else one that is silent goes;
 //  3. a learner that is known to hold nearly all becomes a voter if a place is free; else the voter that is silent
 //     longest makes room for it, if that is long enough; else a voter that is leaving does, if the learner is its
@@ -44,7 +45,6 @@
 //     taking a lost voter's place is one change and no transfer of the state;
 //  5. a learner that no longer asks and is silent for long goes.
 func nextStep(s situation) (step, bool) {
-	s.Candidates = s.admissible()
 	for _, rule := range []func(situation) (step, bool){
 		removeSuperseded, releaseSurplus, promoteLearner, addLearner, removeLostLearner,
 	} {
@@ -122,7 +122,7 @@
 		return step{}, false
 	}
 	for _, asking := range s.Candidates {
-		if _, found := s.member(asking.ID); !found {
+		if _, found := s.member(asking.ID); !found && !slices.Contains(s.Retired, asking.ID) {
 			return s.confirmed(replica.Change{Add: &agreement.Member{ID: asking.ID, Address: asking.Address}}, asking), true
 		}
 	}
@@ -138,17 +138,6 @@
 	return step{}, false
 }
 
-// admissible returns the candidates whose IDs were not replaced.
-func (s situation) admissible() []candidate {
-	var kept []candidate
-	for _, asking := range s.Candidates {
-		if !slices.Contains(s.Retired, asking.ID) {
-			kept = append(kept, asking)
-		}
-	}
-	return kept
-}
-
 // confirmed is a change that is made only if the candidate lives.
 func (s situation) confirmed(change replica.Change, asking candidate) step {
 	if !s.holds(GuardIdentityAsked) {
