Take a lost voter's place at once after the change that frees it

Cause: a learner can be made a voter once it has acknowledged the newest change of members, which takes it a moment after that change is committed. Now the leader looks again for up to half a second after a change, while a place is free and a learner is there.

--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -147,12 +147,9 @@
 // reconcile makes changes of members until there is none to make or one fails; the next request to
 // join, or the next round of maintenance, goes on.
 func (k *Keeper) reconcile(shard *shard) {
+	changed := false
 	for k.workContext.Err() == nil {
-		status := shard.group.Status()
-		if !status.IsLeader() {
-			return
-		}
-		next, found := nextStep(k.situation(shard, status))
+		next, found := k.awaitStep(shard, changed)
 		if !found {
 			return
 		}
@@ -163,6 +160,27 @@
 		if !k.changeMembers(shard, next.Change) {
 			return
 		}
+		changed = true
+	}
+}
+
+// awaitStep returns the next step as the leader of a group. After a change it waits a little for a learner to hold that
+// change, too, if a place is free: the place of a voter that went is to be taken at once, not at the next occasion.
+func (k *Keeper) awaitStep(shard *shard, changed bool) (step, bool) {
+	until := k.outside.Now().Add(takePlaceBudget)
+	for {
+		status := shard.group.Status()
+		if !status.IsLeader() {
+			return step{}, false
+		}
+		known := k.situation(shard, status)
+		next, found := nextStep(known)
+		if found || !changed || !known.lacksVoter() || !k.outside.Now().Before(until) {
+			return next, found
+		}
+		if !pause(k.workContext, nil, releasePoll) {
+			return step{}, false
+		}
 	}
 }
 
--- a/internal/keeper/join_test.go
+++ b/internal/keeper/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ospreybend/coord/agreement"
@@ -39,6 +40,25 @@
 	return nil
 }
 
+// laggingGroup is a changingGroup whose learner holds a change only after some questions.
+type laggingGroup struct {
+	*changingGroup
+	asked, lag int
+}
+
+func (g *laggingGroup) Promotable() []agreement.MemberID {
+	g.asked++
+	if g.asked <= g.lag {
+		return nil
+	}
+	return g.changingGroup.Promotable()
+}
+
+func (g *laggingGroup) ChangeMembers(ctx context.Context, change replica.Change) error {
+	g.asked = 0
+	return g.changingGroup.ChangeMembers(ctx, change)
+}
+
 // livingNetwork answers which member lives at an address.
 type livingNetwork struct {
 	scriptedNetwork
@@ -190,3 +210,31 @@
 		}
 	}
 }
+
+func TestPlaceOfALostVoterIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const id = shards.ID(1)
+		k, _, _ := scripted(t)
+		k.settings.FaultTolerance.Machines = 1
+		k.network = &livingNetwork{living: map[string]identityReply{"k3": {ID: 31}}}
+		group := &laggingGroup{changingGroup: newChangingGroup(voter(1), voter(2), voter(3), learner(4)), lag: 5}
+		group.promotable = ids(4)
+		k.shards[id].group = group
+		began := time.Now()
+		request(t, k, id, 31, "k3") // member 3 has lost its disk
+		calm(t, k, k.shards[id])
+		if took := time.Since(began); took > takePlaceBudget {
+			t.Fatalf("taken after %s", took)
+		}
+		for _, want := range []replica.Change{
+			{Remove: 3, Retire: true}, {Add: &agreement.Member{ID: 31, Address: "k3"}}, {Add: &agreement.Member{ID: 4, Address: "k4", Voter: true}},
+		} {
+			if len(group.changes) == 0 {
+				t.Fatalf("no change: %s is still to come", changeText(want))
+			}
+			if got := <-group.changes; !sameChange(got, want) {
+				t.Fatalf("got %s, want %s", changeText(got), changeText(want))
+			}
+		}
+	})
+}
--- a/internal/keeper/leave.go
+++ b/internal/keeper/leave.go
@@ -156,7 +156,7 @@
 		}
 		known := k.situation(shard, status)
 		_, found := nextStep(known)
-		catchingUp := isVoter(status, leaving) && len(known.Successors) > 0
+		catchingUp := len(known.Successors) > 0 && (isVoter(status, leaving) || known.lacksVoter())
 		if !found && !catchingUp && !k.isReconciling(shard) {
 			return
 		}
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -201,6 +201,19 @@
 	return count
 }
 
+// lacksVoter tells whether a place is free that a learner may take.
+func (s situation) lacksVoter() bool {
+	if s.voters() >= s.Wanted {
+		return false
+	}
+	for _, member := range s.Members {
+		if !member.Voter && !slices.Contains(s.Leaving, member.ID) && s.Silent[member.ID] < goneAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // silentVoters counts the voters, the leader apart, that are silent for at least a time.
 func (s situation) silentVoters(atLeast time.Duration) int {
 	count := 0
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -45,6 +45,7 @@
 	spreadInterval     = 5 * time.Second  // least time between two moves
 	transferBudget     = time.Second
 	leaderKnownBudget  = 300 * time.Millisecond
+	takePlaceBudget    = 500 * time.Millisecond
 	releasePoll        = 10 * time.Millisecond
 	leavingFresh       = 3 * time.Second  // a member that said so longer ago and still votes has come back
 	successorAge       = 60 * time.Second // of a process that was started to take a leaving voter's place
