Keep the place of a voter that said that it leaves and is back

The leader now asks those that are said to leave which member lives at their address, and forgets it of one that answers as itself and doesn't leave. The new test fails without the question; the schedule now keeps its promises.

--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -230,6 +230,7 @@
 	if made.voters() < len(made.Members) {
 		made.Promotable = shard.group.Promotable()
 	}
+	k.forgetReturned(shard, status, k.leavingMembers(shard, now))
 	if made.Leaving = k.leavingMembers(shard, now); len(made.Leaving) > 0 {
 		made.Successors = k.successors(status)
 	}
--- a/internal/keeper/join_test.go
+++ b/internal/keeper/join_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+// A voter that said that it leaves and is back under its ID only restarted: the successor that was started meanwhile is
+// for another one.
+func TestAVoterThatIsBackKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const id = shards.ID(1)
+		k, _, _ := scripted(t)
+		k.settings.FaultTolerance.Machines = 1
+		k.network = &livingNetwork{living: map[string]identityReply{"k3": {ID: 3, Age: time.Second}, "k4": {ID: 4, Age: time.Second}}}
+		group := newChangingGroup(voter(1), voter(2), voter(3), learner(4))
+		group.promotable = ids(4)
+		k.shards[id].group = group
+		k.noteLeaving(k.shards[id], 3)
+		k.startReconcile(k.shards[id])
+		calm(t, k, k.shards[id])
+		if len(group.changes) > 0 {
+			t.Fatal(changeText(<-group.changes))
+		}
+	})
+}
+
 func TestPlaceOfALostVoterIsTakenAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const id = shards.ID(1)
--- a/internal/keeper/leave.go
+++ b/internal/keeper/leave.go
@@ -200,6 +200,22 @@
 	return found
 }
 
+// forgetReturned forgets that members are leaving whose process is back under the same ID: they only restarted, and their
+// place is not to be given away.
+func (k *Keeper) forgetReturned(shard *shard, status replica.Status, leaving []agreement.MemberID) {
+	for _, member := range status.Members {
+		if !slices.Contains(leaving, member.ID) {
+			continue
+		}
+		if told, err := k.askIdentity(k.workContext, member.Address); err != nil || told.ID != member.ID || told.Leaving {
+			continue
+		}
+		k.mutex.Lock()
+		delete(shard.leaving, member.ID)
+		k.mutex.Unlock()
+	}
+}
+
 // successors returns the learners whose process began so short a time ago that they were started to take the place of a
 // voter that is leaving. A stand-by that has been there for long proves nothing of the kind: the voter may only restart.
 func (k *Keeper) successors(status replica.Status) []agreement.MemberID {
