Compress the feed a quarter further, and from 256 bytes on

Encoding happens once for all readers, so it may cost more. Level 5 is taken; two items of changes and more are compressed as well.

--- a/internal/feedlink/compression.go
+++ b/internal/feedlink/compression.go
@@ -10,9 +10,10 @@
 
 const (
 	// compressedFrom is the length from which frames are worth compressing.
-	compressedFrom = 512
-	// compressionLevel is the fastest: a keeper compresses once for all its readers, but on the way of each change.
-	compressionLevel = flate.BestSpeed
+	compressedFrom = 256
+	// compressionLevel leaves a quarter less of 3,000 workers than the fastest, for twice its time. A keeper compresses
+	// once for all its readers.
+	compressionLevel = 5
 )
 
 var errFalseLength = errors.New("feedlink: compressed frames are not as long as they say")
