Measure what a kill of all processes costs

Change: measure scale ends each size with a further phase: all keepers, real agents and proxies and hollow agents are killed at once and started again at once, and it is timed until every agent is whole, a change is acknowledged and the real proxies have it.

--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -12,6 +12,8 @@
 	PhaseRestart = "restart" // all hollow agents start again at once, with nothing
 	PhaseChange  = "change"  // changes of one route each
 	PhaseLoss    = "loss"    // the owner of the configuration is killed
+
+	PhaseBlackout = "blackout" // all processes are killed and started again at once
 )
 
 // ProcessUse is what one process used in one window of a phase.
@@ -58,7 +60,12 @@
 	AckedAfter float64      `json:"ackAfterLossMs"`  // until a change that was sent with the kill is acknowledged
 	AllAfter   float64      `json:"changeAfterLossMs"`
 	CaughtUp   float64      `json:"caughtUpMs"` // from the start of the killed keeper until it is current in all shards
-	TookS      float64      `json:"tookS"`
+
+	Blackout        Percentiles `json:"blackoutMs"`            // after all were killed, from their start until an agent has all shards
+	BlackoutAcked   float64     `json:"ackAfterBlackoutMs"`    // the same until a change is acknowledged
+	BlackoutProxies float64     `json:"changeAfterBlackoutMs"` // the same until the real proxies have it
+
+	TookS float64 `json:"tookS"`
 }
 
 // Cut is a step that was not played.
--- /dev/null
+++ b/internal/scale/trial/blackout.go
@@ -0,0 +1,72 @@
+package trial
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ospreybend/internal/localfleet"
+	"ospreybend/internal/scale"
+)
+
+// blackout kills all processes at once, starts them again at once, and waits until all are whole. Workers go on.
+func (s *stepRun) blackout(ctx context.Context) error {
+	s.killEverything()
+	started := time.Now()
+	if err := s.startEverything(); err != nil {
+		return err
+	}
+	before := s.read()
+	s.crowd.start(ctx)
+	s.generation++
+	acked, err := s.change(ctx)
+	if err != nil {
+		return err
+	}
+	s.step.BlackoutAcked = milliseconds(acked.Sub(started))
+	if err := s.await(ctx, "a proxy without the configuration after all were killed", func() bool { return s.proxyHas(ctx) }); err != nil {
+		return err
+	}
+	s.step.BlackoutProxies = milliseconds(time.Since(started))
+	if err := s.await(ctx, "agents not whole after all were killed", s.crowd.whole); err != nil {
+		return err
+	}
+	s.note(scale.PhaseBlackout, 0, before)
+	s.step.Blackout = scale.PercentilesOf(s.crowd.since(started, everyone, becameWhole))
+	s.plan.say("  all processes killed and started again: %d hollow agents whole p50 %.0f, p99 %.0f, max %.0f ms; a change acknowledged after %.0f ms, at the proxies after %.0f ms",
+		len(s.crowd.agents), s.step.Blackout.P50, s.step.Blackout.P99, s.step.Blackout.Max, s.step.BlackoutAcked, s.step.BlackoutProxies)
+	return nil
+}
+
+// killEverything ends all processes of the fleet and all hollow agents.
+func (s *stepRun) killEverything() {
+	var killing sync.WaitGroup
+	kill := func(process *localfleet.Process) { killing.Go(process.Kill) }
+	for i := range s.plan.Keepers {
+		kill(s.fleet.Keeper(i))
+	}
+	for i := range s.plan.Edges {
+		kill(s.fleet.Agent(i))
+		kill(s.fleet.Proxy(i))
+	}
+	s.crowd.stop()
+	killing.Wait()
+}
+
+// startEverything starts what killEverything has ended, but for the hollow agents.
+func (s *stepRun) startEverything() error {
+	for i := range s.plan.Keepers {
+		if _, err := s.fleet.StartKeeper(i, false); err != nil {
+			return err
+		}
+	}
+	for i := range s.plan.Edges {
+		if _, err := s.fleet.StartAgent(i); err != nil {
+			return err
+		}
+		if _, err := s.fleet.StartProxy(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/scale/trial/step.go
+++ b/internal/scale/trial/step.go
@@ -72,7 +72,7 @@
 
 // play does the phases in turn.
 func (s *stepRun) play(ctx context.Context) error {
-	for _, phase := range []func(context.Context) error{s.begin, s.rest, s.changes, s.loss, s.restart} {
+	for _, phase := range []func(context.Context) error{s.begin, s.rest, s.changes, s.loss, s.restart, s.blackout} {
 		if err := phase(ctx); err != nil {
 			return err
 		}
--- a/internal/scale/trial/trial_test.go
+++ b/internal/scale/trial/trial_test.go
@@ -74,6 +74,9 @@
 	if step.Known.Count != hollow || step.Known.Max <= 0 || step.AckedAfter <= 0 || step.AllAfter < step.AckedAfter/2 || step.CaughtUp <= 0 {
 		t.Errorf("%d nodes: restart %+v, after the loss %v and %v", step.Size.Nodes, step.Known, step.AckedAfter, step.AllAfter)
 	}
+	if step.Blackout.Count != hollow || step.Blackout.Max <= 0 || step.BlackoutAcked <= 0 || step.BlackoutProxies <= 0 {
+		t.Errorf("%d nodes: after all were killed %+v, %v and %v", step.Size.Nodes, step.Blackout, step.BlackoutAcked, step.BlackoutProxies)
+	}
 	if step.Hollow.FeedInKB <= 0 || step.Hollow.BeatsTaken <= 0 || step.Hollow.SnapshotKB <= 0 {
 		t.Errorf("%d nodes: hollow %+v", step.Size.Nodes, step.Hollow)
 	}
