--- /dev/null
+++ b/internal/feedlink/herd_test.go
@@ -0,0 +1,92 @@
+package feedlink
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreybend/coord/feed"
+	"ospreybend/coord/shards"
+)
+
+// bufferSource is a source of one shard that hands out what feed.Buffer does, as a keeper is.
+type bufferSource struct {
+	*scriptedSource
+	mutex  sync.Mutex
+	buffer *feed.Buffer
+}
+
+func newBufferSource(items []feed.Item) *bufferSource {
+	source := &bufferSource{scriptedSource: newScriptedSource(1), buffer: feed.NewBuffer(1 << 20)}
+	for _, item := range items {
+		source.put(item)
+	}
+	return source
+}
+
+func (s *bufferSource) put(item feed.Item) {
+	s.mutex.Lock()
+	change := feed.Change{Index: s.buffer.Index() + 1, Put: []feed.Item{item}}
+	_ = s.buffer.Append(change)
+	s.mutex.Unlock()
+	s.commit(1, change)
+}
+
+func (s *bufferSource) Since(_ shards.ID, index uint64) ([]feed.Change, *feed.Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.buffer.From(index)
+}
+
+// All nodes come at once after a kill of all, while workers come and go: each gets all of them within the time of a
+// status, and nearly all get the same bytes.
+func TestAHerdOfReadersSharesOneSnapshot(t *testing.T) {
+	const (
+		readers = 60
+		workers = 600
+		further = 40 // changes while the herd comes
+	)
+	synctest.Test(t, func(t *testing.T) {
+		items := manyItems(4, workers+further)
+		source := newBufferSource(items[:workers])
+		encoder := NewEncoder()
+		var handlers []*recorder
+		var counts []*int
+		snapshots := map[uint64]bool{}
+		for number := range readers {
+			handlers = append(handlers, newRecorder())
+			written, stop := serveOne(source, encoder, fmt.Sprintf("edge-%d", number), handlers[number])
+			defer stop()
+			counts = append(counts, written)
+			if number < further {
+				source.put(items[workers+number])
+			}
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+			snapshots[encoder.snapshots[1].to] = true
+		}
+		time.Sleep(StatusInterval)
+		synctest.Wait()
+		for _, handler := range handlers {
+			expectItems(t, handler, 1, source.scriptedSource)
+			if handler.seen().snapshots != 1 {
+				t.Errorf("a reader got %d snapshots", handler.seen().snapshots)
+			}
+		}
+		if len(snapshots) != 1 {
+			t.Errorf("%d snapshots were encoded for %d readers", len(snapshots), readers)
+		}
+		total, plain := 0, 0
+		for _, item := range items {
+			plain += itemBytes(item)
+		}
+		for _, count := range counts {
+			total += *count
+		}
+		if total > readers*plain/2 {
+			t.Errorf("%d bytes to %d readers for %d bytes of items", total, readers, plain)
+		}
+	})
+}
