Send news after a calm at once, also just after a status

Cause: a session of the feed takes the first news after a calm out at once and gathers what follows, but what it called the last look at the source was also the look for a status. Change: the time counts from the last look that news caused.

--- a/internal/feedlink/herd_test.go
+++ b/internal/feedlink/herd_test.go
@@ -90,3 +90,19 @@
 		}
 	})
 }
+
+// News after a calm go out at once, also where a status has just been sent.
+func TestNewsAfterACalmGoOutAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newScriptedSource(0)
+		handler := newRecorder()
+		_, stop := runClient(&servers{sources: map[string]*scriptedSource{address(1): source}}, 1, handler)
+		defer stop()
+		for index := range uint64(60) { // at all phases of the statuses' interval
+			time.Sleep(GatherInterval + 7*time.Millisecond)
+			source.commit(0, put(index+1, "key", fmt.Sprint(index)))
+			synctest.Wait()
+			expectItems(t, handler, 0, source)
+		}
+	})
+}
--- a/internal/feedlink/server.go
+++ b/internal/feedlink/server.go
@@ -71,6 +71,7 @@
 	options    SessionOptions
 	outbox     *outbox
 	writer     *feedWriter
+	newsAt     time.Time // when news last made it look at the source
 }
 
 // Serve runs a session with the usual intervals until the connection or ctx ends, and closes
@@ -150,16 +151,15 @@
 		if err := s.sendNews(); err != nil {
 			return err
 		}
-		looked := time.Now()
-		timer.Reset(s.untilStatus(looked))
-		if !s.await(ctx, wake, timer, looked) {
+		timer.Reset(s.untilStatus(time.Now()))
+		if !s.await(ctx, wake, timer) {
 			return ctx.Err()
 		}
 	}
 }
 
 // await returns at the next look at the source, or false once ctx has ended.
-func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer, looked time.Time) bool {
+func (s *Session) await(ctx context.Context, wake <-chan struct{}, timer *time.Timer) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -168,11 +168,19 @@
 	case <-wake:
 	case <-s.outbox.ready:
 	}
-	now := time.Now()
-	if now.Sub(looked) >= s.options.GatherInterval {
-		return true
+	if !pause(ctx, s.untilGathered(time.Now())) {
+		return false
+	}
+	s.newsAt = time.Now()
+	return true
+}
+
+// untilGathered says how long news wait for others: not at all after a calm.
+func (s *Session) untilGathered(now time.Time) time.Duration {
+	if now.Sub(s.newsAt) >= s.options.GatherInterval {
+		return 0
 	}
-	return pause(ctx, s.options.GatherInterval-s.sinceMultiple(now, s.options.GatherInterval))
+	return s.options.GatherInterval - s.sinceMultiple(now, s.options.GatherInterval)
 }
 
 // sendNews sends, in this order, what the shards have, the status if it is due, and reports. The
