Look at the feed's encoder in its test under its lock

The race detector found that the test of shared frames read the encoder's map while sessions wrote to it. Only the test did so; it now takes the encoder's lock, and the package passes three times under the detector, where it failed before.

--- a/internal/feedlink/compression_test.go
+++ b/internal/feedlink/compression_test.go
@@ -151,6 +151,13 @@
 	})
 }
 
+// reaches returns the index that the encoded changes of a shard go to.
+func (e *Encoder) reaches(shard shards.ID) uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.behind[shard].to
+}
+
 // What changes together is sent together, and encoded once for all readers.
 func TestReadersShareWhatIsEncoded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -164,13 +171,13 @@
 		}
 		time.Sleep(time.Second)
 		made := 0
-		before := encoder.behind[1].to
+		before := encoder.reaches(1)
 		for index, item := range manyItems(3, 400) {
 			source.commit(1, feed.Change{Index: uint64(index) + 1, Put: []feed.Item{item}})
 			time.Sleep(time.Millisecond)
 			synctest.Wait()
-			if now := encoder.behind[1]; now.to != before {
-				made, before = made+1, now.to
+			if now := encoder.reaches(1); now != before {
+				made, before = made+1, now
 			}
 		}
 		time.Sleep(GatherInterval)
