--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -6,6 +6,8 @@
 	"unicode/utf8"
 
 	"github.com/go-faster/jx"
+
+	"ospreybend/internal/jsonfield"
 )
 
 // Names of the members of a configuration that this package knows.
@@ -159,7 +161,7 @@
 		if key != fieldName || decoder.Next() != jx.String {
 			return decoder.Skip()
 		}
-		return readString(decoder, key, &name)
+		return jsonfield.String(decoder, key, &name)
 	})
 	if refusal == nil && name == "" {
 		refusal = refuse(MissingField, "name of an item of "+list)
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/jx"
+
+	"ospreybend/internal/jsonfield"
 )
 
 // What holds where the operator gives no value, or one that cannot be meant.
@@ -65,11 +67,11 @@
 func routeMember(decoder *jx.Decoder, key string, route *Route, single *string) error {
 	switch key {
 	case "name":
-		return readString(decoder, key, &route.Name)
+		return jsonfield.String(decoder, key, &route.Name)
 	case "hostname":
-		return readString(decoder, key, &route.Hostname)
+		return jsonfield.String(decoder, key, &route.Hostname)
 	case "pathPrefix":
-		return readString(decoder, key, &route.PathPrefix)
+		return jsonfield.String(decoder, key, &route.PathPrefix)
 	case "routeType":
 		return readRouteType(decoder, key, &route.Type)
 	case "timeoutMs":
@@ -79,15 +81,15 @@
 	case "priority":
 		return readCount(decoder, key, &route.Priority)
 	case "service":
-		return readString(decoder, key, single)
+		return jsonfield.String(decoder, key, single)
 	case "trafficSplit":
 		return readTargets(decoder, key, &route.Targets)
 	case "maxAttempts":
 		return readCount(decoder, key, &route.MaxAttempts)
 	case "sessionAffinity":
-		return readBool(decoder, key, &route.SessionAffinity)
+		return jsonfield.Bool(decoder, key, &route.SessionAffinity)
 	case "resumable":
-		return readBool(decoder, key, &route.Resumable)
+		return jsonfield.Bool(decoder, key, &route.Resumable)
 	case "gap_aim_ms":
 		return readSpan(decoder, key, time.Millisecond, &route.GapObjective)
 	default:
@@ -98,7 +100,7 @@
 // readRouteType reads the type; one that is not known is held to the strictest rules.
 func readRouteType(decoder *jx.Decoder, key string, into *RouteType) error {
 	name := ""
-	if err := readString(decoder, key, &name); err != nil {
+	if err := jsonfield.String(decoder, key, &name); err != nil {
 		return err
 	}
 	switch name {
@@ -115,7 +117,7 @@
 // readTargets reads "trafficSplit".
 func readTargets(decoder *jx.Decoder, key string, into *[]Target) error {
 	*into = nil
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Array {
@@ -139,9 +141,9 @@
 	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
 		switch key {
 		case "service":
-			return readString(decoder, key, &target.Service)
+			return jsonfield.String(decoder, key, &target.Service)
 		case "weight":
-			return readNumber(decoder, key, &target.Weight)
+			return jsonfield.Number(decoder, key, &target.Weight)
 		default:
 			return decoder.Skip()
 		}
@@ -173,9 +175,9 @@
 	refusal := eachMember(raw, "service", func(decoder *jx.Decoder, key string) error {
 		switch key {
 		case "name":
-			return readString(decoder, key, &service.Name)
+			return jsonfield.String(decoder, key, &service.Name)
 		case "healthPath":
-			return readString(decoder, key, &service.HealthPath)
+			return jsonfield.String(decoder, key, &service.HealthPath)
 		case "maxConnections":
 			return readCount(decoder, key, &service.MaxConnections)
 		case "engine":
@@ -200,7 +202,7 @@
 // readEngine reads "engine"; null counts as absent.
 func readEngine(decoder *jx.Decoder, key string, into **Engine) error {
 	*into = nil
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Object {
@@ -231,9 +233,9 @@
 	case "kvTokens":
 		return readCount(decoder, key, &engine.KVTokens)
 	case "kvTokenBytes":
-		return readNumber(decoder, key, &engine.KVTokenBytes)
+		return jsonfield.Number(decoder, key, &engine.KVTokenBytes)
 	case "linkMbps":
-		return readNumber(decoder, key, &engine.LinkMbps)
+		return jsonfield.Number(decoder, key, &engine.LinkMbps)
 	case "stride":
 		return readCount(decoder, key, &engine.Stride)
 	case "handleTtlS":
@@ -250,7 +252,7 @@
 // readModelNames reads a list of names, or of objects with a name.
 func readModelNames(decoder *jx.Decoder, key string, into *[]string) error {
 	*into = nil
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Array {
@@ -270,11 +272,11 @@
 
 func readModelName(decoder *jx.Decoder, key string, into *string) error {
 	if decoder.Next() != jx.Object {
-		return readString(decoder, key, into)
+		return jsonfield.String(decoder, key, into)
 	}
 	return decoder.Obj(func(decoder *jx.Decoder, key string) error {
 		if key == "name" {
-			return readString(decoder, key, into)
+			return jsonfield.String(decoder, key, into)
 		}
 		return decoder.Skip()
 	})
--- a/internal/configuration/update.go
+++ b/internal/configuration/update.go
@@ -5,6 +5,8 @@
 	"unicode/utf8"
 
 	"github.com/go-faster/jx"
+
+	"ospreybend/internal/jsonfield"
 )
 
 const (
@@ -78,7 +80,7 @@
 func readRemovals(raw []byte) ([]removal, *Refusal) {
 	removals := []removal{}
 	refusal := eachMember(raw, memberRemove, func(decoder *jx.Decoder, key string) error {
-		if isNull(decoder) {
+		if jsonfield.IsNull(decoder) {
 			return nil
 		}
 		if decoder.Next() != jx.Array {
@@ -88,7 +90,7 @@
 		removals = append(removals, removal{list: key, names: names})
 		return decoder.Arr(func(decoder *jx.Decoder) error {
 			name := ""
-			err := readString(decoder, "remove: a name of "+key, &name)
+			err := jsonfield.String(decoder, "remove: a name of "+key, &name)
 			names[name] = true
 			return err
 		})
--- a/internal/front/timeout_test.go
+++ b/internal/front/timeout_test.go
@@ -27,7 +27,7 @@
 		p := w.dial()
 		for _, piece := range pieces {
 			p.send(piece)
-			w.await(func(states map[connState]int) bool { return states[reading] == 1 })
+			w.await(func(states map[connState]int) bool { return states[reading]+states[lingering] == 1 })
 		}
 		p.send("x")
 		p.expect(408, "")
--- a/internal/proxy/closing_test.go
+++ b/internal/proxy/closing_test.go
@@ -41,12 +41,12 @@
 	}
 }
 
-// TestRequestLongAfterTheSignal asks a proxy that was told to end 3.5 s ago and goes on for 3.5 s, on a route of 4 s.
+// TestRequestLongAfterTheSignal asks a proxy that was told to end 3.5 s ago and goes on for 3.9 s, on a route of 4 s.
 func TestRequestLongAfterTheSignal(t *testing.T) {
 	s := newSystem(t)
 	s.awaitReady()
 	now := time.Now()
-	s.proxy.closing.Store(&closing{told: now.Add(-3500 * time.Millisecond), end: now.Add(3500 * time.Millisecond)})
+	s.proxy.closing.Store(&closing{told: now.Add(-3500 * time.Millisecond), end: now.Add(3900 * time.Millisecond)})
 	if status, _, err := s.ask("/a/x"); status != http.StatusServiceUnavailable || err != nil {
 		t.Fatal(status, err)
 	}
--- a/internal/proxy/confirmation_test.go
+++ b/internal/proxy/confirmation_test.go
@@ -60,8 +60,7 @@
 func TestUnknownRouteWithoutTheAgent(t *testing.T) {
 	s := newSystem(t)
 	s.awaitReady()
-	s.await("confirmed", s.proxy.isConfirmed)
-	s.mustAnswer("/none/", 404, "")
+	s.await("denied", func() bool { return s.statusOf("/none/") == http.StatusNotFound })
 	s.proxy.stopFeed()
 	s.await("unconfirmed", func() bool { return !s.proxy.isConfirmed() })
 	s.mustAnswer("/a/x", 200, "POST /a/x "+requestBody)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -247,6 +247,12 @@
 	s.await("ready", func() bool { return s.readinessStatus() == http.StatusOK })
 }
 
+// statusOf sends a request and returns the status; 0: it failed.
+func (s *system) statusOf(path string) int {
+	status, _, _ := s.ask(path)
+	return status
+}
+
 func (s *system) mustAnswer(path string, status int, body string) {
 	s.t.Helper()
 	gotStatus, gotBody, err := s.ask(path)
@@ -259,8 +265,8 @@
 	s := newSystem(t)
 	s.awaitReady()
 	s.mustAnswer("/a/x?y=1", 200, "POST /a/x?y=1 "+requestBody)
-	s.await("confirmed", s.proxy.isConfirmed) // the view is put in force a moment before
-	s.mustAnswer("/none/", 404, "")
+	// The configuration is put in force a moment before it is confirmed.
+	s.await("denied", func() bool { return s.statusOf("/none/") == http.StatusNotFound })
 }
 
 func TestProxyTakesAStreamUpAgain(t *testing.T) {
--- a/internal/registry/beat.go
+++ b/internal/registry/beat.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/netip"
 	"strings"
 
 	"github.com/go-faster/jx"
+
+	"ospreybend/internal/jsonfield"
 )
 
 // Bounds of what a heartbeat may tell.
@@ -36,16 +37,12 @@
 		return Beat{}, refuse(TooLarge, "body")
 	}
 	beat := Beat{}
-	decoder := jx.DecodeBytes(body)
-	err := decoder.Obj(func(decoder *jx.Decoder, key string) error {
+	err := jsonfield.EachMember(body, func(decoder *jx.Decoder, key string) error {
 		return beatMember(decoder, key, &beat)
 	})
 	if err != nil {
 		return Beat{}, asRefusal(err)
 	}
-	if err := decoder.Skip(); !errors.Is(err, io.EOF) {
-		return Beat{}, refuse(Unreadable, "something follows the end")
-	}
 	beat.ID = id
 	beat.Slots = max(beat.Slots, smallestSlots)
 	if refusal := checkBeat(beat); refusal != nil {
@@ -54,12 +51,17 @@
 	return beat, nil
 }
 
-// asRefusal returns the refusal within err, or one that says that the body cannot be read.
+// asRefusal returns the refusal within err, or one that says what is wrong with a member, or that
+// the body cannot be read.
 func asRefusal(err error) *Refusal {
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		return refusal
 	}
+	var mismatch *jsonfield.MismatchError
+	if errors.As(err, &mismatch) {
+		return refuse(BadField, mismatch.Error())
+	}
 	return refuse(Unreadable, err.Error())
 }
 
@@ -113,44 +115,21 @@
 	return nil
 }
 
-// isNull tells whether the next value is null, and skips it then.
-func isNull(decoder *jx.Decoder) bool {
-	if decoder.Next() != jx.Null {
-		return false
-	}
-	return decoder.Null() == nil
-}
-
 // readText reads a bounded string; null counts as empty.
 func readText(decoder *jx.Decoder, key string, into *string) error {
-	if isNull(decoder) {
-		*into = ""
-		return nil
-	}
-	if decoder.Next() != jx.String {
-		return refuse(BadField, key+" is not a string")
-	}
-	text, err := decoder.Str()
-	if err != nil {
+	if err := jsonfield.String(decoder, key, into); err != nil {
 		return err
 	}
-	if len(text) > longestText {
+	if len(*into) > longestText {
 		return refuse(TooLarge, key)
 	}
-	*into = text
 	return nil
 }
 
 // readNumber reads a number and cuts off its fraction; null counts as 0.
 func readNumber(decoder *jx.Decoder, key string) (int64, error) {
-	if isNull(decoder) {
-		return 0, nil
-	}
-	if decoder.Next() != jx.Number {
-		return 0, refuse(BadField, key+" is not a number")
-	}
-	value, err := decoder.Float64()
-	if err != nil {
+	value := 0.0
+	if err := jsonfield.Number(decoder, key, &value); err != nil {
 		return 0, err
 	}
 	if value < -largestNumber || value > largestNumber {
@@ -175,7 +154,7 @@
 // readSequence reads a whole number of up to 63 bits; null counts as not numbered.
 func readSequence(decoder *jx.Decoder, key string, into *uint64) error {
 	*into = unknownSequence
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Number {
@@ -206,7 +185,7 @@
 
 func readModels(decoder *jx.Decoder, key string, into *[]Model) error {
 	*into = nil
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Array {
@@ -244,7 +223,7 @@
 
 func readAdapters(decoder *jx.Decoder, key string, into *[]string) error {
 	*into = nil
-	if isNull(decoder) {
+	if jsonfield.IsNull(decoder) {
 		return nil
 	}
 	if decoder.Next() != jx.Array {
