Ask what is committed before what is durable when a simulated group is sampled

The recorder now asks all members what is committed first, and then what is durable, which only grows. The check itself is as strict as before.

--- a/internal/controlsim/record.go
+++ b/internal/controlsim/record.go
@@ -158,9 +158,16 @@
 	return first
 }
 
-// sample records each group's members, as its leader has them, and what is durable at them.
+// sample records each group's members, as its leader has them, and what is durable at them. Since members go on while
+// they are asked one after the other, what is committed is asked of all before what is durable.
 func (r *recorder) sample() {
 	all := r.world.everyMachine()
+	var committed [shards.Count]uint64
+	for _, m := range all {
+		for _, status := range m.inspect() {
+			committed[status.Shard] = max(committed[status.Shard], status.Commit)
+		}
+	}
 	states := make([][]replica.Status, len(all))
 	for i, m := range all {
 		states[i] = m.inspect()
@@ -168,11 +175,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var leading [shards.Count]replica.Status
-	var committed [shards.Count]uint64
 	for i, m := range all {
 		for _, status := range states[i] {
 			r.noteDurable(m, status)
-			committed[status.Shard] = max(committed[status.Shard], status.Commit)
 			if status.IsLeader() && status.Term >= leading[status.Shard].Term {
 				leading[status.Shard] = status
 			}
