--- a/internal/controlsim/record.go
+++ b/internal/controlsim/record.go
@@ -19,6 +19,7 @@
 	start time.Time
 
 	mutex       sync.Mutex
+	over        bool // the run is at its end
 	seen        history.History
 	faults      []string
 	departures  map[string]*departing
@@ -174,6 +175,9 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.over {
+		return // members are being ended, and what they hold is not told any more
+	}
 	var leading [shards.Count]replica.Status
 	for i, m := range all {
 		for _, status := range states[i] {
@@ -250,6 +254,7 @@
 func (r *recorder) end() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.over = true
 	s := r.world.schedule
 	r.seen.End, r.seen.Bounds = r.now(), bounds
 	r.seen.Tolerance, r.seen.Agents = s.Tolerance, s.Agents
