--- a/internal/feedlink/doc.go
+++ b/internal/feedlink/doc.go
@@ -10,6 +10,10 @@
 // The length does not count the kind. Kinds 1 to 31 belong to this package; other protocols use
 // FirstPeerKind and above.
 //
+// A reader whose Hello says so gets snapshots and changes within frames of KindCompressed. An Encoder makes them once
+// for all sessions of a server that have got as far: what a keeper sends grows with the nodes times the workers, and
+// what it works out does not.
+//
 // Offsets. A shard's offset is the index of an entry in the shard's log. Neither side ever goes to
 // a lower one: the server sends only what is above what it has sent, and the client drops
 // what is not above what it holds.
