Acknowledge a departed worker's further words without an entry

Workers that deregister first serve on for many seconds and may go on to tell that they are ready. Each such heartbeat was proposed to the log, only to be found gone when it was applied. A current keeper whose replica remembers the departure now acknowledges it, as any word that changes nothing; nodes of the fleet are left out, since their IDs come back. Tests fail without the shortcut, and without the exception for nodes.

--- a/internal/keeper/departure_test.go
+++ b/internal/keeper/departure_test.go
@@ -78,6 +78,45 @@
 	}
 }
 
+// TestWordsAfterADepartureCostNoEntry has an instance leave that goes on to tell that it is ready, as long as it serves.
+func TestWordsAfterADepartureCostNoEntry(t *testing.T) {
+	k, lost := owning(t)
+	home := shards.Of(presentService)
+	tell := func(sequence int) int {
+		call := APIRequest{Call: APIHeartbeat, ID: presentID, Body: []byte(beatOf("ready", sequence))}
+		return k.Handle(limited(t), call).Status
+	}
+	if tell(1) != http.StatusOK || depart(t, k, presentID) != http.StatusOK {
+		t.Fatal("it does not come, or does not leave")
+	}
+	lost[home] = true // an entry would come to nothing
+	for sequence := 2; sequence < 10; sequence++ {
+		if status := tell(sequence); status != http.StatusOK {
+			t.Fatal(status)
+		}
+	}
+	if _, removed := k.instances(home).holds(presentID); !removed {
+		t.Fatal("it is back")
+	}
+}
+
+// TestNodeComesBackToItsAddress has two nodes tell one address in turn: a node's ID may come back, unlike a worker's.
+func TestNodeComesBackToItsAddress(t *testing.T) {
+	k, _ := owning(t)
+	machine := k.instances(shards.Of(registry.NodesService))
+	for index, id := range []string{"n1", "n2", "n1"} {
+		node := registry.Instance{ID: id, Service: registry.NodesService, Address: "10.0.0.1:7660", Slots: 1}
+		decision, owned := machine.beat(time.Now(), registry.Beat{Instance: node})
+		if !owned || decision.Action != registry.Propose {
+			t.Fatalf("%s: %+v", id, decision)
+		}
+		machine.Apply(agreement.Entry{Index: uint64(index + 1), Data: decision.Command})
+	}
+	if known, removed := machine.holds("n1"); !known || removed {
+		t.Fatal("the node is not back")
+	}
+}
+
 // TestAnswersToWorkersAreSmall gives the longest and oddest calls; workers take no answer of more than 4 KiB.
 func TestAnswersToWorkersAreSmall(t *testing.T) {
 	const most = 4 << 10
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -168,15 +168,24 @@
 	if !m.owned {
 		return registry.Decision{}, false
 	}
+	if m.isGone(beat) {
+		return registry.Decision{Action: registry.Acknowledge}, true
+	}
 	return m.owner.Beat(now, beat, m.store.Instance(beat.ID)), true
 }
 
-// records tells whether the store has just what a heartbeat says.
+// isGone tells whether a heartbeat is of an instance that is gone for good: it may serve on, and its words change nothing. The IDs of
+// nodes come back. The caller holds the mutex.
+func (m *registryMachine) isGone(beat registry.Beat) bool {
+	return beat.Service != registry.NodesService && m.store.Removed(beat.ID)
+}
+
+// records tells whether the store has just what a heartbeat says, or that its instance is gone for good.
 func (m *registryMachine) records(beat registry.Beat) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	held := m.store.Instance(beat.ID)
-	return held != nil && registry.SameRecord(*held, beat.Instance)
+	return m.isGone(beat) || held != nil && registry.SameRecord(*held, beat.Instance)
 }
 
 // heard notes instances that another keeper has heard. It returns false while this replica does not own the shard.
