--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -3,11 +3,8 @@
 import (
 	"log/slog"
 	"net"
-	"strconv"
 	"time"
 
-	"ospreybend/internal/due"
-	"ospreybend/internal/httpwire"
 	"ospreybend/internal/slot"
 	"ospreybend/internal/transport"
 )
@@ -64,34 +61,6 @@
 	Full     uint64 // connections answered 503, as there was no room
 }
 
-// Call is one request and the way to answer it.
-type Call struct {
-	Message // valid until serve returns
-	socket  *frontSocket
-	last    bool
-	gone    func()
-	id      string // what the front knows it by
-	size    int    // of the body
-	parts   bool   // the answer goes out in parts
-}
-
-// frontSocket is the client's side of a connection.
-type frontSocket struct {
-	server  *Server
-	conn    *transport.Conn
-	ref     slot.Ref
-	call    *Call         // whose answer is owed; nil: none
-	reader  requestReader // of the request that is coming
-	began   time.Duration // when it began to come, or the connection
-	limit   *due.Deadline // by which it must be whole
-	heard   time.Duration // when the last of it came
-	pieces  bool          // it has come in more than one
-	held    int           // bytes of input held for it
-	asked   bool          // has brought a whole request
-	since   time.Duration // the last answer
-	told100 bool
-}
-
 // NewServer makes a server; Start opens it. It keeps at most most front sockets
 // and holds at most memory bytes of what has come in on them. serve must see to
 // it that each call is answered once, then or later.
@@ -195,134 +164,6 @@
 	return f
 }
 
-// await sets the time limit for the request that is to come or is coming.
-func (f *frontSocket) await() {
-	if f.limit == nil {
-		f.began = f.server.loop.Now()
-		f.limit = f.server.loop.Due.Add(f.began+requestWithin, f.late)
-	}
-}
-
-// late ends a connection whose request has not come whole in time.
-func (f *frontSocket) late() {
-	f.limit = nil
-	if !f.conn.Quiet() {
-		f.limit = f.server.loop.Due.Add(f.server.loop.Now()+readSoon, f.late) // it is to be read first
-		return
-	}
-	if f.held == 0 {
-		f.server.counts.Silent++
-		f.close()
-		return
-	}
-	f.refuse(&Fault{Status: 408, Text: "the request did not come in time"})
-}
-
-func (f *frontSocket) close() {
-	f.conn.Close()
-	f.forget()
-}
-
-// forget drops the socket and tells whoever works on its call.
-func (f *frontSocket) forget() {
-	if !f.server.sockets.Drop(f.ref) {
-		return
-	}
-	f.release()
-	if c := f.call; c != nil {
-		f.call = nil
-		f.server.held -= c.size
-		if c.gone != nil {
-			c.gone()
-		}
-	}
-	f.server.check()
-}
-
-// release gives back what the request that was coming took up.
-func (f *frontSocket) release() {
-	f.server.loop.Due.Drop(f.limit)
-	f.limit = nil
-	f.server.held -= f.held
-	f.held = 0
-}
-
-// Closed is the client's going away.
-func (f *frontSocket) Closed(*transport.Conn) { f.forget() }
-
-// Data takes in what a client sends: one request at a time.
-func (f *frontSocket) Data(conn *transport.Conn, in []byte) int {
-	f.heard, f.pieces = f.server.loop.Now(), f.held > 0
-	used := 0
-	for f.call == nil && conn.Open() && used < len(in) {
-		if conn.Unsent() > mostUnread {
-			f.server.counts.Shed++
-			f.finish() // it has what it reads of the answers until then
-			break
-		}
-		m, n, err := f.reader.read(in[used:])
-		if err != nil {
-			f.refuse(err)
-			break
-		}
-		if n == 0 {
-			if f.reader.expects && !f.told100 {
-				f.told100 = true
-				conn.Send([]byte(continueLine))
-			}
-			break
-		}
-		used += n
-		f.take(m)
-	}
-	switch {
-	case !conn.Open():
-		return len(in)
-	case f.call != nil && (f.call.last || len(in)-used > mostAhead):
-		// Nobody sends so far ahead in good faith. What is in work is answered,
-		// and the connection ends with that.
-		f.call.last = true
-		used = len(in)
-	case f.call == nil && used < len(in):
-		f.await()
-	}
-	f.hold(len(in) - used)
-	return used
-}
-
-// take has a whole request served.
-func (f *frontSocket) take(m Message) {
-	s := f.server
-	f.release()
-	f.reader, f.told100, f.asked = requestReader{}, false, true
-	if s.held+len(m.Body) > s.memory {
-		s.counts.Shed++
-		f.complain(503, noRoom, nil)
-		return
-	}
-	f.call = &Call{Message: m, socket: f, last: m.Close || s.stopping, size: len(m.Body)}
-	s.held += f.call.size
-	s.serve(f.call)
-}
-
-// refuse answers what cannot be read, and ends the connection.
-func (f *frontSocket) refuse(why *Fault) {
-	f.server.rejected(why.Text)
-	f.complain(why.Status, why.Text, []byte(why.Text+"\n"))
-}
-
-// complain answers what never becomes a call, and ends the connection.
-func (f *frontSocket) complain(status int, text string, plain []byte) {
-	extra := ""
-	if f.server.Complain != nil {
-		extra, plain = f.server.Complain(status, text)
-	}
-	if status == 503 {
-		extra += RetryAfter(time.Second)
-	}
-	f.reply(status, extra, plain, true)
-}
-
 // rejected counts a request turned away. One line in a while tells of all since
 // the last: bad clients come by thousands.
 func (s *Server) rejected(reason string) {
@@ -335,26 +176,6 @@
 	s.tellAt = now + tellEvery
 }
 
-// reply answers on the connection.
-func (f *frontSocket) reply(status int, extra string, body []byte, last bool) {
-	f.since = f.server.loop.Now()
-	if !f.conn.Send(AppendResponse(nil, status, extra, body, last)) {
-		f.forget()
-		return
-	}
-	if last {
-		f.finish()
-	}
-}
-
-// finish ends a connection that has had its last answer.
-func (f *frontSocket) finish() {
-	f.release()
-	f.server.sockets.Drop(f.ref)
-	f.server.linger(f.conn)
-	f.server.check()
-}
-
 // linger ends a connection after its last answer, and remembers it for as long
 // as it stays open.
 func (s *Server) linger(c *transport.Conn) {
@@ -368,84 +189,3 @@
 		s.check()
 	})
 }
-
-// Gone sets what is called if the client goes away before the answer.
-func (c *Call) Gone(f func()) { c.gone = f }
-
-// Reply answers the call. Only the first answer counts. extra holds further
-// header lines, each with its end.
-func (c *Call) Reply(status int, extra string, body []byte) {
-	f := c.socket
-	if f.call != c {
-		return
-	}
-	f.call = nil
-	f.server.held -= c.size
-	f.reply(status, extra, body, c.last || f.server.stopping)
-	f.conn.Pump()
-}
-
-// Begin starts an answer that goes out in parts, as they come to be, until End.
-// It tells whether the client can read one: a client of HTTP/1.0 cannot.
-func (c *Call) Begin(status int, extra string) bool {
-	f := c.socket
-	if f.call != c || c.parts || c.Old {
-		return false
-	}
-	c.parts = true
-	head := httpwire.AppendStatusLine(nil, status)
-	head = append(head, "Transfer-Encoding: chunked\r\n"+extra...)
-	if c.last {
-		head = append(head, "Connection: close\r\n"...)
-	}
-	c.put(append(head, "\r\n"...))
-	return true
-}
-
-// Write sends one part. Who looks at Flushed first keeps a slow client from
-// taking up memory.
-func (c *Call) Write(part []byte) {
-	if len(part) > 0 {
-		line := append(strconv.AppendInt(nil, int64(len(part)), 16), "\r\n"...)
-		c.put(append(append(line, part...), "\r\n"...))
-	}
-}
-
-func (c *Call) put(data []byte) {
-	if f := c.socket; f.call == c && !f.conn.Send(data) {
-		f.forget()
-	}
-}
-
-// Flushed tells whether the system has taken all that was written.
-func (c *Call) Flushed() bool { return c.socket.call == c && c.socket.conn.Sent() }
-
-// End ends an answer in parts.
-func (c *Call) End() {
-	f := c.socket
-	if f.call != c || !c.parts {
-		return
-	}
-	f.call = nil
-	f.server.held -= c.size
-	f.since = f.server.loop.Now()
-	if !f.conn.Send([]byte("0\r\n\r\n")) {
-		f.forget()
-		return
-	}
-	if c.last || f.server.stopping {
-		f.finish()
-		return
-	}
-	f.conn.Pump()
-}
-
-// Reject answers a call that the client had no business to make, and closes the
-// connection: who errs again has to come again.
-func (c *Call) Reject(status int, text string) {
-	if c.socket.call == c {
-		c.socket.server.rejected(text)
-		c.last = true
-	}
-	c.Reply(status, "", []byte(text+"\n"))
-}
