Split the conformance cases by what they are about

Moved as they were. The package has no tests of its own; those of cmd/ospreybend, which run every case, pass.

--- /dev/null
+++ b/internal/conform/monitoring_cases.go
@@ -0,0 +1,211 @@
+package conform
+
+import (
+	"slices"
+	"time"
+
+	"ospreybend/drmaa"
+	"ospreybend/drmaa/client"
+)
+
+var waitCases = []kase{
+	{"wait.timeout", "GFD.194 7.3", "a wait that times out is TimeoutException, and the job goes on", func(t *trial) {
+		j := t.held()
+		for _, span := range []string{"0", "0.2"} {
+			a := t.call("POST", t.path("/jobs/"+j.ID+"/wait"), `{"timeout":`+span+`}`)
+			t.refused(a, 504, drmaa.Timeout, "")
+			if a.fault.Job == nil || a.fault.Job.State != drmaa.QueuedHeld {
+				t.fail("the error does not tell of the job: %s", a.body)
+			}
+		}
+	}},
+	{"wait.bad", "binding, Waits", "a wait for nothing sensible is refused by attribute", func(t *trial) {
+		j := t.held()
+		for _, c := range [][2]string{{`{"timeout":-1}`, "timeout"}, {`{"timeout":1e9}`, "timeout"}, {`{"for":"rain"}`, "for"}} {
+			t.refused(t.call("POST", t.path("/jobs/"+j.ID+"/wait"), c[0]), 400, drmaa.InvalidArgument, c[1])
+		}
+		t.refused(t.call("POST", t.path("/wait"), `{"jobs":[]}`), 400, drmaa.InvalidArgument, "jobs")
+		t.refused(t.call("POST", t.path("/wait"), `{"jobs":["none"]}`), 404, drmaa.InvalidArgument, "")
+	}},
+	{"wait.started", "GFD.194 7.3", "waitStarted returns once the job has started or ended", func(t *trial) {
+		j, err := t.session.Wait(t.ctx, t.run(drmaa.JobTemplate{}).ID, client.Started)
+		t.must(err)
+		if !j.State.Started() && !j.State.Final() {
+			t.fail("%s", j.State)
+		}
+	}},
+	{"wait.any", "GFD.194 7.2", "waitAnyTerminated returns a job of the list that has ended", func(t *trial) {
+		a, b := t.held(), t.held()
+		t.must(t.session.Act(t.ctx, b.ID, "terminate"))
+		j, err := t.session.WaitAny(t.ctx, client.Terminated, "", a.ID, b.ID)
+		t.must(err)
+		if j.ID != b.ID {
+			t.fail("%s, not %s", j.ID, b.ID)
+		}
+	}},
+	{"wait.any.session", "GFD.194 7.2", "waitAnyTerminated over the session returns what has ended before and is not reaped", func(t *trial) {
+		t.held()
+		b := t.held()
+		t.must(t.session.Act(t.ctx, b.ID, "terminate"))
+		_, err := t.session.Wait(t.ctx, b.ID, client.Terminated)
+		t.must(err)
+		j, err := t.session.WaitAny(t.ctx, client.Terminated, "")
+		t.must(err)
+		if j.ID != b.ID {
+			t.fail("%s, not %s", j.ID, b.ID)
+		}
+	}},
+	{"wait.any.array", "GFD.194 7.2", "waitAnyStarted and waitAnyTerminated work over an array", func(t *trial) {
+		a := t.bulk(2, 0)
+		t.must(t.session.Act(t.ctx, drmaa.JobID(a.ID, 2), "release"))
+		for _, what := range []string{client.Started, client.Terminated} {
+			j, err := t.session.WaitAny(t.ctx, what, a.ID)
+			t.must(err)
+			if j.ID != drmaa.JobID(a.ID, 2) {
+				t.fail("%s", j.ID)
+			}
+		}
+	}},
+}
+
+var listCases = []kase{
+	{"list.pages", "binding, Lists", "pages neither repeat nor leave out jobs, while others come", func(t *trial) {
+		t.bulk(11, 0)
+		seen := map[string]int{}
+		next := ""
+		for range 10 {
+			path := t.path("/jobs?limit=3&state=QUEUED_HELD")
+			if next != "" {
+				path += "&next=" + next
+			}
+			a := t.call("GET", path, "")
+			var page drmaa.Page
+			t.read(a, &page)
+			for _, j := range page.Jobs {
+				seen[j.ID]++
+			}
+			if next = page.Next; next == "" {
+				break
+			}
+			t.held() // newer than the pages to come
+		}
+		if len(seen) != 11 {
+			t.fail("%d jobs of 11", len(seen))
+		}
+		for id, n := range seen {
+			if n > 1 {
+				t.fail("%s comes %d times", id, n)
+			}
+		}
+	}},
+	{"list.filter", "GFD.194 7.2", "getJobs matches state, category, name, account and times", func(t *trial) {
+		t.run(drmaa.JobTemplate{SubmitAsHold: true, JobName: "x", AccountingID: "acc"})
+		before := drmaa.Stamp(time.Now().Add(-time.Hour).UnixMicro())
+		for _, c := range []struct {
+			query string
+			want  int
+		}{{"state=QUEUED_HELD", 1}, {"state=DONE,FAILED", 0}, {"name=x", 1}, {"name=y", 0}, {"accountingId=acc", 1}, {"category=" + t.class, 1},
+			{"category=none", 0}, {"submittedFrom=" + before, 1}, {"submittedTo=" + before, 0}, {"finishedFrom=" + before, 0}} {
+			var page drmaa.Page
+			t.read(t.call("GET", t.path("/jobs?"+c.query), ""), &page)
+			if len(page.Jobs) != c.want {
+				t.fail("%s: %d jobs, not %d", c.query, len(page.Jobs), c.want)
+			}
+		}
+	}},
+	{"list.bad", "binding, Lists", "an unknown filter or a bad value is refused by its name", func(t *trial) {
+		for _, c := range [][2]string{{"colour=red", "colour"}, {"state=SLEEPING", "state"}, {"limit=0", "limit"}, {"limit=9999", "limit"},
+			{"next=zzz", "next"}, {"submittedFrom=yesterday", "submittedFrom"}, {"name=a&name=b", "name"}} {
+			t.refused(t.call("GET", t.path("/jobs?"+c[0]), ""), 400, drmaa.InvalidArgument, c[1])
+		}
+	}},
+}
+
+var eventCases = []kase{
+	{"events.cursor", "GFD.194 8.7", "a cursor resumes the stream: each change of state comes once, in order", func(t *trial) {
+		var at drmaa.Events
+		t.read(t.call("GET", t.path("/events"), ""), &at)
+		j := t.held()
+		t.must(t.session.Act(t.ctx, j.ID, "terminate"))
+		var states []drmaa.State
+		for range 10 {
+			var got drmaa.Events
+			t.read(t.call("GET", t.path("/events?timeout=5&limit=1&cursor="+at.Cursor), ""), &got)
+			if got.Missed != 0 {
+				t.fail("%d missed", got.Missed)
+			}
+			for _, e := range got.Events {
+				if e.Job != j.ID || e.Event != drmaa.NewState || e.Session != t.session.Name {
+					t.fail("%+v", e)
+				}
+				states = append(states, e.State)
+			}
+			at = got
+			if len(states) == 2 {
+				break
+			}
+		}
+		if !slices.Equal(states, []drmaa.State{drmaa.QueuedHeld, drmaa.Failed}) {
+			t.fail("%v", states)
+		}
+	}},
+	{"events.stream", "binding, Events", "a stream brings events as they come, and its cursors resume it", func(t *trial) {
+		var at drmaa.Events
+		t.read(t.call("GET", t.path("/events"), ""), &at)
+		j := t.held()
+		seen := 0
+		for range 2 {
+			for got, err := range t.session.Events(t.ctx, at.Cursor) {
+				t.must(err)
+				seen += len(got.Events)
+				at = *got
+				break
+			}
+			if seen == 1 {
+				t.must(t.session.Act(t.ctx, j.ID, "terminate"))
+			}
+		}
+		if seen != 2 {
+			t.fail("%d events", seen)
+		}
+	}},
+	{"events.bad", "binding, Events", "a bad cursor or parameter is refused by its name", func(t *trial) {
+		for _, c := range [][2]string{{"cursor=zz", "cursor"}, {"timeout=-1", "timeout"}, {"limit=0", "limit"}, {"stream=maybe", "stream"}, {"x=1", "x"}} {
+			t.refused(t.call("GET", t.path("/events?"+c[0]), ""), 400, drmaa.InvalidArgument, c[1])
+		}
+	}},
+}
+
+var monitoringCases = []kase{
+	{"monitoring.queues", "GFD.194 7.5", "getAllQueues lists the classes with what waits in them", func(t *trial) {
+		t.held()
+		all, err := t.client.Queues(t.ctx)
+		t.must(err)
+		at := slices.IndexFunc(all, func(q drmaa.Queue) bool { return q.Name == t.class })
+		if at < 0 || all[at].Held < 1 {
+			t.fail("%+v", all)
+		}
+	}},
+	{"monitoring.machines", "GFD.194 7.5", "getAllMachines lists the prep workers", func(t *trial) {
+		all, err := t.client.Machines(t.ctx)
+		t.must(err)
+		for _, m := range all {
+			if m.Name == "" || m.State == "" {
+				t.fail("%+v", m)
+			}
+		}
+	}},
+	{"monitoring.jobs", "GFD.194 7.5", "getAllJobs lists the jobs of all sessions", func(t *trial) {
+		j := t.held()
+		for got, err := range t.client.Jobs(t.ctx, drmaa.Filter{States: []drmaa.State{drmaa.QueuedHeld}}) {
+			t.must(err)
+			if got.ID == j.ID {
+				return
+			}
+		}
+		t.fail("not listed")
+	}},
+	{"monitoring.reservations", "GFD.194 7.5", "reservations are UnsupportedOperationException", func(t *trial) {
+		t.refused(t.call("GET", "/monitoring/reservations", ""), 422, drmaa.UnsupportedOperation, "")
+	}},
+}
