Move the encoding of replies into a file of its own

It keeps the reading of frames of events; the type Reply, which collects and writes actions, is now in reply.go. Moved as they were; only imports are new. The tests of internal/wire and cmd/ospreybend pass.

--- /dev/null
+++ b/internal/wire/reply.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"time"
+
+	"ospreybend/balance"
+)
+
+// Reply collects the actions of one batch.
+type Reply struct {
+	buf   []byte
+	count uint32
+}
+
+// Begin starts the reply to a batch, keeping the buffer of the last one.
+func (r *Reply) Begin(number uint32) {
+	r.buf = append(r.buf[:0], make([]byte, replyHeader)...)
+	binary.LittleEndian.PutUint32(r.buf, number)
+	r.count = 0
+}
+
+// Bytes ends the reply and returns its frame, valid until the next Begin.
+func (r *Reply) Bytes() []byte {
+	binary.LittleEndian.PutUint32(r.buf[4:], uint32(len(r.buf)-replyHeader))
+	binary.LittleEndian.PutUint32(r.buf[8:], r.count)
+	return r.buf
+}
+
+// Add writes one action of an instance.
+func (r *Reply) Add(instance uint32, a balance.Action) error {
+	r.count++
+	switch a := a.(type) {
+	case balance.Send:
+		r.head(1, instance)
+		r.u64(uint64(a.Request))
+		r.worker(a.Worker)
+		r.u64(uint64(max(a.Until, 0) / time.Microsecond))
+	case balance.Refuse:
+		r.head(2, instance)
+		r.u64(uint64(a.Request))
+		r.span(a.RetryAfter)
+	case balance.Fail:
+		r.head(3, instance)
+		r.u64(uint64(a.Request))
+	case balance.Cancel:
+		r.head(4, instance)
+		r.u64(uint64(a.Request))
+		r.u16(uint16(a.Attempt))
+	case balance.SetTimer:
+		r.head(5, instance)
+		r.span(a.After)
+		r.u32(a.Token)
+	case balance.Probe:
+		r.head(6, instance)
+		r.worker(a.Worker)
+	case balance.CloseIdle:
+		r.head(7, instance)
+		r.worker(a.Worker)
+	case balance.Tell:
+		r.head(8, instance)
+		r.u32(uint32(int32(max(a.To, -1))))
+		r.text(string(a.Payload))
+	case balance.Log:
+		r.head(9, instance)
+		r.text(a.Text)
+	case balance.Fault:
+		r.head(10, instance)
+		r.text(a.Text)
+	case balance.Subscribe:
+		r.head(11, instance)
+		r.buf = append(r.buf, boolByte(a.On))
+	case balance.FetchList:
+		r.head(12, instance)
+	default:
+		return fmt.Errorf("action %T has no place on the wire", a)
+	}
+	return nil
+}
+
+func (r *Reply) head(code uint8, instance uint32) {
+	r.buf = append(r.buf, code)
+	r.u32(instance)
+}
+
+func (r *Reply) u16(v uint16) { r.buf = binary.LittleEndian.AppendUint16(r.buf, v) }
+func (r *Reply) u32(v uint32) { r.buf = binary.LittleEndian.AppendUint32(r.buf, v) }
+func (r *Reply) u64(v uint64) { r.buf = binary.LittleEndian.AppendUint64(r.buf, v) }
+
+func (r *Reply) worker(id balance.WorkerID) {
+	r.u32(uint32(id))
+	r.u16(uint16(id >> 32))
+}
+
+// span writes a time from now, cut to what its field holds.
+func (r *Reply) span(d time.Duration) {
+	r.u32(uint32(min(max(d, 0)/time.Microsecond, math.MaxUint32)))
+}
+
+func (r *Reply) text(s string) {
+	s = s[:min(len(s), math.MaxUint16)]
+	r.u16(uint16(len(s)))
+	r.buf = append(r.buf, s...)
+}
+
+func boolByte(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
