Grow a group to an even number of voters only on its way to the next odd one

Cause: where fewer machines than wanted voters are there, the first spare became a voter while another voter was lost and not silent for long enough yet: two standing of four, no majority after all it takes to lose one more place. Change: a group with an odd number of voters takes one more only if a second one is ready, too, both have been ready for a second, all voters answer and none is leaving; an even number grows at once.

--- a/internal/keeper/guards.go
+++ b/internal/keeper/guards.go
@@ -18,6 +18,7 @@
 	GuardIdentityAsked    Guard = "identity-asked"    // a request to join counts once its address has told the same member ID
 	GuardReplacedRetired  Guard = "replaced-retired"  // the ID of a member whose disk was lost never comes back
 	GuardPromotedDurable  Guard = "promoted-durable"  // a voter gives way to a learner that has acknowledged nearly all as durable
+	GuardVotersOdd        Guard = "voters-odd"        // a group grows to an even number of voters only on its way to the next odd one
 	GuardSuccessorReady   Guard = "successor-ready"   // a leaving voter gives its place only to a successor that can take it
 )
 
@@ -26,6 +27,6 @@
 	return []Guard{
 		GuardReadConfirmed, GuardFeedCurrent, GuardBeatCurrent, GuardBeatRecorded, GuardOwnershipBarrier,
 		GuardOwnershipTerm, GuardFoundingOnce, GuardOrphans, GuardMemberAddressed,
-		GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorReady,
+		GuardIdentityAsked, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorReady, GuardVotersOdd,
 	}
 }
--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -231,12 +231,40 @@
 		made.Promotable = shard.group.Promotable()
 	}
 	k.forgetReturned(shard, status, k.leavingMembers(shard, now))
+	made.Steady = k.noteReady(shard, made.Promotable, now)
 	if made.Leaving = k.leavingMembers(shard, now); len(made.Leaving) > 0 {
 		made.Successors = k.successors(status)
 	}
 	return made
 }
 
+// noteReady notes since when learners have been able to be voters, and returns those that have been for some time. With
+// each change of members they are unable for a moment, until they hold it.
+func (k *Keeper) noteReady(shard *shard, ready []agreement.MemberID, now time.Time) (steady []agreement.MemberID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if shard.ready == nil {
+		shard.ready = make(map[agreement.MemberID]readiness)
+	}
+	for _, id := range ready {
+		span, known := shard.ready[id]
+		if !known {
+			span.since = now
+		}
+		span.seen = now
+		shard.ready[id] = span
+	}
+	for id, span := range shard.ready {
+		switch {
+		case now.Sub(span.seen) > readyGap:
+			delete(shard.ready, id)
+		case now.Sub(span.since) >= steadyAfter:
+			steady = append(steady, id)
+		}
+	}
+	return steady
+}
+
 // silences returns how long nothing was heard of each member's address.
 func (k *Keeper) silences(shard *shard, members []agreement.Member, now time.Time) map[agreement.MemberID]time.Duration {
 	k.mutex.Lock()
--- a/internal/keeper/leave.go
+++ b/internal/keeper/leave.go
@@ -82,7 +82,7 @@
 }
 
 // giveUp tells one leader, and returns the groups that it does not lead.
-func (k *Keeper) giveUp(ctx context.Context, leader string, places []groupState) (elsewhere []shards.ID) {
+func (k *Keeper) giveUp(ctx context.Context, leader string, places []groupState) []shards.ID {
 	body, err := codec.Marshal(groupsSchema, places)
 	if err != nil {
 		return nil
@@ -90,16 +90,21 @@
 	reply, err := k.network.Call(ctx, leader, callLeave, body)
 	if err != nil {
 		k.log.Debug("a leader does not take leave", zap.String("leader", leader), zap.Error(err))
-		return nil
+		return shardsOf(places)
 	}
 	var states []groupState
 	if strictavro.Unmarshal(codec, groupsSchema, reply, &states) != nil {
 		return nil
 	}
+	return shardsOf(states)
+}
+
+func shardsOf(states []groupState) []shards.ID {
+	found := make([]shards.ID, 0, len(states))
 	for _, state := range states {
-		elsewhere = append(elsewhere, shards.ID(state.Shard))
+		found = append(found, shards.ID(state.Shard))
 	}
-	return elsewhere
+	return found
 }
 
 // placesByLeader returns the groups in which this keeper votes, out of some, by the address of their leader. Where
@@ -136,14 +141,15 @@
 			continue
 		}
 		shard := k.shards[state.Shard]
-		if !shard.group.Status().IsLeader() {
-			elsewhere = append(elsewhere, state)
-			continue
-		}
 		k.noteLeaving(shard, peer.Member)
 		waiting.Go(func() { k.awaitRelease(ctx, shard, peer.Member) })
 	}
 	waiting.Wait()
+	for _, state := range states {
+		if known := state.Shard >= 0 && state.Shard < shards.Count; known && !k.shards[state.Shard].group.Status().IsLeader() {
+			elsewhere = append(elsewhere, state)
+		}
+	}
 	return codec.Marshal(groupsSchema, elsewhere)
 }
 
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -17,6 +17,7 @@
 	Spares     int                                  // learners that it keeps besides, for the voters that will be lost
 	Candidates []candidate                          // those who asked lately, at most one for each address
 	Promotable []agreement.MemberID                 // learners that answer and have acknowledged nearly all of the log as durable
+	Steady     []agreement.MemberID                 // those of them that have been so for some time
 	Silent     map[agreement.MemberID]time.Duration // how long nothing was heard of a member's address
 	Leaving    []agreement.MemberID                 // members that said that they are about to end
 	Successors []agreement.MemberID                 // learners whose process began lately: started to take a leaving voter's place
@@ -38,9 +39,9 @@
 //     majority harder to reach, and its ID is retired. That holds also if the other ID is a retired one, as when an old
 //     copy of a disk was put back: it is not taken in, but the member is no longer there;
 //  2. with more voters than wanted, one that is leaving becomes a learner, else one that is silent goes;
-//  3. a learner that is known to hold nearly all becomes a voter if a place is free; else the voter that is silent
-//     longest makes room for it, if that is long enough; else a voter that is leaving does, if the learner is its
-//     successor, and becomes a learner itself;
+//  3. a learner that is known to hold nearly all becomes a voter if a place is free and that makes their number odd; else
+//     the voter that is silent longest makes room, if that is long enough; else it becomes a voter if a second one is to
+//     follow; else a voter that is leaving makes room, if the learner is its successor, and becomes a learner itself;
 //  4. a candidate becomes a learner: one for each place that is free or held by a silent voter, and some spares, so that
 //     taking a lost voter's place is one change and no transfer of the state;
 //  5. a learner that no longer asks and is silent for long goes.
@@ -91,18 +92,19 @@
 }
 
 func promoteLearner(s situation) (step, bool) {
-	for _, learner := range s.Members {
-		if learner.Voter || slices.Contains(s.Leaving, learner.ID) || !s.mayPromote(learner.ID) {
-			continue
-		}
+	for _, learner := range s.heirs() {
 		promoted := learner
 		promoted.Voter = true
-		if s.voters() < s.Wanted {
+		free, even := s.voters() < s.Wanted, s.voters()%2 == 0
+		if free && even {
 			return step{Change: replica.Change{Add: &promoted}}, true
 		}
 		if gone, found := s.longestSilent(goneAfter); found {
 			return step{Change: replica.Change{Remove: gone}}, true
 		}
+		if free && s.growsSoundly() {
+			return step{Change: replica.Change{Add: &promoted}}, true
+		}
 		if released, found := s.releaseLeaving(); found && slices.Contains(s.Successors, learner.ID) {
 			return released, true
 		}
@@ -110,6 +112,46 @@
 	return step{}, false
 }
 
+// heirs returns the learners that could be voters at once, those first that have been able to be for some time.
+func (s situation) heirs() (found []agreement.Member) {
+	for _, member := range s.Members {
+		if !member.Voter && !slices.Contains(s.Leaving, member.ID) && s.mayPromote(member.ID) {
+			found = append(found, member)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b agreement.Member) int {
+		switch {
+		case s.steady(a.ID) == s.steady(b.ID):
+			return 0
+		case s.steady(a.ID):
+			return -1
+		}
+		return 1
+	})
+	return found
+}
+
+func (s situation) steady(id agreement.MemberID) bool { return slices.Contains(s.Steady, id) }
+
+// growsSoundly tells whether a group with an odd number of voters may take one more. An even number bears no more losses
+// than the odd one below it and needs one voter more for a majority, so the group waits for two (unless no more than one is
+// wanted), and until all is calm: its voters answer, none is leaving, and the two have been ready for some time.
+func (s situation) growsSoundly() bool {
+	if !s.holds(GuardVotersOdd) {
+		return true
+	}
+	if _, leaving := s.releaseLeaving(); leaving || s.silentVoters(answersWithin) > 0 {
+		return false
+	}
+	steady := 0
+	for _, heir := range s.heirs() {
+		if s.steady(heir.ID) {
+			steady++
+		}
+	}
+	return steady > 1 || (steady == 1 && s.voters()+1 == s.Wanted)
+}
+
 // mayPromote tells whether a learner is known to hold what makes it a sound voter. Without the guard its own request to
 // join is believed.
 func (s situation) mayPromote(id agreement.MemberID) bool {
@@ -201,17 +243,15 @@
 	return count
 }
 
-// lacksVoter tells whether a place is free that a learner may take.
+// lacksVoter tells whether a place is free that learners take as soon as they can.
 func (s situation) lacksVoter() bool {
-	if s.voters() >= s.Wanted {
-		return false
-	}
+	heirs := 0
 	for _, member := range s.Members {
 		if !member.Voter && !slices.Contains(s.Leaving, member.ID) && s.Silent[member.ID] < goneAfter {
-			return true
+			heirs++
 		}
 	}
-	return false
+	return s.voters() < s.Wanted && (heirs > 1 || (heirs == 1 && s.voters()%2 == 0))
 }
 
 // silentVoters counts the voters, the leader apart, that are silent for at least a time.
--- a/internal/keeper/shard.go
+++ b/internal/keeper/shard.go
@@ -48,11 +48,15 @@
 	ledSince      time.Time                        // zero: not leading
 	reconciling   bool                             // changes of members are under way
 	leaving       map[agreement.MemberID]time.Time // members that are about to end, and when they said so
+	ready         map[agreement.MemberID]readiness // learners that could be voters
 	leader        agreement.Member                 // as the group's last status said
 	leaderContext context.Context                  // ends when that is no longer the leader
 	leaderGone    context.CancelFunc
 }
 
+// readiness is the span in which a learner was seen able to be a voter.
+type readiness struct{ since, seen time.Time }
+
 // current tells whether the replica is known not to be behind the shard's owner.
 func current(status replica.Status) bool { return status.ConfirmedAge <= currencyAge }
 
