Have a keeper that ends look for each leader until its time runs out

Cause: a keeper that ends asked for the leader of a group for 0.3 s, and gave that place up without a word if none was known then, as when its own transfer of leadership ended in an election. Now such groups are looked for again until its second is over. The new test, without sockets, fails without the change.

--- a/internal/keeper/join_test.go
+++ b/internal/keeper/join_test.go
@@ -258,3 +258,37 @@
 		}
 	})
 }
+
+// leaveNetwork takes leave of keepers.
+type leaveNetwork struct {
+	scriptedNetwork
+	asked []string
+}
+
+func (n *leaveNetwork) Call(_ context.Context, address string, kind peerlink.CallKind, _ []byte) ([]byte, error) {
+	if kind != callLeave {
+		return nil, peerlink.ErrNotSent
+	}
+	n.asked = append(n.asked, address)
+	return codec.Marshal(groupsSchema, []groupState{})
+}
+
+func TestLeavingKeeperWaitsForANewLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const elected = leaderKnownBudget + 200*time.Millisecond
+		k, groups, _ := scripted(t)
+		network := &leaveNetwork{}
+		k.network = network
+		status := followerOf("b")
+		status.Leader = agreement.Member{}
+		groups[1].set(status)
+		time.AfterFunc(elected, func() { groups[1].set(followerOf("b")) })
+		ctx, cancel := context.WithTimeout(t.Context(), transferBudget)
+		defer cancel()
+		began := time.Now()
+		k.giveUpPlaces(ctx)
+		if len(network.asked) != 1 || network.asked[0] != "b" || time.Since(began) > elected+10*releasePoll {
+			t.Fatalf("asked %v within %s", network.asked, time.Since(began))
+		}
+	})
+}
--- a/internal/keeper/leave.go
+++ b/internal/keeper/leave.go
@@ -58,14 +58,15 @@
 }
 
 // giveUpPlaces tells the leaders of the groups in which this keeper votes that it is about to end, and waits for what
-// they make of it. A leader without a successor at hand answers at once; one that leads no more is asked for no longer.
+// they make of it. A leader without a successor at hand answers at once. Where none is known, or the one asked leads
+// no more, the next one is awaited.
 func (k *Keeper) giveUpPlaces(ctx context.Context) {
 	left := slices.Clone(allShards[:])
 	for len(left) > 0 {
 		var waiting sync.WaitGroup
 		var mutex sync.Mutex
-		var elsewhere []shards.ID
-		for address, places := range k.placesByLeader(ctx, left) {
+		places, elsewhere := k.placesByLeader(ctx, left)
+		for address, places := range places {
 			waiting.Go(func() {
 				refused := k.giveUp(ctx, address, places)
 				mutex.Lock()
@@ -107,12 +108,12 @@
 	return found
 }
 
-// placesByLeader returns the groups in which this keeper votes, out of some, by the address of their leader. Where
-// leadership has just been handed over, the new leader may be known a moment later.
-func (k *Keeper) placesByLeader(ctx context.Context, among []shards.ID) map[string][]groupState {
+// placesByLeader returns the groups in which this keeper votes, out of some, by the address of their leader, and those whose
+// leader is not known. Where leadership has just been handed over, the new leader may be known a moment later.
+func (k *Keeper) placesByLeader(ctx context.Context, among []shards.ID) (found map[string][]groupState, unknown []shards.ID) {
 	ctx, cancel := context.WithTimeout(ctx, leaderKnownBudget)
 	defer cancel()
-	found := make(map[string][]groupState)
+	found = make(map[string][]groupState)
 	for _, id := range among {
 		group := k.shards[id].group
 		status := group.Status()
@@ -120,11 +121,15 @@
 			status = group.Status()
 		}
 		leader := status.Leader.Address
-		if isVoter(status, k.self.ID) && leader != "" && leader != k.self.Address {
+		switch {
+		case !isVoter(status, k.self.ID):
+		case leader == "" || leader == k.self.Address:
+			unknown = append(unknown, id)
+		default:
 			found[leader] = append(found[leader], groupState{Shard: int(id), Voter: true})
 		}
 	}
-	return found
+	return found, unknown
 }
 
 // takeLeave notes as the leader of groups that a voter is about to end, and returns once its place is taken or nobody is
