--- a/cmd/ospreyfleet/measure_simulate.go
+++ b/cmd/ospreyfleet/measure_simulate.go
@@ -27,6 +27,7 @@
 	Agents    int           `arg:"--agents" default:"4"`
 	Operators int           `arg:"--operators" default:"2"`
 	Workers   int           `arg:"--workers" default:"6"`
+	SlowDisks bool          `arg:"--slow-disks" help:"all disks are slow now and then, and all keepers lose power amid it"`
 	Omit      []string      `arg:"--omit,separate" help:"guard to leave out, played until its absence is found; may be given again, each is a part of its own"`
 	Schedule  string        `arg:"--schedule" help:"file with one schedule, which alone is played"`
 	Processes int           `arg:"--processes" default:"0" help:"that play at once, each on one core; 0: half as many as there are cores"`
@@ -102,7 +103,8 @@
 		if err != nil || keepers < 1 {
 			return nil, fmt.Errorf("keepers must be positive numbers joined by commas, not %q", c.Keepers)
 		}
-		shape := schedule.Shape{Keepers: keepers, Tolerance: c.tolerance(keepers), Agents: c.Agents, Operators: c.Operators, Workers: c.Workers, Length: c.Length}
+		shape := schedule.Shape{Keepers: keepers, Tolerance: c.tolerance(keepers), Agents: c.Agents, Operators: c.Operators, Workers: c.Workers, Length: c.Length,
+			SlowDisks: c.SlowDisks}
 		if len(c.Omit) == 0 {
 			shapes = append(shapes, shape)
 		}
@@ -137,6 +139,9 @@
 	}
 	text := fmt.Sprintf("ospreyfleet measure simulate --keepers %s --tolerate %d --schedules %d --seed %d --length %v --agents %d --operators %d --workers %d --processes %d",
 		c.Keepers, c.Tolerate, c.Schedules, c.Seed, c.Length, c.Agents, c.Operators, c.Workers, c.processes())
+	if c.SlowDisks {
+		text += " --slow-disks"
+	}
 	for _, guard := range c.Omit {
 		text += " --omit " + guard
 	}
--- a/internal/controlsim/schedule/draw.go
+++ b/internal/controlsim/schedule/draw.go
@@ -16,6 +16,7 @@
 	Workers   int
 	Length    time.Duration
 	Omit      []string
+	SlowDisks bool // all disks are slow now and then, and all keepers lose power amid it
 }
 
 // settle is the time at the start in which nothing is struck: the group is founded and the first configuration sent.
@@ -51,6 +52,9 @@
 		}
 		pick(d, mix...)(d, at)
 	}
+	if shape.SlowDisks {
+		d.slowDisks()
+	}
 	slices.SortStableFunc(d.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return Schedule{Seed: seed, Keepers: shape.Keepers, Tolerance: shape.Tolerance, Agents: shape.Agents, Operators: shape.Operators,
 		Workers: shape.Workers, Length: shape.Length, Omit: slices.Clone(shape.Omit), Events: d.events}
--- a/internal/controlsim/schedule/families.go
+++ b/internal/controlsim/schedule/families.go
@@ -169,3 +169,17 @@
 		d.strike(Event{At: at, On: Drain, Kind: pick(d, Kill, Power, Wipe), Keepers: d.some(d.shape.Keepers, d.shape.Tolerance), For: d.downtime()})
 	}
 }
+
+// slowDisks slows all disks now and then and has all keepers lose power amid it, at an acknowledgement or a send: what was
+// said before it was durable is then lost. Slowed machines count as lost, so nothing but safety is asked in that time.
+func (d *drawer) slowDisks() {
+	all := make([]int, d.shape.Keepers)
+	for place := range all {
+		all[place] = place
+	}
+	for at := settle; at < d.shape.Length; at += d.between(4*time.Second, 8*time.Second) {
+		d.add(Event{At: at, Kind: Disk, Variant: DiskSlow, Keepers: all, For: d.between(2*time.Second, 4*time.Second)})
+		d.add(Event{At: at + d.between(100*time.Millisecond, 1500*time.Millisecond), On: pick(d, Acknowledgement, Acknowledgement, Sent, Election), Kind: PowerAll,
+			Delay: pick(d, 0, d.between(time.Millisecond, 40*time.Millisecond)), For: d.between(50*time.Millisecond, 500*time.Millisecond)})
+	}
+}
--- a/internal/controlsim/schedule/schedule_test.go
+++ b/internal/controlsim/schedule/schedule_test.go
@@ -82,6 +82,26 @@
 	return lost
 }
 
+func TestSlowDisksAddToTheScheduleOfTheSeed(t *testing.T) {
+	slow := shapes[0]
+	slow.SlowDisks = true
+	for seed := range uint64(50) {
+		plain, more := schedule.Draw(seed, shapes[0]), schedule.Draw(seed, slow)
+		if err := more.Check(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		added := 0
+		for _, event := range more.Events {
+			if event.Kind == schedule.Disk && len(event.Keepers) == shapes[0].Keepers {
+				added += 2 // with the loss of power amid it
+			}
+		}
+		if added < 10 || len(more.Events) != len(plain.Events)+added {
+			t.Fatalf("seed %d: %d events, %d of them added to %d", seed, len(more.Events), added, len(plain.Events))
+		}
+	}
+}
+
 func TestDrawnSchedulesHaveEveryKind(t *testing.T) {
 	seen := map[schedule.Kind]int{}
 	for seed := range uint64(300) {
