Draw cuts whose side is all that some callers reach, and end runs whose core is lost for good

A shape may now ask for cuts whose side is all that drawn operators and workers reach; other shapes draw what they drew.

--- a/internal/controlsim/events.go
+++ b/internal/controlsim/events.go
@@ -19,6 +19,8 @@
 
 // playEvents carries all events out, each at its time, and returns when all are over.
 func (w *world) playEvents(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, w.schedule.End()+tail-w.record.now())
+	defer stop() // orders of a core that is lost for good would be sent for ever
 	var playing sync.WaitGroup
 	for _, event := range w.schedule.Events {
 		playing.Go(func() { w.playEvent(ctx, event) })
--- a/internal/controlsim/schedule/draw.go
+++ b/internal/controlsim/schedule/draw.go
@@ -15,6 +15,7 @@
 	Operators int
 	Workers   int
 	Length    time.Duration
+	OneSided  bool // of some cuts, the cut side is all that some operators and workers reach
 	Omit      []string
 	SlowDisks bool // all disks are slow now and then, and all keepers lose power amid it
 }
--- a/internal/controlsim/schedule/families.go
+++ b/internal/controlsim/schedule/families.go
@@ -24,6 +24,10 @@
 		event.Agents = d.some(d.shape.Agents, d.shape.Agents)
 	}
 	event.Restart = event.Variant != CutKeepers && d.random.IntN(3) == 0
+	if d.shape.OneSided && d.random.IntN(2) == 0 {
+		event.Operators = d.some(d.shape.Operators, d.shape.Operators)
+		event.Workers = d.some(d.shape.Workers, d.shape.Workers)
+	}
 	if !d.strike(event) {
 		return
 	}
