Make that learner a voter first that has been able to be one for longest

Cause: two places of a group of five were free and its leader took the learners in the order of the membership. Change: learners come by how long they have been ready, the longest first. TestNextStep and TestLearnersThatAreReadyLongestComeFirst fail without it.

--- a/internal/keeper/join.go
+++ b/internal/keeper/join.go
@@ -1,7 +1,9 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -262,6 +264,9 @@
 			steady = append(steady, id)
 		}
 	}
+	slices.SortFunc(steady, func(a, b agreement.MemberID) int {
+		return cmp.Or(shard.ready[a].since.Compare(shard.ready[b].since), cmp.Compare(a, b))
+	})
 	return steady
 }
 
--- a/internal/keeper/reconcile.go
+++ b/internal/keeper/reconcile.go
@@ -17,7 +17,7 @@
 	Spares     int                                  // learners that it keeps besides, for the voters that will be lost
 	Candidates []candidate                          // those who asked lately, at most one for each address
 	Promotable []agreement.MemberID                 // learners that answer and have acknowledged nearly all of the log as durable
-	Steady     []agreement.MemberID                 // those of them that have been so for some time
+	Steady     []agreement.MemberID                 // those of them that have been so for some time, the longest first
 	Silent     map[agreement.MemberID]time.Duration // how long nothing was heard of a member's address
 	Leaving    []agreement.MemberID                 // members that said that they are about to end
 	Successors []agreement.MemberID                 // learners whose process began lately: started to take a leaving voter's place
@@ -119,18 +119,19 @@
 			found = append(found, member)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b agreement.Member) int {
-		switch {
-		case s.steady(a.ID) == s.steady(b.ID):
-			return 0
-		case s.steady(a.ID):
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(found, func(a, b agreement.Member) int { return s.steadiness(a.ID) - s.steadiness(b.ID) })
 	return found
 }
 
+// steadiness ranks learners by how long they have been able to be voters: the longest first, those last that have only
+// begun. Whoever came back last may still be about to fail, and must not be the one that makes the number even.
+func (s situation) steadiness(id agreement.MemberID) int {
+	if place := slices.Index(s.Steady, id); place >= 0 {
+		return place
+	}
+	return len(s.Steady)
+}
+
 func (s situation) steady(id agreement.MemberID) bool { return slices.Contains(s.Steady, id) }
 
 // growsSoundly tells whether a group with an odd number of voters may take one more. An even number bears no more losses
--- a/internal/keeper/reconcile_test.go
+++ b/internal/keeper/reconcile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +60,9 @@
 		{name: "two make a group of five, one after the other",
 			given: situation{Members: append(three[:3:3], learner(4), learner(5)), Wanted: 5, Promotable: ids(4, 5), Steady: ids(4, 5)},
 			want:  added(voter(4))},
+		{name: "that which has been ready longest is the first of them",
+			given: situation{Members: append(three[:3:3], learner(4), learner(5)), Wanted: 5, Promotable: ids(4, 5), Steady: ids(5, 4)},
+			want:  added(voter(5))},
 		{name: "and then",
 			given: situation{Members: append(four[:4:4], learner(5)), Wanted: 5, Promotable: ids(5)},
 			want:  added(voter(5))},
@@ -292,3 +296,23 @@
 	}
 	return false
 }
+
+// TestLearnersThatAreReadyLongestComeFirst holds the order in which learners are to become voters: one whose disk hung is
+// ready anew, and after the others.
+func TestLearnersThatAreReadyLongestComeFirst(t *testing.T) {
+	k, _, _ := scripted(t)
+	shard := k.shards[1]
+	start := time.Now()
+	at := func(after time.Duration, ready ...agreement.MemberID) []agreement.MemberID {
+		return k.noteReady(shard, ready, start.Add(after))
+	}
+	at(0, 4, 5)
+	later := readyGap + time.Millisecond
+	at(later, 5)
+	for after := later; after < later+steadyAfter; after += readyGap {
+		at(after, 4, 5)
+	}
+	if steady := at(later+steadyAfter, 4, 5); !slices.Equal(steady, ids(5, 4)) {
+		t.Fatalf("ready for some time: %v", steady)
+	}
+}
