--- a/internal/dispatch/chooser_test.go
+++ b/internal/dispatch/chooser_test.go
@@ -8,6 +8,7 @@
 
 	"ospreybend/internal/catalog"
 	"ospreybend/internal/selection"
+	"ospreybend/internal/staging"
 )
 
 // scriptedChooser gives the choices it was told, leaving out those whose workers are excluded.
@@ -86,6 +87,8 @@
 	return []selection.Outstanding{{Worker: uint64(len(c.order))}}
 }
 
+func (c *scriptedChooser) Demands() map[string]staging.Demand { return nil }
+
 func (c *scriptedChooser) Peer(_ time.Duration, node uint64, list []selection.Outstanding) {
 	c.peers = append(c.peers, node)
 	c.peerLists = append(c.peerLists, list)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/retrybudget"
 	"ospreybend/internal/selection"
+	"ospreybend/internal/staging"
 )
 
 // Status codes of the dispatcher's own answers.
@@ -113,6 +114,9 @@
 // Peer takes in what another node has under way. It replaces what that node told before.
 func (d *Dispatcher) Peer(node uint64, list []selection.Outstanding) { d.guard.peer(node, list) }
 
+// Demands returns the work that requests have brought since the start, by service whose workers have stages.
+func (d *Dispatcher) Demands() map[string]staging.Demand { return d.guard.demands() }
+
 // Counts returns what the dispatcher has done.
 func (d *Dispatcher) Counts() Counts { return d.counts.read() }
 
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -7,6 +7,7 @@
 	"ospreybend/internal/catalog"
 	"ospreybend/internal/retrybudget"
 	"ospreybend/internal/selection"
+	"ospreybend/internal/staging"
 )
 
 // guard lets the requests' goroutines use the chooser and the budgets, one at a time.
@@ -109,3 +110,10 @@
 	defer g.mutex.Unlock()
 	g.chooser.Peer(g.now(), node, list)
 }
+
+// demands returns what requests have brought to each service whose workers have stages.
+func (g *guard) demands() map[string]staging.Demand {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.chooser.Demands()
+}
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -8,6 +8,7 @@
 	"ospreybend/internal/exchange"
 	"ospreybend/internal/httpwire"
 	"ospreybend/internal/selection"
+	"ospreybend/internal/staging"
 )
 
 // Responder takes the one answer to a request; *front.ResponseWriter is one.
@@ -60,6 +61,7 @@
 	Abandoned(now time.Duration, call *selection.Call)
 	Outstanding(now time.Duration) []selection.Outstanding
 	Peer(now time.Duration, node uint64, list []selection.Outstanding)
+	Demands() map[string]staging.Demand
 }
 
 // pooledWorkers makes calls over a pool of connections.
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -196,12 +196,13 @@
 	}
 }
 
-// listed tells whether a worker is still in the newest list; a draining or ended one is not.
+// listed tells whether a worker may still be sent to by the newest list; a draining or ended one, or one that is about to
+// change its stage, may not.
 func (t *try) listed(worker *catalog.Worker) bool {
 	view := t.d.view.Load()
 	for _, other := range view.Workers[t.service.Name] {
 		if other.ID == worker.ID {
-			return true
+			return !other.Turning()
 		}
 	}
 	return false
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -27,6 +27,7 @@
 	callPresences  peerlink.CallKind = 9  // instances whose heartbeats another keeper has acknowledged
 	callIdentity   peerlink.CallKind = 10 // which member lives at this address
 	callLeave      peerlink.CallKind = 11 // a keeper that is about to end offers its places in groups
+	callDemand     peerlink.CallKind = 12 // the demand of services that a keeper's proxies report
 )
 
 // call is what the owner of a shard is asked.
--- a/internal/keeper/execute.go
+++ b/internal/keeper/execute.go
@@ -30,6 +30,8 @@
 		return k.takeNodes(ctx, c)
 	case callPresences:
 		return k.takePresences(c)
+	case callDemand:
+		return k.takeDemand(c)
 	case callDeregister:
 		return k.takeDeparture(ctx, c)
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -42,6 +42,7 @@
 	encoder   *feedlink.Encoder // of the feed's sessions
 
 	presences     *presences
+	demands       *demands
 	candidates    candidates
 	ownersChanged signal
 	readers       subscribers
@@ -66,7 +67,7 @@
 func newKeeper(config settings.Settings, self agreement.Member, outside Environment, log *zap.Logger) *Keeper {
 	outside = outside.withDefaults()
 	k := &Keeper{
-		settings: config, outside: outside, log: log, self: self, nodes: newNodeTable(), presences: newPresences(),
+		settings: config, outside: outside, log: log, self: self, nodes: newNodeTable(), presences: newPresences(), demands: newDemands(),
 		encoder: feedlink.NewEncoder(), opened: make(chan struct{}), started: outside.Now(),
 	}
 	place := keeperInfo{Address: self.Address, Zone: config.Zone, Region: config.Region}
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -16,7 +16,11 @@
 // Errors: a listener or the disk cannot be used.
 func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
 	limitMemory(config.Limits.MemoryMb)
-	k, err := Open(ctx, config, Environment{}, log)
+	sender, err := newOrderSender()
+	if err != nil {
+		return err
+	}
+	k, err := Open(ctx, config, Environment{Order: sender}, log)
 	if err != nil {
 		return err
 	}
@@ -91,6 +95,10 @@
 	k.background.Go(func() { k.beatNodes(k.workContext) })
 	k.background.Go(func() { k.tellPresences(k.workContext) })
 	k.background.Go(func() { k.maintain(k.workContext) })
+	if k.outside.Order != nil {
+		k.background.Go(func() { k.tellDemands(k.workContext) })
+		k.background.Go(func() { k.controlStages(k.workContext) })
+	}
 	k.background.Go(func() {
 		if err := k.servePeers(peers); err != nil {
 			failed <- err
--- a/internal/keeper/source.go
+++ b/internal/keeper/source.go
@@ -42,6 +42,3 @@
 
 // Subscribe has a token sent whenever a shard has advanced or the members of a group have changed.
 func (k *Keeper) Subscribe(wake chan<- struct{}) (cancel func()) { return k.readers.add(wake) }
-
-// OnReport drops reports: nothing is asked of agents yet.
-func (k *Keeper) OnReport(feedlink.Hello, string, []byte) {}
--- /dev/null
+++ b/internal/keeper/stages.go
@@ -0,0 +1,184 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreybend/coord/replica"
+	"ospreybend/coord/shards"
+	"ospreybend/internal/registry"
+	"ospreybend/internal/settings"
+	"ospreybend/internal/staging"
+)
+
+// OrderSender gives a worker an order and returns the status of its answer, 0 if there is none.
+type OrderSender func(ctx context.Context, order StageOrder) (status int)
+
+// StageOrder is one order to a worker to change its stage.
+type StageOrder struct {
+	Instance string // the worker's ID
+	Address  string // "ip:port"
+	Stage    string
+	Holder   string // the machine that gives it
+	Fence    uint64 // rises with every change of the holder
+}
+
+// stageShard is what the holder of a shard's services knows of their stages.
+type stageShard struct {
+	term        uint64    // of the ownership that this belongs to; 0: none
+	since       time.Time // when it began
+	controllers map[string]*staging.Controller
+}
+
+// controlStages has the workers of services change their stages as the demand asks, for the shards that this keeper
+// owns, until ctx ends. All state but what is replicated ends with the ownership.
+func (k *Keeper) controlStages(ctx context.Context) {
+	ticker := time.NewTicker(stagesInterval)
+	defer ticker.Stop()
+	var held [shards.Count]stageShard
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, shard := range k.shards {
+			if shard.id != shards.Configuration {
+				k.controlShard(ctx, shard, &held[shard.id])
+			}
+		}
+	}
+}
+
+// controlShard takes one step for the services of a shard.
+func (k *Keeper) controlShard(ctx context.Context, shard *shard, held *stageShard) {
+	status := shard.group.Status()
+	machine := k.instances(shard.id)
+	if !status.IsLeader() || !machine.ownedIn(status.Term) {
+		*held = stageShard{}
+		return
+	}
+	now := k.outside.Now()
+	if held.term != status.Term {
+		*held = stageShard{term: status.Term, since: now, controllers: map[string]*staging.Controller{}}
+	}
+	if now.Sub(held.since) < holderRest(k.settings.Bounds) || !current(status) {
+		return
+	}
+	demands := k.demands.of(k.sinceStart(), shard.id)
+	for service, workers := range machine.stagedWorkers() {
+		controller := held.controllers[service]
+		if controller == nil {
+			controller = staging.NewController()
+			held.controllers[service] = controller
+		}
+		plan := controller.Plan(k.sinceStart(), workers, demands[service])
+		k.noteStages(service, controller.State())
+		k.assign(ctx, shard, service, plan.Assign)
+		k.order(ctx, shard, status, controller, plan.Order)
+	}
+}
+
+// holderRest is how long a new owner gives no orders: those of the owner before it must have been given a lease earlier.
+func holderRest(bounds settings.Bounds) time.Duration {
+	return settings.Millis(bounds.LeaseMs) + holderMargin
+}
+
+// assign records the stages that workers are to have. What fails is decided on anew.
+func (k *Keeper) assign(ctx context.Context, shard *shard, service string, assignments []staging.Assignment) {
+	if len(assignments) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, assignBudget)
+	defer cancel()
+	done := make(chan error, len(assignments))
+	for _, one := range assignments {
+		command := registry.EncodeAssign(one.ID, one.Stage)
+		k.background.Go(func() {
+			_, _, err := shard.group.Propose(ctx, command)
+			done <- err
+		})
+	}
+	for _, one := range assignments {
+		err := <-done
+		k.log.Info("stage wanted", zap.String("service", service), zap.String("worker", one.ID),
+			zap.String("stage", one.Stage), zap.Error(err))
+	}
+}
+
+// order gives workers orders, all at once, and waits for their answers.
+func (k *Keeper) order(ctx context.Context, shard *shard, status replica.Status, controller *staging.Controller, orders []staging.Order) {
+	type ended struct {
+		id     string
+		status int
+	}
+	done := make(chan ended, len(orders))
+	for _, one := range orders {
+		k.background.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, orderBudget)
+			defer cancel()
+			answered := 0
+			if now := shard.group.Status(); now.IsLeader() && now.Term == status.Term && current(now) {
+				answered = k.outside.Order(ctx, StageOrder{
+					Instance: one.ID, Address: one.Address, Stage: one.Stage, Holder: k.settings.NodeName, Fence: status.Term,
+				})
+			}
+			done <- ended{one.ID, answered}
+		})
+	}
+	for range orders {
+		one := <-done
+		controller.Ended(one.id, resultOfOrder(one.status))
+		k.metrics.countOrder(one.status)
+		k.log.Info("stage ordered", zap.String("worker", one.id), zap.Int("status", one.status))
+	}
+}
+
+// resultOfOrder tells what a worker's answer to an order means.
+func resultOfOrder(status int) staging.Result {
+	switch status {
+	case statusOK, statusAccepted:
+		return staging.Taken
+	case statusBadRequest, statusPreconditionFailed, statusMisdirected:
+		return staging.Refused
+	default:
+		return staging.Busy
+	}
+}
+
+// noteStages keeps how a service stands for the figures, and logs a new decision.
+func (k *Keeper) noteStages(service string, state staging.State) {
+	if before := k.metrics.setStages(service, state); before.Wanted == state.Wanted {
+		return
+	}
+	k.log.Info("readers wanted", zap.String("service", service), zap.Int("wanted", state.Wanted),
+		zap.Int("readers", state.Readers), zap.Int("writers", state.Writers), zap.Int("turning", state.Turning),
+		zap.Float64("read", state.Demand.Read), zap.Float64("slots", state.Demand.Slots),
+		zap.Float64("memory", state.Demand.Memory), zap.Float64("moves", state.Demand.Moves))
+}
+
+// ownedIn tells whether this replica owns the shard, in a term.
+func (m *registryMachine) ownedIn(term uint64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.owned && m.leading == term
+}
+
+// stagedWorkers lists the workers of the services that have stages, by service, in the order of their IDs.
+func (m *registryMachine) stagedWorkers() map[string][]staging.Worker {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	services := map[string][]staging.Worker{}
+	for _, instance := range m.store.Instances("") {
+		if instance.Stage != staging.Prefill && instance.Stage != staging.Decode {
+			continue
+		}
+		services[instance.Service] = append(services[instance.Service], staging.Worker{
+			ID: instance.ID, Address: instance.Address, Zone: instance.Zone, Stage: instance.Stage,
+			Assigned: instance.Assigned, Draining: instance.State == registry.Draining,
+		})
+	}
+	return services
+}
--- a/internal/keeper/status.go
+++ b/internal/keeper/status.go
@@ -16,6 +16,7 @@
 
 	"ospreybend/coord/agreement"
 	"ospreybend/coord/replica"
+	"ospreybend/internal/staging"
 )
 
 // errorReport is the body of an error.
@@ -144,6 +145,8 @@
 	feedSessions atomic.Int64
 	mutex        sync.Mutex
 	calls        map[callSeries]uint64
+	orders       map[int]uint64           // by the status of the worker's answer
+	stages       map[string]staging.State // by service, as this keeper saw it last as the holder
 }
 
 // callSeries is one line of the counted calls.
@@ -161,6 +164,48 @@
 	m.calls[callSeries{method, status}]++
 }
 
+// countOrder counts an order to a worker by the status of its answer, 0 if there was none.
+func (m *metrics) countOrder(status int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.orders == nil {
+		m.orders = make(map[int]uint64)
+	}
+	m.orders[status]++
+}
+
+// setStages notes how a service stands, and returns how it stood before.
+func (m *metrics) setStages(service string, state staging.State) (before staging.State) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.stages == nil {
+		m.stages = make(map[string]staging.State)
+	}
+	before, m.stages[service] = m.stages[service], state
+	return before
+}
+
+// stageLines returns the stages of services and the orders given as text.
+func (m *metrics) stageLines() []string {
+	var lines []string
+	for status, count := range m.orders {
+		lines = append(lines, fmt.Sprintf("keeper_orders_total{status=\"%d\"} %d", status, count))
+	}
+	for service, state := range m.stages {
+		label := fmt.Sprintf("{service=%q}", service)
+		lines = append(lines,
+			fmt.Sprintf("keeper_stage_readers%s %d", label, state.Readers),
+			fmt.Sprintf("keeper_stage_writers%s %d", label, state.Writers),
+			fmt.Sprintf("keeper_stage_turning%s %d", label, state.Turning),
+			fmt.Sprintf("keeper_stage_readers_wanted%s %d", label, state.Wanted),
+			fmt.Sprintf("keeper_demand_read_workers%s %.3f", label, state.Demand.Read),
+			fmt.Sprintf("keeper_demand_slots_workers%s %.3f", label, state.Demand.Slots),
+			fmt.Sprintf("keeper_demand_memory_workers%s %.3f", label, state.Demand.Memory),
+			fmt.Sprintf("keeper_demand_moves_workers%s %.3f", label, state.Demand.Moves))
+	}
+	return lines
+}
+
 // lines returns the counted calls as text, sorted.
 func (m *metrics) lines() []string {
 	m.mutex.Lock()
@@ -169,6 +214,7 @@
 	for series, count := range m.calls {
 		lines = append(lines, fmt.Sprintf("keeper_calls_total{method=%q,status=\"%d\"} %d", series.method, series.status, count))
 	}
+	lines = append(lines, m.stageLines()...)
 	slices.Sort(lines)
 	return lines
 }
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -30,7 +30,13 @@
 const (
 	maintainInterval   = 500 * time.Millisecond // expiry, membership, spread
 	nodesInterval      = 1200 * time.Millisecond
-	presenceInterval   = 400 * time.Millisecond // a good deal shorter than the span after which an instance is gone
+	presenceInterval   = 400 * time.Millisecond  // a good deal shorter than the span after which an instance is gone
+	demandInterval     = 500 * time.Millisecond  // between two reports of demand to the owner of a shard
+	demandLife         = 1600 * time.Millisecond // of a report of demand
+	stagesInterval     = 250 * time.Millisecond  // between two looks at the stages of workers
+	holderMargin       = time.Second             // beyond the lease, before a new owner gives orders
+	orderBudget        = 500 * time.Millisecond  // of one order to a worker
+	assignBudget       = time.Second             // of recording which stages workers are to have
 	joinInterval       = 300 * time.Millisecond
 	joinIdleInterval   = time.Second
 	joinEagerRequests  = 40                     // so many go out at joinInterval, the further ones at joinIdleInterval
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -164,6 +164,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopFeed = cancel
 	go func() { _ = client.Run(ctx) }()
+	go p.reportDemand(ctx, client)
 }
 
 // close ends all that is still open.
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -27,6 +27,7 @@
 const (
 	operationPut    operation = 1
 	operationRemove operation = 2
+	operationAssign operation = 3 // the stage of the command is the one that the fleet wants of the instance
 )
 
 const (
@@ -52,8 +53,10 @@
 		{"name":"adapters","type":{"type":"array","items":"string"}}]}}}`
 
 var (
-	itemSchema    = avro.MustParse(`{"type":"record","name":"instance","fields":[` + instanceFields + `]}`)
-	commandSchema = avro.MustParse(`{"type":"record","name":"registry_command","fields":[
+	itemSchema = avro.MustParse(`{"type":"record","name":"instance","fields":[` + instanceFields + `,
+	{"name":"assigned","type":"string"}]}`)
+	earlierItemSchema = avro.MustParse(`{"type":"record","name":"instance","fields":[` + instanceFields + `]}`) // of snapshots of format 1
+	commandSchema     = avro.MustParse(`{"type":"record","name":"registry_command","fields":[
 	{"name":"format","type":"int"},
 	{"name":"operation","type":"int"},
 	{"name":"sequence","type":"long"},
@@ -70,6 +73,7 @@
 	State      int     `avro:"state"`
 	Stage      string  `avro:"stage"`
 	Models     []Model `avro:"models"`
+	Assigned   string  `avro:"assigned"`
 }
 
 type commandRecord struct {
@@ -99,6 +103,7 @@
 		State:      int(instance.State),
 		Stage:      instance.Stage,
 		Models:     instance.Models,
+		Assigned:   instance.Assigned,
 	}
 }
 
@@ -113,6 +118,7 @@
 		State:      State(r.State),
 		Stage:      r.Stage,
 		Models:     r.Models,
+		Assigned:   r.Assigned,
 	}
 }
 
@@ -138,6 +144,15 @@
 	})
 }
 
+// EncodeAssign returns the command that records which stage the fleet wants of an instance; empty: none.
+func EncodeAssign(id, stage string) []byte {
+	return mustMarshal(commandSchema, commandRecord{
+		Format:     commandFormat,
+		Operation:  int(operationAssign),
+		itemRecord: itemRecord{ID: id, Stage: stage},
+	})
+}
+
 func decodeCommand(encoded []byte) (command, *Refusal) {
 	if len(encoded) == 0 {
 		return command{}, refuse(BadCommand, "it is empty")
@@ -165,12 +180,14 @@
 func EncodeItem(instance Instance) []byte { return mustMarshal(itemSchema, recordOf(instance)) }
 
 // DecodeItem reads what EncodeItem wrote. The error is a *Refusal.
-func DecodeItem(value []byte) (Instance, error) {
+func DecodeItem(value []byte) (Instance, error) { return decodeItem(itemSchema, value) }
+
+func decodeItem(schema avro.Schema, value []byte) (Instance, error) {
 	if len(value) == 0 {
 		return Instance{}, refuse(BadCommand, "the item is empty")
 	}
 	var record itemRecord
-	if err := strictavro.Unmarshal(binary, itemSchema, value, &record); err != nil {
+	if err := strictavro.Unmarshal(binary, schema, value, &record); err != nil {
 		return Instance{}, refuse(BadCommand, err.Error())
 	}
 	return record.instance(), nil
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -12,7 +12,11 @@
 // ErrSnapshot is wrapped by what Restore returns for bytes that it cannot read.
 var ErrSnapshot = errors.New("registry: the snapshot cannot be read")
 
-const snapshotFormat = 1
+// Formats of a snapshot. Instances of the earlier one have no assigned stage; it is read and no longer written.
+const (
+	earlierSnapshotFormat = 1
+	snapshotFormat        = 2
+)
 
 var snapshotSchema = avro.MustParse(`{"type":"record","name":"registry_snapshot","fields":[
 	{"name":"format","type":"int"},
@@ -72,16 +76,21 @@
 	if err := strictavro.Unmarshal(binary, snapshotSchema, snapshot, &whole); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
-	if whole.Format != snapshotFormat {
+	schema := itemSchema
+	switch whole.Format {
+	case snapshotFormat:
+	case earlierSnapshotFormat:
+		schema = earlierItemSchema
+	default:
 		return fmt.Errorf("%w: format %d", ErrSnapshot, whole.Format)
 	}
 	restored := NewStore()
 	for _, held := range whole.Instances {
-		instance, err := DecodeItem(held.Value)
+		instance, err := decodeItem(schema, held.Value)
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrSnapshot, err)
 		}
-		restored.insert(&record{instance: &instance, value: held.Value, sequence: uint64(held.Sequence)})
+		restored.insert(&record{instance: &instance, value: EncodeItem(instance), sequence: uint64(held.Sequence)})
 	}
 	for _, stone := range whole.Tombstones {
 		restored.bury(stone.ID, tombstone{
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -66,6 +66,8 @@
 		return outcome(s.put(decoded.instance, decoded.sequence, &change)), change
 	case operationRemove:
 		return outcome(s.remove(decoded, &change)), change
+	case operationAssign:
+		return outcome(s.assign(decoded.instance.ID, decoded.instance.Stage, &change)), change
 	default:
 		return outcome(BadCommand), change
 	}
@@ -81,8 +83,11 @@
 	if code, refused := s.deadOrLate(instance, sequence); refused {
 		return code
 	}
-	value := EncodeItem(instance)
 	held := s.records[instance.ID]
+	if held != nil { // heartbeats know nothing of it
+		instance.Assigned = held.instance.Assigned
+	}
+	value := EncodeItem(instance)
 	if held != nil && bytes.Equal(held.value, value) {
 		held.sequence = max(held.sequence, sequence)
 		return Unchanged
@@ -100,6 +105,23 @@
 	return Recorded
 }
 
+// assign records the stage that the fleet wants of an instance.
+func (s *Store) assign(id, stage string, change *feed.Change) Code {
+	held := s.records[id]
+	if held == nil {
+		return Gone
+	}
+	if held.instance.Assigned == stage {
+		return Unchanged
+	}
+	instance := *held.instance
+	instance.Assigned = stage
+	value := EncodeItem(instance)
+	s.records[id] = &record{instance: &instance, value: value, sequence: held.sequence}
+	change.Put = append(change.Put, feed.Item{Key: id, Value: value})
+	return Recorded
+}
+
 // deadOrLate tells whether a heartbeat changes nothing: its instance is gone for good, or what is
 // known of it is newer. Of NodesService every word counts: its heartbeats have no order and an ID
 // may start again.
--- a/internal/registry/store_test.go
+++ b/internal/registry/store_test.go
@@ -150,7 +150,7 @@
 	for _, entry := range [][]byte{nil, {}, {2}, {200, 3}, whole[:len(whole)-1], append(whole[:len(whole):len(whole)], 0), EncodeRemove("", Expired, 0)} {
 		apply(t, store, entry, BadCommand)
 	}
-	for _, wrong := range [][]byte{nil, {1}, {4, 0, 0}} {
+	for _, wrong := range [][]byte{nil, {1}, {6, 0, 0}} {
 		if err := store.Restore(wrong); !errors.Is(err, ErrSnapshot) {
 			t.Error(err)
 		}
--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -51,11 +51,15 @@
 	if svc == nil {
 		return Choice{}, Verdict{RetryAfter: noWorkerRetry}
 	}
+	first := r.job == nil
 	j := svc.jobFor(now, r)
 	best, crowd, found := svc.best(now, j, excluded)
 	if !found {
 		return Choice{}, Verdict{RetryAfter: noWorkerRetry}
 	}
+	if first && best.run.worker.class != classPlain {
+		svc.demand = svc.demand.Plus(svc.demandOf(now, j, best))
+	}
 	choice := Choice{Run: best.run.worker.entry, First: seconds(best.first), Urgency: urgencyOf(best.run.f.run)}
 	if best.from != nil {
 		choice.Prefill = best.from.worker.entry
--- a/internal/selection/selector.go
+++ b/internal/selection/selector.go
@@ -6,6 +6,7 @@
 
 	"ospreybend/internal/catalog"
 	"ospreybend/internal/configuration"
+	"ospreybend/internal/staging"
 	"ospreybend/internal/stat"
 )
 
@@ -39,6 +40,7 @@
 	handover outcomes
 	moved    stat.Window // hand-overs of all pairs: what they took against what they should, in seconds
 	admitted admission
+	demand   staging.Demand // since the start
 	scratch  scratch
 }
 
@@ -103,7 +105,9 @@
 		w.class = classOf(entry.Stage)
 		w.kept.capacity = s.memory()
 		s.workers[entry.ID] = w
-		s.byClass[w.class] = append(s.byClass[w.class], w)
+		if !entry.Turning() {
+			s.byClass[w.class] = append(s.byClass[w.class], w)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/staging/controller_test.go
@@ -0,0 +1,250 @@
+package staging
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleet is a scripted service: it carries assignments and orders out as workers would.
+type fleet struct {
+	t       *testing.T
+	control *Controller
+	now     time.Duration
+	demand  Demand
+	workers []Worker
+	turnsIn time.Duration            // a worker's time from its order to its new stage
+	doneAt  map[string]time.Duration // when a worker will have turned
+	answer  func(Order) Result       // nil: taken
+	orders  []Order
+}
+
+func newFleet(t *testing.T, readers, writers int) *fleet {
+	f := &fleet{t: t, control: NewController(), now: time.Second, turnsIn: 2 * time.Second, doneAt: map[string]time.Duration{}}
+	for i := range readers + writers {
+		stage := Decode
+		if i < readers {
+			stage = Prefill
+		}
+		f.workers = append(f.workers, Worker{ID: fmt.Sprintf("w%02d", i), Zone: fmt.Sprint("z", i%3), Stage: stage})
+	}
+	return f
+}
+
+// run plays a time in steps of a quarter of a second.
+func (f *fleet) run(span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += 250 * time.Millisecond {
+		plan := f.control.Plan(f.now, f.workers, f.demand)
+		for _, one := range plan.Assign {
+			f.worker(one.ID).Assigned = one.Stage
+		}
+		for _, order := range plan.Order {
+			f.give(order)
+		}
+		for id, at := range f.doneAt {
+			if f.now >= at {
+				worker := f.worker(id)
+				worker.Stage = worker.Assigned
+				delete(f.doneAt, id)
+			}
+		}
+		f.check()
+	}
+}
+
+func (f *fleet) give(order Order) {
+	f.orders = append(f.orders, order)
+	result := Taken
+	if f.answer != nil {
+		result = f.answer(order)
+	}
+	f.control.Ended(order.ID, result)
+	if result == Taken {
+		f.doneAt[order.ID] = f.now + f.turnsIn
+	}
+}
+
+func (f *fleet) worker(id string) *Worker {
+	for i := range f.workers {
+		if f.workers[i].ID == id {
+			return &f.workers[i]
+		}
+	}
+	f.t.Fatalf("no worker %s", id)
+	return nil
+}
+
+func (f *fleet) count() (readers, writers, turning int) {
+	for i := range f.workers {
+		switch {
+		case f.workers[i].turning():
+			turning++
+		case f.workers[i].Stage == Prefill:
+			readers++
+		default:
+			writers++
+		}
+	}
+	return readers, writers, turning
+}
+
+// check looks at what holds at every moment.
+func (f *fleet) check() {
+	readers, writers, turning := f.count()
+	if readers+turning < 1 || writers < 1 || turning > max(1, len(f.workers)/4) {
+		f.t.Fatalf("at %v: %d readers, %d writers, %d turning", f.now, readers, writers, turning)
+	}
+}
+
+func (f *fleet) mustHave(readers int) {
+	f.t.Helper()
+	if have, _, turning := f.count(); have != readers || turning != 0 {
+		f.t.Fatalf("%d readers and %d turning, not %d", have, turning, readers)
+	}
+}
+
+func TestSplitFollowsTheDemand(t *testing.T) {
+	for _, start := range []int{6, 24, 54} {
+		f := newFleet(t, start, 60-start)
+		f.demand = Demand{Read: 24, Slots: 2.5} // needs 40 readers and 5 writers
+		f.run(30 * time.Second)
+		readers, _, turning := f.count()
+		if turning != 0 || readers < 50 || readers > 56 {
+			t.Errorf("from %d: %d readers, %d turning", start, readers, turning)
+		}
+	}
+}
+
+func TestLongAnswersAndFewPromptsNeedWriters(t *testing.T) {
+	f := newFleet(t, 24, 36)
+	f.demand = Demand{Read: 0.6, Slots: 20}
+	f.run(60 * time.Second)
+	f.mustHave(2)
+}
+
+func TestWithoutDemandNothingChanges(t *testing.T) {
+	f := newFleet(t, 4, 5)
+	f.run(30 * time.Second)
+	f.mustHave(4)
+	f.demand = Demand{Read: 1, Slots: 0.1}
+	f.run(20 * time.Second)
+	before := len(f.orders)
+	f.demand = Demand{}
+	f.run(60 * time.Second)
+	if len(f.orders) != before {
+		t.Fatalf("%d orders after the traffic had ended", len(f.orders)-before)
+	}
+}
+
+func TestSmallChangesOfDemandCostNoOrders(t *testing.T) {
+	f := newFleet(t, 30, 30)
+	f.demand = Demand{Read: 12, Slots: 10}
+	f.run(30 * time.Second)
+	before := len(f.orders)
+	for i := range 60 {
+		f.demand = Demand{Read: 12 * (1 + 0.06*float64(i%2)), Slots: 10}
+		f.run(time.Second)
+	}
+	if len(f.orders) != before {
+		t.Fatalf("%d orders", len(f.orders)-before)
+	}
+}
+
+func TestOneWorkerAndServicesWithoutStagesAreLeftAlone(t *testing.T) {
+	control := NewController()
+	for i := range 40 {
+		now := time.Duration(i+1) * 250 * time.Millisecond
+		for _, workers := range [][]Worker{nil, {{ID: "a", Stage: Decode}}, {{ID: "a"}, {ID: "b"}, {ID: "c"}}} {
+			if plan := control.Plan(now, workers, Demand{Read: 5, Slots: 1}); len(plan.Assign)+len(plan.Order) > 0 {
+				t.Fatalf("%+v", plan)
+			}
+		}
+	}
+}
+
+func TestAnUnansweredOrderIsGivenAgainAndAtLastWithdrawn(t *testing.T) {
+	f := newFleet(t, 2, 7)
+	f.demand = Demand{Read: 3, Slots: 0.4}
+	f.answer = func(order Order) Result {
+		if order.ID == "w02" {
+			return Busy
+		}
+		return Taken
+	}
+	f.run(30 * time.Second)
+	given := 0
+	for _, order := range f.orders {
+		if order.ID == "w02" {
+			given++
+		}
+	}
+	if given != mostTries || f.worker("w02").Assigned != "" {
+		t.Fatalf("%d orders, assigned %q", given, f.worker("w02").Assigned)
+	}
+	if readers, _, _ := f.count(); readers < 6 {
+		t.Fatalf("%d readers: no other worker was taken", readers)
+	}
+}
+
+func TestARefusedOrderIsNotRepeated(t *testing.T) {
+	f := newFleet(t, 2, 7)
+	f.demand = Demand{Read: 3, Slots: 0.4}
+	f.answer = func(Order) Result { return Refused }
+	f.run(20 * time.Second)
+	asked := map[string]int{}
+	for _, order := range f.orders {
+		if asked[order.ID]++; asked[order.ID] > 1 {
+			t.Fatalf("%s was asked again", order.ID)
+		}
+	}
+	if len(asked) == 0 {
+		t.Fatal("no order")
+	}
+}
+
+func TestANewHolderGoesOnWithAssignments(t *testing.T) {
+	f := newFleet(t, 2, 7)
+	f.demand = Demand{Read: 3, Slots: 0.4}
+	f.turnsIn = time.Hour
+	f.run(3 * time.Second)
+	f.control, f.orders = NewController(), nil
+	f.turnsIn = time.Second
+	f.run(500 * time.Millisecond)
+	if len(f.orders) == 0 || f.orders[0].Stage != Prefill {
+		t.Fatalf("the orders of the holder before were not taken over: %+v", f.orders)
+	}
+}
+
+func TestAReplacedWorkerIsTurnedAnew(t *testing.T) {
+	f := newFleet(t, 4, 5)
+	f.demand = Demand{Read: 3, Slots: 0.4}
+	f.run(15 * time.Second)
+	readers, _, _ := f.count()
+	for i := range f.workers { // a release brings all back in the stage that they began with
+		stage := Decode
+		if i < 4 {
+			stage = Prefill
+		}
+		f.workers[i] = Worker{ID: fmt.Sprintf("x%02d", i), Zone: f.workers[i].Zone, Stage: stage}
+	}
+	f.run(15 * time.Second)
+	f.mustHave(readers)
+}
+
+func TestZonesStayBalanced(t *testing.T) {
+	f := newFleet(t, 0, 30)
+	f.workers[0].Stage = Prefill
+	f.demand = Demand{Read: 10, Slots: 5}
+	f.run(30 * time.Second)
+	byZone := map[string]int{}
+	for i := range f.workers {
+		if f.workers[i].Stage == Prefill {
+			byZone[f.workers[i].Zone]++
+		}
+	}
+	for zone, readers := range byZone {
+		if readers < byZone["z0"]-1 || readers > byZone["z0"]+1 {
+			t.Errorf("%s has %d readers: %v", zone, readers, byZone)
+		}
+	}
+}
