Scale the streams of a service by the requests that begin

Cause: the share of prompts that readers had read left out those that decode workers read by themselves, so that after an overload too many writers were wanted. Change: proxies report how many requests came and how many began to stream; streams are scaled up by that.

--- a/internal/selection/demand.go
+++ b/internal/selection/demand.go
@@ -49,6 +49,7 @@
 	if reader == nil {
 		reader = best.run
 	}
+	s.demand.Offered++
 	s.demand.Read += soloOf(classPrefill, max(1, reader.missing), j.tokens-reader.missing)
 	s.demand.Moves += s.moveTold(best.run.missing)
 }
--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -11,7 +11,7 @@
 const (
 	demandMemory  = 3 * time.Second       // in which an earlier demand falls by e
 	queueing      = 0.5                   // waits at readers, against those at servers to which work goes without regard to their queues
-	leastServed   = 0.2                   // part of the offered prompts that are read, from which streams are extrapolated
+	leastServed   = 0.2                   // part of the requests that begin to stream, from which streams are extrapolated
 	smallDemand   = 1e-6                  // workers; less is none
 	leastEvidence = time.Second           // of demand before the first decision
 	bandShare     = 0.06                  // part of the workers by which the wanted split must differ
@@ -168,8 +168,8 @@
 	pace := paceOf(demand, c.readers/c.weight)
 	demand.Read *= pace
 	demand.ReadDone *= pace
-	served := min(1, max(leastServed, demand.ReadDone/max(demand.Read, smallDemand)))
-	demand.Slots /= served // what is not read makes no streams yet
+	served := min(1, max(leastServed, demand.Begun/max(demand.Offered, smallDemand)))
+	demand.Slots /= served // what is refused makes no streams
 	demand.Memory /= served
 	return demand
 }
--- a/internal/staging/controller_test.go
+++ b/internal/staging/controller_test.go
@@ -32,7 +32,9 @@
 }
 
 // reading is a demand by itself.
-func reading(read, slots float64) Demand { return Demand{Read: read, Slots: slots} }
+func reading(read, slots float64) Demand {
+	return Demand{Read: read, Slots: slots, Offered: 1, Begun: 1}
+}
 
 // seen is what proxies see of the demand with the readers that there are: no more is read than they can, prompts wait, and
 // what is not read makes no streams.
@@ -45,6 +47,7 @@
 	demand.ReadDone = min(demand.Read, 0.98*readers)
 	busy := demand.ReadDone / readers
 	demand.ReadTime = demand.ReadDone * (1 + queueing*busy/(1-busy))
+	demand.Offered, demand.Begun = demand.Read, demand.ReadDone
 	demand.Slots *= demand.ReadDone / demand.Read
 	return demand
 }
--- a/internal/staging/demand.go
+++ b/internal/staging/demand.go
@@ -23,6 +23,8 @@
 // keeps one worker busy. What is to be read counts once for each request, also where it is refused or fails; so the
 // demand does not fall because there are too few readers. Reading is measured by what it is expected to take by itself.
 type Demand struct {
+	Offered  float64 // requests that came; a number, not a time
+	Begun    float64 // requests whose streams began; a number too
 	Read     float64 // prompts that came, as expected
 	ReadDone float64 // prompts that prefill workers have read, as expected
 	ReadTime float64 // how long these took, their waits included
@@ -32,8 +34,8 @@
 }
 
 // parts lists the parts of a demand.
-func (d *Demand) parts() [6]*float64 {
-	return [...]*float64{&d.Read, &d.ReadDone, &d.ReadTime, &d.Slots, &d.Memory, &d.Moves}
+func (d *Demand) parts() [8]*float64 {
+	return [...]*float64{&d.Offered, &d.Begun, &d.Read, &d.ReadDone, &d.ReadTime, &d.Slots, &d.Memory, &d.Moves}
 }
 
 // Plus returns the sum of two demands.
