--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -190,6 +190,17 @@
 // Generation returns the number of the configuration in force; 0: none.
 func (s *Store) Generation() uint64 { return s.document.generation }
 
+// Service returns the description of a service, and whether there is one.
+func (s *Store) Service(name string) (Service, bool) {
+	for _, one := range s.document.list(listServices) {
+		if one.name == name {
+			service, err := ParseService(one.raw)
+			return service, err == nil
+		}
+	}
+	return Service{}, false
+}
+
 // Items returns the feed's items, sorted by key. There are none before the first configuration.
 func (s *Store) Items() []feed.Item { return s.document.items() }
 
--- a/internal/keeper/environment.go
+++ b/internal/keeper/environment.go
@@ -23,7 +23,7 @@
 	Dial       func(ctx context.Context, address string) (net.Conn, error)     // of peers
 	Listen     func(ctx context.Context, address string) (net.Listener, error) // for peers and agents
 
-	Order OrderSender // to workers; nil: none is given, and stages are left as they are
+	Orders WorkerCaller // to workers; nil: none is given, and stages are left as they are
 
 	Observe func(replica.Status) // told of each change of a group's status; must not block
 
--- a/internal/keeper/machines.go
+++ b/internal/keeper/machines.go
@@ -84,6 +84,17 @@
 	return m.store.Document()
 }
 
+// switchTime is what a worker of a service needs to change its stage; 0: not told.
+func (m *configurationMachine) switchTime(service string) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	description, found := m.store.Service(service)
+	if !found || description.Engine == nil {
+		return 0
+	}
+	return description.Engine.SwitchTime
+}
+
 func (m *configurationMachine) setLeading(uint64)                     {}
 func (m *configurationMachine) gained(time.Time, uint64)              {}
 func (m *configurationMachine) expired(time.Time) (commands [][]byte) { return nil }
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -22,6 +22,7 @@
 
 const (
 	orderPath      = "/-/order"
+	reportPath     = "/-/report"
 	headerInstance = "X-Target-Instance"
 	operationStage = "stage"
 )
@@ -34,8 +35,16 @@
 	Fence     uint64 `json:"fenceToken"`
 }
 
-// newOrderSender returns a sender over HTTP. It sends each order once, on a connection of its own.
-func newOrderSender() (OrderSender, error) {
+// workerReport is what is read of a worker's report.
+type workerReport struct {
+	Stage string `json:"stage"`
+	Busy  bool   `json:"utilization"` // an order is under way
+}
+
+// httpCaller calls workers over HTTP. It sends each call once, on a connection of its own.
+type httpCaller struct{ http1 *client.Client }
+
+func newHTTPCaller() (*httpCaller, error) {
 	quiet()
 	http1, err := client.NewClient(
 		client.WithDialer(standard.NewDialer()),
@@ -44,33 +53,47 @@
 		client.WithWriteTimeout(orderBudget),
 		client.WithKeepAlive(false),
 	)
-	if err != nil {
-		return nil, err
-	}
-	return func(ctx context.Context, order StageOrder) int {
-		return sendOrder(ctx, http1, order)
-	}, nil
+	return &httpCaller{http1: http1}, err
 }
 
-func sendOrder(ctx context.Context, http1 *client.Client, order StageOrder) int {
+// Order implements WorkerCaller.
+func (h *httpCaller) Order(ctx context.Context, order StageOrder) int {
 	body, err := json.Marshal(orderBody{Operation: operationStage, Stage: order.Stage, Holder: order.Holder, Fence: order.Fence})
 	if err != nil {
 		return 0
 	}
+	status, _ := h.call(ctx, http.MethodPost, order.Instance, order.Address, orderPath, body)
+	return status
+}
+
+// Stage implements WorkerCaller.
+func (h *httpCaller) Stage(ctx context.Context, instance, address string) string {
+	var report workerReport
+	status, body := h.call(ctx, http.MethodGet, instance, address, reportPath, nil)
+	if status != statusOK || json.Unmarshal(body, &report) != nil || report.Busy {
+		return ""
+	}
+	return report.Stage
+}
+
+// call makes one call and returns the status and the body of its answer, 0 if there is none.
+func (h *httpCaller) call(ctx context.Context, method, instance, address, path string, body []byte) (int, []byte) {
 	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(request)
 	defer protocol.ReleaseResponse(response)
-	request.SetMethod(http.MethodPost)
-	request.SetRequestURI("http://" + order.Address + orderPath)
-	request.SetHeader(headerInstance, order.Instance)
-	request.Header.SetContentTypeBytes([]byte(contentTypeJSON))
-	request.SetBody(body)
+	request.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.SetHeader(headerInstance, instance)
+	if body != nil {
+		request.Header.SetContentTypeBytes([]byte(contentTypeJSON))
+		request.SetBody(body)
+	}
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
 		deadline = time.Now().Add(orderBudget)
 	}
-	if err := http1.DoDeadline(ctx, request, response, deadline); err != nil {
-		return 0
+	if err := h.http1.DoDeadline(ctx, request, response, deadline); err != nil {
+		return 0, nil
 	}
-	return response.StatusCode()
+	return response.StatusCode(), append([]byte(nil), response.Body()...)
 }
--- a/internal/keeper/run.go
+++ b/internal/keeper/run.go
@@ -16,11 +16,11 @@
 // Errors: a listener or the disk cannot be used.
 func Run(ctx context.Context, config settings.Settings, log *zap.Logger) error {
 	limitMemory(config.Limits.MemoryMb)
-	sender, err := newOrderSender()
+	workers, err := newHTTPCaller()
 	if err != nil {
 		return err
 	}
-	k, err := Open(ctx, config, Environment{Order: sender}, log)
+	k, err := Open(ctx, config, Environment{Orders: workers}, log)
 	if err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 	k.background.Go(func() { k.beatNodes(k.workContext) })
 	k.background.Go(func() { k.tellPresences(k.workContext) })
 	k.background.Go(func() { k.maintain(k.workContext) })
-	if k.outside.Order != nil {
+	if k.outside.Orders != nil {
 		k.background.Go(func() { k.tellDemands(k.workContext) })
 		k.background.Go(func() { k.controlStages(k.workContext) })
 	}
--- a/internal/keeper/stages.go
+++ b/internal/keeper/stages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"ospreybend/coord/replica"
 	"ospreybend/coord/shards"
@@ -13,8 +14,13 @@
 	"ospreybend/internal/staging"
 )
 
-// OrderSender gives a worker an order and returns the status of its answer, 0 if there is none.
-type OrderSender func(ctx context.Context, order StageOrder) (status int)
+// WorkerCaller calls workers for the control plane.
+type WorkerCaller interface {
+	// Order gives a worker an order and returns the status of its answer, 0 if there is none.
+	Order(ctx context.Context, order StageOrder) (status int)
+	// Stage asks a worker for its stage; empty: it did not tell, or changes it just now.
+	Stage(ctx context.Context, instance, address string) string
+}
 
 // StageOrder is one order to a worker to change its stage.
 type StageOrder struct {
@@ -74,10 +80,11 @@
 			controller = staging.NewController()
 			held.controllers[service] = controller
 		}
-		plan := controller.Plan(k.sinceStart(), workers, demands[service])
+		plan := controller.Plan(k.sinceStart(), workers, demands[service], k.configuration().switchTime(service))
 		k.noteStages(service, controller.State())
 		k.assign(ctx, shard, service, plan.Assign)
 		k.order(ctx, shard, status, controller, plan.Order)
+		k.recordTurned(ctx, shard, plan.Ask)
 	}
 }
 
@@ -88,24 +95,53 @@
 
 // assign records the stages that workers are to have. What fails is decided on anew.
 func (k *Keeper) assign(ctx context.Context, shard *shard, service string, assignments []staging.Assignment) {
-	if len(assignments) == 0 {
+	commands := make([][]byte, 0, len(assignments))
+	for _, one := range assignments {
+		commands = append(commands, registry.EncodeAssign(one.ID, one.Stage))
+		k.log.Info("stage wanted", zap.String("service", service), zap.String("worker", one.ID), zap.String("stage", one.Stage))
+	}
+	k.proposeAll(ctx, shard, commands)
+}
+
+// proposeAll proposes commands at the same time and waits until they are applied, or for assignBudget.
+func (k *Keeper) proposeAll(ctx context.Context, shard *shard, commands [][]byte) {
+	if len(commands) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, assignBudget)
 	defer cancel()
-	done := make(chan error, len(assignments))
-	for _, one := range assignments {
-		command := registry.EncodeAssign(one.ID, one.Stage)
-		k.background.Go(func() {
+	var group errgroup.Group
+	for _, command := range commands {
+		group.Go(func() error {
 			_, _, err := shard.group.Propose(ctx, command)
-			done <- err
+			return err
 		})
 	}
-	for _, one := range assignments {
-		err := <-done
-		k.log.Info("stage wanted", zap.String("service", service), zap.String("worker", one.ID),
-			zap.String("stage", one.Stage), zap.Error(err))
+	if err := group.Wait(); err != nil {
+		k.log.Info("not all stages were recorded", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+	}
+}
+
+// recordTurned asks workers for their stages and records those that have the stage that is wanted.
+func (k *Keeper) recordTurned(ctx context.Context, shard *shard, questions []staging.Order) {
+	stages := make([]string, len(questions))
+	var group errgroup.Group
+	for i, one := range questions {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, orderBudget)
+			defer cancel()
+			stages[i] = k.outside.Orders.Stage(ctx, one.ID, one.Address)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var commands [][]byte
+	for i, one := range questions {
+		if stages[i] == one.Stage {
+			commands = append(commands, registry.EncodeStage(one.ID, one.Stage))
+		}
 	}
+	k.proposeAll(ctx, shard, commands)
 }
 
 // order gives workers orders, all at once, and waits for their answers.
@@ -121,7 +157,7 @@
 			defer cancel()
 			answered := 0
 			if now := shard.group.Status(); now.IsLeader() && now.Term == status.Term && current(now) {
-				answered = k.outside.Order(ctx, StageOrder{
+				answered = k.outside.Orders.Order(ctx, StageOrder{
 					Instance: one.ID, Address: one.Address, Stage: one.Stage, Holder: k.settings.NodeName, Fence: status.Term,
 				})
 			}
--- a/internal/keeper/timing.go
+++ b/internal/keeper/timing.go
@@ -31,7 +31,7 @@
 	maintainInterval   = 500 * time.Millisecond // expiry, membership, spread
 	nodesInterval      = 1200 * time.Millisecond
 	presenceInterval   = 400 * time.Millisecond  // a good deal shorter than the span after which an instance is gone
-	demandInterval     = 500 * time.Millisecond  // between two reports of demand to the owner of a shard
+	demandInterval     = 250 * time.Millisecond  // between two reports of demand to the owner of a shard
 	demandLife         = 1600 * time.Millisecond // of a report of demand
 	stagesInterval     = 250 * time.Millisecond  // between two looks at the stages of workers
 	stagesLogged       = 5 * time.Second         // between two lines on a service whose stages do not change
@@ -52,7 +52,7 @@
 	newLeaderPatience  = time.Second            // see silence
 	lostLearnerAfter   = 10 * time.Second       // a learner that is silent so long and does not ask goes
 	spreadCalm         = 5 * time.Second        // how long a better owner must be current
-	spreadInterval     = 5 * time.Second        // least time between two moves
+	spreadInterval     = 2 * time.Second        // least time between two moves
 	transferBudget     = time.Second
 	leaderKnownBudget  = 300 * time.Millisecond
 	takePlaceBudget    = 500 * time.Millisecond
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -28,6 +28,7 @@
 	operationPut    operation = 1
 	operationRemove operation = 2
 	operationAssign operation = 3 // the stage of the command is the one that the fleet wants of the instance
+	operationStage  operation = 4 // the stage of the command is the one that the instance has been found to have
 )
 
 const (
@@ -153,6 +154,15 @@
 	})
 }
 
+// EncodeStage returns the command that records the stage that an instance has been found to have.
+func EncodeStage(id, stage string) []byte {
+	return mustMarshal(commandSchema, commandRecord{
+		Format:     commandFormat,
+		Operation:  int(operationStage),
+		itemRecord: itemRecord{ID: id, Stage: stage},
+	})
+}
+
 func decodeCommand(encoded []byte) (command, *Refusal) {
 	if len(encoded) == 0 {
 		return command{}, refuse(BadCommand, "it is empty")
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -67,7 +67,11 @@
 	case operationRemove:
 		return outcome(s.remove(decoded, &change)), change
 	case operationAssign:
-		return outcome(s.assign(decoded.instance.ID, decoded.instance.Stage, &change)), change
+		wanted := decoded.instance.Stage
+		return outcome(s.amend(decoded.instance.ID, &change, func(i *Instance) { i.Assigned = wanted })), change
+	case operationStage:
+		found := decoded.instance.Stage
+		return outcome(s.amend(decoded.instance.ID, &change, func(i *Instance) { i.Stage = found })), change
 	default:
 		return outcome(BadCommand), change
 	}
@@ -105,18 +109,18 @@
 	return Recorded
 }
 
-// assign records the stage that the fleet wants of an instance.
-func (s *Store) assign(id, stage string, change *feed.Change) Code {
+// amend changes a part of an instance's record, if there is one.
+func (s *Store) amend(id string, change *feed.Change, amendment func(*Instance)) Code {
 	held := s.records[id]
 	if held == nil {
 		return Gone
 	}
-	if held.instance.Assigned == stage {
-		return Unchanged
-	}
 	instance := *held.instance
-	instance.Assigned = stage
+	amendment(&instance)
 	value := EncodeItem(instance)
+	if bytes.Equal(value, held.value) {
+		return Unchanged
+	}
 	s.records[id] = &record{instance: &instance, value: value, sequence: held.sequence}
 	change.Put = append(change.Put, feed.Item{Key: id, Value: value})
 	return Recorded
--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -9,21 +9,23 @@
 
 // Times and bounds of the loop.
 const (
-	demandMemory  = 3 * time.Second       // in which an earlier demand falls by e
-	queueing      = 0.5                   // waits at readers, against those at servers to which work goes without regard to their queues
-	leastServed   = 0.2                   // part of the requests that begin to stream, from which streams are extrapolated
-	smallDemand   = 1e-6                  // workers; less is none
-	leastEvidence = time.Second           // of demand before the first decision
-	bandShare     = 0.06                  // part of the workers by which the wanted split must differ
-	leastBand     = 0.8                   // and at least so many workers
-	turningShare  = 0.25                  // part of the workers that change their stage at once
-	settleTime    = 80 * time.Millisecond // from an assignment to its order: proxies learn of it before
-	assignWithin  = 2 * time.Second       // an assignment that is not recorded by then has failed
-	retryAfter    = time.Second           // without a clear answer the order is given again
-	confirmAfter  = 10 * time.Second      // after an order was taken, the worker must have told its new stage
-	restAfterFail = 30 * time.Second      // a worker that cannot be turned is left alone
-	restAfterTurn = 8 * time.Second       // a worker that has turned is not turned back
-	mostTries     = 6                     // orders for one assignment
+	demandMemory  = 3 * time.Second        // in which an earlier demand falls by e
+	queueing      = 0.5                    // waits at readers, against those at servers to which work goes without regard to their queues
+	leastServed   = 0.2                    // part of the requests that begin to stream, from which streams are extrapolated
+	smallDemand   = 1e-6                   // workers; less is none
+	leastEvidence = 500 * time.Millisecond // of demand before the first decision
+	bandShare     = 0.06                   // part of the workers by which the wanted split must differ
+	leastBand     = 0.8                    // and at least so many workers
+	turningShare  = 0.4                    // part of the workers that change their stage at once
+	settleTime    = 80 * time.Millisecond  // from an assignment to its order: proxies learn of it before
+	assignWithin  = 2 * time.Second        // an assignment that is not recorded by then has failed
+	retryAfter    = time.Second            // without a clear answer the order is given again
+	reportLag     = 250 * time.Millisecond // by which a worker's report is old at most
+	askInterval   = 400 * time.Millisecond // between two questions to a worker
+	confirmAfter  = 10 * time.Second       // after an order was taken, the worker must have told its new stage
+	restAfterFail = 30 * time.Second       // a worker that cannot be turned is left alone
+	restAfterTurn = 8 * time.Second        // a worker that has turned is not turned back
+	mostTries     = 6                      // orders for one assignment
 )
 
 // Worker is one worker of a service, as the registry has it.
@@ -59,6 +61,7 @@
 type Plan struct {
 	Assign []Assignment
 	Order  []Order
+	Ask    []Order // workers that may have the stage by now, and are to be asked which one they have
 }
 
 // Result is what became of an order.
@@ -84,20 +87,22 @@
 	stage   string
 	since   time.Duration // when the assignment was seen first
 	ordered time.Duration // when the last order was given
+	asked   time.Duration // when the worker was asked last; 0: not since the order
 	tries   int
 	taken   bool
 }
 
 // Controller follows one service. It is not safe for concurrent use.
 type Controller struct {
-	sum      Demand  // of the demand, each moment weighed less the older it is
-	readers  float64 // the same of the workers that read
-	weight   float64
-	last     time.Duration // of the call before; 0: none
-	target   int           // readers; 0: not decided
-	attempts map[string]*attempt
-	rest     map[string]time.Duration // until when a worker is left alone
-	state    State
+	sum        Demand  // of the demand, each moment weighed less the older it is
+	readers    float64 // the same of the workers that read
+	weight     float64
+	last       time.Duration // of the call before; 0: none
+	target     int           // readers; 0: not decided
+	switchTime time.Duration
+	attempts   map[string]*attempt
+	rest       map[string]time.Duration // until when a worker is left alone
+	state      State
 }
 
 // NewController returns a controller that knows nothing yet: it takes over whatever assignments the workers have.
@@ -109,7 +114,9 @@
 func (c *Controller) State() State { return c.state }
 
 // Plan says what to do for a service with these workers and this demand. It is called several times a second.
-func (c *Controller) Plan(now time.Duration, workers []Worker, demand Demand) Plan {
+// switchTime is what a worker needs to change its stage.
+func (c *Controller) Plan(now time.Duration, workers []Worker, demand Demand, switchTime time.Duration) Plan {
+	c.switchTime = switchTime
 	usable := usableOf(workers)
 	c.observe(now, demand, readingNow(usable))
 	c.forget(now, workers)
@@ -231,10 +238,13 @@
 			plan.Assign = append(plan.Assign, Assignment{ID: worker.ID})
 			c.rest[worker.ID] = now + restAfterFail
 		case tried.due(now):
-			tried.ordered = now
+			tried.ordered, tried.asked = now, 0
 			tried.tries++
 			tried.taken = false
 			plan.Order = append(plan.Order, Order{ID: worker.ID, Address: worker.Address, Stage: worker.Assigned})
+		case tried.mayBeDone(now, c.switchTime):
+			tried.asked = now
+			plan.Ask = append(plan.Ask, Order{ID: worker.ID, Address: worker.Address, Stage: worker.Assigned})
 		}
 	}
 	return plan
@@ -252,6 +262,12 @@
 	}
 }
 
+// mayBeDone tells whether a worker that has taken an order may have its new stage, and is to be asked: its heartbeat would tell
+// only later.
+func (a *attempt) mayBeDone(now, switchTime time.Duration) bool {
+	return a.taken && now-a.ordered >= switchTime+reportLag && (a.asked == 0 || now-a.asked >= askInterval)
+}
+
 // Ended takes in what became of an order.
 func (c *Controller) Ended(id string, result Result) {
 	tried := c.attempts[id]
