--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -13,7 +13,7 @@
 	queueing      = 0.5                    // waits at readers, against those at servers to which work goes without regard to their queues
 	leastServed   = 0.2                    // part of the requests that begin to stream, from which streams are extrapolated
 	smallDemand   = 1e-6                   // workers; less is none
-	leastEvidence = 500 * time.Millisecond // of demand before the first decision
+	leastEvidence = time.Second            // of demand before the first decision
 	bandShare     = 0.06                   // part of the workers by which the wanted split must differ
 	leastBand     = 0.8                    // and at least so many workers
 	turningShare  = 0.4                    // part of the workers that change their stage at once
--- a/internal/staging/split.go
+++ b/internal/staging/split.go
@@ -6,9 +6,9 @@
 // and is spread unevenly. Writers are kept further from their limit: what fails there has been read for nothing.
 const (
 	readTarget   = 0.7
-	slotsTarget  = 0.4
-	memoryTarget = 0.45
-	movesTarget  = 0.25 // they are made one after the other, and first tokens wait for them
+	slotsTarget  = 0.35
+	memoryTarget = 0.4
+	movesTarget  = 0.2 // they are made one after the other, and first tokens wait for them
 )
 
 // comfort is how many times the need is well more than enough.
