--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"ospreybend/internal/catalog"
 	"ospreybend/internal/configuration"
 	"ospreybend/internal/exchange"
 	"ospreybend/internal/front"
@@ -374,3 +375,19 @@
 		}
 	})
 }
+
+func TestNothingNewIsSentToAWorkerThatTurns(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		r.chooser.offers("d1", "d2")
+		turning := testWorker("d1")
+		turning.Stage, turning.Assigned = "decode", "prefill"
+		view := *r.view
+		view.Workers = map[string][]*catalog.Worker{testService: {turning, testWorker("d2"), testWorker("d3")}}
+		r.dispatcher.SetView(&view)
+		r.plays("d2", answers(200, "there", signed))
+		r.ask(nil).mustBe(t, 200, "there")
+		if len(r.calls) != 1 || r.calls[0].field(fieldTarget) != "d2" {
+			t.Fatalf("%+v", r.calls)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/demand_test.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"ospreybend/internal/staging"
+)
+
+func TestDemandIsReportedAsARate(t *testing.T) {
+	var reporter demandReporter
+	start := time.Now()
+	total := func(read float64) map[string]staging.Demand { return map[string]staging.Demand{"s": {Read: read}} }
+	if _, tell := reporter.report(start, total(5)); tell {
+		t.Fatal("a sum without a time before it was told")
+	}
+	list, tell := reporter.report(start.Add(2*time.Second), total(9))
+	if !tell || len(list) != 1 || list[0].Demand.Read != 2 {
+		t.Fatalf("%+v", list)
+	}
+	if list, tell := reporter.report(start.Add(3*time.Second), total(9)); !tell || len(list) != 0 {
+		t.Fatalf("the end of the demand was not told: %+v", list)
+	}
+	if _, tell := reporter.report(start.Add(4*time.Second), total(9)); tell {
+		t.Fatal("no demand was told twice")
+	}
+	if list, _ := reporter.report(start.Add(5*time.Second), total(1)); len(list) != 1 || list[0].Demand.Read != 1 {
+		t.Fatalf("a sum that began anew: %+v", list)
+	}
+}
--- /dev/null
+++ b/internal/registry/assign_test.go
@@ -0,0 +1,79 @@
+package registry
+
+import (
+	"testing"
+
+	"ospreybend/internal/strictavro"
+)
+
+func TestAnAssignedStageOutlivesHeartbeats(t *testing.T) {
+	store := NewStore()
+	instance := exampleInstance("a", "1.2.3.4:5")
+	apply(t, store, EncodePut(instance, 1), Recorded)
+	change := apply(t, store, EncodeAssign("a", "prefill"), Recorded)
+	told, err := DecodeItem(change.Put[0].Value)
+	if err != nil || told.Assigned != "prefill" || told.Stage != "decode" || !told.Turning() {
+		t.Fatalf("%+v %v", told, err)
+	}
+	apply(t, store, EncodeAssign("a", "prefill"), Unchanged)
+	apply(t, store, EncodePut(instance, 2), Unchanged)
+	if !SameRecord(*store.Instance("a"), instance) {
+		t.Fatal("a heartbeat that says what is known counts as news")
+	}
+	instance.Stage = "prefill"
+	apply(t, store, EncodePut(instance, 3), Recorded)
+	if held := store.Instance("a"); held.Turning() || held.Assigned != "prefill" {
+		t.Fatalf("%+v", held)
+	}
+	apply(t, store, EncodeAssign("a", ""), Recorded)
+	apply(t, store, EncodeAssign("b", "prefill"), Gone)
+	apply(t, store, EncodeStage("b", "prefill"), Gone)
+}
+
+func TestAStageThatWasFoundOutIsRecorded(t *testing.T) {
+	store := NewStore()
+	instance := exampleInstance("a", "1.2.3.4:5")
+	apply(t, store, EncodePut(instance, 4), Recorded)
+	apply(t, store, EncodeStage("a", "prefill"), Recorded)
+	apply(t, store, EncodePut(instance, 3), Late)
+	if store.Instance("a").Stage != "prefill" {
+		t.Fatal("a late heartbeat took it back")
+	}
+	draining := *store.Instance("a")
+	draining.State = Draining
+	apply(t, store, EncodePut(draining, 5), Recorded)
+	apply(t, store, EncodeStage("a", "decode"), Recorded)
+	if store.Instance("a").State != Draining {
+		t.Fatal("a drain was revoked")
+	}
+}
+
+func TestSnapshotsKeepAssignedStages(t *testing.T) {
+	store := NewStore()
+	apply(t, store, EncodePut(exampleInstance("a", "1.2.3.4:5"), 1), Recorded)
+	apply(t, store, EncodeAssign("a", "prefill"), Recorded)
+	restored := NewStore()
+	if err := restored.Restore(store.Snapshot()); err != nil || restored.Instance("a").Assigned != "prefill" {
+		t.Fatalf("%+v %v", restored.Instance("a"), err)
+	}
+}
+
+func TestASnapshotOfTheEarlierFormatIsRead(t *testing.T) {
+	instance := exampleInstance("a", "1.2.3.4:5")
+	value := mustMarshal(earlierItemSchema, recordOf(instance))
+	earlier := mustMarshal(snapshotSchema, snapshotRecord{
+		Format: earlierSnapshotFormat, Instances: []heldRecord{{Sequence: 7, Value: value}},
+	})
+	store := NewStore()
+	if err := store.Restore(earlier); err != nil || !SameRecord(*store.Instance("a"), instance) {
+		t.Fatalf("%+v %v", store.Instance("a"), err)
+	}
+	var record itemRecord
+	if strictavro.Unmarshal(binary, itemSchema, value, &record) == nil {
+		t.Fatal("an item of the earlier form passes for one of this form")
+	}
+	var whole snapshotRecord
+	if err := strictavro.Unmarshal(binary, snapshotSchema, store.Snapshot(), &whole); err != nil || whole.Format != snapshotFormat {
+		t.Fatal(whole.Format, err)
+	}
+}
--- /dev/null
+++ b/internal/selection/demand_test.go
@@ -0,0 +1,75 @@
+package selection
+
+import (
+	"testing"
+	"time"
+)
+
+func TestARequestIsDemandOnceWhateverBecomesOfIt(t *testing.T) {
+	s, _ := rig(2, 3, 1)
+	r := ask(time.Second, 7, 3200, 800)
+	choice, _ := s.Choose(time.Second, r, nil)
+	first := s.Demands(time.Second)["m"]
+	if first.Offered != 1 || first.Read <= 0 || first.Moves <= 0 {
+		t.Fatalf("%+v", first)
+	}
+	s.Choose(time.Second, r, []string{choice.Run.ID})
+	if again := s.Demands(time.Second)["m"]; again != first {
+		t.Fatalf("%+v, then %+v", first, again)
+	}
+	refused := 0
+	for i := range 400 { // far more than there is room for
+		now := time.Second + time.Duration(i)*time.Millisecond
+		r := ask(now, uint64(i), 6400, 9000)
+		c, v := s.Choose(now, r, nil)
+		if !v.Send {
+			refused++
+			continue
+		}
+		s.Sent(now, r, CallPrefill, c)
+	}
+	if offered := s.Demands(2 * time.Second)["m"].Offered; refused == 0 || offered != 401 {
+		t.Fatalf("%d refused, %v offered", refused, offered)
+	}
+}
+
+func TestStreamsAreDemandAsLongAsTheyRun(t *testing.T) {
+	s, _ := rig(1, 2, 1)
+	now := time.Second
+	r := ask(now, 7, 3200, 800)
+	choice, _ := s.Choose(now, r, nil)
+	read := s.Sent(now, r, CallPrefill, choice)
+	s.Done(now+100*time.Millisecond, read, nil)
+	if demand := s.Demands(now + 100*time.Millisecond)["m"]; demand.ReadDone <= 0 || demand.ReadTime <= 0 || demand.Slots != 0 {
+		t.Fatalf("%+v", demand)
+	}
+	run := s.Sent(now+100*time.Millisecond, r, CallRun, choice)
+	s.FirstEvent(now+150*time.Millisecond, run)
+	demand := s.Demands(now + 600*time.Millisecond)["m"]
+	if demand.Begun != 1 || demand.Slots < 0.5/64 || demand.Slots > 1./64+1e-9 || demand.Memory <= 0 {
+		t.Fatalf("%+v", demand)
+	}
+	s.Done(now+700*time.Millisecond, run, nil)
+	ended := s.Demands(now + 700*time.Millisecond)["m"]
+	if later := s.Demands(now + 5*time.Second)["m"]; later != ended {
+		t.Fatalf("%+v, then %+v", ended, later)
+	}
+}
+
+func TestNothingNewGoesToAWorkerThatTurns(t *testing.T) {
+	s, view := rig(2, 3, 1)
+	turning := []int{0, 2}
+	for _, i := range turning {
+		entry := *view.Workers["m"][i]
+		entry.Assigned = map[string]string{"prefill": "decode", "decode": "prefill"}[entry.Stage]
+		view.Workers["m"][i] = &entry
+	}
+	s.SetView(time.Second, view)
+	for i := range 200 {
+		now := time.Second + time.Duration(i)*10*time.Millisecond
+		choice, _ := s.Choose(now, ask(now, uint64(i), 1600, 400), nil)
+		if choice.Prefill == view.Workers["m"][0] || choice.Run == view.Workers["m"][2] || choice.Run == nil {
+			t.Fatalf("%+v", choice)
+		}
+	}
+}
