--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -9,13 +9,15 @@
 
 // Times and bounds of the loop.
 const (
-	demandMemory  = 3 * time.Second        // in which an earlier demand falls by e
-	queueing      = 0.5                    // waits at readers, against those at servers to which work goes without regard to their queues
-	leastServed   = 0.2                    // part of the requests that begin to stream, from which streams are extrapolated
-	smallDemand   = 1e-6                   // workers; less is none
-	leastEvidence = time.Second            // of demand before the first decision
-	bandShare     = 0.06                   // part of the workers by which the wanted split must differ
-	leastBand     = 0.8                    // and at least so many workers
+	demandMemory  = 3 * time.Second // in which an earlier demand falls by e
+	queueing      = 0.5             // waits at readers, against those at servers to which work goes without regard to their queues
+	leastServed   = 0.2             // part of the requests that begin to stream, from which streams are extrapolated
+	smallDemand   = 1e-6            // workers; less is none
+	leastEvidence = time.Second     // of demand before the first decision
+	bandShare     = 0.06            // part of the workers by which the wanted split must differ
+	leastBand     = 1.              // and at least so many workers
+	moreShare     = 0.03            // the same where writers are lacking
+	leastMore     = 0.25
 	turningShare  = 0.4                    // part of the workers that change their stage at once
 	settleTime    = 80 * time.Millisecond  // from an assignment to its order: proxies learn of it before
 	assignWithin  = 2 * time.Second        // an assignment that is not recorded by then has failed
@@ -301,12 +303,19 @@
 		c.target = bounded(c.target, total)
 		return
 	}
-	if math.Abs(share-float64(c.target)) > max(leastBand, bandShare*float64(total)) {
-		c.target = int(math.Round(share))
+	if c.differs(share, total) {
+		c.target = int(share) // what is left of a worker writes
 	}
 	c.target = bounded(c.target, total)
 }
 
+// differs tells whether the share of readers is far enough from the target to be worth orders. More writers are wanted sooner
+// than fewer.
+func (c *Controller) differs(share float64, total int) bool {
+	more, fewer := max(leastMore, moreShare*float64(total)), max(leastBand, bandShare*float64(total))
+	return share < float64(c.target)-more || share >= float64(c.target)+fewer
+}
+
 // readersOf counts the workers that read, or will.
 func readersOf(workers []Worker) int {
 	readers := 0
