Decide the first split sooner, within bounds

Change: the first decision after 0.4 s of demand in place of 1 s; until two seconds were seen each stage keeps a quarter of the workers, since streams that have just begun are few.

--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -9,14 +9,16 @@
 
 // Times and bounds of the loop.
 const (
-	demandMemory  = 3 * time.Second // in which an earlier demand falls by e
-	queueing      = 0.5             // waits at readers, against those at servers to which work goes without regard to their queues
-	leastServed   = 0.2             // part of the requests that begin to stream, from which streams are extrapolated
-	smallDemand   = 1e-6            // workers; less is none
-	leastEvidence = time.Second     // of demand before the first decision
-	bandShare     = 0.06            // part of the workers by which the wanted split must differ
-	leastBand     = 1.              // and at least so many workers
-	moreShare     = 0.03            // the same where writers are lacking
+	demandMemory  = 3 * time.Second        // in which an earlier demand falls by e
+	queueing      = 0.5                    // waits at readers, against those at servers to which work goes without regard to their queues
+	fullEvidence  = 2 * time.Second        // up to which the split stays within earlyShare
+	earlyShare    = 0.25                   // of the workers that each stage keeps meanwhile: streams that have just begun are few
+	leastServed   = 0.2                    // part of the requests that begin to stream, from which streams are extrapolated
+	smallDemand   = 1e-6                   // workers; less is none
+	leastEvidence = 400 * time.Millisecond // of demand before the first decision
+	bandShare     = 0.06                   // part of the workers by which the wanted split must differ
+	leastBand     = 1.                     // and at least so many workers
+	moreShare     = 0.03                   // the same where writers are lacking
 	leastMore     = 0.25
 	turningShare  = 0.4                    // part of the workers that change their stage at once
 	settleTime    = 80 * time.Millisecond  // from an assignment to its order: proxies learn of it before
@@ -307,6 +309,9 @@
 		c.target = int(share) // what is left of a worker writes
 	}
 	c.target = bounded(c.target, total)
+	if c.weight < fullEvidence.Seconds() {
+		c.target = min(c.target, max(readersOf(workers), total-int(math.Ceil(earlyShare*float64(total)))))
+	}
 }
 
 // differs tells whether the share of readers is far enough from the target to be worth orders. More writers are wanted sooner
