--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -16,7 +16,7 @@
 	properties.Property("decode of encode", prop.ForAll(func(node, sequence uint64, workers []uint64, work uint16) bool {
 		m := Message{Node: node, Sequence: sequence}
 		for i, worker := range workers {
-			m.List = append(m.List, selection.Outstanding{Worker: worker, Waiting: float64(work) / 1000, Running: float64(i), Memory: float64(work)})
+			m.List = append(m.List, selection.Outstanding{Worker: worker, Waiting: float64(work) / 1000, Running: float64(i), Memory: float64(work), Failing: i%3 == 0})
 		}
 		datagram, err := Encode(m)
 		if err != nil || len(datagram) > MostBytes {
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -42,20 +42,21 @@
 	Waiting int   `avro:"waiting"` // microseconds
 	Running int   `avro:"running"`
 	Memory  int   `avro:"memory"`
+	Failing bool  `avro:"failing"`
 }
 
 var schema = avro.MustParse(`{"type":"record","name":"load","fields":[
 {"name":"node","type":"long"},{"name":"sequence","type":"long"},
 {"name":"list","type":{"type":"array","items":{"type":"record","name":"entry","fields":[
 {"name":"worker","type":"long"},{"name":"waiting","type":"int"},
-{"name":"running","type":"int"},{"name":"memory","type":"int"}]}}}]}`)
+{"name":"running","type":"int"},{"name":"memory","type":"int"},{"name":"failing","type":"boolean"}]}}}]}`)
 
 // Encode returns a message's bytes.
 func Encode(m Message) ([]byte, error) {
 	encoded := wireMessage{Node: int64(m.Node), Sequence: int64(m.Sequence)}
 	for _, entry := range foremost(m.List) {
 		encoded.List = append(encoded.List, wireEntry{Worker: int64(entry.Worker), Waiting: int(entry.Waiting * microseconds),
-			Running: int(entry.Running), Memory: int(entry.Memory)})
+			Running: int(entry.Running), Memory: int(entry.Memory), Failing: entry.Failing})
 	}
 	return avro.Marshal(schema, encoded)
 }
@@ -72,7 +73,8 @@
 			return Message{}, ErrMessage
 		}
 		m.List = append(m.List, selection.Outstanding{Worker: uint64(entry.Worker),
-			Waiting: float64(entry.Waiting) / microseconds, Running: float64(entry.Running), Memory: float64(entry.Memory)})
+			Waiting: float64(entry.Waiting) / microseconds, Running: float64(entry.Running), Memory: float64(entry.Memory),
+			Failing: entry.Failing})
 	}
 	return m, nil
 }
--- a/internal/loadshare/pace.go
+++ b/internal/loadshare/pace.go
@@ -17,7 +17,7 @@
 	Repeat = 300 * time.Millisecond
 )
 
-// foremost are the entries with most work, as many as a message holds.
+// foremost are the entries of failing workers, and those with most work, as many as a message holds.
 func foremost(list []selection.Outstanding) []selection.Outstanding {
 	if len(list) <= mostEntries {
 		return list
@@ -25,6 +25,11 @@
 	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b selection.Outstanding) int {
 		switch {
+		case a.Failing != b.Failing:
+			if a.Failing {
+				return -1
+			}
+			return 1
 		case a.Waiting > b.Waiting:
 			return -1
 		case a.Waiting < b.Waiting:
--- a/internal/selection/failures.go
+++ b/internal/selection/failures.go
@@ -25,6 +25,15 @@
 	level   int           // times that it was shunned without serving well since
 	until   time.Duration // shunned up to then
 	ramp    int           // calls at once while it comes back; 0: as many as may be
+	own     bool          // it is shunned for calls of this node's own
+}
+
+// failing tells whether the worker is shunned for what this node has found itself.
+func (h *health) failing(now time.Duration) bool { return h.own && now < h.until }
+
+// setAside shuns the worker for what other nodes have found.
+func (h *health) setAside(until time.Duration) {
+	h.until, h.ramp, h.own = until, 1, false
 }
 
 // available tells whether a worker with so many calls may be sent another.
@@ -56,7 +65,7 @@
 		h.level = max(h.level, 1)
 	}
 	h.until = now + min(firstShun<<h.level, longestShun)
-	h.ramp = 1
+	h.ramp, h.own = 1, true
 	if cause != FailureMisrouted && firstShun<<h.level < longestShun {
 		h.level++
 	}
--- a/internal/selection/selector.go
+++ b/internal/selection/selector.go
@@ -33,6 +33,7 @@
 	selector  *Selector
 	engine    *configuration.Engine // nil: plain HTTP workers
 	workers   map[string]*worker
+	byNumber  map[uint64]*worker
 	byClass   [classes][]*worker // in the order of their IDs
 	zones     map[string]int
 	pools     [classes]pool
@@ -95,6 +96,7 @@
 	}
 	known := s.workers
 	s.workers = make(map[string]*worker, len(listed))
+	s.byNumber = make(map[uint64]*worker, len(listed))
 	s.byClass = [classes][]*worker{}
 	for _, entry := range listed {
 		w := known[entry.ID]
@@ -106,6 +108,7 @@
 		w.class = classOf(entry.Stage)
 		w.kept.capacity = s.memory()
 		s.workers[entry.ID] = w
+		s.byNumber[w.number] = w
 		if !entry.Turning() {
 			s.byClass[w.class] = append(s.byClass[w.class], w)
 		}
--- a/internal/selection/shared.go
+++ b/internal/selection/shared.go
@@ -17,6 +17,7 @@
 	Waiting float64 // seconds of work that is not answered yet
 	Running float64 // requests that are being answered
 	Memory  float64 // tokens that they hold
+	Failing bool    // calls of this node have failed there: it sends nothing new for a while
 }
 
 // peer is what another node told last.
@@ -30,7 +31,7 @@
 	var list []Outstanding
 	for _, service := range s.services {
 		for _, w := range service.workers {
-			if len(w.calls) > 0 {
+			if len(w.calls) > 0 || w.health.failing(now) {
 				list = append(list, service.outstanding(now, w))
 			}
 		}
@@ -40,7 +41,7 @@
 
 // outstanding sums up this node's calls at a worker.
 func (s *service) outstanding(now time.Duration, w *worker) Outstanding {
-	sum := Outstanding{Worker: w.number, Memory: w.memory}
+	sum := Outstanding{Worker: w.number, Memory: w.memory, Failing: w.health.failing(now)}
 	for _, call := range w.calls {
 		if call.begun || w.class == classPlain {
 			sum.Running++
@@ -67,6 +68,7 @@
 		told.list[entry.Worker] = entry
 	}
 	s.peers[node] = told
+	s.takeFindings(now, list)
 	for other, old := range s.peers {
 		if now-old.at > peerLife {
 			delete(s.peers, other)
