Give writers to a service that has none left

Change: a service without any writer is given the least number at once, without demand. Measured: the test fails without it.

--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -296,6 +296,10 @@
 	if c.target == 0 {
 		c.target = readersOf(workers)
 	}
+	if readersOf(workers) == total { // nothing is served without a writer, and so no demand is seen
+		c.target = bounded(total, total)
+		return
+	}
 	if c.weight < leastEvidence.Seconds() {
 		return
 	}
@@ -334,10 +338,11 @@
 
 // choose picks the workers that are to change their stage, so that the split comes nearer to what is wanted.
 func (c *Controller) choose(now time.Duration, workers []Worker) []Assignment {
-	if c.target == 0 || c.weight < leastEvidence.Seconds() {
+	readers := readersOf(workers)
+	if c.target == 0 || c.weight < leastEvidence.Seconds() && readers < len(workers) {
 		return nil
 	}
-	missing := c.target - readersOf(workers)
+	missing := c.target - readers
 	stage, from := Prefill, Decode
 	if missing < 0 {
 		stage, from, missing = Decode, Prefill, -missing
--- a/internal/staging/controller_test.go
+++ b/internal/staging/controller_test.go
@@ -17,6 +17,8 @@
 	doneAt  map[string]time.Duration // when a worker will have turned
 	answer  func(Order) Result       // nil: taken
 	orders  []Order
+
+	mayLackWriters bool
 }
 
 func newFleet(t *testing.T, readers, writers int) *fleet {
@@ -112,7 +114,7 @@
 // check looks at what holds at every moment.
 func (f *fleet) check() {
 	readers, writers, turning := f.count()
-	if readers+turning < 1 || writers < 1 || turning > max(1, int(turningShare*float64(len(f.workers)))) {
+	if readers+turning < 1 || writers < 1 && !f.mayLackWriters || turning > max(1, int(turningShare*float64(len(f.workers)))) {
 		f.t.Fatalf("at %v: %d readers, %d writers, %d turning", f.now, readers, writers, turning)
 	}
 }
@@ -157,6 +159,29 @@
 	}
 }
 
+func TestAServiceThatHasNoWriterLeftGetsSome(t *testing.T) {
+	f := newFleet(t, 9, 0)
+	f.mayLackWriters = true
+	f.run(10 * time.Second)
+	f.mustHave(7)
+	f.demand = reading(3, 0.4)
+	f.run(20 * time.Second)
+	for i := range f.workers { // all writers are lost at once; without them no demand is seen
+		if f.workers[i].Stage == Decode {
+			f.workers = append(f.workers[:i:i], f.workers[i+1:]...)
+			break
+		}
+	}
+	for i := range f.workers {
+		f.workers[i].Stage, f.workers[i].Assigned = Prefill, ""
+	}
+	f.demand = Demand{}
+	f.run(10 * time.Second)
+	if _, writers, _ := f.count(); writers == 0 {
+		t.Fatal("no writer")
+	}
+}
+
 func TestSmallChangesOfDemandCostNoOrders(t *testing.T) {
 	f := newFleet(t, 30, 30)
 	f.demand = reading(12, 10)
