--- a/internal/keeper/stages_test.go
+++ b/internal/keeper/stages_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"ospreybend/coord/agreement"
@@ -60,11 +59,13 @@
 	workers *scriptedWorkers
 	id      shards.ID
 	held    stageShard
+	now     time.Time // of the scene's clock
 }
 
 func newStagedScene(t *testing.T) *stagedScene {
 	k, groups, _ := scripted(t)
-	s := &stagedScene{T: t, keeper: k, id: shards.Of(stagedService), workers: &scriptedWorkers{status: http.StatusAccepted}}
+	s := &stagedScene{T: t, keeper: k, id: shards.Of(stagedService), workers: &scriptedWorkers{status: http.StatusAccepted}, now: k.started}
+	k.outside.Now = func() time.Time { return s.now }
 	s.group = groups[s.id]
 	k.outside.Orders = s.workers
 	index := uint64(0)
@@ -95,12 +96,12 @@
 	s.group.set(status)
 	machine := s.keeper.instances(s.id)
 	machine.setLeading(term)
-	machine.gained(time.Now(), term)
+	machine.gained(s.now, term)
 }
 
 // run plays a time in the loop's steps, while proxies report a demand that needs more readers.
 func (s *stagedScene) run(span time.Duration) {
-	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(stagesInterval) {
+	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(stagesInterval) {
 		report, err := staging.EncodeReport([]staging.ServiceDemand{{Service: stagedService, Demand: staging.Demand{
 			Offered: 30, Begun: 30, Read: 3, ReadDone: 1.9, ReadTime: 10, Slots: 0.4}}})
 		if err != nil {
@@ -115,94 +116,84 @@
 	}
 }
 
-func inStagedScene(t *testing.T, test func(s *stagedScene)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(newStagedScene(t)) })
-}
-
 func TestANewOwnerGivesNoOrderWithinTheLeaseOfTheOneBefore(t *testing.T) {
-	inStagedScene(t, func(s *stagedScene) {
-		lease := settings.Millis(s.keeper.settings.Bounds.LeaseMs)
-		s.run(lease)
-		if orders := s.workers.given(); len(orders) != 0 {
-			s.Fatalf("%+v", orders)
-		}
-		s.run(4 * time.Second)
-		orders := s.workers.given()
-		if len(orders) == 0 {
-			s.Fatal("no order")
-		}
-		for _, order := range orders {
-			if order.Fence != 3 || order.Holder != s.keeper.settings.NodeName || order.Stage != staging.Prefill || order.Address == "" {
-				s.Fatalf("%+v", order)
-			}
-		}
-		s.own(7)
-		before := len(orders)
-		s.run(lease)
-		if after := s.workers.given(); len(after) != before {
-			s.Fatalf("%d orders within the lease of the term before", len(after)-before)
+	s := newStagedScene(t)
+	lease := settings.Millis(s.keeper.settings.Bounds.LeaseMs)
+	s.run(lease)
+	if orders := s.workers.given(); len(orders) != 0 {
+		s.Fatalf("%+v", orders)
+	}
+	s.run(4 * time.Second)
+	orders := s.workers.given()
+	if len(orders) == 0 {
+		s.Fatal("no order")
+	}
+	for _, order := range orders {
+		if order.Fence != 3 || order.Holder != s.keeper.settings.NodeName || order.Stage != staging.Prefill || order.Address == "" {
+			s.Fatalf("%+v", order)
 		}
-	})
+	}
+	s.own(7)
+	before := len(orders)
+	s.run(lease)
+	if after := s.workers.given(); len(after) != before {
+		s.Fatalf("%d orders within the lease of the term before", len(after)-before)
+	}
 }
 
 func TestAnOwnerWithoutContactGivesNoOrder(t *testing.T) {
-	inStagedScene(t, func(s *stagedScene) {
-		status := leaderStatus()
-		status.ConfirmedAge = 2 * currencyAge
-		s.group.set(status)
-		s.run(20 * time.Second)
-		if orders := s.workers.given(); len(orders) != 0 {
-			s.Fatalf("%+v", orders)
-		}
-	})
+	s := newStagedScene(t)
+	status := leaderStatus()
+	status.ConfirmedAge = 2 * currencyAge
+	s.group.set(status)
+	s.run(20 * time.Second)
+	if orders := s.workers.given(); len(orders) != 0 {
+		s.Fatalf("%+v", orders)
+	}
 }
 
 func TestAKeeperThatDoesNotOwnTheShardGivesNoOrder(t *testing.T) {
-	inStagedScene(t, func(s *stagedScene) {
-		s.run(5 * time.Second)
-		before := len(s.workers.given())
-		s.group.set(followerOf("b"))
-		s.keeper.instances(s.id).setLeading(0)
-		s.run(20 * time.Second)
-		if after := len(s.workers.given()); after != before || s.held.term != 0 {
-			s.Fatalf("%d orders", after-before)
-		}
-	})
+	s := newStagedScene(t)
+	s.run(5 * time.Second)
+	before := len(s.workers.given())
+	s.group.set(followerOf("b"))
+	s.keeper.instances(s.id).setLeading(0)
+	s.run(20 * time.Second)
+	if after := len(s.workers.given()); after != before || s.held.term != 0 {
+		s.Fatalf("%d orders", after-before)
+	}
 }
 
 func TestAStageIsRecordedAsWantedBeforeItIsOrdered(t *testing.T) {
-	inStagedScene(t, func(s *stagedScene) {
-		early := 0
-		s.workers.before = func(order StageOrder) {
-			if s.keeper.instances(s.id).store.Instance(order.Instance).Assigned != order.Stage {
-				early++
-			}
+	s := newStagedScene(t)
+	early := 0
+	s.workers.before = func(order StageOrder) {
+		if s.keeper.instances(s.id).store.Instance(order.Instance).Assigned != order.Stage {
+			early++
 		}
-		s.run(6 * time.Second)
-		if len(s.workers.given()) == 0 || early > 0 {
-			s.Fatalf("%d of %d orders came before their record", early, len(s.workers.given()))
-		}
-	})
+	}
+	s.run(6 * time.Second)
+	if len(s.workers.given()) == 0 || early > 0 {
+		s.Fatalf("%d of %d orders came before their record", early, len(s.workers.given()))
+	}
 }
 
 func TestAWorkerThatHasTurnedIsRecordedWithoutItsHeartbeat(t *testing.T) {
-	inStagedScene(t, func(s *stagedScene) {
-		s.run(6 * time.Second)
-		if s.workers.asked == 0 {
-			s.Fatal("no worker was asked")
-		}
-		s.workers.stages = map[string]string{}
-		for _, order := range s.workers.given() {
-			s.workers.stages[order.Instance] = staging.Prefill
-		}
-		s.run(time.Second)
-		for id := range s.workers.stages {
-			if stage := s.keeper.instances(s.id).store.Instance(id).Stage; stage != staging.Prefill {
-				s.Fatalf("%s is recorded as %s", id, stage)
-			}
+	s := newStagedScene(t)
+	s.run(6 * time.Second)
+	if s.workers.asked == 0 {
+		s.Fatal("no worker was asked")
+	}
+	s.workers.stages = map[string]string{}
+	for _, order := range s.workers.given() {
+		s.workers.stages[order.Instance] = staging.Prefill
+	}
+	s.run(time.Second)
+	for id := range s.workers.stages {
+		if stage := s.keeper.instances(s.id).store.Instance(id).Stage; stage != staging.Prefill {
+			s.Fatalf("%s is recorded as %s", id, stage)
 		}
-	})
+	}
 }
 
 func TestDemandThatIsNoReportIsDropped(t *testing.T) {
--- a/internal/staging/controller.go
+++ b/internal/staging/controller.go
@@ -12,7 +12,7 @@
 	demandMemory  = 3 * time.Second        // in which an earlier demand falls by e
 	queueing      = 0.5                    // waits at readers, against those at servers to which work goes without regard to their queues
 	fullEvidence  = 2 * time.Second        // up to which the split stays within earlyShare
-	earlyShare    = 0.25                   // of the workers that each stage keeps meanwhile: streams that have just begun are few
+	earlyShare    = 0.25                   // of the workers that write meanwhile at least: streams that have just begun are few
 	leastServed   = 0.2                    // part of the requests that begin to stream, from which streams are extrapolated
 	smallDemand   = 1e-6                   // workers; less is none
 	leastEvidence = 400 * time.Millisecond // of demand before the first decision
