--- a/internal/keeper/demand.go
+++ b/internal/keeper/demand.go
@@ -72,31 +72,20 @@
 
 // tellDemands passes on the demand that proxies report to the owners of the services' shards, until ctx ends.
 func (k *Keeper) tellDemands(ctx context.Context) {
-	ticker := time.NewTicker(demandInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, demandInterval, func() {
 		for id, report := range k.demands.byShard(k.sinceStart()) {
-			k.tellDemand(id, report)
+			k.tellDemand(ctx, id, report)
 		}
-	}
+	})
 }
 
 // tellDemand passes on one shard's part. What the owner cannot be told is dropped: the next follows soon.
-func (k *Keeper) tellDemand(id shards.ID, report []staging.ServiceDemand) {
+func (k *Keeper) tellDemand(ctx context.Context, id shards.ID, report []staging.ServiceDemand) {
 	body, err := staging.EncodeReport(report)
 	if err != nil {
 		return
 	}
-	k.background.Go(func() {
-		ctx, cancel := context.WithTimeout(k.workContext, demandInterval)
-		defer cancel()
-		k.carry(ctx, call{Kind: callDemand, Shard: id, ID: k.self.Address, Body: body})
-	})
+	k.carryInBackground(ctx, call{Kind: callDemand, Shard: id, ID: k.self.Address, Body: body}, demandInterval)
 }
 
 // takeDemand takes, as the owner of a shard, the demand that another keeper passes on.
--- a/internal/keeper/maintain.go
+++ b/internal/keeper/maintain.go
@@ -13,16 +13,23 @@
 
 // maintain does at an interval what only the owners of shards do, until ctx ends.
 func (k *Keeper) maintain(ctx context.Context) {
-	ticker := time.NewTicker(maintainInterval)
+	every(ctx, maintainInterval, func() {
+		for _, shard := range k.shards {
+			k.maintainShard(ctx, shard)
+		}
+	})
+}
+
+// every calls a function at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		for _, shard := range k.shards {
-			k.maintainShard(ctx, shard)
+			do()
 		}
 	}
 }
--- a/internal/keeper/presence.go
+++ b/internal/keeper/presence.go
@@ -92,10 +92,15 @@
 	if err != nil {
 		return
 	}
+	k.carryInBackground(ctx, call{Kind: callPresences, Shard: id, Body: body}, smallCallBudget)
+}
+
+// carryInBackground has the owner of a call's shard carry it out within a time, and drops its answer.
+func (k *Keeper) carryInBackground(ctx context.Context, c call, within time.Duration) {
 	k.background.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, smallCallBudget)
+		ctx, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
-		k.carry(ctx, call{Kind: callPresences, Shard: id, Body: body})
+		k.carry(ctx, c)
 	})
 }
 
--- a/internal/keeper/stages.go
+++ b/internal/keeper/stages.go
@@ -41,21 +41,14 @@
 // controlStages has the workers of services change their stages as the demand asks, for the shards that this keeper
 // owns, until ctx ends. All state but what is replicated ends with the ownership.
 func (k *Keeper) controlStages(ctx context.Context) {
-	ticker := time.NewTicker(stagesInterval)
-	defer ticker.Stop()
 	var held [shards.Count]stageShard
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, stagesInterval, func() {
 		for _, shard := range k.shards {
 			if shard.id != shards.Configuration {
 				k.controlShard(ctx, shard, &held[shard.id])
 			}
 		}
-	}
+	})
 }
 
 // controlShard takes one step for the services of a shard.
--- a/internal/staging/controller_test.go
+++ b/internal/staging/controller_test.go
@@ -166,16 +166,14 @@
 	f.mustHave(7)
 	f.demand = reading(3, 0.4)
 	f.run(20 * time.Second)
-	for i := range f.workers { // all writers are lost at once; without them no demand is seen
-		if f.workers[i].Stage == Decode {
-			f.workers = append(f.workers[:i:i], f.workers[i+1:]...)
-			break
+	var left []Worker
+	for _, worker := range f.workers {
+		if worker.Stage == Prefill {
+			left = append(left, worker)
 		}
 	}
-	for i := range f.workers {
-		f.workers[i].Stage, f.workers[i].Assigned = Prefill, ""
-	}
-	f.demand = Demand{}
+	f.workers = left    // all writers are lost at once
+	f.demand = Demand{} // and without them no demand is seen
 	f.run(10 * time.Second)
 	if _, writers, _ := f.count(); writers == 0 {
 		t.Fatal("no writer")
