--- a/internal/staging/controller_test.go
+++ b/internal/staging/controller_test.go
@@ -309,3 +309,42 @@
 		t.Errorf("waits without end are a pace of %v", seen)
 	}
 }
+
+func TestAShiftFromPromptsToAnswersAndBackIsFollowed(t *testing.T) {
+	f := newFleet(t, 24, 36)
+	f.demand = reading(24, 2)
+	f.run(20 * time.Second)
+	many, _, _ := f.count()
+	f.demand = reading(3, 18)
+	f.run(40 * time.Second)
+	few, _, _ := f.count()
+	f.demand = reading(24, 2)
+	f.run(40 * time.Second)
+	again, _, turning := f.count()
+	if many < 45 || few > 10 || again < 45 || turning != 0 {
+		t.Fatalf("%d readers, then %d, then %d and %d turning", many, few, again, turning)
+	}
+}
+
+func TestWorkersThatCrashWhileTheyTurnAreMadeUpFor(t *testing.T) {
+	f := newFleet(t, 6, 18)
+	f.demand = reading(9, 0.8)
+	f.turnsIn = time.Hour
+	f.run(3 * time.Second)
+	crashed := 0
+	for i := range f.workers {
+		if f.workers[i].turning() { // it comes back as another instance, in its first stage
+			crashed++
+			f.workers[i] = Worker{ID: fmt.Sprintf("x%02d", i), Zone: f.workers[i].Zone, Stage: Decode}
+		}
+	}
+	f.doneAt, f.turnsIn = map[string]time.Duration{}, time.Second
+	f.run(30 * time.Second)
+	readers, _, turning := f.count()
+	if crashed == 0 || readers < 17 || turning != 0 {
+		t.Fatalf("%d crashed; %d readers, %d turning", crashed, readers, turning)
+	}
+	if len(f.control.attempts) != 0 {
+		t.Fatalf("%d attempts are remembered", len(f.control.attempts))
+	}
+}
