--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds the stand-in that the scripts of the cases start, into target/. The programs of the fleet come from the build of
+# deploy/system.toml, which has to run first.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-standin ./review/_standin
