--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -55,7 +55,7 @@
 }
 
 var scenarios = map[string]scenario{
-	"disks": {growSteps: 12, smallChanges: 900, trouble: (*play).loseDisks},
+	"disks": {growSteps: 20, smallChanges: 900, trouble: (*play).loseDisks},
 	"all":   {growSteps: 26, smallChanges: 950, trouble: (*play).loseAll},
 }
 
