Replica: the load of the event loop is measured, logged and exposed

Change: a replica counts the entries that it applied and the time spent applying, restoring and encoding state, and the longest time for which its event loop handled no event. Six metric families show them with the entries that are committed and not applied.

--- a/coord/replica/compaction.go
+++ b/coord/replica/compaction.go
@@ -35,7 +35,10 @@
 		l.compaction.retryPending = true
 		return
 	}
-	snapshot, available := l.node.SnapshotAt(l.appliedIndex, l.options.StateMachine.Snapshot())
+	started := time.Now()
+	data := l.options.StateMachine.Snapshot()
+	l.load.total.SnapshotTime += time.Since(started)
+	snapshot, available := l.node.SnapshotAt(l.appliedIndex, data)
 	if !available {
 		return
 	}
--- a/coord/replica/event_loop.go
+++ b/coord/replica/event_loop.go
@@ -32,6 +32,7 @@
 	compaction   compaction
 	confirmation confirmation
 	published    publication
+	load         loadMeter
 }
 
 // newEventLoop returns an event loop that assumes the disk to be writable.
@@ -53,6 +54,7 @@
 // iterate handles the events and everything else that is due now. The node's output is processed after all events,
 // so that they share one write and one message to each peer.
 func (l *eventLoop) iterate(events []loopEvent) {
+	defer l.endIteration(time.Now(), l.load.total)
 	l.now = l.options.Clock.Now()
 	for _, event := range events {
 		l.handleEvent(event)
@@ -139,7 +141,10 @@
 
 // restore replaces the state machine's state with a received snapshot.
 func (l *eventLoop) restore(snapshot *consensus.Snapshot) {
-	if err := l.options.StateMachine.Restore(snapshot.Index, snapshot.Data); err != nil {
+	started := time.Now()
+	err := l.options.StateMachine.Restore(snapshot.Index, snapshot.Data)
+	l.load.total.RestoreTime += time.Since(started)
+	if err != nil {
 		l.fatalError = fmt.Errorf("restore the snapshot at index %d: %w", snapshot.Index, err)
 		return
 	}
@@ -151,6 +156,7 @@
 
 // apply executes the committed commands and answers the calls that proposed them.
 func (l *eventLoop) apply(entries []consensus.Entry) {
+	started := time.Now()
 	for _, entry := range entries {
 		var result any
 		if entry.Kind == consensus.EntryCommand {
@@ -160,6 +166,8 @@
 		l.proposals.resolveApplied(entry, result, l.leader(), l.options)
 	}
 	if len(entries) > 0 {
+		l.load.total.AppliedEntries += uint64(len(entries))
+		l.load.total.ApplyTime += time.Since(started)
 		l.notifyApplied()
 	}
 }
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreybend/coord/consensus"
 	"ospreybend/coord/seglog"
 )
@@ -29,6 +31,7 @@
 // consensus.ErrInvalidState, and those of the state machine and the file system.
 func Open(options Options) (*Group, error) {
 	options = options.withDefaults()
+	started := time.Now()
 	log, stored, err := openLog(&options)
 	if err != nil {
 		return nil, err
@@ -37,6 +40,11 @@
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
+	fields := []zap.Field{
+		zap.Uint32("shard", uint32(options.Shard)), zap.Duration("took", time.Since(started)),
+		zap.Uint64("snapshot", stored.Snapshot.Index), zap.Int("logEntries", len(stored.Entries)), zap.Uint64("commit", stored.HardState.Commit),
+	}
+	options.Logger.Info("replica opened", append(fields, group.loop.load.total.logFields()...)...)
 	return group, nil
 }
 
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -84,6 +84,7 @@
 	Writable     bool          // whether the disk completes writes in time
 	DiskBytes    int64
 	DurableIndex uint64 // highest index that is durable on this replica
+	Load         Load
 }
 
 // withDefaults returns the options with default values in place of zero values.
--- a/coord/replica/status.go
+++ b/coord/replica/status.go
@@ -74,6 +74,7 @@
 	status := *l.published.status.Load()
 	status.DiskBytes = l.published.diskBytes.Load()
 	status.DurableIndex = l.published.durableIndex.Load()
+	status.Load = l.load.load()
 	return status
 }
 
--- a/internal/controlplane/server/exposition.go
+++ b/internal/controlplane/server/exposition.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"strconv"
 
 	"ospreybend/coord/replica"
@@ -21,7 +22,7 @@
 
 // shardFamilies returns the metric families of this server's replicas, with one sample per shard.
 func (s *Server) shardFamilies() []exposition.Family {
-	gauges := []struct {
+	series := []struct {
 		family exposition.Family
 		value  func(replica.Status) float64
 	}{
@@ -39,14 +40,28 @@
 			func(status replica.Status) float64 { return float64(status.AppliedIndex) }},
 		{exposition.Family{Name: "router_controlplane_shard_disk_bytes", Help: "Bytes that the replica has on disk."},
 			func(status replica.Status) float64 { return float64(status.DiskBytes) }},
+		{exposition.Family{Name: "router_controlplane_shard_unapplied_entries", Help: "Log entries that are committed, but not applied here yet."},
+			func(status replica.Status) float64 {
+				return float64(status.CommitIndex - min(status.AppliedIndex, status.CommitIndex))
+			}},
+		{exposition.Family{Name: "router_controlplane_shard_longest_pause_seconds", Help: "Longest time since the start for which the replica handled no message."},
+			func(status replica.Status) float64 { return status.Load.LongestIteration.Seconds() }},
+		{exposition.Family{Name: "router_controlplane_shard_applied_entries_total", Kind: exposition.Counter, Help: "Log entries that were applied since the start."},
+			func(status replica.Status) float64 { return float64(status.Load.AppliedEntries) }},
+		{exposition.Family{Name: "router_controlplane_shard_apply_seconds_total", Kind: exposition.Counter, Help: "Time spent applying log entries."},
+			func(status replica.Status) float64 { return status.Load.ApplyTime.Seconds() }},
+		{exposition.Family{Name: "router_controlplane_shard_restore_seconds_total", Kind: exposition.Counter, Help: "Time spent restoring snapshots."},
+			func(status replica.Status) float64 { return status.Load.RestoreTime.Seconds() }},
+		{exposition.Family{Name: "router_controlplane_shard_snapshot_seconds_total", Kind: exposition.Counter, Help: "Time spent encoding snapshots."},
+			func(status replica.Status) float64 { return status.Load.SnapshotTime.Seconds() }},
 	}
-	families := make([]exposition.Family, len(gauges))
-	for i, gauge := range gauges {
-		families[i] = gauge.family
-		families[i].Kind = exposition.Gauge
+	families := make([]exposition.Family, len(series))
+	for i, one := range series {
+		families[i] = one.family
+		families[i].Kind = cmp.Or(one.family.Kind, exposition.Gauge)
 		for _, shard := range s.shards {
 			families[i].Samples = append(families[i].Samples, exposition.Sample{
-				Labels: []exposition.Label{{Name: "shard", Value: strconv.Itoa(int(shard.id))}}, Value: gauge.value(shard.group.Status()),
+				Labels: []exposition.Label{{Name: "shard", Value: strconv.Itoa(int(shard.id))}}, Value: one.value(shard.group.Status()),
 			})
 		}
 	}
