Configuration: a small change costs work in proportion to itself, not to all routes

Cause: Store.Apply copied and indexed the whole list of routes, validated all routes and compared all feed items for each update.

Change: the document in force is a set of trees that the next document shares: items by name and by position, routes by what they match and by target. An update validates, compares and publishes what it names; so do rejected ones, which are log entries as well. Forgetting the oldest accepted change no longer copies the 4,095 others.

--- a/internal/controlplane/configuration/doc.go
+++ b/internal/controlplane/configuration/doc.go
@@ -20,6 +20,13 @@
 //  5. The owner answers the operator with the Outcome. CodeAccepted is never sent before steps 3 and 4 are complete.
 //  6. The feed sends the changed items to the agents, as the feed.Change that Store.Apply returns.
 //
+// # Cost
+//
+// Steps 4 and 6 take time in proportion to the change, however many routes the document has: a document is immutable and shares
+// its items, and the indexes that validate an update, with the document before it (itemList, routeIndex). A server that catches
+// up applies up to some thousand changes. Only a complete replacement, a snapshot and a read cost time in proportion to the
+// document.
+//
 // # Compare-and-set
 //
 // Each document has a generation, a number that only increases. A change states the generation that it is based on and
--- a/internal/controlplane/configuration/document.go
+++ b/internal/controlplane/configuration/document.go
@@ -27,33 +27,74 @@
 	route *Route // parsed, including targets of weight 0; nil outside listRoutes
 }
 
-// member is one member of a configuration: either a list of named items or any other value, as received.
-type member struct {
+// parsedMember is one member of a JSON object as received: either a list of named items or any other value.
+type parsedMember struct {
 	name       string
 	raw        []byte  // JSON value; nil for a list of named items
 	isItemList bool    // the value is a list of named items, possibly empty
 	items      []*item // in the order received
 }
 
+// parsedDocument is a complete configuration as received.
+type parsedDocument struct {
+	generation uint64
+	members    []parsedMember
+}
+
+// member is one member of a document.
+type member struct {
+	name  string
+	raw   []byte    // JSON value; nil for a list of named items
+	items *itemList // nil: not a list of named items
+}
+
+// newMember returns the member of a document that holds a parsed value.
+func newMember(parsed parsedMember) member {
+	if !parsed.isItemList {
+		return member{name: parsed.name, raw: parsed.raw}
+	}
+	return member{name: parsed.name, items: newItemList(parsed.items)}
+}
+
 // document is a configuration whose members and items keep their raw JSON as received. It is immutable: a change creates
 // a new document, which shares the unchanged items.
 type document struct {
 	generation uint64
 	members    []member
+	routes     routeIndex
 }
 
 // emptyDocument returns the document in force before the first configuration.
 func emptyDocument() *document {
-	return &document{members: []member{
+	return newDocument(&parsedDocument{members: []parsedMember{
 		{name: memberGeneration, raw: []byte("0")},
 		{name: listRoutes, isItemList: true},
 		{name: listServices, isItemList: true},
-	}}
+	}})
 }
 
-// readDocument parses a complete configuration and validates each member by itself; document.validate checks the
-// references between them.
+// newDocument returns the document that was parsed.
+func newDocument(parsed *parsedDocument) *document {
+	created := &document{generation: parsed.generation}
+	for _, source := range parsed.members {
+		created.members = append(created.members, newMember(source))
+	}
+	created.routes = newRouteIndex(created.list(listRoutes))
+	return created
+}
+
+// readDocument parses a complete configuration and validates each member by itself.
 func readDocument(body []byte) (*document, *Rejection) {
+	parsed, rejection := parseDocument(body)
+	if rejection != nil {
+		return nil, rejection
+	}
+	return newDocument(parsed), nil
+}
+
+// parseDocument parses a complete configuration and validates each member by itself; parsedDocument.validate checks the
+// references between them.
+func parseDocument(body []byte) (*parsedDocument, *Rejection) {
 	if !utf8.Valid(body) {
 		return nil, reject(CodeMalformed, "it is not UTF-8")
 	}
@@ -61,13 +102,13 @@
 	if rejection != nil {
 		return nil, rejection
 	}
-	parsed := &document{members: members}
-	parsed.generation, rejection = readGeneration(findMember(members, memberGeneration))
+	parsed := &parsedDocument{members: members}
+	parsed.generation, rejection = readGeneration(findParsed(members, memberGeneration))
 	if rejection != nil {
 		return nil, rejection
 	}
 	for _, name := range []string{listRoutes, listServices} {
-		if findMember(members, name) == nil {
+		if findParsed(members, name) == nil {
 			return nil, reject(CodeMissingField, name)
 		}
 	}
@@ -76,12 +117,14 @@
 
 // readMembers parses the members of a JSON object and returns them in their order. subject names the object in
 // rejections.
-func readMembers(raw []byte, subject string) ([]member, *Rejection) {
-	members := []member{}
+func readMembers(raw []byte, subject string) ([]parsedMember, *Rejection) {
+	members := []parsedMember{}
+	present := map[string]bool{}
 	rejection := eachMember(raw, subject, func(decoder *jx.Decoder, key string) error {
-		if findMember(members, key) != nil {
+		if present[key] {
 			return reject(CodeDuplicateName, subject+" has "+key+" twice")
 		}
+		present[key] = true
 		read, err := readMember(decoder, key)
 		if err != nil {
 			return err
@@ -94,12 +137,12 @@
 
 // readMember parses one member. The items of routes and services are validated; any other list becomes a list of items
 // only if each of its elements is an object with a name.
-func readMember(decoder *jx.Decoder, key string) (member, error) {
+func readMember(decoder *jx.Decoder, key string) (parsedMember, error) {
 	raw, err := decoder.Raw()
 	if err != nil {
-		return member{}, err
+		return parsedMember{}, err
 	}
-	read := member{name: key, raw: raw}
+	read := parsedMember{name: key, raw: raw}
 	if key == memberLimits {
 		_, err := ParseLimits(raw)
 		return read, err
@@ -113,7 +156,7 @@
 	}
 	items, rejection := readItems(raw, key)
 	if rejection == nil {
-		return member{name: key, isItemList: true, items: items}, nil
+		return parsedMember{name: key, isItemList: true, items: items}, nil
 	}
 	if rejection.Code == CodeMissingField && !known {
 		return read, nil // not a list of named objects: stored as received
@@ -178,7 +221,7 @@
 const generationBits = 63
 
 // readGeneration parses the generation, a positive integer. It also accepts notations such as 7.0 and 1e3.
-func readGeneration(source *member) (uint64, *Rejection) {
+func readGeneration(source *parsedMember) (uint64, *Rejection) {
 	if source == nil || source.isItemList {
 		return 0, reject(CodeInvalidGeneration, "")
 	}
@@ -193,8 +236,8 @@
 	return uint64(number), nil
 }
 
-// findMember returns the member with the given name, or nil.
-func findMember(members []member, name string) *member {
+// findParsed returns the member with the given name, or nil.
+func findParsed(members []parsedMember, name string) *parsedMember {
 	for position := range members {
 		if members[position].name == name {
 			return &members[position]
@@ -203,26 +246,34 @@
 	return nil
 }
 
-// list returns the items of the list with the given name, or nil if the document does not contain it.
-func (d *document) list(name string) []*item {
-	return itemsOfList(d.members, name)
-}
-
 // itemsOfList returns the items of the member with the given name, or nil if there is no such member.
-func itemsOfList(members []member, name string) []*item {
-	if found := findMember(members, name); found != nil {
+func itemsOfList(members []parsedMember, name string) []*item {
+	if found := findParsed(members, name); found != nil {
 		return found.items
 	}
 	return nil
 }
 
+// member returns the member with the given name, or nil.
+func (d *document) member(name string) *member {
+	for position := range d.members {
+		if d.members[position].name == name {
+			return &d.members[position]
+		}
+	}
+	return nil
+}
+
+// list returns the list with the given name, which every document contains: listRoutes or listServices.
+func (d *document) list(name string) *itemList { return d.member(name).items }
+
 // size returns the approximate size of the rendered document in bytes. It does not count separators.
 func (d *document) size() int {
 	total := 0
 	for _, member := range d.members {
 		total += len(member.name) + len(member.raw)
-		for _, entry := range member.items {
-			total += len(entry.raw)
+		if member.items != nil {
+			total += member.items.rawBytes
 		}
 	}
 	return total
@@ -242,13 +293,13 @@
 
 // renderMember writes the value of one member.
 func renderMember(encoder *jx.Encoder, source member) {
-	if !source.isItemList {
+	if source.items == nil {
 		encoder.Raw(source.raw)
 		return
 	}
 	encoder.Arr(func(encoder *jx.Encoder) {
-		for _, entry := range source.items {
-			encoder.Raw(entry.raw)
+		for entry := range source.items.entries() {
+			encoder.Raw(entry.item.raw)
 		}
 	})
 }
--- a/internal/controlplane/configuration/document_update.go
+++ b/internal/controlplane/configuration/document_update.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"unicode/utf8"
 
@@ -25,7 +27,7 @@
 type update struct {
 	generation    uint64
 	rawGeneration []byte // JSON value as received
-	upserts       []member
+	upserts       []parsedMember
 	removals      []listRemoval
 }
 
@@ -62,7 +64,7 @@
 	switch {
 	case key == memberGeneration:
 		u.rawGeneration = raw
-		u.generation, rejection = readGeneration(&member{raw: raw})
+		u.generation, rejection = readGeneration(&parsedMember{raw: raw})
 	case raw.Type() == jx.Null:
 	case key == memberUpsert:
 		u.upserts, rejection = readMembers(raw, memberUpsert)
@@ -72,7 +74,7 @@
 	if rejection != nil {
 		return rejection
 	}
-	if findMember(u.upserts, memberGeneration) != nil {
+	if findParsed(u.upserts, memberGeneration) != nil {
 		return reject(CodeBadField, "upsert holds a generation")
 	}
 	return nil
@@ -103,12 +105,40 @@
 // list returns the items that the update adds to or replaces in the list with the given name.
 func (u *update) list(name string) []*item { return itemsOfList(u.upserts, name) }
 
+// names returns the names of the items that the update adds to, replaces in or removes from the list with the given name,
+// sorted and without duplicates.
+func (u *update) names(list string) []string {
+	var names []string
+	for _, entry := range u.list(list) {
+		names = append(names, entry.name)
+	}
+	names = append(names, u.removedNames(list)...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// removedNames returns the names to remove from the list with the given name.
+func (u *update) removedNames(list string) []string {
+	var names []string
+	for _, removal := range u.removals {
+		if removal.list == list {
+			names = slices.AppendSeq(names, maps.Keys(removal.names))
+		}
+	}
+	return names
+}
+
 // apply returns the document after the update. Items are removed first; then existing items are replaced in place and new
 // ones are appended. The result is not validated.
 func (u *update) apply(before *document) (*document, *Rejection) {
-	after := &document{generation: u.generation}
+	after := &document{generation: u.generation, routes: before.routes.clone()}
 	after.members = append(after.members, before.members...)
 	after.setGeneration(u.rawGeneration)
+	for _, name := range u.changedLists() {
+		if existing := after.member(name); existing != nil && existing.items != nil {
+			existing.items = existing.items.clone()
+		}
+	}
 	for _, deleted := range u.removals {
 		after.remove(deleted)
 	}
@@ -120,12 +150,27 @@
 	return after, nil
 }
 
+// changedLists returns the names of the lists that the update may change, without duplicates.
+func (u *update) changedLists() []string {
+	var names []string
+	for _, deleted := range u.removals {
+		names = append(names, deleted.list)
+	}
+	for _, upserted := range u.upserts {
+		names = append(names, upserted.name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// The functions below change a document that update.apply is creating.
+
 // setGeneration sets the member "generation" to the raw value, or to the document's generation if raw is nil.
 func (d *document) setGeneration(raw []byte) {
 	if raw == nil {
 		raw = strconv.AppendUint(nil, d.generation, decimalBase)
 	}
-	if existing := findMember(d.members, memberGeneration); existing != nil {
+	if existing := d.member(memberGeneration); existing != nil {
 		existing.raw = raw
 		return
 	}
@@ -134,53 +179,46 @@
 
 // remove removes items from a list. Names that the list does not contain are ignored.
 func (d *document) remove(deleted listRemoval) {
-	existing := findMember(d.members, deleted.list)
-	if existing == nil || !existing.isItemList {
+	existing := d.member(deleted.list)
+	if existing == nil || existing.items == nil {
 		return
 	}
-	remaining := make([]*item, 0, len(existing.items))
-	for _, entry := range existing.items {
-		if !deleted.names[entry.name] {
-			remaining = append(remaining, entry)
+	for name := range deleted.names {
+		if removed, found := existing.items.remove(name); found && deleted.list == listRoutes {
+			d.routes.remove(removed)
 		}
 	}
-	existing.items = remaining
 }
 
 // upsert merges a list of named items into the document's list of that name. A member that is not such a list in both is
 // replaced, except that a non-empty list of named items cannot be replaced by a list of other elements.
-func (d *document) upsert(upserted member) *Rejection {
-	existing := findMember(d.members, upserted.name)
+func (d *document) upsert(upserted parsedMember) *Rejection {
+	existing := d.member(upserted.name)
 	if existing == nil {
-		d.members = append(d.members, upserted)
+		d.members = append(d.members, newMember(upserted))
 		return nil
 	}
-	if existing.isItemList && len(existing.items) > 0 && !upserted.isItemList && jx.Raw(upserted.raw).Type() == jx.Array {
+	if existing.items != nil && existing.items.len() > 0 && !upserted.isItemList && jx.Raw(upserted.raw).Type() == jx.Array {
 		return reject(CodeMissingField, "name of an item of "+upserted.name)
 	}
-	if !existing.isItemList || !upserted.isItemList {
-		*existing = upserted
+	if existing.items == nil || !upserted.isItemList {
+		*existing = newMember(upserted)
 		return nil
 	}
-	existing.items = merge(existing.items, upserted.items)
+	for _, entry := range upserted.items {
+		d.upsertItem(existing, entry)
+	}
 	return nil
 }
 
-// merge returns the items with the upserts: each takes the position of the item with the same name, or is appended if
-// there is none.
-func merge(items, upserts []*item) []*item {
-	merged := make([]*item, len(items), len(items)+len(upserts))
-	copy(merged, items)
-	positions := make(map[string]int, len(items))
-	for position, entry := range items {
-		positions[entry.name] = position
-	}
-	for _, entry := range upserts {
-		if position, found := positions[entry.name]; found {
-			merged[position] = entry
-			continue
-		}
-		merged = append(merged, entry)
+// upsertItem adds an item to a list or replaces the one with the same name.
+func (d *document) upsertItem(list *member, upserted *item) {
+	entry, previous, replaced := list.items.put(upserted)
+	if list.name != listRoutes {
+		return
+	}
+	if replaced {
+		d.routes.remove(previous)
 	}
-	return merged
+	d.routes.add(entry)
 }
--- a/internal/controlplane/configuration/feed_items.go
+++ b/internal/controlplane/configuration/feed_items.go
@@ -13,28 +13,39 @@
 	if d.generation == 0 {
 		return nil
 	}
-	items := []feed.Item{{Key: KeyGeneration, Value: strconv.AppendUint(nil, d.generation, decimalBase)}}
-	if limits := findMember(d.members, memberLimits); limits != nil {
-		items = append(items, feed.Item{Key: KeyLimits, Value: limits.raw})
+	items := d.singleItems()
+	for _, list := range feedLists {
+		for entry := range d.list(list.name).sortedByName() {
+			items = append(items, feed.Item{Key: list.keyPrefix + entry.item.name, Value: entry.item.raw})
+		}
 	}
-	for _, entry := range d.list(listRoutes) {
-		items = append(items, feed.Item{Key: KeyRoutePrefix + entry.name, Value: entry.raw})
+	return items
+}
+
+// feedLists are the lists whose items are feed items, in the order of their keys.
+var feedLists = []struct{ name, keyPrefix string }{{listRoutes, KeyRoutePrefix}, {listServices, KeyServicePrefix}}
+
+// singleItems returns the feed items of the document that are not in a list, sorted by key. Their keys are below those of the
+// lists. There are none before the first configuration.
+func (d *document) singleItems() []feed.Item {
+	if d.generation == 0 {
+		return nil
 	}
-	for _, entry := range d.list(listServices) {
-		items = append(items, feed.Item{Key: KeyServicePrefix + entry.name, Value: entry.raw})
+	items := []feed.Item{{Key: KeyGeneration, Value: strconv.AppendUint(nil, d.generation, decimalBase)}}
+	if limits := d.member(memberLimits); limits != nil {
+		items = append(items, feed.Item{Key: KeyLimits, Value: limits.raw})
 	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
 	return items
 }
 
-// diff returns the feed items to put and the keys to delete that turn the items of before into those of after, both sorted
-// by key.
-func diff(before, after *document) (put []feed.Item, deleted []string) {
-	previous := map[string][]byte{}
-	for _, entry := range before.items() {
+// diff returns the feed items to put and the keys to delete that turn the items before into those after. The results are
+// sorted by key.
+func diff(before, after []feed.Item) (put []feed.Item, deleted []string) {
+	previous := make(map[string][]byte, len(before))
+	for _, entry := range before {
 		previous[entry.Key] = entry.Value
 	}
-	for _, entry := range after.items() {
+	for _, entry := range after {
 		value, found := previous[entry.Key]
 		delete(previous, entry.Key)
 		if !found || !bytes.Equal(value, entry.Value) {
@@ -47,3 +58,23 @@
 	sort.Strings(deleted)
 	return put, deleted
 }
+
+// diffOf returns what diff returns for all items of two documents, of which the update turns the first into the second. It looks
+// only at the items that the update names.
+func (u *update) diffOf(before, after *document) (put []feed.Item, deleted []string) {
+	put, deleted = diff(before.singleItems(), after.singleItems())
+	for _, list := range feedLists {
+		previous, next := before.list(list.name), after.list(list.name)
+		for _, name := range u.names(list.name) {
+			old, existed := previous.get(name)
+			current, exists := next.get(name)
+			switch key := list.keyPrefix + name; {
+			case exists && !(existed && bytes.Equal(old.item.raw, current.item.raw)):
+				put = append(put, feed.Item{Key: key, Value: current.item.raw})
+			case existed && !exists:
+				deleted = append(deleted, key)
+			}
+		}
+	}
+	return put, deleted
+}
--- a/internal/controlplane/configuration/store.go
+++ b/internal/controlplane/configuration/store.go
@@ -89,12 +89,12 @@
 	if rejection := s.compareBase(decoded.Base); rejection != nil {
 		return s.rejectedOutcome(rejection), change
 	}
-	next, rejection := s.nextDocument(decoded)
+	next, rejection := s.revise(decoded)
 	if rejection != nil {
 		return s.rejectedOutcome(rejection), change
 	}
-	change.Put, change.Delete = diff(s.document, next)
-	s.document = next
+	change.Put, change.Delete = next.put, next.deleted
+	s.document = next.document
 	s.rememberAccepted(acceptedChange{base: decoded.Base, digest: digest})
 	return s.acceptedOutcome(CodeAccepted), change
 }
@@ -125,32 +125,69 @@
 	return reject(CodeBaseNotCurrent, detail)
 }
 
-// nextDocument applies a command to the document in force and returns the validated result.
-func (s *Store) nextDocument(command Command) (*document, *Rejection) {
-	after, rejection := s.document.applyCommand(command)
+// revision is a valid document that results from a command, with its feed items that differ from those of the document before.
+type revision struct {
+	document *document
+	put      []feed.Item
+	deleted  []string
+}
+
+// revise applies a command to the document in force. An update costs time in proportion to its own size, not to that of the
+// document, since a server that catches up applies thousands of them.
+func (s *Store) revise(command Command) (revision, *Rejection) {
+	if command.Kind == CommandReplace {
+		return s.replaceDocument(command)
+	}
+	return s.updateDocument(command)
+}
+
+// replaceDocument applies a CommandReplace.
+func (s *Store) replaceDocument(command Command) (revision, *Rejection) {
+	parsed, rejection := parseDocument(command.Body)
 	if rejection != nil {
-		return nil, rejection
+		return revision{}, rejection
 	}
-	rejection = validateGeneration(after.generation, s.document.generation)
-	if rejection != nil && s.enforces(RuleGenerationIncreases) {
-		return nil, rejection
+	if rejection := s.checkGeneration(parsed.generation); rejection != nil {
+		return revision{}, rejection
 	}
-	if command.Kind == CommandUpdate && after.size() > maxDocumentBytes {
-		return nil, reject(CodeTooLarge, "")
+	if rejection := parsed.validate(); rejection != nil {
+		return revision{}, rejection
 	}
-	return after, after.validate()
+	next := revision{document: newDocument(parsed)}
+	next.put, next.deleted = diff(s.document.items(), next.document.items())
+	return next, nil
 }
 
-// applyCommand returns the document that results from the command. The references between its members are not validated.
-func (d *document) applyCommand(command Command) (*document, *Rejection) {
-	if command.Kind == CommandReplace {
-		return readDocument(command.Body)
-	}
+// updateDocument applies a CommandUpdate.
+func (s *Store) updateDocument(command Command) (revision, *Rejection) {
 	change, rejection := readUpdate(command.Body)
 	if rejection != nil {
-		return nil, rejection
+		return revision{}, rejection
+	}
+	after, rejection := change.apply(s.document)
+	if rejection != nil {
+		return revision{}, rejection
+	}
+	if rejection := s.checkGeneration(after.generation); rejection != nil {
+		return revision{}, rejection
+	}
+	if after.size() > maxDocumentBytes {
+		return revision{}, reject(CodeTooLarge, "")
+	}
+	if rejection := change.validateResult(after); rejection != nil {
+		return revision{}, rejection
+	}
+	next := revision{document: after}
+	next.put, next.deleted = change.diffOf(s.document, after)
+	return next, nil
+}
+
+// checkGeneration rejects a generation that is not above the one in force.
+func (s *Store) checkGeneration(generation uint64) *Rejection {
+	if !s.enforces(RuleGenerationIncreases) {
+		return nil
 	}
-	return change.apply(d)
+	return validateGeneration(generation, s.document.generation)
 }
 
 // acceptedOutcome returns the outcome of a change that is accepted now or was accepted before.
@@ -195,7 +232,7 @@
 	if len(s.acceptedOrder) > s.maxRemembered {
 		delete(s.accepted, s.acceptedOrder[0].digest)
 		s.forgottenBelow = max(s.forgottenBelow, s.acceptedOrder[0].base+1)
-		s.acceptedOrder = append([]acceptedChange(nil), s.acceptedOrder[1:]...)
+		s.acceptedOrder = s.acceptedOrder[1:] // append releases the dropped ones when it reallocates
 	}
 }
 
@@ -207,13 +244,12 @@
 
 // Service returns the service with the given name, and whether it exists.
 func (s *Store) Service(name string) (Service, bool) {
-	for _, entry := range s.document.list(listServices) {
-		if entry.name == name {
-			service, err := ParseService(entry.raw)
-			return service, err == nil
-		}
+	entry, found := s.document.list(listServices).get(name)
+	if !found {
+		return Service{}, false
 	}
-	return Service{}, false
+	service, err := ParseService(entry.item.raw)
+	return service, err == nil
 }
 
 // Items returns the feed items of the configuration in force, sorted by key, or nil before the first configuration.
