Replica: the event loop answers between the entries that it applies

Cause: eventLoop.apply executed everything that was committed in one iteration, however long that took, and replica.Open did so before it returned. Change: committed entries wait in the loop and are applied for at most 20 ms an iteration; the next one follows at once. A follower is current only once it has applied all that it knows to be committed. Two guards name this, apply-in-slices and current-applied, with scenarios that violate the guarantee when they are left out.

--- a/coord/replica/doc.go
+++ b/coord/replica/doc.go
@@ -18,6 +18,7 @@
 //  2. eventLoop.processReady sends the entry to the other members and submits it to the log writer.
 //  3. logWriter.writePending makes it durable with seglog.Log.Save and reports this to eventLoop.handleDiskReport, which
 //     informs the node. The other members do the same with their copies.
-//  4. Once the entry is durable on a majority of the voters, the node returns it as committed; eventLoop.apply executes it
-//     with StateMachine.Apply, and pendingProposals.resolveApplied answers the call.
+//  4. Once the entry is durable on a majority of the voters, the node returns it as committed; eventLoop.applyPending executes
+//     it with StateMachine.Apply, and pendingProposals.resolveApplied answers the call. A replica that has many entries to apply
+//     does so in slices and handles events in between.
 package replica
--- a/coord/replica/event_loop.go
+++ b/coord/replica/event_loop.go
@@ -17,9 +17,10 @@
 	node      consensusNode
 	submitJob func(writeJob) // hands a job to the log writer; does not block
 
-	now          time.Duration    // read from the clock once in each iteration
-	status       consensus.Status // the node's status at the last refreshStatus
-	appliedIndex uint64           // index of the last entry that the state machine applied
+	now          time.Duration     // read from the clock once in each iteration
+	status       consensus.Status  // the node's status at the last refreshStatus
+	appliedIndex uint64            // index of the last entry that the state machine applied
+	unapplied    []consensus.Entry // committed entries that the state machine has not applied yet
 	knownMembers map[consensus.MemberID]consensus.Member
 	fatalError   error // why the group cannot continue; nil: it can
 
@@ -97,6 +98,7 @@
 func (l *eventLoop) nextWakeUp() time.Duration {
 	return min(
 		l.nextTick(),
+		l.nextApply(),
 		l.proposals.nextDeadline(),
 		l.transfers.nextDeadline(),
 		l.disk.nextCheck(),
@@ -131,7 +133,7 @@
 		l.restore(ready.Restore)
 	}
 	if l.fatalError == nil {
-		l.apply(ready.Committed)
+		l.applyPending(ready.Committed)
 	}
 	for _, result := range ready.Reads {
 		l.handleReadResult(result)
@@ -149,27 +151,71 @@
 		return
 	}
 	l.appliedIndex = snapshot.Index
+	l.unapplied = entriesAfter(l.unapplied, snapshot.Index)
 	l.compaction.recordSnapshot(snapshot.Index)
 	l.proposals.resolveSkipped(snapshot.Index, l.options)
 	l.notifyApplied()
 }
 
-// apply executes the committed commands and answers the calls that proposed them.
-func (l *eventLoop) apply(entries []consensus.Entry) {
+// entriesAfter returns the entries whose index is above the given one. They are in ascending order.
+func entriesAfter(entries []consensus.Entry, index uint64) []consensus.Entry {
+	for len(entries) > 0 && entries[0].Index <= index {
+		entries = entries[1:]
+	}
+	return entries
+}
+
+// maxApplyTime is how long the event loop applies entries before it handles the events that have arrived meanwhile. It is well
+// below a heartbeat interval, so that a replica that has many entries to apply still answers its leader, or as leader its
+// followers.
+const maxApplyTime = 20 * time.Millisecond
+
+// applyPending executes the pending committed commands and then the newly committed ones, and answers the calls that proposed
+// them. It leaves what it does not finish within maxApplyTime to the next iteration.
+func (l *eventLoop) applyPending(committed []consensus.Entry) {
+	if len(l.unapplied) == 0 {
+		l.unapplied = committed
+	} else {
+		l.unapplied = append(l.unapplied, committed...)
+	}
 	started := time.Now()
-	for _, entry := range entries {
-		var result any
-		if entry.Kind == consensus.EntryCommand {
-			result = l.options.StateMachine.Apply(entry)
+	until := l.options.Clock.Now() + maxApplyTime
+	count := 0
+	for _, entry := range l.unapplied {
+		if count > 0 && l.options.Clock.Now() >= until && l.options.enforces(GuardApplyInSlices) {
+			break
 		}
-		l.appliedIndex = entry.Index
-		l.proposals.resolveApplied(entry, result, l.leader(), l.options)
+		l.applyEntry(entry)
+		count++
+	}
+	if count == 0 {
+		return
 	}
-	if len(entries) > 0 {
-		l.load.total.AppliedEntries += uint64(len(entries))
-		l.load.total.ApplyTime += time.Since(started)
-		l.notifyApplied()
+	l.unapplied = l.unapplied[count:]
+	if len(l.unapplied) == 0 {
+		l.unapplied = nil
+	}
+	l.load.total.AppliedEntries += uint64(count)
+	l.load.total.ApplyTime += time.Since(started)
+	l.notifyApplied()
+}
+
+// applyEntry executes one committed entry and answers the call that proposed it.
+func (l *eventLoop) applyEntry(entry consensus.Entry) {
+	var result any
+	if entry.Kind == consensus.EntryCommand {
+		result = l.options.StateMachine.Apply(entry)
+	}
+	l.appliedIndex = entry.Index
+	l.proposals.resolveApplied(entry, result, l.leader(), l.options)
+}
+
+// nextApply returns when applyPending is due: at once if entries are pending.
+func (l *eventLoop) nextApply() time.Duration {
+	if len(l.unapplied) == 0 {
+		return never
 	}
+	return l.now
 }
 
 // notifyApplied calls Options.OnApplied.
--- a/coord/replica/event_loop_test.go
+++ b/coord/replica/event_loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -278,3 +279,38 @@
 		t.Fatalf("Run after Close returned %v, want %v", err, ErrClosed)
 	}
 }
+
+// TestEventLoop_iterate_answersWhileItCatchesUp guards against a replica that answers nothing until it has applied all that it
+// has missed: with a state machine that is slow for any reason, messages and reads are handled between the entries.
+func TestEventLoop_iterate_answersWhileItCatchesUp(t *testing.T) {
+	s := loopWithSlowEntries(nil)
+	done := newOutcomeChannel()
+	s.iterate(0, readEvent{done})
+	s.node.ready.Reads = []consensus.ReadResult{{ID: s.node.reads[0], Index: 10, OK: true}}
+	for applied := uint64(1); applied < 10; applied++ {
+		if s.loop.appliedIndex != applied || len(done) > 0 {
+			t.Fatalf("after %d iterations %d entries are applied (read answered: %t), want one an iteration and the read not answered", applied, s.loop.appliedIndex, len(done) > 0)
+		}
+		if next := s.loop.nextWakeUp(); next > s.clock.now {
+			t.Fatalf("next wake-up is in %v with entries to apply, want it at once", next-s.clock.now)
+		}
+		s.iterate(0)
+	}
+	requireError(t, done, nil)
+	if next := s.loop.nextWakeUp(); next <= s.clock.now {
+		t.Fatalf("next wake-up is in %v without entries to apply, want a later one", next-s.clock.now)
+	}
+}
+
+// TestEventLoop_restore_dropsEntriesOfTheSnapshot checks that entries that wait to be applied are dropped if a snapshot covers them.
+func TestEventLoop_restore_dropsEntriesOfTheSnapshot(t *testing.T) {
+	s := loopWithSlowEntries(nil)
+	s.iterate(0)
+	s.node.ready.Restore = &consensus.Snapshot{Index: 12, Term: 1, Data: []byte(`{"Commands":["restored"]}`)}
+	s.node.ready.Committed = []consensus.Entry{{Term: 1, Index: 13, Kind: consensus.EntryCommand, Data: []byte("next")}}
+	s.iterate(0)
+	machine := s.loop.options.StateMachine.(*clockStateMachine)
+	if want := []string{"restored", "next"}; !slices.Equal(machine.Commands, want) || s.loop.appliedIndex != 13 {
+		t.Fatalf("commands are %v up to index %d, want %v up to 13", machine.Commands, s.loop.appliedIndex, want)
+	}
+}
--- a/coord/replica/guards.go
+++ b/coord/replica/guards.go
@@ -19,13 +19,17 @@
 	GuardReadWaitsForApply Guard = "read-applied"
 	// GuardStalledDiskStepsDown requires that a leader whose disk stalls or fails transfers leadership.
 	GuardStalledDiskStepsDown Guard = "stall-hands-over"
+	// GuardApplyInSlices requires that the event loop handles events between the entries that it applies.
+	GuardApplyInSlices Guard = "apply-in-slices"
+	// GuardCurrentMeansApplied requires that a follower is current only once it has applied what it knows to be committed.
+	GuardCurrentMeansApplied Guard = "current-applied"
 )
 
 // Guards returns all guards.
 func Guards() []Guard {
 	return []Guard{
 		GuardOutcomeMatchesTerm, GuardLostLeadershipUnknown, GuardSkippedUnknown, GuardReadWaitsForApply,
-		GuardStalledDiskStepsDown,
+		GuardStalledDiskStepsDown, GuardApplyInSlices, GuardCurrentMeansApplied,
 	}
 }
 
--- a/coord/replica/guards_test.go
+++ b/coord/replica/guards_test.go
@@ -15,6 +15,28 @@
 	}
 }
 
+// clockStateMachine is a state machine that takes a heartbeat interval of a fake clock for each entry.
+type clockStateMachine struct {
+	listStateMachine
+	clock *fakeClock
+}
+
+func (m *clockStateMachine) Apply(entry consensus.Entry) any {
+	m.clock.now += DefaultHeartbeatInterval
+	return m.listStateMachine.Apply(entry)
+}
+
+// loopWithSlowEntries returns an event loop that is about to apply ten entries, each of which takes a heartbeat interval.
+func loopWithSlowEntries(omit []Guard) *scriptedLoop {
+	s := newScriptedLoop()
+	s.loop.options.OmitGuards = omit
+	s.loop.options.StateMachine = &clockStateMachine{clock: s.clock}
+	for index := uint64(1); index <= 10; index++ {
+		s.node.ready.Committed = append(s.node.ready.Committed, consensus.Entry{Term: 1, Index: index, Kind: consensus.EntryCommand})
+	}
+	return s
+}
+
 // guardScenarios contains, for each guard, a scenario that violates a guarantee of the group if the guard is disabled.
 var guardScenarios = map[Guard]func(t *testing.T, omit ...Guard) (violated bool){
 	// The next leader's entry replaces the proposed entry.
@@ -52,6 +74,20 @@
 		s.iterate(0)
 		return len(done) > 0
 	},
+	// A replica that returns has many entries to apply, each of which takes a heartbeat interval: it must not let ten of them pass.
+	GuardApplyInSlices: func(t *testing.T, omit ...Guard) bool {
+		s := loopWithSlowEntries(omit)
+		before := s.clock.now
+		s.iterate(0)
+		return s.clock.now-before > 2*DefaultHeartbeatInterval
+	},
+	// A follower hears from its leader while it has entries left to apply.
+	GuardCurrentMeansApplied: func(t *testing.T, omit ...Guard) bool {
+		s := loopWithSlowEntries(omit)
+		s.node.status.Role, s.node.status.ConfirmedAt = consensus.RoleFollower, s.clock.now
+		s.iterate(0)
+		return s.loop.currentStatus().ConfirmedAge != NeverConfirmed
+	},
 	// A write does not complete in time.
 	GuardStalledDiskStepsDown: func(t *testing.T, omit ...Guard) bool {
 		s := newScriptedLoop()
--- a/coord/replica/status.go
+++ b/coord/replica/status.go
@@ -21,7 +21,7 @@
 
 // publish makes the current state visible to other goroutines and calls Options.OnStatus if hasStatusChanged.
 func (l *eventLoop) publish() {
-	l.confirmation.observe(l.now, l.options.HeartbeatInterval, l.status)
+	l.confirmation.observe(l.now, l.options.HeartbeatInterval, l.status, l.isApplied())
 	l.published.confirmedAt.Store(int64(l.confirmation.trustedAt))
 	l.published.diskBytes.Store(l.disk.diskBytes)
 	l.published.durableIndex.Store(l.status.DurableIndex)
@@ -37,6 +37,11 @@
 	}
 }
 
+// isApplied reports whether the state machine has applied everything that this replica knows to be committed.
+func (l *eventLoop) isApplied() bool {
+	return len(l.unapplied) == 0 || !l.options.enforces(GuardCurrentMeansApplied)
+}
+
 // hasStatusChanged reports whether the role, term, leader, writability or members changed since the last publication. Progress
 // of the indexes and sizes does not count.
 func (l *eventLoop) hasStatusChanged() bool {
