Fleet view: a change of one route no longer rebuilds the table of all

Cause: the same one as in the configuration store, on a related path: for each change of the configuration a proxy built its table of routes anew. Change: the routes are a tree by host and path prefix, which the next view shares.

--- a/internal/dataplane/fleetview/builder.go
+++ b/internal/dataplane/fleetview/builder.go
@@ -29,6 +29,7 @@
 	shards      map[shards.ID]*shardState
 	generation  uint64
 	routes      map[string]*configuration.Route   // by name
+	routeTable  routeTable                        // of the routes
 	services    map[string]*configuration.Service // by name
 	limits      configuration.Limits
 	workers     map[string]map[string]*Worker // by service and ID; includes draining workers
@@ -52,19 +53,20 @@
 // NewBuilder returns a builder with an empty view.
 func NewBuilder() *Builder {
 	builder := &Builder{
-		shards:   map[shards.ID]*shardState{},
-		routes:   map[string]*configuration.Route{},
-		services: map[string]*configuration.Service{},
-		limits:   configuration.DefaultLimits(),
-		workers:  map[string]map[string]*Worker{},
-		dirty:    dirtyParts{workers: map[string]bool{}},
+		shards:     map[shards.ID]*shardState{},
+		routes:     map[string]*configuration.Route{},
+		routeTable: newRouteTable(),
+		services:   map[string]*configuration.Service{},
+		limits:     configuration.DefaultLimits(),
+		workers:    map[string]map[string]*Worker{},
+		dirty:      dirtyParts{workers: map[string]bool{}},
 	}
 	builder.view = &View{
 		Services:      map[string]*configuration.Service{},
 		Limits:        builder.limits,
 		Workers:       map[string][]*Worker{},
 		EdgeNodeCount: minEdgeNodes,
-		routes:        newRouteTable(builder.routes),
+		routes:        newRouteTable(),
 	}
 	return builder
 }
@@ -129,7 +131,7 @@
 	next.Generation = b.generation
 	next.Limits = b.limits
 	if b.dirty.routes {
-		next.routes = newRouteTable(b.routes)
+		next.routes = b.routeTable.clone()
 	}
 	if b.dirty.services {
 		next.Services = maps.Clone(b.services)
--- a/internal/dataplane/fleetview/items.go
+++ b/internal/dataplane/fleetview/items.go
@@ -83,15 +83,24 @@
 }
 
 func (b *Builder) putRoute(name string, raw []byte) error {
-	b.dirty.routes = true
-	delete(b.routes, name)
+	b.deleteRoute(name)
 	route, err := configuration.ParseRoute(raw)
 	if err == nil {
 		b.routes[name] = &route
+		b.routeTable.put(&route)
 	}
 	return err
 }
 
+// deleteRoute deletes a route, if it exists.
+func (b *Builder) deleteRoute(name string) {
+	b.dirty.routes = true
+	if route, found := b.routes[name]; found {
+		delete(b.routes, name)
+		b.routeTable.remove(route)
+	}
+}
+
 func (b *Builder) putService(name string, raw []byte) error {
 	b.dirty.services = true
 	delete(b.services, name)
@@ -125,8 +134,7 @@
 // deleteConfiguration deletes an item of the configuration shard. A deleted generation becomes 0; deleted limits become the defaults.
 func (b *Builder) deleteConfiguration(key string) {
 	if name, found := strings.CutPrefix(key, configuration.KeyRoutePrefix); found {
-		delete(b.routes, name)
-		b.dirty.routes = true
+		b.deleteRoute(name)
 		return
 	}
 	if name, found := strings.CutPrefix(key, configuration.KeyServicePrefix); found {
