Simulation: draw the size of the state, and let costly changes take time

The size has a random stream of its own, so the events of a seed are the same as before. A server waits for each change that it applies for as long as the change would keep a processor busy; what a small change allocates stands for that, measured once for each size.

--- a/internal/controlplane/configuration/feed_items.go
+++ b/internal/controlplane/configuration/feed_items.go
@@ -69,10 +69,11 @@
 			old, existed := previous.get(name)
 			current, exists := next.get(name)
 			switch key := list.keyPrefix + name; {
-			case exists && !(existed && bytes.Equal(old.item.raw, current.item.raw)):
-				put = append(put, feed.Item{Key: key, Value: current.item.raw})
 			case existed && !exists:
 				deleted = append(deleted, key)
+			case existed && bytes.Equal(old.item.raw, current.item.raw):
+			case exists:
+				put = append(put, feed.Item{Key: key, Value: current.item.raw})
 			}
 		}
 	}
--- a/internal/controlplane/server/environment.go
+++ b/internal/controlplane/server/environment.go
@@ -10,6 +10,7 @@
 	"ospreybend/coord/consensus"
 	"ospreybend/coord/replica"
 	"ospreybend/coord/seglog"
+	"ospreybend/coord/shards"
 	"ospreybend/internal/controlplane/configuration"
 	"ospreybend/internal/controlplane/peertransport"
 )
@@ -27,6 +28,10 @@
 
 	OnGroupStatus func(replica.Status) // called whenever a group's status changes; must not block
 
+	// BeforeApply is called before a replica applies a log entry. A simulation waits in it for as long as the entry would keep the
+	// processor busy. It may be nil.
+	BeforeApply func(shard shards.ID)
+
 	// Limits that tests lower so that a short run reaches them; 0 selects the default.
 	SnapshotEntries   uint64 // log entries after which a group's log is compacted
 	RememberedChanges int    // accepted configuration changes that are remembered to recognize repeats
@@ -62,6 +67,26 @@
 // guardEnabled reports whether a guard is enforced.
 func (e Environment) guardEnabled(guard Guard) bool { return !slices.Contains(e.OmitGuards, guard) }
 
+// stateMachine returns the state machine that a shard's replica runs.
+func (e Environment) stateMachine(shard *shard) replica.StateMachine {
+	if e.BeforeApply == nil {
+		return shard.stateMachine
+	}
+	return observedStateMachine{StateMachine: shard.stateMachine, beforeApply: func() { e.BeforeApply(shard.id) }}
+}
+
+// observedStateMachine is a state machine that calls a function before it applies an entry.
+type observedStateMachine struct {
+	replica.StateMachine
+	beforeApply func()
+}
+
+// Apply implements replica.StateMachine.
+func (m observedStateMachine) Apply(entry consensus.Entry) any {
+	m.beforeApply()
+	return m.StateMachine.Apply(entry)
+}
+
 // clockStart is the initial value of the groups' clock, which must be above 0.
 const clockStart = time.Second
 
--- a/internal/controlplane/server/lifecycle.go
+++ b/internal/controlplane/server/lifecycle.go
@@ -137,7 +137,7 @@
 		FileSystem:       s.environment.FileSystem,
 		Self:             s.self,
 		BootstrapMembers: founders,
-		StateMachine:     shard.stateMachine,
+		StateMachine:     s.environment.stateMachine(shard),
 		Send: func(to consensus.Member, message consensus.Message) {
 			s.peers.network.Send(to, shard.id, message)
 		},
--- a/internal/testkit/controlplanesim/client_events.go
+++ b/internal/testkit/controlplanesim/client_events.go
@@ -44,7 +44,7 @@
 func (sim *simulation) race(ctx context.Context, variant schedule.Variant, sender *operator, base uint64, shared order) {
 	switch variant {
 	case schedule.RaceBodies:
-		sender.send(ctx, replaceOrder(sender.newName(), base, shared.generation))
+		sender.send(ctx, replaceOrder(sender.newName(), base, shared.generation, sim.filler))
 	case schedule.RaceSame:
 		sender.send(ctx, shared)
 	case schedule.RaceRepeat:
--- a/internal/testkit/controlplanesim/machine.go
+++ b/internal/testkit/controlplanesim/machine.go
@@ -81,6 +81,7 @@
 		Random:          sim.sharedRandom("keeper "+m.ip, start),
 		Dial:            incarnation.process.Dial,
 		Listen:          incarnation.process.Listen,
+		BeforeApply:     sim.chargeApply,
 		OnGroupStatus:   func(status replica.Status) { sim.recorder.observe(m, status) },
 		SnapshotEntries: uint64(sim.schedule.SnapshotEntries), RememberedChanges: sim.schedule.RememberedChanges,
 		OmitGuards: sim.omissions.server, OmitConsensusRules: sim.omissions.consensus, OmitConfigurationRules: sim.omissions.configuration,
--- a/internal/testkit/controlplanesim/operator.go
+++ b/internal/testkit/controlplanesim/operator.go
@@ -39,6 +39,7 @@
 func (o *operator) run(ctx context.Context) {
 	if o.index == 0 {
 		o.send(ctx, o.makeOrder(0))
+		o.sendSmallChanges(ctx, o.simulation.schedule.Changes)
 	}
 	for simnet.Sleep(ctx, minPause+o.randomDuration(maxPause-minPause)) {
 		if o.randomInt(stepsPerRead) == 0 || o.base() == 0 {
@@ -49,6 +50,17 @@
 	}
 }
 
+// sendSmallChanges sends that many updates, each based on the one before, without a pause.
+func (o *operator) sendSmallChanges(ctx context.Context, count int) {
+	for range count {
+		if ctx.Err() != nil {
+			return
+		}
+		base := o.base()
+		o.send(ctx, updateOrder(o.newName(), base, base+1))
+	}
+}
+
 // readForever reads from randomly chosen servers until ctx ends.
 func (o *operator) readForever(ctx context.Context) {
 	for simnet.Sleep(ctx, minPause+o.randomDuration(minPause+1)) {
@@ -68,15 +80,16 @@
 	return o.knownGeneration
 }
 
-// makeOrder returns a new order based on a generation: a complete configuration or an update.
+// makeOrder returns a new order based on a generation: a complete configuration or an update. A large configuration is only updated.
 func (o *operator) makeOrder(base uint64) order {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	generation := base + 1 + uint64(o.random.IntN(maxGenerationStep))
-	if base > 0 && o.random.IntN(2) == 0 {
+	large := o.simulation.schedule.Routes > 0 // replacements would soon make servers take a snapshot
+	if base > 0 && (large || o.random.IntN(2) == 0) {
 		return updateOrder(o.nextName(), base, generation)
 	}
-	return replaceOrder(o.nextName(), base, generation)
+	return replaceOrder(o.nextName(), base, generation, o.simulation.filler)
 }
 
 func (o *operator) nextName() string {
--- a/internal/testkit/controlplanesim/order.go
+++ b/internal/testkit/controlplanesim/order.go
@@ -1,11 +1,12 @@
 package controlplanesim
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
 
+	"github.com/go-faster/jx"
+
 	"ospreybend/internal/controlplane/server"
 	"ospreybend/internal/testkit/controlplanesim/history"
 	"ospreybend/internal/testkit/controlplanesim/schedule"
@@ -24,17 +25,26 @@
 	invalid    bool
 }
 
-// replaceOrder returns an order with a complete configuration.
-func replaceOrder(name string, base, generation uint64) order {
-	body := fmt.Sprintf(`{"generation":%d,"routes":[%s],"services":[%s,%s],"limits":%s}`,
-		generation, routeJSON("r0", "/p/", "s0"), serviceJSON("s0", "/health"), serviceJSON(orderMarkerService, "/"+name), limitsJSON)
+// fillerRoutes returns the JSON of that many routes that no order changes, each followed by a comma.
+func fillerRoutes(count int) string {
+	var text strings.Builder
+	for number := range count {
+		text.WriteString(routeJSON(fmt.Sprintf("filler-%d", number), fmt.Sprintf("/filler-%d/", number)) + ",")
+	}
+	return text.String()
+}
+
+// replaceOrder returns an order with a complete configuration, which begins with the filler routes.
+func replaceOrder(name string, base, generation uint64, filler string) order {
+	body := fmt.Sprintf(`{"generation":%d,"routes":[%s%s],"services":[%s,%s],"limits":%s}`,
+		generation, filler, routeJSON("r0", "/p/"), serviceJSON(orderedService, "/health"), serviceJSON(orderMarkerService, "/"+name), limitsJSON)
 	return order{name: name, kind: history.Replace, base: base, generation: generation, body: []byte(body)}
 }
 
 // updateOrder returns an order that upserts named items of the base configuration.
 func updateOrder(name string, base, generation uint64) order {
 	body := fmt.Sprintf(`{"generation":%d,"upsert":{"services":[%s,%s],"routes":[%s]}}`,
-		generation, serviceJSON("s0", "/health"), serviceJSON(orderMarkerService, "/"+name), routeJSON("r1", "/q/", "s0"))
+		generation, serviceJSON(orderedService, "/health"), serviceJSON(orderMarkerService, "/"+name), routeJSON("r1", "/q/"))
 	return order{name: name, kind: history.Update, base: base, generation: generation, body: []byte(body)}
 }
 
@@ -47,9 +57,12 @@
 
 const limitsJSON = `{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`
 
-func routeJSON(name, prefix, service string) string {
+// orderedService is the service of all routes.
+const orderedService = "s0"
+
+func routeJSON(name, prefix string) string {
 	return fmt.Sprintf(`{"name":%q,"hostname":"a.example","pathPrefix":%q,"routeType":"idempotent","timeoutMs":1000,`+
-		`"targetLatencyMs":400,"priority":0,"service":%q,"maxAttempts":2}`, name, prefix, service)
+		`"targetLatencyMs":400,"priority":0,"service":%q,"maxAttempts":2}`, name, prefix, orderedService)
 }
 
 func serviceJSON(name, healthPath string) string {
@@ -58,7 +71,7 @@
 
 // invalidOrder returns a configuration that must be rejected regardless of the one in force.
 func invalidOrder(name string, base, generation uint64, variant schedule.Variant) order {
-	made := replaceOrder(name, base, generation)
+	made := replaceOrder(name, base, generation, "")
 	made.invalid = true
 	text := string(made.body)
 	switch variant {
@@ -67,7 +80,7 @@
 	case schedule.InvalidService:
 		text = strings.Replace(text, `"service":"s0"`, `"service":"none"`, 1)
 	case schedule.InvalidRoutes:
-		text = strings.Replace(text, `"routes":[`, `"routes":[`+routeJSON("other", "/p/", "s0")+",", 1)
+		text = strings.Replace(text, `"routes":[`, `"routes":[`+routeJSON("other", "/p/")+",", 1)
 	case schedule.InvalidWeights:
 		text = strings.Replace(text, `"service":"s0"`, `"trafficSplit":[{"service":"s0","weight":0}]`, 1)
 	case schedule.InvalidTimeout:
@@ -91,17 +104,35 @@
 
 // readDocument returns the generation of a configuration and the name of the order that made it.
 func readDocument(body []byte) (generation uint64, name string, err error) {
-	var document struct {
-		Generation uint64
-		Services   []struct{ Name, HealthPath string }
-	}
-	if err := json.Unmarshal(body, &document); err != nil {
-		return 0, "", err
-	}
-	for _, service := range document.Services {
-		if service.Name == orderMarkerService {
-			name = strings.TrimPrefix(service.HealthPath, "/")
+	err = jx.DecodeBytes(body).Obj(func(decoder *jx.Decoder, key string) error {
+		switch key {
+		case "generation":
+			generation, err = decoder.UInt64()
+			return err
+		case "services":
+			return decoder.Arr(func(decoder *jx.Decoder) error { return readMarker(decoder, &name) })
+		}
+		return decoder.Skip()
+	})
+	return generation, name, err
+}
+
+// readMarker reads a service, and sets name to the name of the order if it is the orderMarkerService.
+func readMarker(decoder *jx.Decoder, name *string) error {
+	var service, healthPath string
+	err := decoder.Obj(func(decoder *jx.Decoder, key string) (err error) {
+		switch key {
+		case "name":
+			service, err = decoder.Str()
+		case "healthPath":
+			healthPath, err = decoder.Str()
+		default:
+			err = decoder.Skip()
 		}
+		return err
+	})
+	if service == orderMarkerService {
+		*name = strings.TrimPrefix(healthPath, "/")
 	}
-	return document.Generation, name, nil
+	return err
 }
--- a/internal/testkit/controlplanesim/schedule/draw.go
+++ b/internal/testkit/controlplanesim/schedule/draw.go
@@ -65,12 +65,40 @@
 	if shape.SlowDisks {
 		g.slowDisks()
 	}
+	routes, changes := drawStateSize(seed)
+	if changes > 0 {
+		snapshotEntries = 0 // or the changes would not be left to apply
+	}
 	slices.SortStableFunc(g.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return Schedule{Seed: seed, Servers: shape.Servers, Tolerance: shape.Tolerance, Agents: shape.Agents, Operators: shape.Operators,
-		Workers: shape.Workers, Length: shape.Length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Omit: slices.Clone(shape.Omit),
+		Workers: shape.Workers, Length: shape.Length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Routes: routes, Changes: changes, Omit: slices.Clone(shape.Omit),
 		Events: g.events}
 }
 
+// Sizes of the state. The operators' documents allow configurations of 4 MiB and days of hundreds of changes; servers take a snapshot
+// after 2,000.
+const (
+	mostChanges     = 1900
+	leastChanges    = 50
+	largeStateShare = 4 // one in this many schedules has a large state
+)
+
+// routeCounts are the sizes of large configurations in routes of some 230 bytes.
+var routeCounts = []int{350, 3000, 9000, 17000}
+
+// sizeStream is the stream of random numbers for the state's size. It is separate, so that the events of a seed stay the same.
+const sizeStream = 0x512e
+
+// drawStateSize draws the number of routes, and of changes that are made before the first event and not covered by a snapshot.
+func drawStateSize(seed uint64) (routes, changes int) {
+	random := rand.New(rand.NewPCG(seed, sizeStream))
+	if random.IntN(largeStateShare) > 0 {
+		return 0, 0
+	}
+	routes = routeCounts[random.IntN(len(routeCounts))]
+	return routes, leastChanges + random.IntN(mostChanges-leastChanges)
+}
+
 // Family is the name of a group of related events.
 type Family string
 
--- a/internal/testkit/controlplanesim/schedule/schedule_test.go
+++ b/internal/testkit/controlplanesim/schedule/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -121,6 +122,32 @@
 	return count
 }
 
+// TestDraw_stateSizes checks that large states are drawn, so that a cost that grows with the state is met.
+func TestDraw_stateSizes(t *testing.T) {
+	const seeds = 400
+	routes := map[int]int{}
+	fewest, most := math.MaxInt, 0
+	for seed := range uint64(seeds) {
+		drawn := schedule.Draw(seed, shapes[0])
+		routes[drawn.Routes]++
+		if drawn.Routes == 0 {
+			continue
+		}
+		fewest, most = min(fewest, drawn.Changes), max(most, drawn.Changes)
+		if drawn.SnapshotEntries != 0 {
+			t.Fatalf("seed %d: %d changes and a snapshot after %d entries, want the production value", seed, drawn.Changes, drawn.SnapshotEntries)
+		}
+	}
+	for _, count := range []int{350, 3000, 9000, 17000} {
+		if routes[count] < seeds/40 {
+			t.Errorf("%d routes were drawn %d times in %d schedules, want at least %d", count, routes[count], seeds, seeds/40)
+		}
+	}
+	if fewest > 200 || most < 1700 {
+		t.Errorf("between %d and %d changes were drawn, want few and nearly as many as a snapshot covers", fewest, most)
+	}
+}
+
 func TestDraw_focusPrevails(t *testing.T) {
 	focused := shapes[0]
 	focused.Focus = []schedule.Family{schedule.FamilyRejoin}
--- a/internal/testkit/controlplanesim/schedule/shrink.go
+++ b/internal/testkit/controlplanesim/schedule/shrink.go
@@ -114,7 +114,7 @@
 	return s
 }
 
-// smallerCounts returns the schedules that have one agent, operator or worker less, or a shorter length.
+// smallerCounts returns the schedules that have one agent, operator or worker less, half of the state, or a shorter length.
 func smallerCounts(schedule Schedule) []Schedule {
 	var smaller []Schedule
 	for _, count := range []func(*Schedule) *int{
@@ -128,6 +128,16 @@
 			smaller = append(smaller, changed)
 		}
 	}
+	for _, size := range []func(*Schedule) *int{
+		func(s *Schedule) *int { return &s.Routes },
+		func(s *Schedule) *int { return &s.Changes },
+	} {
+		if *size(&schedule) > 0 {
+			changed := schedule
+			*size(&changed) /= 2
+			smaller = append(smaller, changed)
+		}
+	}
 	last := time.Duration(0)
 	if len(schedule.Events) > 0 {
 		last = schedule.Events[len(schedule.Events)-1].At
--- a/internal/testkit/controlplanesim/schedule/text.go
+++ b/internal/testkit/controlplanesim/schedule/text.go
@@ -36,6 +36,12 @@
 	if s.RememberedChanges > 0 {
 		fmt.Fprintf(&text, " remembered=%d", s.RememberedChanges)
 	}
+	if s.Routes > 0 {
+		fmt.Fprintf(&text, " routes=%d", s.Routes)
+	}
+	if s.Changes > 0 {
+		fmt.Fprintf(&text, " changes=%d", s.Changes)
+	}
 	if len(s.Omit) > 0 {
 		text.WriteString(" omit=" + strings.Join(s.Omit, ","))
 	}
@@ -150,6 +156,10 @@
 		s.SnapshotEntries, err = strconv.Atoi(value)
 	case "remembered":
 		s.RememberedChanges, err = strconv.Atoi(value)
+	case "routes":
+		s.Routes, err = strconv.Atoi(value)
+	case "changes":
+		s.Changes, err = strconv.Atoi(value)
 	case "omit":
 		s.Omit = strings.Split(value, ",")
 	default:
@@ -223,7 +233,8 @@
 // Check returns an error if the schedule cannot be executed: an unknown kind, variant or trigger, an index out of range, a negative
 // value, or events that are not sorted by time.
 func (s Schedule) Check() error {
-	if s.Servers < 1 || s.Tolerance < 0 || s.Agents < 0 || s.Operators < 0 || s.Workers < 0 || s.Length < 0 || s.SnapshotEntries < 0 || s.RememberedChanges < 0 {
+	counts := []int{s.Tolerance, s.Agents, s.Operators, s.Workers, s.SnapshotEntries, s.RememberedChanges, s.Routes, s.Changes}
+	if s.Servers < 1 || s.Length < 0 || slices.Min(counts) < 0 {
 		return fmt.Errorf("%w: the number of servers must be positive, and all other counts and the length must not be negative", ErrSyntax)
 	}
 	for i, event := range s.Events {
--- a/internal/testkit/controlplanesim/schedule/types.go
+++ b/internal/testkit/controlplanesim/schedule/types.go
@@ -22,6 +22,9 @@
 	SnapshotEntries   int // number of log entries after which servers compact their logs; 0 means the production value
 	RememberedChanges int // number of accepted changes that servers remember; 0 means the production value
 
+	Routes  int // routes of every complete configuration in addition to those that the operators change
+	Changes int // small changes that the first operator makes right after the first configuration, one after the other
+
 	Omit   []string // names of guards (safety checks in the code under test) that are disabled
 	Events []Event  // sorted by At
 }
--- a/internal/testkit/controlplanesim/simulation.go
+++ b/internal/testkit/controlplanesim/simulation.go
@@ -39,6 +39,8 @@
 // simulation is the state of one run.
 type simulation struct {
 	schedule   schedule.Schedule
+	filler     string        // JSON of the schedule's routes, see fillerRoutes
+	applyCost  time.Duration // processor time of applying a change of the configuration
 	omissions  omissions
 	log        *zap.Logger // of the servers
 	network    *simnet.Network
@@ -81,6 +83,8 @@
 		schedule: played, omissions: omit, log: log, network: simnet.New(played.Seed), lostReplies: make(map[string]int),
 		triggers: make(map[schedule.Trigger]chan struct{}),
 	}
+	sim.filler = fillerRoutes(played.Routes)
+	sim.applyCost = applyCostOf(sim.filler)
 	sim.recorder = newRecorder(sim)
 	for slot := range played.Servers {
 		m := sim.newMachine(slot)
