Replica: a leader, too, is current only once it has applied what is committed

Cause: since entries are applied in slices, a leader that has just been elected could call itself current, and its feed with it, while entries that an earlier leader had acknowledged waited to be applied. Change: the confirmation counts for both roles only when nothing waits to be applied, as it was when everything was applied in one iteration. Measured: the scenario of current-applied plays both roles and is violated when the guard is left out; TestEventLoop_currentOnceApplied; the tests of coord/replica and internal/controlplane/server pass.

--- a/coord/replica/confirmation.go
+++ b/coord/replica/confirmation.go
@@ -23,14 +23,14 @@
 }
 
 // observe records an iteration of the event loop at now with the node's status. applied tells whether the state machine has
-// applied everything that is known to be committed; a follower that has not is not current, whatever the leader confirms. A
-// leader is: it answers a call only once it has applied the call's entry, and owns its shard only after a read barrier.
+// applied everything that is known to be committed; a replica that has not is not current, whatever is confirmed.
 func (c *confirmation) observe(now, heartbeatInterval time.Duration, status consensus.Status, applied bool) {
 	if c.lastIteration > 0 && now-c.lastIteration > stalledHeartbeats*heartbeatInterval {
 		c.staleUntil = now + heartbeatInterval
 	}
 	c.lastIteration = now
-	if status.Role == consensus.RoleLeader || status.ConfirmedAt == 0 || (applied && status.ConfirmedAt >= c.staleUntil) {
+	recent := status.Role == consensus.RoleLeader || status.ConfirmedAt >= c.staleUntil
+	if status.ConfirmedAt == 0 || (recent && applied) {
 		c.trustedAt = status.ConfirmedAt
 	}
 }
--- a/coord/replica/event_loop_test.go
+++ b/coord/replica/event_loop_test.go
@@ -314,3 +314,21 @@
 		t.Fatalf("commands are %v up to index %d, want %v up to 13", machine.Commands, s.loop.appliedIndex, want)
 	}
 }
+
+// TestEventLoop_currentOnceApplied checks for both roles that a replica becomes current when it has applied everything.
+func TestEventLoop_currentOnceApplied(t *testing.T) {
+	for _, role := range []consensus.Role{consensus.RoleFollower, consensus.RoleLeader} {
+		s := loopWithSlowEntries(nil)
+		s.node.status.Role = role
+		for s.loop.appliedIndex < 10 {
+			if age := s.loop.currentStatus().ConfirmedAge; age != NeverConfirmed {
+				t.Fatalf("%v: confirmed %v ago with %d of 10 entries applied, want never", role, age, s.loop.appliedIndex)
+			}
+			s.node.status.ConfirmedAt = s.clock.now
+			s.iterate(0)
+		}
+		if age := s.loop.currentStatus().ConfirmedAge; age > DefaultHeartbeatInterval {
+			t.Errorf("%v: confirmed %v ago with everything applied, want at most %v", role, age, DefaultHeartbeatInterval)
+		}
+	}
+}
--- a/coord/replica/guards.go
+++ b/coord/replica/guards.go
@@ -21,7 +21,7 @@
 	GuardStalledDiskStepsDown Guard = "stall-hands-over"
 	// GuardApplyInSlices requires that the event loop handles events between the entries that it applies.
 	GuardApplyInSlices Guard = "apply-in-slices"
-	// GuardCurrentMeansApplied requires that a follower is current only once it has applied what it knows to be committed.
+	// GuardCurrentMeansApplied requires that a replica is current only once it has applied what it knows to be committed.
 	GuardCurrentMeansApplied Guard = "current-applied"
 )
 
--- a/coord/replica/guards_test.go
+++ b/coord/replica/guards_test.go
@@ -81,12 +81,16 @@
 		s.iterate(0)
 		return s.clock.now-before > 2*DefaultHeartbeatInterval
 	},
-	// A follower hears from its leader while it has entries left to apply.
+	// A follower hears from its leader, and a new leader from a majority, while it has entries left to apply.
 	GuardCurrentMeansApplied: func(t *testing.T, omit ...Guard) bool {
-		s := loopWithSlowEntries(omit)
-		s.node.status.Role, s.node.status.ConfirmedAt = consensus.RoleFollower, s.clock.now
-		s.iterate(0)
-		return s.loop.currentStatus().ConfirmedAge != NeverConfirmed
+		violated := false
+		for _, role := range []consensus.Role{consensus.RoleFollower, consensus.RoleLeader} {
+			s := loopWithSlowEntries(omit)
+			s.node.status.Role, s.node.status.ConfirmedAt = role, s.clock.now
+			s.iterate(0)
+			violated = violated || s.loop.currentStatus().ConfirmedAge != NeverConfirmed
+		}
+		return violated
 	},
 	// A write does not complete in time.
 	GuardStalledDiskStepsDown: func(t *testing.T, omit ...Guard) bool {
