--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of cases 4 and up into target/review-2. Needs no network once the module's libraries are there.
+# Builds the stand-ins of this review into target/review-2. Needs no network once the module's libraries are there.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
