--- a/review/_corechange-2/main.go
+++ b/review/_corechange-2/main.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -88,6 +89,7 @@
 
 // deployment is the running fleet.
 type deployment struct {
+	processMutex                    sync.Mutex // guards processes while they are started and stopped
 	directory, binary               string
 	front, readiness, control, base int
 	corePort, edgePort              int // first ports of the port ranges
@@ -165,10 +167,27 @@
 	must(err, "log")
 	command.Stdout, command.Stderr = log, log
 	must(command.Start(), "start "+arguments[0])
+	d.processMutex.Lock()
+	defer d.processMutex.Unlock()
 	d.processes[m.name+" "+arguments[0]] = command
 }
 
+// stopOnSignal ends all processes and then this one, with exit code 2, if the case is to end before its time.
+func (d *deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		note("ended before its time")
+		d.stop()
+		os.Exit(2)
+	}()
+}
+
+// stop ends all processes that were started, and removes their files.
 func (d *deployment) stop() {
+	d.processMutex.Lock()
+	defer d.processMutex.Unlock()
 	for _, command := range d.processes {
 		_ = command.Process.Signal(syscall.SIGKILL)
 		_ = command.Wait()
@@ -438,6 +457,7 @@
 func play(binary string) int {
 	d := newDeployment(binary)
 	defer d.stop()
+	d.stopOnSignal()
 	founders := []string{}
 	for i := range cores {
 		founders = append(founders, net.JoinHostPort(d.loopback(11+i), strconv.Itoa(d.control)))
--- a/review/_silence-2/main.go
+++ b/review/_silence-2/main.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -83,6 +84,7 @@
 
 // deployment is the running fleet.
 type deployment struct {
+	processMutex                    sync.Mutex // guards processes while they are started and stopped
 	directory, binary               string
 	front, readiness, control, base int
 	machines                        []*machine
@@ -155,10 +157,27 @@
 	must(err, "log")
 	command.Stdout, command.Stderr = log, log
 	must(command.Start(), "start "+arguments[0])
+	d.processMutex.Lock()
+	defer d.processMutex.Unlock()
 	d.processes[m.name+" "+arguments[0]] = command
 }
 
+// stopOnSignal ends all processes and then this one, with exit code 2, if the case is to end before its time.
+func (d *deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		note("ended before its time")
+		d.stop()
+		os.Exit(2)
+	}()
+}
+
+// stop ends all processes that were started, and removes their files.
 func (d *deployment) stop() {
+	d.processMutex.Lock()
+	defer d.processMutex.Unlock()
 	for _, command := range d.processes {
 		_ = command.Process.Signal(syscall.SIGKILL)
 		_ = command.Wait()
@@ -384,6 +403,7 @@
 func play(binary string) int {
 	d := newDeployment(binary)
 	defer d.stop()
+	d.stopOnSignal()
 	for _, m := range d.machines {
 		if m.core {
 			d.start(m, "control-plane", "--metrics-port", "9466")
