Control plane: voters that leave together hand their majority over before they end

Cause: a leader that gets SIGTERM passed its leadership to the most up-to-date voter, which may be leaving too, and a leader that is shutting down made no membership changes. All voters ended after exactly 1 s of handing over.

Change: a leaving leader passes on to a voter that stays; if none does, it makes successors voters itself. A leaving server waits while a successor is catching up or can be expected, up to three quarters of graceS. If no majority would stay, every running learner is a successor. A successor that has run for catchUpS is promoted before the leaving voter is demoted, so the group tolerates as many losses as before. Leaving members are no spares. Join requests are remembered by servers that don't lead.

--- a/coord/consensus/commit.go
+++ b/coord/consensus/commit.go
@@ -52,7 +52,7 @@
 	for _, peer := range n.leader.peers {
 		n.sendCommitIndex(peer)
 	}
-	if best := n.bestTransferTarget(); best != nil && best.matchIndex == n.log.lastIndex() {
+	if best := n.bestTransferTarget(nil); best != nil && best.matchIndex == n.log.lastIndex() {
 		n.send(Message{Kind: MessageTimeoutNow, To: best.id})
 	}
 	n.becomeFollower(n.term)
--- a/coord/consensus/transfer.go
+++ b/coord/consensus/transfer.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // leadershipTransfer is a transfer of leadership to another voter. The leader rejects proposals while one is in
 // progress.
@@ -12,18 +15,18 @@
 }
 
 // TransferLeadership starts a transfer of leadership to another voter or, if target is 0, to the responsive one
-// with the most complete log. Proposals are rejected until the member steps down or an election timeout has
+// with the most complete log that is not excluded. Proposals are rejected until the member steps down or an election timeout has
 // passed.
 //
 // Errors: ErrNotLeader, ErrTransferInProgress, ErrNoTransferTarget.
-func (n *Node) TransferLeadership(now time.Duration, target MemberID) error {
+func (n *Node) TransferLeadership(now time.Duration, target MemberID, excluded ...MemberID) error {
 	n.advanceClock(now)
 	n.checkQuorum()
 	if err := n.checkProposable(); err != nil {
 		return err
 	}
 	if target == 0 {
-		best := n.bestTransferTarget()
+		best := n.bestTransferTarget(excluded)
 		if best == nil {
 			return ErrNoTransferTarget
 		}
@@ -36,11 +39,11 @@
 	return nil
 }
 
-// bestTransferTarget returns the responsive peer that is a voter and has the most complete durable log, or nil.
-func (n *Node) bestTransferTarget() *progress {
+// bestTransferTarget returns the responsive peer that is a voter, is not excluded and has the most complete durable log, or nil.
+func (n *Node) bestTransferTarget(excluded []MemberID) *progress {
 	var best *progress
 	for _, peer := range n.leader.peers {
-		if !n.isResponsive(peer) || !n.isVoter(peer.id) {
+		if !n.isResponsive(peer) || !n.isVoter(peer.id) || slices.Contains(excluded, peer.id) {
 			continue
 		}
 		if best == nil || peer.matchIndex > best.matchIndex {
@@ -57,7 +60,7 @@
 	if transfer.target != 0 || n.now < transfer.retryAt {
 		return
 	}
-	best := n.bestTransferTarget()
+	best := n.bestTransferTarget(nil)
 	if best == nil {
 		return
 	}
--- a/coord/replica/consensus_node.go
+++ b/coord/replica/consensus_node.go
@@ -14,7 +14,7 @@
 	Propose(now time.Duration, data []byte) (term, index uint64, err error)
 	ChangeMembers(now time.Duration, change consensus.MembershipChange) error
 	ReadIndex(now time.Duration, id uint64) error
-	TransferLeadership(now time.Duration, to consensus.MemberID) error
+	TransferLeadership(now time.Duration, to consensus.MemberID, excluded ...consensus.MemberID) error
 	SetWritable(now time.Duration, writable bool)
 	Ready() consensus.Ready
 	Persisted(now time.Duration, sequence uint64)
--- a/coord/replica/event_queue.go
+++ b/coord/replica/event_queue.go
@@ -30,10 +30,11 @@
 // readEvent carries a call of ReadBarrier.
 type readEvent struct{ done chan outcome }
 
-// transferEvent carries a call of TransferLeadershipTo.
+// transferEvent carries a call of TransferLeadership or TransferLeadershipTo.
 type transferEvent struct {
-	to   consensus.MemberID // 0: the most up-to-date other voter
-	done chan outcome
+	to       consensus.MemberID   // 0: the most up-to-date other voter that is not excluded
+	excluded []consensus.MemberID // voters that must not be chosen
+	done     chan outcome
 }
 
 // callEvent carries a call of Do.
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -187,11 +187,12 @@
 	return promotable
 }
 
-// TransferLeadership transfers leadership to the most up-to-date other voter and returns once this replica is no longer the
-// leader. Errors: NotLeaderError, ErrTransferFailed, ErrClosed, consensus.ErrTransferInProgress, consensus.ErrNoTransferTarget
+// TransferLeadership transfers leadership to the most up-to-date other voter that is not excluded, and returns once this replica
+// is no longer the leader. Errors: NotLeaderError, ErrTransferFailed, ErrClosed, consensus.ErrTransferInProgress, consensus.ErrNoTransferTarget
 // and the context's.
-func (g *Group) TransferLeadership(ctx context.Context) error {
-	return g.TransferLeadershipTo(ctx, 0)
+func (g *Group) TransferLeadership(ctx context.Context, excluded ...consensus.MemberID) error {
+	done := newOutcomeChannel()
+	return g.call(ctx, transferEvent{excluded: excluded, done: done}, done, nil)
 }
 
 // TransferLeadershipTo transfers leadership to the given voter, or to the most up-to-date other one if the ID is 0, and
--- a/coord/replica/scripted_loop_test.go
+++ b/coord/replica/scripted_loop_test.go
@@ -43,7 +43,7 @@
 	return n.callError
 }
 
-func (n *scriptedNode) TransferLeadership(time.Duration, consensus.MemberID) error {
+func (n *scriptedNode) TransferLeadership(_ time.Duration, _ consensus.MemberID, _ ...consensus.MemberID) error {
 	return n.callError
 }
 func (n *scriptedNode) SetWritable(_ time.Duration, writable bool) { n.writable = writable }
--- a/coord/replica/transfers.go
+++ b/coord/replica/transfers.go
@@ -17,7 +17,7 @@
 
 // transfer starts a leadership transfer if this replica is the leader.
 func (l *eventLoop) transfer(event transferEvent) {
-	if err := l.node.TransferLeadership(l.now, event.to); err != nil {
+	if err := l.node.TransferLeadership(l.now, event.to, event.excluded...); err != nil {
 		event.done <- outcome{err: l.callerError(err)}
 		return
 	}
--- a/internal/controlplane/server/graceful_shutdown.go
+++ b/internal/controlplane/server/graceful_shutdown.go
@@ -4,10 +4,12 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
-	"ospreybend/coord/shards"
+	"ospreybend/coord/consensus"
+	"ospreybend/coord/replica"
 	"ospreybend/internal/util/strictavro"
 )
 
@@ -23,108 +25,163 @@
 	s.lifecycle.cancelBackground()
 }
 
-// handOver transfers all leaderships of this server and then releases its votes, within leaderTransferTimeout.
+// handOver transfers the leaderships of this server and releases its votes, all groups concurrently.
 func (s *Server) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaderTransferTimeout)
-	defer cancel()
 	startedAt := s.environment.Now()
 	var waitGroup sync.WaitGroup
 	for _, shard := range s.shards {
-		if shard.group.Status().IsLeader() {
-			waitGroup.Go(func() { s.transferLeadership(ctx, shard) })
-		}
+		waitGroup.Go(func() { s.leaveGroup(context.Background(), shard) })
 	}
 	waitGroup.Wait()
-	s.releaseVotes(ctx)
 	s.logger.Info("shutting down", zap.Duration("handOverDuration", s.environment.Now().Sub(startedAt)))
 }
 
-// transferLeadership transfers the leadership of one shard. It retries while the group rejects the transfer, until ctx ends.
-func (s *Server) transferLeadership(ctx context.Context, shard *shard) {
+// successionTimeout is how long a server that is shutting down waits for a successor that can be expected.
+// It leaves a quarter of the time until SIGKILL for the rest of the shutdown.
+func (s *Server) successionTimeout() time.Duration {
+	grace := time.Duration(s.settings.Bounds.GraceS * float64(time.Second))
+	return max(handOverTimeout, grace*3/4)
+}
+
+// departure is how far a server that is shutting down has left a group.
+type departure int
+
+const (
+	departureRefused departure = iota // the member asked does not lead the group or cannot be reached
+	departurePending                  // a successor is catching up or a membership change is in progress
+	departureSettled                  // the vote is released or nobody can take it
+)
+
+// leaveGroup gives up this server's leadership and vote in one group. It returns once the leader has released the vote or has no
+// successor for it. If no leader answers within handOverTimeout, it returns unless a successor can be expected, and after
+// successionTimeout in any case.
+func (s *Server) leaveGroup(ctx context.Context, shard *shard) {
+	ctx, cancel := context.WithTimeout(ctx, s.successionTimeout())
+	defer cancel()
+	deadline := s.environment.Now().Add(handOverTimeout)
 	for {
-		err := shard.group.TransferLeadership(ctx)
-		if err == nil || !shard.group.Status().IsLeader() {
+		reached := s.tryLeaveGroup(ctx, shard)
+		if reached == departureSettled {
 			return
 		}
-		if !waitForChange(ctx, nil, ownerRetryInterval) {
-			s.logger.Warn("leadership transfer failed", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+		timedOut := reached == departureRefused && !s.environment.Now().Before(deadline)
+		if timedOut && !s.isSuccessorExpected(ctx, shard) || !waitForChange(ctx, nil, releasePollInterval) {
+			s.logger.Warn("vote not released", zap.Uint32("shard", uint32(shard.id)))
 			return
 		}
 	}
 }
 
-// releaseVotes notifies the leaders of all groups in which this server votes that it is shutting down, and waits until each has
-// reconciled its members. A leader without a successor for the vote answers immediately. Groups without a known leader, or whose
-// leader has just changed, are retried until ctx ends.
-func (s *Server) releaseVotes(ctx context.Context) {
-	remaining := slices.Clone(allShards[:])
-	for len(remaining) > 0 {
-		var waitGroup sync.WaitGroup
-		var mutex sync.Mutex
-		votesByLeader, notLed := s.votesByLeader(ctx, remaining)
-		for address, votes := range votesByLeader {
-			waitGroup.Go(func() {
-				rejected := s.requestRelease(ctx, address, votes)
-				mutex.Lock()
-				defer mutex.Unlock()
-				notLed = append(notLed, rejected...)
-			})
-		}
-		waitGroup.Wait()
-		remaining = notLed
-		if !waitForChange(ctx, nil, releasePollInterval) {
-			return
+// tryLeaveGroup takes the next step of leaving a group: a leader passes on the leadership, another member asks the leader to release its
+// vote.
+func (s *Server) tryLeaveGroup(ctx context.Context, shard *shard) departure {
+	status := shard.group.Status()
+	switch {
+	case !isMember(status, s.self.ID):
+		return departureSettled
+	case status.IsLeader():
+		return s.resign(ctx, shard, status)
+	case status.Leader.Address == "" || status.Leader.Address == s.self.Address:
+		return departureRefused
+	}
+	return s.requestRelease(ctx, status.Leader.Address, groupState{Shard: int(shard.id), Voter: isVoter(status, s.self.ID)})
+}
+
+// resign transfers the leadership of a group to a voter that stays. If all other voters are leaving too or cannot be reached, this
+// server remains the leader and makes successors voters. The departure is settled if there are none.
+func (s *Server) resign(ctx context.Context, shard *shard, status replica.Status) departure {
+	staying, leaving := s.otherVoters(ctx, shard, status)
+	if len(staying) == 0 && s.environment.guardEnabled(GuardMajorityHandedOver) {
+		if s.isReleaseSettled(shard, status, s.self.ID) {
+			return departureSettled
 		}
+		return departurePending
 	}
+	ctx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
+	defer cancel()
+	if err := shard.group.TransferLeadership(ctx, leaving...); err != nil {
+		s.logger.Debug("leadership transfer failed", zap.Uint32("shard", uint32(shard.id)), zap.Error(err))
+		waitForChange(ctx, nil, ownerRetryInterval)
+	}
+	return departureRefused
 }
 
-// requestRelease notifies one leader and returns the groups that it does not lead, or all of them if the call failed.
-func (s *Server) requestRelease(ctx context.Context, leader string, votes []groupState) []shards.ID {
-	body, err := codec.Marshal(groupsSchema, votes)
-	if err != nil {
-		return nil
+// otherVoters asks the other voters of a group whether they are shutting down. staying are those that are not, leaving those that are or
+// have announced it; voters that do not answer are in neither.
+func (s *Server) otherVoters(ctx context.Context, shard *shard, status replica.Status) (staying, leaving []consensus.MemberID) {
+	if !s.environment.guardEnabled(GuardMajorityHandedOver) {
+		return nil, nil
 	}
-	reply, err := s.peers.network.Call(ctx, leader, callLeave, body)
-	if err != nil {
-		s.logger.Debug("vote release request failed", zap.String("leader", leader), zap.Error(err))
-		return shardsOf(votes)
+	var others []consensus.Member
+	for _, member := range status.Members {
+		if member.Voter && member.ID != s.self.ID {
+			others = append(others, member)
+		}
 	}
-	var notLed []groupState
-	if strictavro.Unmarshal(codec, groupsSchema, reply, &notLed) != nil {
-		return nil
+	identities := s.queryIdentities(ctx, others)
+	now := s.environment.Now()
+	for _, member := range others {
+		identity, answered := identities[member.ID]
+		switch {
+		case answered && !identity.ShuttingDown:
+			staying = append(staying, member.ID)
+		case answered:
+			shard.recordLeaving(member.ID, now)
+			leaving = append(leaving, member.ID)
+		}
 	}
-	return shardsOf(notLed)
+	return staying, leaving
 }
 
-func shardsOf(states []groupState) []shards.ID {
-	found := make([]shards.ID, 0, len(states))
-	for _, state := range states {
-		found = append(found, shards.ID(state.Shard))
+// isSuccessorExpected reports whether a server waits that could take this server's vote, or the voters that stay need this one for a
+// majority.
+func (s *Server) isSuccessorExpected(ctx context.Context, shard *shard) bool {
+	status := shard.group.Status()
+	if !isVoter(status, s.self.ID) || !s.environment.guardEnabled(GuardMajorityHandedOver) {
+		return false
+	}
+	asked := slices.Clone(status.Members)
+	for _, request := range s.joinRequests.recent(shard.id, s.environment.Now()) {
+		asked = append(asked, consensus.Member{ID: request.ID, Address: request.Address})
+	}
+	voters, stayingVoters, successors := 0, 0, 0
+	identities := s.queryIdentities(ctx, asked)
+	for _, member := range asked {
+		identity, answered := identities[member.ID]
+		stays := answered && !identity.ShuttingDown && member.ID != s.self.ID
+		switch {
+		case member.Voter && stays:
+			voters++
+			stayingVoters++
+		case member.Voter:
+			voters++
+		case stays:
+			successors++
+		}
 	}
-	return found
+	return successors > 0 || stayingVoters > 0 && stayingVoters <= voters/2
 }
 
-// votesByLeader returns those of the given shards in which this server is a voter, grouped by the address of their leader. Shards that
-// still have no known leader after leaderDiscoveryTimeout are returned as unknown: after a transfer it takes a moment to learn of the
-// new leader.
-func (s *Server) votesByLeader(ctx context.Context, candidates []shards.ID) (found map[string][]groupState, unknown []shards.ID) {
-	ctx, cancel := context.WithTimeout(ctx, leaderDiscoveryTimeout)
+// requestRelease asks the leader of a group to release this server's vote. A leader answers once it has done so or if it has no successor
+// for it.
+func (s *Server) requestRelease(ctx context.Context, leader string, state groupState) departure {
+	body, err := codec.Marshal(groupsSchema, []groupState{state})
+	if err != nil {
+		return departureSettled
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	found = make(map[string][]groupState)
-	for _, id := range candidates {
-		group := s.shards[id].group
-		status := group.Status()
-		for isVoter(status, s.self.ID) && status.Leader.Address == "" && waitForChange(ctx, nil, releasePollInterval) {
-			status = group.Status()
-		}
-		leader := status.Leader.Address
-		switch {
-		case !isVoter(status, s.self.ID):
-		case leader == "" || leader == s.self.Address:
-			unknown = append(unknown, id)
-		default:
-			found[leader] = append(found[leader], groupState{Shard: int(id), Voter: true})
+	reply, err := s.peers.network.Call(ctx, leader, callLeave, body)
+	if err != nil {
+		s.logger.Debug("vote release request failed", zap.String("leader", leader), zap.Error(err))
+		if ctx.Err() != nil {
+			return departurePending
 		}
+		return departureRefused
+	}
+	var notLed []groupState
+	if strictavro.Unmarshal(codec, groupsSchema, reply, &notLed) == nil && len(notLed) > 0 {
+		return departureRefused
 	}
-	return found, unknown
+	return departureSettled
 }
--- a/internal/controlplane/server/graceful_shutdown_test.go
+++ b/internal/controlplane/server/graceful_shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,20 +15,23 @@
 type leaveRecordingNetwork struct {
 	scriptedNetwork
 	leaveCalls []string
+	mutex      sync.Mutex // guards leaveCalls
 }
 
 func (n *leaveRecordingNetwork) Call(_ context.Context, address string, kind peertransport.CallKind, _ []byte) ([]byte, error) {
 	if kind != callLeave {
 		return nil, peertransport.ErrNotSent
 	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	n.leaveCalls = append(n.leaveCalls, address)
 	return codec.Marshal(groupsSchema, []groupState{})
 }
 
-// The new leader of a group becomes known only after leaderDiscoveryTimeout. The vote must still be released to it, soon after that.
-func TestServer_ReleaseVotes_waitsForNewLeader(t *testing.T) {
+// The new leader of a group becomes known only after an election timeout. The vote must still be released to it, soon after that.
+func TestServer_HandOver_waitsForNewLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const electionDelay = leaderDiscoveryTimeout + 200*time.Millisecond
+		const electionDelay = electionTimeout
 		s, groups, _ := newScriptedServer(t)
 		network := &leaveRecordingNetwork{}
 		s.peers.network = network
@@ -35,10 +39,8 @@
 		status.Leader = consensus.Member{}
 		groups[1].set(status)
 		time.AfterFunc(electionDelay, func() { groups[1].set(followerStatus("b")) })
-		ctx, cancel := context.WithTimeout(t.Context(), leaderTransferTimeout)
-		defer cancel()
 		startedAt := time.Now()
-		s.releaseVotes(ctx)
+		s.handOver()
 		if len(network.leaveCalls) != 1 || network.leaveCalls[0] != "b" || time.Since(startedAt) > electionDelay+10*releasePollInterval {
 			t.Fatalf("got leave calls to %v after %s, want one to b shortly after %s", network.leaveCalls, time.Since(startedAt), electionDelay)
 		}
--- a/internal/controlplane/server/join.go
+++ b/internal/controlplane/server/join.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// receiveJoin records a join request for the groups that this server leads, starts reconciling them, and replies with the servers
-// that are members of groups.
+// receiveJoin records a join request, starts reconciling the groups that this server leads, and replies with the servers that are
+// members of groups. A server that does not lead a group may do so before the request is repeated.
 func (s *Server) receiveJoin(peer peertransport.Hello, body []byte) ([]byte, error) {
 	var states []groupState
 	if err := strictavro.Unmarshal(codec, groupsSchema, body, &states); err != nil {
@@ -127,11 +127,10 @@
 			continue
 		}
 		shard := s.shards[state.Shard]
-		if !shard.group.Status().IsLeader() {
-			continue
-		}
 		s.joinRequests.record(shard.id, joinRequest{ID: peer.Member, Address: peer.Address}, now)
-		s.startReconcile(shard)
+		if shard.group.Status().IsLeader() {
+			s.startReconcile(shard)
+		}
 	}
 	return codec.Marshal(serversSchema, s.directory.serving())
 }
--- a/internal/controlplane/server/membership_controller.go
+++ b/internal/controlplane/server/membership_controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,10 +11,14 @@
 	"ospreybend/coord/replica"
 )
 
-// startReconcile starts reconciling a group's members with the desired ones in the background, unless this is already in progress or
-// the server is shutting down.
+// startReconcile starts reconciling a group's members with the desired ones in the background, unless this is already in progress. A
+// leader that is shutting down does so too while it cannot pass on the leadership, until the control loops are stopped.
 func (s *Server) startReconcile(shard *shard) {
-	if s.lifecycle.shuttingDown.Load() || !shard.beginReconcile() {
+	stopping := s.lifecycle.backgroundContext.Err() != nil
+	if !s.environment.guardEnabled(GuardMajorityHandedOver) {
+		stopping = s.lifecycle.shuttingDown.Load()
+	}
+	if stopping || !shard.beginReconcile() {
 		return
 	}
 	s.lifecycle.background.Go(func() {
@@ -90,6 +95,27 @@
 	return decodeIdentity(reply)
 }
 
+// queryIdentities asks members concurrently for their identity. Members that do not answer in time, and those whose address now belongs to
+// another member, are missing in the result.
+func (s *Server) queryIdentities(ctx context.Context, members []consensus.Member) map[consensus.MemberID]identityReply {
+	var waitGroup sync.WaitGroup
+	var mutex sync.Mutex
+	identities := make(map[consensus.MemberID]identityReply, len(members))
+	for _, member := range members {
+		waitGroup.Go(func() {
+			identity, err := s.queryIdentity(ctx, member.Address)
+			if err != nil || identity.ID != member.ID {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			identities[member.ID] = identity
+		})
+	}
+	waitGroup.Wait()
+	return identities
+}
+
 // applyMembershipChange proposes a change to the group and reports whether it was committed in time.
 func (s *Server) applyMembershipChange(shard *shard, change replica.MembershipChange) bool {
 	ctx, cancel := context.WithTimeout(s.lifecycle.backgroundContext, proposalTimeout)
@@ -99,8 +125,8 @@
 	return err == nil
 }
 
-// observeGroup collects the observed state of a group that this server leads. While a member is shutting down, it calls learners and
-// leaving members for their identity, so it must not be called with a mutex held.
+// observeGroup collects the observed state of a group that this server leads. It calls members for their identity while one is shutting
+// down or a learner may be promoted, so it must not be called with a mutex held.
 func (s *Server) observeGroup(shard *shard, status replica.Status) observedState {
 	now := s.environment.Now()
 	observed := observedState{
@@ -112,11 +138,8 @@
 	if observed.voterCount() < len(observed.Members) {
 		observed.PromotableLearners = shard.group.PromotableLearners()
 	}
-	s.forgetReturnedMembers(shard, status, shard.leavingMembers(now))
 	observed.Stable = shard.trackReadiness(observed.PromotableLearners, now)
-	if observed.Leaving = shard.leavingMembers(now); len(observed.Leaving) > 0 {
-		observed.Successors = s.successors(status)
-	}
+	s.observeDepartures(shard, &observed, now)
 	return observed
 }
 
--- a/internal/controlplane/server/membership_reconciler.go
+++ b/internal/controlplane/server/membership_reconciler.go
@@ -20,7 +20,8 @@
 	Stable             []consensus.MemberID                 // learners that have been promotable for at least stableAfter, longest first
 	SinceHeard         map[consensus.MemberID]time.Duration // time since the last message of this group, by member
 	Leaving            []consensus.MemberID                 // members that have announced their shutdown
-	Successors         []consensus.MemberID                 // recently started learners, assumed to replace a leaving voter
+	Successors         []consensus.MemberID                 // learners that are assumed to replace a leaving voter
+	Established        []consensus.MemberID                 // successors and leaving voters that have run for long enough not to count as lost
 
 	OmitGuards []Guard // set by tests only
 }
@@ -43,7 +44,8 @@
 //  3. promoteLearner: a learner that has acknowledged nearly all of the log as durable becomes a voter if there is a vacancy and the
 //     number of voters becomes odd. Otherwise the voter that has been unresponsive longest is removed if it has timed out; otherwise
 //     the learner is promoted if canAddVoter expects a second promotion; otherwise, if the learner is the successor of a leaving
-//     voter, that voter becomes a learner.
+//     voter, that voter becomes a learner. A successor that is established is promoted first, and rule 2 then demotes the leaving voter;
+//     so is any successor if so many voters are leaving that no majority would remain.
 //  4. addLearner: a server with a join request becomes a learner: one for each vacancy or timed-out voter, plus SpareLearners, so that a
 //     lost voter can be replaced without first transferring the state.
 //  5. removeUnresponsiveLearner: a learner without a join request that has been unresponsive for learnerTimeout is removed.
@@ -100,6 +102,9 @@
 	for _, learner := range observed.promotionCandidates() {
 		promoted := learner
 		promoted.Voter = true
+		if observed.precedesDemotion(learner.ID) {
+			return plannedChange{Change: replica.MembershipChange{Add: &promoted}}, true
+		}
 		hasVacancy, evenVoters := observed.voterCount() < observed.DesiredVoters, observed.voterCount()%2 == 0
 		if hasVacancy && evenVoters {
 			return plannedChange{Change: replica.MembershipChange{Add: &promoted}}, true
@@ -117,6 +122,18 @@
 	return plannedChange{}, false
 }
 
+// precedesDemotion reports whether a learner is promoted before the leaving voter that it succeeds is demoted. In between there is one
+// voter more than desired, and the group tolerates as many losses as before. If the learner or the voter counts as lost, both would cost
+// two votes.
+func (o observedState) precedesDemotion(learner consensus.MemberID) bool {
+	if o.voterCount() > o.DesiredVoters || !slices.Contains(o.Successors, learner) || !o.guardEnabled(GuardMajorityHandedOver) {
+		return false
+	}
+	demoted, found := o.demoteLeavingVoter()
+	established := found && slices.Contains(o.Established, learner) && slices.Contains(o.Established, demoted.Change.Add.ID)
+	return o.majorityLeaves() || established
+}
+
 // promotionCandidates returns the learners that can become voters now, sorted by stabilityRank.
 func (o observedState) promotionCandidates() (found []consensus.Member) {
 	for _, member := range o.Members {
@@ -168,6 +185,9 @@
 // addLearner is rule 4 of nextMembershipChange.
 func addLearner(observed observedState) (plannedChange, bool) {
 	vacancies := max(0, observed.DesiredVoters-observed.voterCount()+observed.unresponsiveVoters(voterTimeout))
+	if observed.majorityLeaves() {
+		vacancies += observed.leavingVoters()
+	}
 	if observed.responsiveLearners(voterTimeout) >= vacancies+observed.SpareLearners {
 		return plannedChange{}, false
 	}
@@ -243,11 +263,38 @@
 	return count
 }
 
-// responsiveLearners counts the learners that sent a message less than maxSilence ago.
+// leavingVoters counts the voters that are shutting down.
+func (o observedState) leavingVoters() int {
+	count := 0
+	for _, member := range o.Members {
+		if member.Voter && slices.Contains(o.Leaving, member.ID) {
+			count++
+		}
+	}
+	return count
+}
+
+// majorityLeaves reports whether voters are shutting down and the other responsive ones are no majority.
+func (o observedState) majorityLeaves() bool {
+	if !o.guardEnabled(GuardMajorityHandedOver) {
+		return false
+	}
+	leaving := o.leavingVoters()
+	staying := 0
+	for _, member := range o.Members {
+		responsive := member.ID == o.Self || o.SinceHeard[member.ID] < missedHeartbeatsAge
+		if member.Voter && responsive && !slices.Contains(o.Leaving, member.ID) {
+			staying++
+		}
+	}
+	return leaving > 0 && staying <= o.voterCount()/2
+}
+
+// responsiveLearners counts the learners that sent a message less than maxSilence ago and are not shutting down.
 func (o observedState) responsiveLearners(maxSilence time.Duration) int {
 	count := 0
 	for _, member := range o.Members {
-		if !member.Voter && o.SinceHeard[member.ID] < maxSilence {
+		if !member.Voter && o.SinceHeard[member.ID] < maxSilence && !slices.Contains(o.Leaving, member.ID) {
 			count++
 		}
 	}
--- a/internal/controlplane/server/planned_replacement_test.go
+++ b/internal/controlplane/server/planned_replacement_test.go
@@ -66,7 +66,7 @@
 		voters, _, allLed = c.votersAndLearners(1, 2, 3)
 		return allLed
 	})
-	inTime := took < leaderTransferTimeout*3/4 // the hand-over may time out on a loaded machine
+	inTime := took < handOverTimeout*3/4 // the hand-over may time out on a loaded machine
 	if inTime && (!voteTransferred() || time.Since(endedAt) >= voterTimeout) {
 		t.Fatalf("%s after the replaced server ended, the voters are %v, want %s as a voter of all groups instead of it within %s",
 			time.Since(endedAt), voters, successor, voterTimeout)
--- a/internal/controlplane/server/scripted_server_test.go
+++ b/internal/controlplane/server/scripted_server_test.go
@@ -45,7 +45,7 @@
 
 func (g *scriptedGroup) PromotableLearners() []consensus.MemberID { return nil }
 
-func (g *scriptedGroup) TransferLeadership(context.Context) error { return nil }
+func (g *scriptedGroup) TransferLeadership(context.Context, ...consensus.MemberID) error { return nil }
 
 func (g *scriptedGroup) Status() replica.Status {
 	g.mutex.Lock()
@@ -63,7 +63,7 @@
 type scriptedNetwork struct {
 	mutex           sync.Mutex
 	calledAddresses []string
-	reply           func(address string, attempt int) (shardResponse, error)
+	reply           func(address string, attempt int) (shardResponse, error) // nil: no address can be reached
 
 	hangAddress  string        // calls to this address block until their context ends
 	hangingCalls chan struct{} // receives a token for each call that blocks
@@ -83,6 +83,9 @@
 		<-ctx.Done()
 		return nil, peertransport.ErrOutcomeUnknown
 	}
+	if n.reply == nil {
+		return nil, peertransport.ErrNotSent
+	}
 	reply, err := n.reply(address, attempt)
 	if err != nil {
 		return nil, err
--- a/internal/controlplane/server/shard.go
+++ b/internal/controlplane/server/shard.go
@@ -23,7 +23,7 @@
 	ReadBarrier(ctx context.Context) error
 	ChangeMembers(ctx context.Context, change replica.MembershipChange) error
 	PromotableLearners() []consensus.MemberID
-	TransferLeadership(ctx context.Context) error
+	TransferLeadership(ctx context.Context, excluded ...consensus.MemberID) error
 	Status() replica.Status
 }
 
@@ -58,6 +58,7 @@
 	leavingNotices      map[consensus.MemberID]time.Time // when each leaving member announced its shutdown
 	learnerReadiness    map[consensus.MemberID]readiness // since when each learner has been promotable
 	lastHeard           map[consensus.MemberID]time.Time // when each member last sent a message of this group
+	interruptions       map[consensus.MemberID]time.Time // when each member last sent one again after it had missed heartbeats of this leader
 	leader              consensus.Member                 // from the group's last status
 	leaderContext       context.Context                  // ends when the leader changes
 	cancelLeaderContext context.CancelFunc
@@ -130,10 +131,25 @@
 	defer s.mutex.Unlock()
 	if s.lastHeard == nil {
 		s.lastHeard = make(map[consensus.MemberID]time.Time)
+		s.interruptions = make(map[consensus.MemberID]time.Time)
+	}
+	expectedSince := s.lastHeard[member]
+	if expectedSince.Before(s.leadingSince) {
+		expectedSince = s.leadingSince
+	}
+	if !s.leadingSince.IsZero() && now.Sub(expectedSince) >= missedHeartbeatsAge {
+		s.interruptions[member] = now
 	}
 	s.lastHeard[member] = now
 }
 
+// lastInterruption returns when a member was heard again after it had missed heartbeats of this leader, zero if it never did.
+func (s *shard) lastInterruption(member consensus.MemberID) time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.interruptions[member]
+}
+
 // heardFrom returns when a member last sent a message of this group, zero if it never did.
 func (s *shard) heardFrom(member consensus.MemberID) time.Time {
 	s.mutex.Lock()
@@ -145,9 +161,11 @@
 func (s *shard) pruneLastHeard(members []consensus.Member) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	maps.DeleteFunc(s.lastHeard, func(id consensus.MemberID, _ time.Time) bool {
+	isFormerMember := func(id consensus.MemberID, _ time.Time) bool {
 		return !slices.ContainsFunc(members, func(member consensus.Member) bool { return member.ID == id })
-	})
+	}
+	maps.DeleteFunc(s.lastHeard, isFormerMember)
+	maps.DeleteFunc(s.interruptions, isFormerMember)
 }
 
 // beginReconcile marks the start of a membership reconcile. It returns false if one is running already; only one runs at a time.
@@ -243,6 +261,11 @@
 // current may be behind the shard's owner by an unknown amount.
 func isCurrent(status replica.Status) bool { return status.ConfirmedAge <= currentMaxAge }
 
+// isMember reports whether a member is a voter or learner in the membership that this replica knows.
+func isMember(status replica.Status, id consensus.MemberID) bool {
+	return slices.ContainsFunc(status.Members, func(member consensus.Member) bool { return member.ID == id })
+}
+
 // isVoter reports whether a member is a voter in the membership that this replica knows.
 func isVoter(status replica.Status, id consensus.MemberID) bool {
 	for _, member := range status.Members {
--- a/internal/controlplane/server/timing.go
+++ b/internal/controlplane/server/timing.go
@@ -73,11 +73,12 @@
 const (
 	preferredOwnerStableFor   = 5 * time.Second        // how long the preferred owner must have been able to lead
 	minLeaderTransferInterval = 2 * time.Second        // between transfers to preferred owners
-	leaderTransferTimeout     = time.Second            // of one transfer, and of handing over all leaderships and votes at shutdown
-	leaderDiscoveryTimeout    = 300 * time.Millisecond // for learning of the new leaders after a transfer
+	leaderTransferTimeout     = time.Second            // of one transfer
+	handOverTimeout           = time.Second            // of handing over the leaderships and votes at shutdown, if a majority of the voters stays
 	releasePollInterval       = 10 * time.Millisecond  // between checks of a group while a vote is released or a vacancy is filled
 	leavingNoticeMaxAge       = 3 * time.Second        // a member that announced its shutdown longer ago and is still a voter has returned
 	successorMaxUptime        = 60 * time.Second       // a learner that has run for longer was not started to replace a leaving voter
+	serverStartTime           = 500 * time.Millisecond // from the start of a machine's process to that of its server
 	apiShutdownTimeout        = 300 * time.Millisecond // for API calls in progress
 )
 
--- a/internal/testkit/controlplanesim/events.go
+++ b/internal/testkit/controlplanesim/events.go
@@ -13,8 +13,9 @@
 
 // Times within events.
 const (
-	replacementOverlap = 300 * time.Millisecond // between the start of the successor and the SIGTERM to the old machine
-	slowLinkDelay      = 400 * time.Millisecond // additional delay of a slow link
+	replacementOverlap  = 300 * time.Millisecond // between the start of the successor and the SIGTERM to the old machine
+	slowLinkDelay       = 400 * time.Millisecond // additional delay of a slow link
+	openConnectionsTime = time.Second            // for which callers use open connections to a machine that leaves for good
 )
 
 // playEvents executes all events at their times and returns when all have ended.
@@ -65,6 +66,7 @@
 		schedule.Quota:          sim.playQuota,
 		schedule.Stall:          sim.playStall,
 		schedule.WipeTwice:      sim.playRewipe,
+		schedule.Retire:         sim.playRetire,
 	}
 }
 
@@ -270,6 +272,31 @@
 	endFault()
 }
 
+// playRetire starts empty machines beside others and shuts the others down for good once the new ones have had their time to catch up.
+// None of the machines counts as lost: a leaving one only ends, and its successor is established before.
+func (sim *simulation) playRetire(_ context.Context, event schedule.Event) {
+	var leaving []*machine
+	for _, slot := range event.Servers {
+		old, successor := sim.replaceMachine(slot)
+		successor.start(sim.seeds(), false)
+		old.keepCallers(openConnectionsTime)
+		leaving = append(leaving, old)
+	}
+	time.Sleep(schedule.CatchUp)
+	endFault := sim.beginCoreFault(event, nil)
+	var pending sync.WaitGroup
+	for i, old := range leaving {
+		pending.Go(func() {
+			time.Sleep(time.Duration(i) * event.Duration)
+			old.terminate()
+			old.retire()
+		})
+	}
+	pending.Wait()
+	sim.recorder.sample()
+	endFault()
+}
+
 func (sim *simulation) replacePlanned(slot int) {
 	old, successor := sim.replaceMachine(slot)
 	successor.start(sim.seeds(), false)
--- a/internal/testkit/controlplanesim/machine.go
+++ b/internal/testkit/controlplanesim/machine.go
@@ -27,6 +27,7 @@
 	starts   int
 	memberID consensus.MemberID // of the current disk, as reported by the last server
 	retired  bool               // replaced by another machine in its slot
+	callers  time.Duration      // for how long callers use open connections once the API shuts down
 }
 
 // serverProcess is one run of a machine's server process.
@@ -237,9 +238,12 @@
 	return nil
 }
 
-// Shutdown stops accepting calls.
-func (s *apiServer) Shutdown(context.Context) error {
+// Shutdown stops accepting calls and waits until callers have closed their connections or ctx ends.
+func (s *apiServer) Shutdown(ctx context.Context) error {
 	s.set(false)
+	if callers := s.machine.callersAtShutdown(); callers > 0 {
+		simnet.Sleep(ctx, callers)
+	}
 	close(s.stop)
 	return nil
 }
@@ -257,6 +261,19 @@
 	m.retired = true
 }
 
+// keepCallers makes callers use open connections for some time once the API shuts down.
+func (m *machine) keepCallers(duration time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.callers = duration
+}
+
+func (m *machine) callersAtShutdown() time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.callers
+}
+
 func (m *machine) isRetired() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/testkit/controlplanesim/schedule/draw.go
+++ b/internal/testkit/controlplanesim/schedule/draw.go
@@ -65,13 +65,14 @@
 	if shape.SlowDisks {
 		g.slowDisks()
 	}
+	length := g.departures(seed)
 	routes, changes := drawStateSize(seed)
 	if changes > 0 {
 		snapshotEntries = 0 // or the changes would not be left to apply
 	}
 	slices.SortStableFunc(g.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return Schedule{Seed: seed, Servers: shape.Servers, Tolerance: shape.Tolerance, Agents: shape.Agents, Operators: shape.Operators,
-		Workers: shape.Workers, Length: shape.Length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Routes: routes, Changes: changes, Omit: slices.Clone(shape.Omit),
+		Workers: shape.Workers, Length: length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Routes: routes, Changes: changes, Omit: slices.Clone(shape.Omit),
 		Events: g.events}
 }
 
--- a/internal/testkit/controlplanesim/schedule/types.go
+++ b/internal/testkit/controlplanesim/schedule/types.go
@@ -70,6 +70,7 @@
 	Worker         Kind = "worker"       // Workers leave, crash or send late heartbeats
 	Quota          Kind = "quota"        // processes of Servers and Agents run for only Count of every 100 ms, for Duration
 	Stall          Kind = "stall"        // goroutines of Servers pause at random between reading the clock and acting on it, for Duration
+	Retire         Kind = "retire"       // empty machines at other addresses start beside Servers; CatchUp later Servers receive SIGTERM for good, at intervals of Duration
 	WipeTwice      Kind = "rewipe"       // Servers lose their disks, and lose them again soon after their return over slow links; Duration apart
 )
 
@@ -159,7 +160,7 @@
 	Worker:        {WorkerDrain, WorkerDeregister, WorkerDeregisterFirst, WorkerCrash, WorkerLate},
 }
 
-var kinds = []Kind{Kill, Power, Wipe, Freeze, Partition, Replace, Disk, Link, KillAll, PowerAll, RestartAll, RollingRestart, LoseReplies, Race, Burst, InvalidConfig, Worker, Quota, Stall, WipeTwice}
+var kinds = []Kind{Kill, Power, Wipe, Freeze, Partition, Replace, Disk, Link, KillAll, PowerAll, RestartAll, RollingRestart, LoseReplies, Race, Burst, InvalidConfig, Worker, Quota, Stall, Retire, WipeTwice}
 
 var triggers = []Trigger{Acknowledgement, Sent, Election, Drain, Candidacy, Sync}
 
@@ -172,7 +173,10 @@
 	if e.Kind == WipeTwice {
 		end += e.Duration + CatchUp/2
 	}
-	if e.Kind == RollingRestart && len(e.Servers) > 1 {
+	if e.Kind == Retire {
+		end += CatchUp
+	}
+	if (e.Kind == RollingRestart || e.Kind == Retire) && len(e.Servers) > 1 {
 		end += e.Duration * time.Duration(len(e.Servers)-1)
 	}
 	return end
