Control plane: the next leader knows who is leaving, and makes no voter of it

Callers could lose a group for good: a member that was shutting down had its vote released by one leader, and the next leader, who was not told, made it a voter again right before it ended.

Cause: a shutdown was told to the leader of the moment alone; promotions asked nothing of the learner.

Change: a leaving server tells all members of its groups, each second until it ends; before a leader promotes a learner it asks for its identity, which says whether it is shutting down. The calls are those that exist.

--- a/internal/controlplane/server/graceful_shutdown.go
+++ b/internal/controlplane/server/graceful_shutdown.go
@@ -28,6 +28,7 @@
 // handOver transfers the leaderships of this server and releases its votes, all groups concurrently.
 func (s *Server) handOver() {
 	startedAt := s.environment.Now()
+	s.lifecycle.background.Go(func() { s.announceLeaving(s.lifecycle.backgroundContext) })
 	var waitGroup sync.WaitGroup
 	for _, shard := range s.shards {
 		waitGroup.Go(func() { s.leaveGroup(context.Background(), shard) })
@@ -185,3 +186,29 @@
 	}
 	return departureSettled
 }
+
+// announceLeaving tells the other members of all groups, until ctx ends, that this server is shutting down, so that each of them knows
+// it should it become the leader.
+func (s *Server) announceLeaving(ctx context.Context) {
+	body, err := codec.Marshal(groupsSchema, s.groupStates())
+	if err != nil {
+		return
+	}
+	for {
+		for _, other := range s.directory.serving() {
+			if other.Address != s.self.Address {
+				s.lifecycle.background.Go(func() { s.sendLeaving(ctx, other.Address, body) })
+			}
+		}
+		if !waitForChange(ctx, nil, leavingNoticeInterval) {
+			return
+		}
+	}
+}
+
+// sendLeaving sends one announcement. The answer does not matter: a leader gives it only once it has released the votes.
+func (s *Server) sendLeaving(ctx context.Context, address string, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, joinInterval)
+	defer cancel()
+	_, _ = s.peers.network.Call(ctx, address, callLeave, body)
+}
--- a/internal/controlplane/server/graceful_shutdown_test.go
+++ b/internal/controlplane/server/graceful_shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -46,3 +47,21 @@
 		}
 	})
 }
+
+// TestServer_HandOver_announcesToAllMembers guards against a next leader that does not know which members are shutting down.
+func TestServer_HandOver_announcesToAllMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, groups, _ := newScriptedServer(t)
+		network := &leaveRecordingNetwork{}
+		s.peers.network = network
+		groups[1].set(followerStatus("b"))
+		s.directory.setMembers(1, []consensus.Member{{ID: 1, Address: s.self.Address, Voter: true}, {ID: 2, Address: "b", Voter: true}, {ID: 3, Address: "c"}})
+		s.handOver()
+		synctest.Wait()
+		network.mutex.Lock()
+		defer network.mutex.Unlock()
+		if !slices.Contains(network.leaveCalls, "c") {
+			t.Fatalf("got leave calls to %v, want one to c, which does not lead", network.leaveCalls)
+		}
+	})
+}
--- a/internal/controlplane/server/membership_reconciler.go
+++ b/internal/controlplane/server/membership_reconciler.go
@@ -290,6 +290,11 @@
 	return leaving > 0 && staying <= o.voterCount()/2
 }
 
+// promotionMayBeDue reports whether there is a vacancy, or a voter that must be replaced.
+func (o observedState) promotionMayBeDue() bool {
+	return o.voterCount() < o.DesiredVoters || o.unresponsiveVoters(voterTimeout) > 0
+}
+
 // responsiveLearners counts the learners that sent a message less than maxSilence ago and are not shutting down.
 func (o observedState) responsiveLearners(maxSilence time.Duration) int {
 	count := 0
--- a/internal/controlplane/server/timing.go
+++ b/internal/controlplane/server/timing.go
@@ -75,6 +75,7 @@
 	minLeaderTransferInterval = 2 * time.Second        // between transfers to preferred owners
 	leaderTransferTimeout     = time.Second            // of one transfer
 	handOverTimeout           = time.Second            // of handing over the leaderships and votes at shutdown, if a majority of the voters stays
+	leavingNoticeInterval     = time.Second            // between announcements of a shutdown; must be below leavingNoticeMaxAge
 	releasePollInterval       = 10 * time.Millisecond  // between checks of a group while a vote is released or a vacancy is filled
 	leavingNoticeMaxAge       = 3 * time.Second        // a member that announced its shutdown longer ago and is still a voter has returned
 	successorMaxUptime        = 60 * time.Second       // a learner that has run for longer was not started to replace a leaving voter
--- a/internal/controlplane/server/vote_release.go
+++ b/internal/controlplane/server/vote_release.go
@@ -67,17 +67,20 @@
 
 // observeDepartures completes the observed state of a group with the members that are shutting down and the learners that can succeed
 // them. It asks the members that have announced their shutdown, since one that runs again under the same ID was only restarted and keeps
-// its vote; and the learners that may succeed one.
+// its vote; and the learners that may be promoted, since this server may not have received their announcement.
 func (s *Server) observeDepartures(shard *shard, observed *observedState, now time.Time) {
 	announced := shard.leavingMembers(now)
 	shuttingDown := s.lifecycle.shuttingDown.Load()
 	askLearners := len(announced) > 0 || shuttingDown
 	identities := s.queryIdentities(s.lifecycle.backgroundContext, slices.DeleteFunc(slices.Clone(observed.Members), func(member consensus.Member) bool {
-		asked := slices.Contains(announced, member.ID) || !member.Voter && askLearners
+		promotable := observed.promotionMayBeDue() && slices.Contains(observed.PromotableLearners, member.ID)
+		asked := slices.Contains(announced, member.ID) || !member.Voter && (askLearners || promotable)
 		return !asked || member.ID == s.self.ID
 	}))
 	for id, identity := range identities {
-		if !identity.ShuttingDown {
+		if identity.ShuttingDown {
+			shard.recordLeaving(id, now)
+		} else {
 			shard.forgetLeaving(id)
 		}
 	}
--- a/internal/controlplane/server/vote_release_test.go
+++ b/internal/controlplane/server/vote_release_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// TestServer_Reconcile_leavingLearnerIsNotPromoted guards against a leader that makes a voter again of a member that is shutting down and
+// has told only an earlier leader.
+func TestServer_Reconcile_leavingLearnerIsNotPromoted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const id = shards.ID(1)
+		s, _, _ := newScriptedServer(t)
+		s.settings.FaultTolerance.Machines = 1
+		s.peers.network = &identityNetwork{identities: map[string]identityReply{"server3": {ID: 3, Age: time.Hour, ShuttingDown: true}, "server4": {ID: 4, Age: time.Hour}}}
+		group := newChangingGroup(voter(1), voter(2), learner(3), learner(4))
+		group.promotable = memberIDs(3, 4)
+		s.shards[id].group = group
+		hearMembers(s, s.shards[id], group)
+		s.startReconcile(s.shards[id])
+		waitForReconcile(t, s, s.shards[id])
+		if want := (replica.MembershipChange{Add: &consensus.Member{ID: 4, Address: "server4", Voter: true}}); len(group.changes) != 1 || !sameChange(<-group.changes, want) {
+			t.Fatalf("members after the reconcile are %v, want only member 4 promoted", group.status.Members)
+		}
+	})
+}
+
 // A voter that announced its shutdown and runs again under the same ID was only restarted. It must keep its vote even if a learner that
 // looks like its successor was started meanwhile.
 func TestServer_Reconcile_returnedVoterKeepsItsVote(t *testing.T) {
