All roles follow their settings file, with a signal or without

Cause: agents and control plane servers read the seeds once and ignored SIGHUP; an agent that knows no server that runs tries the old ones for ever. The platform may change the file with SIGHUP or without.

Change: bootconfig.Follow reads the file at each SIGHUP and every second and passes on valid changes. Agents use new seeds from the next attempt on; control plane servers ask them to join and follow fault tolerance, bounds and the heartbeat interval; proxies as before. The proxy's tests of its own watcher became tests of Follow (a signal to the process, a file that changes without one, an invalid file) and one that reloads during a request.

Drawn departures cut off agents, or a server, in part.

--- a/cmd/inference-router/main.go
+++ b/cmd/inference-router/main.go
@@ -56,8 +56,8 @@
 	return "inference-router runs one process of the router fleet, checks its files, or measures a fleet."
 }
 
-// roleRunner runs a process of the fleet until the context is done.
-type roleRunner func(context.Context, bootconfig.Settings, *zap.Logger) error
+// roleRunner runs a process of the fleet until the context is done. The channel carries the settings that change meanwhile.
+type roleRunner func(context.Context, bootconfig.Settings, <-chan bootconfig.Settings, *zap.Logger) error
 
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
@@ -103,7 +103,7 @@
 	return exitUsage
 }
 
-// runRole runs one process of the fleet until SIGTERM or SIGINT. It ignores SIGHUP; the proxy installs its own handler for it.
+// runRole runs one process of the fleet until SIGTERM or SIGINT. It follows the settings file, which is read at once at a SIGHUP.
 func runRole(role string, command *roleCommand, run roleRunner, stderr io.Writer) int {
 	settings, err := bootconfig.LoadWithRetry(command.Settings)
 	if err != nil {
@@ -121,10 +121,16 @@
 	}
 	settings.MetricsPort = command.MetricsPort
 	// By default these signals terminate the process, so they are handled before the role starts.
-	signal.Ignore(syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, settings, logger); err != nil {
+	following, stopFollowing := context.WithCancel(context.Background())
+	defer stopFollowing()
+	changes := bootconfig.Follow(following, command.Settings, settings, hangups, func(err error) {
+		logger.Warn("settings reload failed; the previous settings stay in force", zap.Error(err))
+	})
+	if err := run(ctx, settings, changes, logger); err != nil {
 		logger.Error("process failed", zap.Error(err))
 		return exitFailure
 	}
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -45,6 +45,8 @@
 	Random         func() uint64                                                   // nil: rand.Uint64
 	StaleTimeout   time.Duration                                                   // zero: feedtransport.StaleTimeout
 	IntervalOrigin time.Time                                                       // see feedtransport.SessionOptions
+	Changes        <-chan bootconfig.Settings                                      // settings that change while the agent runs; nil: none
+	LimitMemory    bool                                                            // apply the memory limit of changed settings to this process
 }
 
 func (o Options) withDefaults() Options {
@@ -66,11 +68,13 @@
 // DefaultOptions returns the options that Run uses.
 func DefaultOptions() Options { return Options{ProbePeers: true} }
 
-// Run runs the agent with the default options until ctx ends. It then goes on serving the proxy until the proxy has
+// Run runs the agent with the default options until ctx ends. It applies the settings received from changes. It then goes on serving the proxy until the proxy has
 // disconnected or the grace period is nearly over. It returns ErrPortRange, or the error of opening a port.
-func Run(ctx context.Context, config bootconfig.Settings, log *zap.Logger) error {
+func Run(ctx context.Context, config bootconfig.Settings, changes <-chan bootconfig.Settings, log *zap.Logger) error {
 	limitMemory(config.Limits)
-	return RunWith(ctx, config, DefaultOptions(), log)
+	options := DefaultOptions()
+	options.Changes, options.LimitMemory = changes, true
+	return RunWith(ctx, config, options, log)
 }
 
 // RunWith is like Run, but takes options and does not limit the memory of the process.
@@ -104,10 +108,14 @@
 		}
 	}
 	go server.accept()
+	followed := newFollowedSettings(config)
+	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go followed.follow(following, options, client, log)
 	log.Info("agent started", zap.String("node", config.NodeName))
 
 	_ = client.Run(ctx)
-	server.drain(drainTimeout(config.Bounds))
+	server.drain(drainTimeout(followed.bounds()))
 	log.Info("agent stopped")
 	return nil
 }
--- a/internal/controlplane/agent/agent_test.go
+++ b/internal/controlplane/agent/agent_test.go
@@ -185,7 +185,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
-	go func() { done <- Run(ctx, config, zap.NewNop()) }()
+	go func() { done <- Run(ctx, config, nil, zap.NewNop()) }()
 	t.Cleanup(cancel)
 	return cancel, done
 }
@@ -322,7 +322,7 @@
 func TestRunWith_portRangeTooShort(t *testing.T) {
 	config := agentSettings(7000)
 	config.PortRange[1] = 7001
-	if err := Run(t.Context(), config, zap.NewNop()); !errors.Is(err, ErrPortRange) {
+	if err := Run(t.Context(), config, nil, zap.NewNop()); !errors.Is(err, ErrPortRange) {
 		t.Errorf("Run with the port range %v: got error %v, want ErrPortRange", config.PortRange, err)
 	}
 }
--- a/internal/controlplane/feedtransport/candidates.go
+++ b/internal/controlplane/feedtransport/candidates.go
@@ -66,6 +66,21 @@
 	l.candidates = next
 }
 
+// setSeeds replaces the seeds and keeps the listed servers.
+func (l *candidateList) setSeeds(seeds []string) {
+	if l.options.FixedServer != "" {
+		return
+	}
+	l.options.Seeds = seeds
+	next := slices.DeleteFunc(slices.Clone(l.candidates), func(c *candidate) bool { return c.distance == unlisted })
+	for _, seed := range seeds {
+		if feedAddress, _ := FeedAddress(seed, l.options.FeedPort); !slices.ContainsFunc(next, func(c *candidate) bool { return c.address == feedAddress }) {
+			next = l.appendServer(next, seed, unlisted)
+		}
+	}
+	l.candidates = next
+}
+
 // appendServer appends the server at an address to the list, unless the address is invalid or already in the list.
 func (l *candidateList) appendServer(list []*candidate, address string, dist distance) []*candidate {
 	feedAddress, ok := FeedAddress(address, l.options.FeedPort)
--- a/internal/controlplane/feedtransport/client.go
+++ b/internal/controlplane/feedtransport/client.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"ospreybend/coord/feed"
@@ -50,7 +51,7 @@
 }
 
 // Client reads the feed from one server at a time and fails over to others. Only the goroutine of Run may use its fields,
-// except for outbox.
+// except for outbox and newSeeds.
 type Client struct {
 	hello    Hello
 	handler  Handler
@@ -58,7 +59,8 @@
 	selector *ServerSelector
 	receiver *receiver
 	outbox   *outbox
-	servers  []ServerEndpoint // from the last status that listed servers; a status lists them only when they have changed
+	newSeeds atomic.Pointer[[]string] // seeds that the selector does not have yet; nil: none
+	servers  []ServerEndpoint         // from the last status that listed servers; a status lists them only when they have changed
 }
 
 // NewClient returns a client that is not connected yet; Run connects it.
@@ -99,6 +101,9 @@
 // Run reads the feed until ctx ends, and returns the error of ctx.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if seeds := c.newSeeds.Swap(nil); seeds != nil {
+			c.selector.SetSeeds(*seeds)
+		}
 		address, wait := c.selector.Next(time.Now())
 		if !sleep(ctx, wait) {
 			break
@@ -109,6 +114,10 @@
 	return ctx.Err()
 }
 
+// SetSeeds replaces the addresses of the servers that the client tries besides those that the last server has listed. They are used from the
+// next attempt to connect on. It may be called from any goroutine.
+func (c *Client) SetSeeds(seeds []string) { c.newSeeds.Store(&seeds) }
+
 // Report queues a report, which is sent to the server once the client is connected. It does not block; if too many reports are
 // queued, the oldest are dropped. It may be called from any goroutine.
 func (c *Client) Report(topic string, body []byte) { c.outbox.add(Report{Topic: topic, Body: body}) }
--- a/internal/controlplane/feedtransport/server_selector.go
+++ b/internal/controlplane/feedtransport/server_selector.go
@@ -99,6 +99,12 @@
 	return selector
 }
 
+// SetSeeds replaces the seeds. Servers that the last status listed remain candidates.
+func (s *ServerSelector) SetSeeds(seeds []string) {
+	s.options.Seeds = seeds
+	s.candidates.setSeeds(seeds)
+}
+
 // Next selects the server for the next attempt. It returns the address of the server, which is empty if no server is known, and
 // the backoff before the attempt.
 func (s *ServerSelector) Next(now time.Time) (address string, wait time.Duration) {
--- a/internal/controlplane/feedtransport/server_selector_test.go
+++ b/internal/controlplane/feedtransport/server_selector_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -340,3 +341,26 @@
 		t.Errorf("the timeout of the last attempt is %s, want %s", last, DialTimeout)
 	}
 }
+
+// TestServerSelector_SetSeeds guards against a client that tries for ever servers that are gone, though its settings name others.
+func TestServerSelector_SetSeeds(t *testing.T) {
+	s := newSelectorHarness(t, "10.0.0.1:80", "10.0.0.2:80")
+	s.connect()
+	s.status(true, ServerEndpoint{Address: "10.0.0.3:7660", Zone: "a", Region: "north"})
+	s.selector.AttemptEnded(s.now, ErrReceiveTimeout)
+	s.selector.SetSeeds([]string{"10.0.0.2:80", "10.0.0.4:80", "10.0.0.3:80"})
+	tried := map[string]bool{}
+	for range 6 {
+		tried[s.next()] = true
+		s.selector.AttemptEnded(s.now, errors.New("refused"))
+	}
+	want := map[string]bool{"10.0.0.2:7660": true, "10.0.0.3:7660": true, "10.0.0.4:7660": true}
+	if !maps.Equal(tried, want) {
+		t.Fatalf("tried %v after a change of the seeds, want the new ones and the listed server: %v", tried, want)
+	}
+	s.connect()
+	s.status(true, ServerEndpoint{Address: "10.0.0.5:7660", Zone: "a", Region: "north"})
+	if got := s.selector.candidates.len(); got != 4 {
+		t.Fatalf("got %d candidates after the next status, want the listed one and the three seeds", got)
+	}
+}
--- a/internal/controlplane/registry/liveness.go
+++ b/internal/controlplane/registry/liveness.go
@@ -103,13 +103,17 @@
 // NewLivenessTracker returns the tracker of a shard that is not owned yet. heartbeatInterval is the interval at which
 // instances send heartbeats.
 func NewLivenessTracker(heartbeatInterval time.Duration, options LivenessOptions) *LivenessTracker {
-	options = options.withDefaults()
-	timeout := max(time.Duration(options.MissedHeartbeats)*heartbeatInterval, options.MinTimeout)
-	tracker := &LivenessTracker{options: options, timeout: timeout}
+	tracker := &LivenessTracker{options: options.withDefaults()}
+	tracker.SetHeartbeatInterval(heartbeatInterval)
 	tracker.OwnershipLost()
 	return tracker
 }
 
+// SetHeartbeatInterval changes the interval at which instances send heartbeats, and with it the time after which they expire.
+func (t *LivenessTracker) SetHeartbeatInterval(interval time.Duration) {
+	t.timeout = max(time.Duration(t.options.MissedHeartbeats)*interval, t.options.MinTimeout)
+}
+
 // OwnershipGained starts the ownership with the instances of the store. Each of them is given a full timeout, since the
 // heartbeats that the previous owner received are unknown.
 func (t *LivenessTracker) OwnershipGained(now time.Time, instances []Instance) {
--- a/internal/controlplane/registry/liveness_test.go
+++ b/internal/controlplane/registry/liveness_test.go
@@ -206,3 +206,12 @@
 		t.Fatalf("instances after i01 timed out are %+v, want only i02", s.store.Instances(""))
 	}
 }
+
+// TestLivenessTracker_SetHeartbeatInterval checks that workers that send heartbeats at a longer interval than at the start don't expire.
+func TestLivenessTracker_SetHeartbeatInterval(t *testing.T) {
+	tracker := NewLivenessTracker(heartbeatInterval, LivenessOptions{})
+	tracker.SetHeartbeatInterval(2 * heartbeatInterval)
+	if tracker.timeout != 2*expiryTimeout {
+		t.Fatalf("timeout is %v after the interval was doubled, want %v", tracker.timeout, 2*expiryTimeout)
+	}
+}
--- a/internal/controlplane/server/cluster_test.go
+++ b/internal/controlplane/server/cluster_test.go
@@ -101,7 +101,7 @@
 	p := c.processes[i]
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop, p.exited = cancel, make(chan error, 1)
-	go func() { p.exited <- Run(ctx, p.config, zap.NewNop()) }()
+	go func() { p.exited <- Run(ctx, p.config, nil, zap.NewNop()) }()
 }
 
 // bootstrap starts the first count servers and waits until they have formed the cluster.
--- a/internal/controlplane/server/directory.go
+++ b/internal/controlplane/server/directory.go
@@ -29,6 +29,17 @@
 	return d
 }
 
+// addSeeds adds servers that changed settings name. Those named before stay known.
+func (d *directory) addSeeds(seeds []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, seed := range seeds {
+		if _, known := d.known[seed]; !known {
+			d.known[seed] = serverInfo{Address: seed}
+		}
+	}
+}
+
 // learn records the address and failure domain of a server. An entry without a zone does not replace an existing entry.
 func (d *directory) learn(info serverInfo) {
 	if info.Address == "" || info.Address == d.self.Address {
--- a/internal/controlplane/server/environment.go
+++ b/internal/controlplane/server/environment.go
@@ -13,6 +13,7 @@
 	"ospreybend/coord/shards"
 	"ospreybend/internal/controlplane/configuration"
 	"ospreybend/internal/controlplane/peertransport"
+	"ospreybend/internal/util/bootconfig"
 )
 
 // Environment holds the server's dependencies on its machine. Fields left nil use the operating system's implementation unless
@@ -26,6 +27,9 @@
 
 	Workers WorkerClient // nil: workers are not called and roles are not planned
 
+	SettingsChanges <-chan bootconfig.Settings // settings that change while the server runs; nil: none
+	LimitMemory     bool                       // apply the memory limit of changed settings to this process
+
 	OnGroupStatus func(replica.Status) // called whenever a group's status changes; must not block
 
 	// BeforeApply is called before a replica applies a log entry. A simulation waits in it for as long as the entry would keep the
--- a/internal/controlplane/server/graceful_shutdown.go
+++ b/internal/controlplane/server/graceful_shutdown.go
@@ -40,7 +40,7 @@
 // successionTimeout is how long a server that is shutting down waits for a successor that can be expected.
 // It leaves a quarter of the time until SIGKILL for the rest of the shutdown.
 func (s *Server) successionTimeout() time.Duration {
-	grace := time.Duration(s.settings.Bounds.GraceS * float64(time.Second))
+	grace := time.Duration(s.currentSettings().Bounds.GraceS * float64(time.Second))
 	return max(handOverTimeout, grace*3/4)
 }
 
--- a/internal/controlplane/server/lifecycle.go
+++ b/internal/controlplane/server/lifecycle.go
@@ -18,15 +18,16 @@
 	"sync"
 )
 
-// Run runs a control plane server until ctx ends and then shuts it down gracefully, which takes at most about two seconds. It returns
-// an error if the disk cannot be used or a listener fails.
-func Run(ctx context.Context, settings bootconfig.Settings, logger *zap.Logger) error {
+// Run runs a control plane server until ctx ends and then shuts it down gracefully, which takes at most about two seconds, or nearly
+// the grace period while a successor is catching up. It applies the settings received from changes. It returns an error if the disk
+// cannot be used or a listener fails.
+func Run(ctx context.Context, settings bootconfig.Settings, changes <-chan bootconfig.Settings, logger *zap.Logger) error {
 	limitMemory(settings.Limits.MemoryMb)
 	workers, err := newHTTPWorkerClient()
 	if err != nil {
 		return err
 	}
-	s, err := Open(ctx, settings, Environment{Workers: workers}, logger)
+	s, err := Open(ctx, settings, Environment{Workers: workers, SettingsChanges: changes, LimitMemory: true}, logger)
 	if err != nil {
 		return err
 	}
@@ -196,7 +197,7 @@
 
 // startControlLoops starts the loops that run until backgroundContext ends.
 func (s *Server) startControlLoops() {
-	loops := []func(context.Context){s.runJoin, s.runNodeHeartbeats, s.runLivenessReports, s.runMaintenance}
+	loops := []func(context.Context){s.followSettings, s.runJoin, s.runNodeHeartbeats, s.runLivenessReports, s.runMaintenance}
 	if s.environment.Workers != nil {
 		loops = append(loops, s.forwardDemands, s.runRolePlanner)
 	}
--- a/internal/controlplane/server/membership_controller.go
+++ b/internal/controlplane/server/membership_controller.go
@@ -158,12 +158,12 @@
 // desiredVoters returns 2f+1, the number of voters that tolerates the f losses configured in the settings, but at least the number of
 // seeds.
 func (s *Server) desiredVoters() int {
-	return max(2*s.toleratedLosses()+1, len(s.settings.Seeds))
+	return max(2*s.toleratedLosses()+1, len(s.currentSettings().Seeds))
 }
 
 // toleratedLosses returns how many voters may be lost at the same time according to the settings.
 func (s *Server) toleratedLosses() int {
-	tolerated := s.settings.FaultTolerance
+	tolerated := s.currentSettings().FaultTolerance
 	return max(tolerated.Machines, tolerated.Zones, tolerated.Regions)
 }
 
--- a/internal/controlplane/server/registry_machine.go
+++ b/internal/controlplane/server/registry_machine.go
@@ -39,6 +39,13 @@
 	return outcome
 }
 
+// setHeartbeatInterval changes the interval at which workers are expected to send heartbeats.
+func (m *registryMachine) setHeartbeatInterval(interval time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.liveness.SetHeartbeatInterval(interval)
+}
+
 // setLeaderTerm records the term in which this replica leads, 0 if it does not. When the term changes, the ownership ends.
 func (m *registryMachine) setLeaderTerm(term uint64) {
 	m.mutex.Lock()
--- a/internal/controlplane/server/role_assignment.go
+++ b/internal/controlplane/server/role_assignment.go
@@ -66,7 +66,7 @@
 	if roles.term != status.Term {
 		*roles = shardRoles{term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}}
 	}
-	if now.Sub(roles.since) < newOwnerQuietPeriod(s.settings.Bounds) || !isCurrent(status) {
+	if now.Sub(roles.since) < newOwnerQuietPeriod(s.currentSettings().Bounds) || !isCurrent(status) {
 		return
 	}
 	demands := s.demands.totalByService(s.uptime(), shard.id)
--- a/internal/controlplane/server/server.go
+++ b/internal/controlplane/server/server.go
@@ -30,7 +30,7 @@
 // No mutex guards the Server itself. Its own fields are set before Serve starts any goroutine and only read afterwards;
 // each part that changes later guards its own state, as documented at the part's type.
 type Server struct {
-	settings    bootconfig.Settings
+	settings    bootconfig.Settings // as of the start, see currentSettings
 	environment Environment
 	logger      *zap.Logger
 	self        consensus.Member
@@ -43,12 +43,15 @@
 	feed      feedService
 
 	// State that the control loops share with the API. Each of these has its own mutex.
-	directory     *directory
-	joinRequests  joinRequests
-	liveness      *livenessReports
-	demands       *demandReports
-	suspicions    suspicions
-	metrics       metrics
+	directory    *directory
+	joinRequests joinRequests
+	liveness     *livenessReports
+	demands      *demandReports
+	suspicions   suspicions
+	metrics      metrics
+
+	changedSettings atomic.Pointer[bootconfig.Settings] // nil: not changed since the start
+
 	ownersChanged broadcast // notified whenever a group's status changes or this server gains the ownership of a shard
 
 	// lastLeaderTransfer is the time at which this server last moved leadership to a preferred owner. Only the maintenance loop uses it.
--- a/internal/controlplane/server/vote_release.go
+++ b/internal/controlplane/server/vote_release.go
@@ -113,7 +113,7 @@
 
 // catchUpTime is how long a server counts as lost after its start.
 func (s *Server) catchUpTime() time.Duration {
-	return time.Duration(s.settings.Bounds.CatchUpS * float64(time.Second))
+	return time.Duration(s.currentSettings().Bounds.CatchUpS * float64(time.Second))
 }
 
 // successors returns the learners that were started at most successorMaxUptime ago and are therefore assumed to replace a leaving voter.
--- a/internal/dataplane/proxy/run_test.go
+++ b/internal/dataplane/proxy/run_test.go
@@ -26,7 +26,7 @@
 func TestRun_endsWhenContextIsCanceled(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := Run(ctx, testSettings(), zap.NewNop()); err != nil {
+	if err := Run(ctx, testSettings(), nil, zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -35,54 +35,30 @@
 	taken := listenLoopback(t)
 	settings := testSettings()
 	settings.Listen.Readiness = taken.Addr().String()
-	if err := Run(t.Context(), settings, zap.NewNop()); err == nil {
+	if err := Run(t.Context(), settings, nil, zap.NewNop()); err == nil {
 		t.Fatal("Run with the readiness address in use returned no error")
 	}
 }
 
-func writeSettings(t *testing.T, settings bootconfig.Settings) string {
-	t.Helper()
-	content, err := json.Marshal(settings)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "boot.json")
-	if err := os.WriteFile(path, content, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
-func TestProxy_reload_grace(t *testing.T) {
-	settings := testSettings()
-	p := newProxy(settings, zap.NewNop())
-	settings.Bounds.GraceS = 5
-	p.reload(writeSettings(t, settings))
-	if got := p.settings.Load().Bounds.GraceS; got != 5 {
-		t.Fatalf("GraceS after the reload is %v, want 5", got)
-	}
-	p.reload(filepath.Join(t.TempDir(), "none.json"))
-	if got := p.settings.Load().Bounds.GraceS; got != 5 {
-		t.Fatalf("GraceS after the reload of a missing file is %v, want the previous value of 5", got)
-	}
-}
-
-func TestProxy_watchSettings_reloadsOnSIGHUP(t *testing.T) {
+// TestProxy_followSettings_reloads changes the settings file while a request is in flight.
+func TestProxy_followSettings_reloads(t *testing.T) {
 	s := newTestSystem(t)
 	s.waitUntilReady()
-	defer s.proxy.watchSettings()()
+	path := filepath.Join(t.TempDir(), "boot.json")
 	settings := testSettings()
+	writeSettings(t, path, settings)
+	signals := make(chan os.Signal, 1)
+	onError := func(err error) { t.Errorf("got error %v, want none", err) }
+	go s.proxy.followSettings(t.Context(), bootconfig.Follow(t.Context(), path, settings, signals, onError))
 	settings.Bounds.GraceS = 3
-	t.Setenv(bootconfig.PathVariable, writeSettings(t, settings))
+	writeSettings(t, path, settings)
 	answered := make(chan int, 1)
 	go func() {
 		status, _, _ := s.request("/a/pending")
 		answered <- status
 	}()
 	<-s.worker.arrived
-	if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
+	signals <- syscall.SIGHUP
 	s.waitFor("the settings to be reloaded", func() bool { return s.proxy.settings.Load().Bounds.GraceS == 3 })
 	close(s.worker.release)
 	if status := <-answered; status != 200 {
@@ -90,6 +66,17 @@
 	}
 }
 
+func writeSettings(t *testing.T, path string, settings bootconfig.Settings) {
+	t.Helper()
+	content, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestAgentFeedPort(t *testing.T) {
 	port, err := agentFeedPort(&bootconfig.Settings{PortRange: [2]int{7660, 7675}})
 	if err != nil || port != 7661 {
--- a/internal/testkit/controlplanesim/edge.go
+++ b/internal/testkit/controlplanesim/edge.go
@@ -29,15 +29,18 @@
 	index      int
 	ip         string
 	processes  [2]*simnet.Process // of the agent and the proxy
+	changes    chan bootconfig.Settings
 }
 
 // run starts both processes, which run until ctx ends.
 func (e *edge) run(ctx context.Context) {
 	agentProcess, proxyProcess := e.simulation.network.NewProcess(e.ip), e.simulation.network.NewProcess(e.ip)
 	e.processes = [2]*simnet.Process{agentProcess, proxyProcess}
+	e.changes = make(chan bootconfig.Settings, 1)
 	e.simulation.goroutines.Go(func() {
 		options := agent.Options{
 			Dial: agentProcess.Dial, Listen: agentProcess.Listen, Random: e.simulation.sharedRandom("agent", e.index), IntervalOrigin: time.Now(),
+			Changes: e.changes,
 		}
 		if e.simulation.omissions.leaveStale {
 			options.StaleTimeout = unreachableTimeout
--- a/internal/testkit/controlplanesim/events.go
+++ b/internal/testkit/controlplanesim/events.go
@@ -273,7 +273,8 @@
 }
 
 // playRetire starts empty machines beside others and shuts the others down for good once the new ones have had their time to catch up.
-// None of the machines counts as lost: a leaving one only ends, and its successor is established before.
+// None of the machines counts as lost: a leaving one only ends, and its successor is established before. The event's agents are cut off
+// from the start of the new machines to the end of the old ones.
 func (sim *simulation) playRetire(_ context.Context, event schedule.Event) {
 	var leaving []*machine
 	for _, slot := range event.Servers {
@@ -282,6 +283,12 @@
 		old.keepCallers(openConnectionsTime)
 		leaving = append(leaving, old)
 	}
+	heal := func() {}
+	if len(event.Agents) > 0 {
+		endCut := sim.recorder.beginFault(history.Fault{Description: event.String(), Agents: event.Agents})
+		unblock := sim.network.Block(sim.blockedPaths(schedule.Event{Variant: schedule.PartitionAll, Agents: event.Agents}, nil))
+		heal = func() { unblock(); endCut() }
+	}
 	time.Sleep(schedule.CatchUp)
 	endFault := sim.beginCoreFault(event, nil)
 	var pending sync.WaitGroup
@@ -295,6 +302,7 @@
 	pending.Wait()
 	sim.recorder.sample()
 	endFault()
+	heal()
 }
 
 func (sim *simulation) replacePlanned(slot int) {
--- a/internal/testkit/controlplanesim/machine.go
+++ b/internal/testkit/controlplanesim/machine.go
@@ -37,6 +37,7 @@
 	ended   chan struct{}      // closed when the server has stopped completely
 	server  *server.Server     // nil until opened
 	serving bool               // the API accepts calls
+	changes chan bootconfig.Settings
 }
 
 // settings returns the server's settings for one start.
@@ -63,7 +64,7 @@
 	m.starts++
 	m.simulation.network.SetPower(m.ip, true)
 	ctx, cancel := context.WithCancel(context.Background())
-	incarnation := &serverProcess{process: m.simulation.network.NewProcess(m.ip), stop: cancel, ended: make(chan struct{})}
+	incarnation := &serverProcess{process: m.simulation.network.NewProcess(m.ip), stop: cancel, ended: make(chan struct{}), changes: make(chan bootconfig.Settings, 1)}
 	m.running = incarnation
 	environment := m.environment(incarnation, m.starts)
 	config := m.settings(seeds, bootstrap)
@@ -83,6 +84,7 @@
 		Dial:            incarnation.process.Dial,
 		Listen:          incarnation.process.Listen,
 		BeforeApply:     sim.chargeApply,
+		SettingsChanges: incarnation.changes,
 		OnGroupStatus:   func(status replica.Status) { sim.recorder.observe(m, status) },
 		SnapshotEntries: uint64(sim.schedule.SnapshotEntries), RememberedChanges: sim.schedule.RememberedChanges,
 		OmitGuards: sim.omissions.server, OmitConsensusRules: sim.omissions.consensus, OmitConfigurationRules: sim.omissions.configuration,
@@ -135,6 +137,24 @@
 	return incarnation
 }
 
+// changeSeeds changes the settings of the running process.
+func (m *machine) changeSeeds(seeds []string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running != nil {
+		replaceSettings(m.running.changes, m.settings(seeds, false))
+	}
+}
+
+// replaceSettings sends settings in place of those that the process has not received yet.
+func replaceSettings(changes chan bootconfig.Settings, settings bootconfig.Settings) {
+	select {
+	case <-changes:
+	default:
+	}
+	changes <- settings
+}
+
 // kill kills the process; the disk keeps its content.
 func (m *machine) kill() {
 	if incarnation := m.detachProcess(); incarnation != nil {
--- a/internal/testkit/controlplanesim/retirement_test.go
+++ b/internal/testkit/controlplanesim/retirement_test.go
@@ -12,22 +12,25 @@
 // retirementSchedules have voters leave for good whose successors have had their time to catch up. The test prepends the seed and
 // further parameters to the first line.
 var retirementSchedules = map[string]string{
-	"all voters together":                   `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=0,1,2 for=0s",
-	"all voters in quick succession":        `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=0,1,2 for=100ms",
-	"all voters in turn":                    `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=2,0,1 for=1s",
-	"two of three voters together":          `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=1,2 for=0s",
-	"the leader alone":                      `keepers=3 tolerance=1 length=24s` + "\n6s retire leader keepers=0 for=0s",
-	"three of five voters":                  `keepers=5 tolerance=2 length=24s` + "\n6s retire keepers=0,2,4 for=50ms",
-	"all of nine voters together":           `keepers=9 tolerance=4 length=26s` + "\n6s retire keepers=0,1,2,3,4,5,6,7,8 for=0s",
-	"all voters twice":                      `keepers=3 tolerance=1 length=40s` + "\n6s retire keepers=0,1,2 for=0s\n20s retire keepers=0,1,2 for=200ms",
-	"two of three, and the third is killed": `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=0,1 for=0s\n10s kill keepers=2 for=2s",
-	"one, and another loses its power":      `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=0 for=0s\n10s power keepers=1 for=2s",
+	"all voters while the agents are cut off": `keepers=3 tolerance=1 length=28s` + "\n6s retire keepers=0,1,2 agents=0,1 for=0s",
+	"two of three while the third is cut off": `keepers=3 tolerance=1 length=28s` + "\n6s retire keepers=0,1 for=0s\n6s cut variant=isolated keepers=2 for=8s",
+	"all voters together":                     `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=0,1,2 for=0s",
+	"all voters in quick succession":          `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=0,1,2 for=100ms",
+	"all voters in turn":                      `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=2,0,1 for=1s",
+	"two of three voters together":            `keepers=3 tolerance=1 length=24s` + "\n6s retire keepers=1,2 for=0s",
+	"the leader alone":                        `keepers=3 tolerance=1 length=24s` + "\n6s retire leader keepers=0 for=0s",
+	"three of five voters":                    `keepers=5 tolerance=2 length=24s` + "\n6s retire keepers=0,2,4 for=50ms",
+	"all of nine voters together":             `keepers=9 tolerance=4 length=26s` + "\n6s retire keepers=0,1,2,3,4,5,6,7,8 for=0s",
+	"all voters twice":                        `keepers=3 tolerance=1 length=40s` + "\n6s retire keepers=0,1,2 for=0s\n20s retire keepers=0,1,2 for=200ms",
+	"two of three, and the third is killed":   `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=0,1 for=0s\n10s kill keepers=2 for=2s",
+	"one, and another loses its power":        `keepers=3 tolerance=1 length=26s` + "\n6s retire keepers=0 for=0s\n10s power keepers=1 for=2s",
 }
 
 const retirementSeeds = 4
 
 // TestPlay_votersLeaveForGood guards against groups that lose their majority for good when voters leave whose successors wait: leaders
-// among them made no successor a voter before they ended, and the next leader made a voter again of one that was leaving.
+// among them made no successor a voter before they ended, and the next leader made a voter again of one that was leaving. It also guards
+// against agents and servers that were cut off meanwhile and never learn of the successors.
 func TestPlay_votersLeaveForGood(t *testing.T) {
 	for name, course := range retirementSchedules {
 		t.Run(name, func(t *testing.T) {
--- a/internal/testkit/controlplanesim/schedule/types.go
+++ b/internal/testkit/controlplanesim/schedule/types.go
@@ -70,7 +70,7 @@
 	Worker         Kind = "worker"       // Workers leave, crash or send late heartbeats
 	Quota          Kind = "quota"        // processes of Servers and Agents run for only Count of every 100 ms, for Duration
 	Stall          Kind = "stall"        // goroutines of Servers pause at random between reading the clock and acting on it, for Duration
-	Retire         Kind = "retire"       // empty machines at other addresses start beside Servers; CatchUp later Servers receive SIGTERM for good, at intervals of Duration
+	Retire         Kind = "retire"       // empty machines at other addresses start beside Servers; CatchUp later Servers receive SIGTERM for good, at intervals of Duration; Agents are cut off meanwhile
 	WipeTwice      Kind = "rewipe"       // Servers lose their disks, and lose them again soon after their return over slow links; Duration apart
 )
 
--- a/internal/testkit/controlplanesim/simulation.go
+++ b/internal/testkit/controlplanesim/simulation.go
@@ -180,9 +180,22 @@
 		}
 	}
 	sim.listings = append(sim.listings, listing{machine: successor, from: now})
+	sim.goroutines.Go(sim.changeSeedsLater)
 	return old, successor
 }
 
+// changeSeedsLater writes the seeds to the settings of all processes once the change of the list of servers is seen.
+func (sim *simulation) changeSeedsLater() {
+	time.Sleep(listingLag + time.Millisecond)
+	seeds := sim.seeds()
+	for _, m := range sim.allMachines() {
+		m.changeSeeds(seeds)
+	}
+	for _, e := range sim.edges {
+		replaceSettings(e.changes, e.settings())
+	}
+}
+
 // listedMachines returns the core machines as callers see them, which is the state of listingLag ago.
 func (sim *simulation) listedMachines() []*machine {
 	sim.mutex.Lock()
