Proxy: a paused call is canceled only if other workers would take its request now

Cause: the check before a cancellation compared the number of the service's workers with the number excluded. It asked neither for the stage nor whether the request would be admitted again, nor whether a step was left; a prefill was canceled without any question for a successor, and a stream that an event without an ID had made impossible to resume was still watched.

Change: selection.Selector.Admits tells whether Choose would place and admit the request now, with the same draw; the cancellation is bound to it, to attempts, steps, time and budget, and the admission holds for the next step.

--- a/internal/dataplane/dispatch/chooser_test.go
+++ b/internal/dataplane/dispatch/chooser_test.go
@@ -21,6 +21,8 @@
 	firstEvents int
 	chooseFunc  func(excluded []string) (selection.Choice, bool) // if set, used instead of choices
 
+	admitsFunc func(excluded []string) bool // if set, used instead of chooseFunc by Admits
+
 	urgency   int
 	peerNodes []uint64
 	peerLoads [][]selection.Outstanding
@@ -43,6 +45,21 @@
 
 func (c *scriptedChooser) SetView(time.Duration, *fleetview.View) {}
 
+// Admits implements Chooser: it reports what Choose would return, and records nothing.
+func (c *scriptedChooser) Admits(_ time.Duration, _ *selection.Request, excluded []string) bool {
+	if c.admitsFunc != nil {
+		return c.admitsFunc(excluded)
+	}
+	if c.chooseFunc != nil {
+		_, send := c.chooseFunc(excluded)
+		return send
+	}
+	return slices.ContainsFunc(c.choices, func(choice selection.Choice) bool {
+		prefillExcluded := choice.Prefill != nil && slices.Contains(excluded, choice.Prefill.ID)
+		return !prefillExcluded && !slices.Contains(excluded, choice.Run.ID)
+	})
+}
+
 func (c *scriptedChooser) Choose(_ time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.AdmissionDecision) {
 	c.requests = append(c.requests, *request)
 	if c.chooseFunc != nil {
--- a/internal/dataplane/dispatch/clientrequest.go
+++ b/internal/dataplane/dispatch/clientrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"ospreybend/internal/controlplane/configuration"
@@ -44,6 +45,7 @@
 	excluded        []string // IDs of workers that must not be chosen again
 	calledAddresses []string
 	steps           int
+	successorFound  atomic.Bool // a call was canceled in favor of another one, for which the request is admitted
 
 	prefillAccepted bool      // a worker has accepted a prefill, or may have
 	handle          *kvHandle // KV cache for the next run to use; nil if none
@@ -106,7 +108,8 @@
 		return r.finish()
 	}
 	choice, verdict := r.dispatcher.shared.choose(&r.criteria, r.excluded)
-	if !verdict.Admit || choice.Run == nil {
+	admitted := r.successorFound.Swap(false) || verdict.Admit
+	if !admitted || choice.Run == nil {
 		r.retryAfter = verdict.RetryAfter
 		return r.finish()
 	}
--- a/internal/dataplane/dispatch/faultyworkers_test.go
+++ b/internal/dataplane/dispatch/faultyworkers_test.go
@@ -96,6 +96,9 @@
 	h.setRoute()
 	h.defaultScript = w.script
 	h.chooser.chooseFunc = w.choose
+	h.chooser.admitsFunc = func(excluded []string) bool { // without w.random, which the request's goroutine uses meanwhile
+		return len(withoutExcluded([]string{"d1", "d2", "d3"}, excluded)) > 0
+	}
 	return w
 }
 
--- a/internal/dataplane/dispatch/harness_test.go
+++ b/internal/dataplane/dispatch/harness_test.go
@@ -217,8 +217,9 @@
 	ctx       context.Context
 	gap       time.Duration
 	events    []upstream.Event
-	truncated bool // the connection closes without the last chunk
-	stalled   bool // nothing more is sent until the call is canceled
+	truncated bool                     // the connection closes without the last chunk
+	stalled   bool                     // nothing more is sent until the call is canceled
+	pauses    map[string]time.Duration // before the event with the ID
 	closed    bool
 }
 
@@ -227,7 +228,7 @@
 		return s.end()
 	}
 	select {
-	case <-time.After(s.gap):
+	case <-time.After(s.gap + s.pauses[s.events[0].ID]):
 	case <-s.ctx.Done():
 		return nil, &upstream.Failure{Result: upstream.Broken, Reason: upstream.Canceled}
 	}
@@ -284,6 +285,11 @@
 	}
 }
 
+// pausedBefore returns a change that has the stream pause for ordinaryPause before an event.
+func pausedBefore(id string) func(*scriptedEvents) {
+	return func(s *scriptedEvents) { s.pauses = map[string]time.Duration{id: ordinaryPause} }
+}
+
 func truncated(s *scriptedEvents) { s.truncated = true }
 func stalled(s *scriptedEvents)   { s.stalled = true }
 
--- a/internal/dataplane/dispatch/prefill.go
+++ b/internal/dataplane/dispatch/prefill.go
@@ -37,7 +37,7 @@
 
 // prefill calls the chosen prefill worker. If the worker returns no handle, it is not chosen again.
 func (r *clientRequest) prefill(choice selection.Choice) prefillOutcome {
-	watcher := newIdleWatcher(r.ctx, r.prefillTimeout(choice), r.prefillRetryCheck())
+	watcher := newIdleWatcher(r.ctx, r.prefillTimeout(choice), r.prefillRetryCheck(choice.Prefill))
 	defer watcher.stop()
 	r.dispatcher.counts.prefills.Add(1)
 	call := r.dispatcher.shared.sent(&r.criteria, selection.CallPrefill, choice)
--- a/internal/dataplane/dispatch/retry.go
+++ b/internal/dataplane/dispatch/retry.go
@@ -1,7 +1,11 @@
 package dispatch
 
 import (
+	"slices"
+	"time"
+
 	"ospreybend/internal/controlplane/configuration"
+	"ospreybend/internal/dataplane/fleetview"
 )
 
 // Retry rules. A client request may be sent to a worker again
@@ -46,31 +50,44 @@
 // runRetryCheck returns the function that decides whether an unresponsive run is canceled in favor of another
 // one, and that spends the retry budget for the other one. The function may be called from another goroutine.
 func (r *clientRequest) runRetryCheck() func() bool {
-	attemptsLeft := r.attempts.used+2 <= r.attempts.maxAttempts
-	excluded := len(r.excluded)
-	service := r.service.Name
-	minTime := r.route.TargetLatency / 2
-	return func() bool {
-		if !attemptsLeft || r.timeLeft() < minTime {
-			return false
-		}
-		view := r.dispatcher.view.Load()
-		return len(view.Workers[service]) > excluded && r.dispatcher.shared.spendBudget(service, view.EdgeNodeCount)
-	}
+	const thisRunAndNext = 2
+	return r.successorCheck(thisRunAndNext, slices.Clone(r.excluded))
 }
 
 // prefillRetryCheck returns the function that decides whether an unresponsive prefill is canceled in favor of
 // another one, and that spends the retry budget for the other one. The budget is needed because only one
 // accepted prefill is exempt from attempts and budget, and an unresponsive one may still be in the worker's
 // queue. The function may be called from another goroutine.
-func (r *clientRequest) prefillRetryCheck() func() bool {
-	service := r.service.Name
-	minTime := r.route.TargetLatency / 2
+func (r *clientRequest) prefillRetryCheck(prefill *fleetview.Worker) func() bool {
+	calls := 1 // the run; the first accepted prefill is no attempt
+	if r.prefillAccepted {
+		calls++
+	}
+	return r.successorCheck(calls, append(slices.Clone(r.excluded), prefill.ID))
+}
+
+// successorCheck returns a function that reports whether a call is canceled because the request would be served by other workers now:
+// there is time, and a step and the given number of attempts are left; workers that are not excluded would be chosen and admit the request; and
+// the retry budget allows it, which is then spent. Else the call goes on, since its worker may still respond.
+func (r *clientRequest) successorCheck(attempts int, excluded []string) func() bool {
+	attemptsLeft := r.attempts.used+attempts <= r.attempts.maxAttempts
+	stepsLeft := r.steps+1 < maxSteps
+	r.successorFound.Store(false)
 	return func() bool {
-		return r.timeLeft() >= minTime && r.dispatcher.shared.spendBudget(service, r.dispatcher.view.Load().EdgeNodeCount)
+		if !attemptsLeft || !stepsLeft || r.timeLeft() < r.minRetryTime() {
+			return false
+		}
+		if !r.dispatcher.shared.admits(&r.criteria, excluded) || !r.spendBudget() {
+			return false
+		}
+		r.successorFound.Store(true)
+		return true
 	}
 }
 
+// minRetryTime is the least time before the deadline with which an unresponsive call is canceled.
+func (r *clientRequest) minRetryTime() time.Duration { return r.route.TargetLatency / 2 }
+
 // spendBudget spends one retry of the service's retry budget and reports whether the budget allowed it.
 func (r *clientRequest) spendBudget() bool {
 	return r.dispatcher.shared.spendBudget(r.service.Name, r.dispatcher.view.Load().EdgeNodeCount)
--- a/internal/dataplane/dispatch/sharedstate.go
+++ b/internal/dataplane/dispatch/sharedstate.go
@@ -51,6 +51,13 @@
 	return s.chooser.Choose(s.now(), request, excluded)
 }
 
+// admits reports whether choose would now return workers for a request and admit it.
+func (s *sharedState) admits(request *selection.Request, excluded []string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.chooser.Admits(s.now(), request, excluded)
+}
+
 // sent records a call that is being sent.
 func (s *sharedState) sent(request *selection.Request, kind selection.CallKind, choice selection.Choice) *trackedCall {
 	s.mutex.Lock()
--- a/internal/dataplane/dispatch/stream.go
+++ b/internal/dataplane/dispatch/stream.go
@@ -107,7 +107,9 @@
 	r.progress.beginRun()
 	first := true
 	for {
-		watcher.resume(r.eventTimeout(first))
+		if r.retryAllowed() {
+			watcher.resume(r.eventTimeout(first))
+		}
 		batch, err := response.Events.Next()
 		watcher.pause()
 		if err != nil && !errors.Is(err, io.EOF) {
--- a/internal/dataplane/selection/admission.go
+++ b/internal/dataplane/selection/admission.go
@@ -57,11 +57,23 @@
 	}
 	a.lastSeen[priorityLevel(request.Priority)] = now + 1
 	mean := stats.Ensure(a.unloadedByRoute, request.Route)
-	typicalUnloaded := mean.Blend(unloaded, 0) // without this request, whose own size must not matter
+	typicalUnloaded := typicalUnloadedTime(mean, unloaded) // without this request, whose own size must not matter
 	mean.Add(min(unloaded, typicalUnloaded*maxOutlierRatio), unloadedTimeSamples)
 	return typicalUnloaded
 }
 
+// typicalUnloaded returns the mean that recordRequest would return, and records nothing.
+func (a *admission) typicalUnloaded(request *Request, unloaded float64) float64 {
+	mean := a.unloadedByRoute[request.Route]
+	if mean == nil {
+		return unloaded
+	}
+	return typicalUnloadedTime(mean, unloaded)
+}
+
+// typicalUnloadedTime returns the mean of a route, or that of the request itself if it is the first one.
+func typicalUnloadedTime(mean *stats.Mean, unloaded float64) float64 { return mean.Blend(unloaded, 0) }
+
 // priorityLevel clamps a priority to the range that is tracked.
 func priorityLevel(priority int) int { return min(max(priority, 0), priorityLevels-1) }
 
@@ -88,8 +100,13 @@
 // queue wait exceeds the longest acceptable one. The request's own size has no influence, so that large
 // requests of a route are not rejected more often than small ones.
 func (s *service) admit(now time.Duration, info *requestInfo, best placement, load serviceLoad) AdmissionDecision {
-	request := info.request
-	typicalUnloaded := s.admission.recordRequest(now, request, best.firstEvent-best.queueWait)
+	typicalUnloaded := s.admission.recordRequest(now, info.request, best.firstEvent-best.queueWait)
+	return s.drawAdmission(now, info.request, best, load, typicalUnloaded)
+}
+
+// drawAdmission makes the decision of admit. typicalUnloaded is the time of a typical request of the route until its first event, in
+// seconds without queue wait.
+func (s *service) drawAdmission(now time.Duration, request *Request, best placement, load serviceLoad, typicalUnloaded float64) AdmissionDecision {
 	if load.low() {
 		return AdmissionDecision{Admit: true}
 	}
--- a/internal/dataplane/selection/placement.go
+++ b/internal/dataplane/selection/placement.go
@@ -51,6 +51,22 @@
 	return best.choice(), svc.admit(now, info, best, load)
 }
 
+// Admits reports whether Choose would now find workers for a request that has been placed before, and admit it. Unlike Choose it does not
+// count the request as a further one. Where load is shed at random, it draws the decision as Choose does.
+func (s *Selector) Admits(now time.Duration, request *Request, excluded []string) bool {
+	svc := s.services[request.Service]
+	if svc == nil {
+		return false
+	}
+	info := svc.infoFor(now, request)
+	best, load, found := svc.bestPlacement(now, info, excluded)
+	if !found {
+		return false
+	}
+	typicalUnloaded := svc.admission.typicalUnloaded(request, best.firstEvent-best.queueWait)
+	return svc.drawAdmission(now, request, best, load, typicalUnloaded).Admit
+}
+
 // choice returns the placement as a Choice.
 func (p placement) choice() Choice {
 	promptWorker := p.run
