--- a/internal/util/bootconfig/follow.go
+++ b/internal/util/bootconfig/follow.go
@@ -1,6 +1,7 @@
 package bootconfig
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"reflect"
@@ -29,7 +30,8 @@
 	last     Settings
 	changes  chan Settings
 	onError  func(error)
-	failures int // consecutive
+	content  []byte // of the last attempt
+	failures int    // consecutive
 }
 
 func (f *follower) run(ctx context.Context, signals <-chan os.Signal) {
@@ -48,7 +50,15 @@
 
 // read reads the file once and returns the time until the next attempt.
 func (f *follower) read() time.Duration {
-	settings, err := Load(f.path)
+	content, err := readFile(f.path)
+	if err == nil && f.failures == 0 && bytes.Equal(content, f.content) {
+		return FollowInterval
+	}
+	f.content = content
+	var settings Settings
+	if err == nil {
+		settings, err = parseFile(f.path, content)
+	}
 	if err != nil {
 		f.failures++
 		if f.failures == maxReadAttempts {
--- a/internal/util/bootconfig/load.go
+++ b/internal/util/bootconfig/load.go
@@ -38,10 +38,20 @@
 
 // Load reads, parses and checks the settings file. The error names the file and, if a value is invalid, the field.
 func Load(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
+	content, err := readFile(path)
 	if err != nil {
-		return Settings{}, eris.Wrap(err, "read settings")
+		return Settings{}, err
 	}
+	return parseFile(path, content)
+}
+
+func readFile(path string) ([]byte, error) {
+	content, err := os.ReadFile(path)
+	return content, eris.Wrap(err, "read settings")
+}
+
+// parseFile parses the content of a settings file. The error names the file.
+func parseFile(path string, content []byte) (Settings, error) {
 	settings, err := Parse(content)
 	if err != nil {
 		return Settings{}, eris.Wrapf(err, "settings file %s", filepath.Base(path))
