Proxy: a run is not canceled for a last attempt at a worker that is full

Cause: the check for a successor asked whether load would be shed, not whether the chosen workers have a free slot; with attempts left a rejection is harmless, at the last one it ends the answer. An ejected worker counted as well, as the last resort that Choose returns.

Change: if no attempt is left after the next one, each worker of the choice must be available and have fewer calls, of this node and others, than slots. Else the call goes on and the check is repeated every 250 ms, as before.

Measured: with the check left out, on a scratch copy, the case 'the other worker is full' (answer aborted after four of nine events) and TestSelector_Admits_lastAttempt fail; the packages' tests pass with it.

--- a/internal/dataplane/dispatch/chooser_test.go
+++ b/internal/dataplane/dispatch/chooser_test.go
@@ -22,6 +22,7 @@
 	chooseFunc  func(excluded []string) (selection.Choice, bool) // if set, used instead of choices
 
 	admitsFunc func(excluded []string) bool // if set, used instead of chooseFunc by Admits
+	full       []string                     // IDs of workers without room
 
 	urgency   int
 	peerNodes []uint64
@@ -46,7 +47,10 @@
 func (c *scriptedChooser) SetView(time.Duration, *fleetview.View) {}
 
 // Admits implements Chooser: it reports what Choose would return, and records nothing.
-func (c *scriptedChooser) Admits(_ time.Duration, _ *selection.Request, excluded []string) bool {
+func (c *scriptedChooser) Admits(_ time.Duration, _ *selection.Request, excluded []string, lastAttempt bool) bool {
+	if lastAttempt {
+		excluded = slices.Concat(excluded, c.full)
+	}
 	if c.admitsFunc != nil {
 		return c.admitsFunc(excluded)
 	}
--- a/internal/dataplane/dispatch/interfaces.go
+++ b/internal/dataplane/dispatch/interfaces.go
@@ -57,8 +57,9 @@
 	SetView(now time.Duration, view *fleetview.View)
 	// Choose returns the workers of a request, none of them excluded by ID, and whether the request is admitted.
 	Choose(now time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.AdmissionDecision)
-	// Admits reports whether Choose would now find workers for a request and admit it. It records nothing about the request.
-	Admits(now time.Duration, request *selection.Request, excluded []string) bool
+	// Admits reports whether Choose would now find workers for a request and admit it; for a last attempt, workers with room. It records
+	// nothing about the request.
+	Admits(now time.Duration, request *selection.Request, excluded []string, lastAttempt bool) bool
 	// Sent records a call that is being sent. The first of Done, Rejected, Failed and Abandoned ends it.
 	Sent(now time.Duration, request *selection.Request, kind selection.CallKind, choice selection.Choice) *selection.Call
 	FirstEvent(now time.Duration, call *selection.Call)
--- a/internal/dataplane/dispatch/retry.go
+++ b/internal/dataplane/dispatch/retry.go
@@ -67,17 +67,17 @@
 }
 
 // successorCheck returns a function that reports whether a call is canceled because the request would be served by other workers now:
-// there is time, and a step and the given number of attempts are left; workers that are not excluded would be chosen and admit the request; and
-// the retry budget allows it, which is then spent. Else the call goes on, since its worker may still respond.
+// there is time, and a step and the given number of attempts are left; workers that are not excluded would be chosen and admit the request, and
+// have room if no attempt is left after theirs; and the retry budget allows it, which is then spent. Else the call goes on, since its worker may still respond.
 func (r *clientRequest) successorCheck(attempts int, excluded []string) func() bool {
-	attemptsLeft := r.attempts.used+attempts <= r.attempts.maxAttempts
+	attemptsAfterwards := r.attempts.maxAttempts - r.attempts.used - attempts
 	stepsLeft := r.steps+1 < maxSteps
 	r.successorFound.Store(false)
 	return func() bool {
-		if !attemptsLeft || !stepsLeft || r.timeLeft() < r.minRetryTime() {
+		if attemptsAfterwards < 0 || !stepsLeft || r.timeLeft() < r.minRetryTime() {
 			return false
 		}
-		if !r.dispatcher.shared.admits(&r.criteria, excluded) || !r.spendBudget() {
+		if !r.dispatcher.shared.admits(&r.criteria, excluded, attemptsAfterwards == 0) || !r.spendBudget() {
 			return false
 		}
 		r.successorFound.Store(true)
--- a/internal/dataplane/dispatch/sharedstate.go
+++ b/internal/dataplane/dispatch/sharedstate.go
@@ -51,11 +51,11 @@
 	return s.chooser.Choose(s.now(), request, excluded)
 }
 
-// admits reports whether choose would now return workers for a request and admit it.
-func (s *sharedState) admits(request *selection.Request, excluded []string) bool {
+// admits reports whether choose would now return workers for a request and admit it; for a last attempt, workers with room.
+func (s *sharedState) admits(request *selection.Request, excluded []string, lastAttempt bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.chooser.Admits(s.now(), request, excluded)
+	return s.chooser.Admits(s.now(), request, excluded, lastAttempt)
 }
 
 // sent records a call that is being sent.
--- a/internal/dataplane/dispatch/successor_test.go
+++ b/internal/dataplane/dispatch/successor_test.go
@@ -29,6 +29,7 @@
 		"no first event":                 {only("d1"), nil, streamEvents(1, 9, pausedBefore("1")), "d1", eventTexts(1, 9)},
 		"the other worker sheds load":    {admitOnce, nil, streamEvents(1, 9, pausedBefore("5")), "d1", eventTexts(1, 9)},
 		"no attempt left":                {only2, func(h *testHarness) { h.route.MaxAttempts = 1 }, streamEvents(1, 9, pausedBefore("5")), "d1", eventTexts(1, 9)},
+		"the other worker is full":       {onlyFull2, func(h *testHarness) { h.route.MaxAttempts = 2 }, streamEvents(1, 9, pausedBefore("5")), "d1", eventTexts(1, 9)},
 		"a stream that can't be resumed": {only2, nil, streamEvents(1, 9, unnumberedAndPaused), "d1", eventTexts(1, 4) + "data: y\n\n" + eventTexts(5, 9)},
 		"an idempotent call":             {only("d1"), func(h *testHarness) { h.route.Type = configuration.Idempotent }, delayed(2*time.Second, respondWith(200, "late", signedFields)), "d1", "late"},
 	} {
@@ -53,6 +54,12 @@
 
 func only2(h *testHarness) { h.chooser.addChoices("d1", "d2") }
 
+// onlyFull2 offers a second worker that would reject the request.
+func onlyFull2(h *testHarness) {
+	only2(h)
+	h.chooser.full = []string{"d2"}
+}
+
 // admitOnce has all workers reject the request once it has been sent.
 func admitOnce(h *testHarness) {
 	h.chooser.chooseFunc = func(excluded []string) (selection.Choice, bool) {
@@ -106,6 +113,25 @@
 	})
 }
 
+// TestDispatcher_Serve_stalledStreamAsksFullWorkerWithAttemptsLeft has a stream move to a worker that may be full while an attempt is left for
+// another one.
+func TestDispatcher_Serve_stalledStreamAsksFullWorkerWithAttemptsLeft(t *testing.T) {
+	withFakeClock(t, func(t *testing.T, h *testHarness) {
+		h.route.Resumable = true
+		h.route.MaxAttempts = 3
+		h.setRoute()
+		onlyFull2(h)
+		h.chooser.addChoices("d3")
+		h.addScripts("d1", streamEvents(1, 4, stalled))
+		h.addScripts("d2", respondWith(503, "", notExecutedFields))
+		h.addScripts("d3", streamEvents(5, 9, nil))
+		client := h.send(nil)
+		if !client.finished || client.body != eventTexts(1, 9) || h.workersCalled() != "d1 d2 d3 " {
+			t.Fatalf("finished %v, workers %s, body %q, want the stream resumed by d3", client.finished, h.workersCalled(), client.body)
+		}
+	})
+}
+
 // TestIdleWatcher_pauseDuringCheck has the worker send something while it is decided whether its call is canceled.
 func TestIdleWatcher_pauseDuringCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dataplane/selection/admits_test.go
+++ b/internal/dataplane/selection/admits_test.go
@@ -25,7 +25,7 @@
 			t.Fatalf("%s: the request is rejected at no load", c.name)
 		}
 		before := *s.services["m"].admission.unloadedByRoute["r"]
-		if got := s.Admits(time.Second, request, c.excluded); got != c.want {
+		if got := s.Admits(time.Second, request, c.excluded, false); got != c.want {
 			t.Errorf("%s: Admits returns %v, want %v", c.name, got, c.want)
 		}
 		if after := *s.services["m"].admission.unloadedByRoute["r"]; after != before || s.services["m"].admission.lastSeen[0] > 1 {
@@ -35,11 +35,42 @@
 	s, _ := newTestSelector(1, 1, 1)
 	request := newTestRequest(0, 1, 160, 100)
 	request.Service = "unknown"
-	if s.Admits(0, request, nil) {
+	if s.Admits(0, request, nil, false) {
 		t.Error("Admits returns true for an unknown service")
 	}
 }
 
+// TestSelector_Admits_lastAttempt guards against calls that are canceled though the only other worker is full or ejected: with no attempt
+// left after its rejection, the client lost the answer.
+func TestSelector_Admits_lastAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		occupy      func(s *Selector, decode *worker)
+		lastAttempt bool
+		want        bool
+	}{
+		{"a worker with room", func(*Selector, *worker) {}, true, true},
+		{"all slots taken by others", occupySlots, true, false},
+		{"all slots taken, but an attempt is left", occupySlots, false, true},
+		{"a worker that rejected a call just now", func(_ *Selector, decode *worker) { decode.report.fullUntil = time.Minute }, true, false},
+		{"an ejected worker", func(_ *Selector, decode *worker) { decode.health.ejectByPeers(time.Minute) }, true, false},
+	} {
+		s, _ := newTestSelector(0, 2, 1)
+		request := newTestRequest(0, 1, 160, 100)
+		request.Objective, request.Deadline = time.Minute, time.Hour // no load is shed
+		s.Choose(0, request, nil)
+		c.occupy(s, s.services["m"].workers["wb"])
+		if got := s.Admits(0, request, []string{"wa"}, c.lastAttempt); got != c.want {
+			t.Errorf("%s: Admits returns %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// occupySlots has a worker report that it is full after it has served a call.
+func occupySlots(s *Selector, decode *worker) {
+	s.services["m"].recordLoad(0, decode, &Load{Running: 64, Waiting: 1, Slots: 64}, callCounts{})
+}
+
 // TestService_DrawAdmission_asAdmit checks that Admits sheds load as Choose does.
 func TestService_DrawAdmission_asAdmit(t *testing.T) {
 	s, _ := newTestSelector(1, 1, 1)
--- a/internal/dataplane/selection/placement.go
+++ b/internal/dataplane/selection/placement.go
@@ -52,21 +52,33 @@
 }
 
 // Admits reports whether Choose would now find workers for a request that has been placed before, and admit it. Unlike Choose it does not
-// count the request as a further one. Where load is shed at random, it draws the decision as Choose does.
-func (s *Selector) Admits(now time.Duration, request *Request, excluded []string) bool {
+// count the request as a further one. Where load is shed at random, it draws the decision as Choose does. For a last attempt the workers
+// must have room too, since the request could not be sent to another one after a rejection.
+func (s *Selector) Admits(now time.Duration, request *Request, excluded []string, lastAttempt bool) bool {
 	svc := s.services[request.Service]
 	if svc == nil {
 		return false
 	}
 	info := svc.infoFor(now, request)
 	best, load, found := svc.bestPlacement(now, info, excluded)
-	if !found {
+	if !found || lastAttempt && !svc.hasRoom(now, best) {
 		return false
 	}
 	typicalUnloaded := svc.admission.typicalUnloaded(request, best.firstEvent-best.queueWait)
 	return svc.drawAdmission(now, request, best, load, typicalUnloaded).Admit
 }
 
+// hasRoom reports whether each worker of a placement is available and has a free slot, as far as this node knows.
+func (s *service) hasRoom(now time.Duration, p placement) bool {
+	return s.hasFreeSlot(now, p.run.worker) && (p.prefill == nil || s.hasFreeSlot(now, p.prefill.worker))
+}
+
+// hasFreeSlot reports whether a worker is not ejected and has fewer calls, of this node and others, than slots.
+func (s *service) hasFreeSlot(now time.Duration, w *worker) bool {
+	waiting, running := s.foreignLoad(now, w)
+	return w.health.available(now, len(w.calls)) && waiting+running+float64(len(w.calls)) < s.slotsOf(w)
+}
+
 // choice returns the placement as a Choice.
 func (p placement) choice() Choice {
 	promptWorker := p.run
