Proxy: retry budget, prefix reuse and capacity limits follow the settings file

A change of the platform's bounds without a restart left proxies on the old ones: retries beyond a lowered budget, or fewer than a raised one allows.

Found by going through each setting of each role.

Change: the budgets, the selector and the HTTP server take new values while they run. A new window of the budget begins empty, as at a start, since a longer one may have been used up. Identity, addresses, ports, disk and bootstrap stay those of the start.

Measured: TestProxy_followSettings_reloads fails with the call left out (scratch copy: the new limit of connections never applies) and passes now, so do TestBudgets_SetRules and TestServer_SetCapacity.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -68,8 +68,8 @@
 // DefaultOptions returns the options that Run uses.
 func DefaultOptions() Options { return Options{ProbePeers: true} }
 
-// Run runs the agent with the default options until ctx ends. It applies the settings received from changes. It then goes on serving the proxy until the proxy has
-// disconnected or the grace period is nearly over. It returns ErrPortRange, or the error of opening a port.
+// Run runs the agent with the default options until ctx ends. It applies the settings received from changes. It then goes on serving the
+// proxy until the proxy has disconnected or the grace period is nearly over. It returns ErrPortRange, or the error of opening a port.
 func Run(ctx context.Context, config bootconfig.Settings, changes <-chan bootconfig.Settings, log *zap.Logger) error {
 	limitMemory(config.Limits)
 	options := DefaultOptions()
--- a/internal/dataplane/dispatch/chooser_test.go
+++ b/internal/dataplane/dispatch/chooser_test.go
@@ -46,6 +46,8 @@
 
 func (c *scriptedChooser) SetView(time.Duration, *fleetview.View) {}
 
+func (c *scriptedChooser) SetRecomputeWindow(time.Duration) {}
+
 // Admits implements Chooser: it reports what Choose would return, and records nothing.
 func (c *scriptedChooser) Admits(_ time.Duration, _ *selection.Request, excluded []string, lastAttempt bool) bool {
 	if lastAttempt {
--- a/internal/dataplane/dispatch/dispatcher.go
+++ b/internal/dataplane/dispatch/dispatcher.go
@@ -97,6 +97,12 @@
 	d.view.Store(view)
 }
 
+// SetRetryBudget changes the rules of the retry budgets.
+func (d *Dispatcher) SetRetryBudget(rules retrybudget.Rules) { d.shared.setRetryBudget(rules) }
+
+// SetRecomputeWindow changes the time after its last use in which recomputing a cached prefix has a cost; 0: the default.
+func (d *Dispatcher) SetRecomputeWindow(window time.Duration) { d.shared.setRecomputeWindow(window) }
+
 // View returns the current view, or nil if none has been set.
 func (d *Dispatcher) View() *fleetview.View { return d.view.Load() }
 
--- a/internal/dataplane/dispatch/interfaces.go
+++ b/internal/dataplane/dispatch/interfaces.go
@@ -55,6 +55,8 @@
 type Chooser interface {
 	// SetView applies a new view of the fleet.
 	SetView(now time.Duration, view *fleetview.View)
+	// SetRecomputeWindow changes the time after its last use in which recomputing a cached prefix has a cost; 0: the default.
+	SetRecomputeWindow(window time.Duration)
 	// Choose returns the workers of a request, none of them excluded by ID, and whether the request is admitted.
 	Choose(now time.Duration, request *selection.Request, excluded []string) (selection.Choice, selection.AdmissionDecision)
 	// Admits reports whether Choose would now find workers for a request and admit it; for a last attempt, workers with room. It records
--- a/internal/dataplane/dispatch/sharedstate.go
+++ b/internal/dataplane/dispatch/sharedstate.go
@@ -30,6 +30,20 @@
 	s.budgets.Retain(now, func(service string) bool { return view.Services[service] != nil })
 }
 
+// setRetryBudget changes the rules of the retry budgets.
+func (s *sharedState) setRetryBudget(rules retrybudget.Rules) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budgets.SetRules(s.now(), rules)
+}
+
+// setRecomputeWindow changes the time in which recomputing a cached prefix has a cost.
+func (s *sharedState) setRecomputeWindow(window time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.chooser.SetRecomputeWindow(window)
+}
+
 // recordRequest counts a client's request for a service.
 func (s *sharedState) recordRequest(service string) {
 	s.mutex.Lock()
--- a/internal/dataplane/httpserver/lifecycle_test.go
+++ b/internal/dataplane/httpserver/lifecycle_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+func TestServer_SetCapacity(t *testing.T) {
+	server := startServer(t, Options{Handler: echo, MaxConnections: 1, MaxBufferedBodyBytes: initialBodyBytes})
+	body := strings.Repeat("x", 2*initialBodyBytes)
+	post := fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	server.SetCapacity(2, int64(4*initialBodyBytes))
+	first, second := server.dial(), server.dial()
+	for _, client := range []*testClient{first, second} {
+		client.send(post)
+		client.expectResponse(200, "POST /a "+body)
+	}
+	server.SetCapacity(1, initialBodyBytes)
+	first.send(post)
+	first.expectResponse(503, "")
+	second.send(getRequest)
+	second.expectResponse(200, "GET /a ")
+}
+
 func TestServer_Drain(t *testing.T) {
 	started, release := make(chan bool), make(chan bool)
 	server := startServer(t, Options{Handler: func(w *ResponseWriter, r *Request) {
--- a/internal/dataplane/httpserver/requestreader.go
+++ b/internal/dataplane/httpserver/requestreader.go
@@ -180,8 +180,8 @@
 	return nil
 }
 
-// growBody ensures that the body has free capacity, up to the given length. It returns false if Options.MaxBufferedBodyBytes would
-// be exceeded.
+// growBody ensures that the body has free capacity, up to the given length. It returns false if Options.MaxBufferedBodyBytes
+// would be exceeded.
 func (r *requestReader) growBody(length int) bool {
 	request := r.request
 	if len(request.Body) < cap(request.Body) {
@@ -190,7 +190,7 @@
 	size := min(length, max(2*cap(request.Body), initialBodyBytes))
 	server := r.conn.server
 	buffered := server.bodyBytes.Add(int64(size - cap(request.Body)))
-	if maxBuffered := server.options.MaxBufferedBodyBytes; maxBuffered > 0 && buffered > maxBuffered {
+	if maxBuffered := server.maxBodyBytes.Load(); maxBuffered > 0 && buffered > maxBuffered {
 		server.bodyBytes.Add(-int64(size - cap(request.Body)))
 		return false
 	}
--- a/internal/dataplane/httpserver/server.go
+++ b/internal/dataplane/httpserver/server.go
@@ -38,13 +38,14 @@
 	// immutable after New
 	options      Options
 	now          func() time.Time
-	maxConns     int
 	writeTimeout time.Duration
 	retryAfter   string // Retry-After value of rejections
 
-	counts    counters
-	draining  atomic.Bool
-	bodyBytes atomic.Int64 // memory allocated for request bodies
+	counts       counters
+	draining     atomic.Bool
+	maxConns     atomic.Int64
+	maxBodyBytes atomic.Int64 // limit of bodyBytes; 0: none
+	bodyBytes    atomic.Int64 // memory allocated for request bodies
 
 	mu         sync.Mutex // guards all fields below, and the states and deadlines of connections
 	listeners  map[net.Listener]struct{}
@@ -71,12 +72,18 @@
 	if server.now == nil {
 		server.now = time.Now
 	}
-	server.maxConns = positiveOr(options.MaxConnections, defaultMaxConnections)
+	server.SetCapacity(options.MaxConnections, options.MaxBufferedBodyBytes)
 	server.writeTimeout = positiveOr(options.WriteTimeout, defaultWriteTimeout)
 	server.retryAfter = formatRetryAfter(retryAfterRejection)
 	return server
 }
 
+// SetCapacity changes Options.MaxConnections and Options.MaxBufferedBodyBytes. Connections and bodies beyond a lower limit stay.
+func (s *Server) SetCapacity(maxConnections int, maxBufferedBodyBytes int64) {
+	s.maxConns.Store(int64(positiveOr(maxConnections, defaultMaxConnections)))
+	s.maxBodyBytes.Store(maxBufferedBodyBytes)
+}
+
 // positiveOr returns value if it is positive, and fallback otherwise.
 func positiveOr[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
@@ -162,7 +169,7 @@
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= s.maxConns {
+	if s.closed || len(s.conns) >= int(s.maxConns.Load()) {
 		return false
 	}
 	s.conns[c] = struct{}{}
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -22,8 +22,8 @@
 	"ospreybend/internal/util/exposition"
 )
 
-// Run serves requests until ctx is canceled, and then drains. It applies the settings received from changes. It returns an error only if the process cannot serve: an address is in
-// use, the settings are invalid, or a listener has failed.
+// Run serves requests until ctx is canceled, and then drains. It applies the settings received from changes. It returns an error only if
+// the process cannot serve: an address is in use, the settings are invalid, or a listener has failed.
 func Run(ctx context.Context, settings bootconfig.Settings, changes <-chan bootconfig.Settings, log *zap.Logger) error {
 	p, err := start(settings, log)
 	if err != nil {
--- a/internal/dataplane/proxy/run_test.go
+++ b/internal/dataplane/proxy/run_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -51,6 +53,7 @@
 	onError := func(err error) { t.Errorf("got error %v, want none", err) }
 	go s.proxy.followSettings(t.Context(), bootconfig.Follow(t.Context(), path, settings, signals, onError))
 	settings.Bounds.GraceS = 3
+	settings.Limits.MaxFds = reservedDescriptors + 2 // one connection of a client
 	writeSettings(t, path, settings)
 	answered := make(chan int, 1)
 	go func() {
@@ -58,9 +61,15 @@
 		answered <- status
 	}()
 	<-s.worker.arrived
+	release := sync.OnceFunc(func() { close(s.worker.release) })
+	t.Cleanup(release)
 	signals <- syscall.SIGHUP
 	s.waitFor("the settings to be reloaded", func() bool { return s.proxy.settings.Load().Bounds.GraceS == 3 })
-	close(s.worker.release)
+	s.waitFor("the new limit of connections", func() bool {
+		s.client.CloseIdleConnections()
+		return s.statusOf("/a/other") == http.StatusServiceUnavailable
+	})
+	release()
 	if status := <-answered; status != 200 {
 		t.Fatalf("the request in flight during the reload got status %d, want 200", status)
 	}
--- a/internal/dataplane/retrybudget/budget.go
+++ b/internal/dataplane/retrybudget/budget.go
@@ -37,6 +37,16 @@
 	return &Budget{rules: rules, startedAt: now, requests: newRequestCounts(rules.Window)}
 }
 
+// SetRules changes the rules. If the window changes, the requests are counted anew and the slack grows from zero again: how much of the
+// new window had been used is not known. Calls within the last window stay counted.
+func (b *Budget) SetRules(now time.Duration, rules Rules) {
+	if rules.Window != b.rules.Window {
+		b.startedAt = now
+		b.requests = newRequestCounts(rules.Window)
+	}
+	b.rules = rules
+}
+
 // RecordRequest counts a client request to the service.
 func (b *Budget) RecordRequest(now time.Duration) { b.requests.add(now) }
 
--- a/internal/dataplane/retrybudget/budget_test.go
+++ b/internal/dataplane/retrybudget/budget_test.go
@@ -64,6 +64,37 @@
 	}
 }
 
+// TestBudgets_SetRules guards against budgets that keep the rules of the process's start.
+func TestBudgets_SetRules(t *testing.T) {
+	const now, spentBefore = 20 * time.Second, 20
+	for name, c := range map[string]struct {
+		rules Rules
+		want  int // calls before and after the change
+	}{
+		"a larger slack counts at once":                      {Rules{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, 90},
+		"a smaller slack that is used already":               {Rules{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, spentBefore},
+		"a larger ratio counts earlier requests":             {Rules{Ratio: 1, Slack: 54, Window: 10 * time.Second}, 93},
+		"a longer window begins without slack and requests":  {Rules{Ratio: 1, Slack: 100, Window: 20 * time.Second}, spentBefore},
+		"a shorter window begins without slack and requests": {Rules{Ratio: 1, Slack: 100, Window: 5 * time.Second}, spentBefore},
+	} {
+		budgets := NewBudgets(testRules, 0)
+		for range 100 {
+			budgets.RecordRequest(now, "s")
+		}
+		spent := 0
+		for spent < spentBefore && budgets.TrySpend(now, "s", 1) {
+			spent++
+		}
+		budgets.SetRules(now, c.rules)
+		for budgets.TrySpend(now, "s", 1) {
+			spent++
+		}
+		if spent != c.want {
+			t.Errorf("%s: the budget allowed %d calls, want %d", name, spent, c.want)
+		}
+	}
+}
+
 func TestBudgets_TrySpend_separatesServices(t *testing.T) {
 	budgets := NewBudgets(Rules{Ratio: 1, Window: time.Second}, 0)
 	budgets.RecordRequest(0, "a")
--- a/internal/dataplane/retrybudget/budgets.go
+++ b/internal/dataplane/retrybudget/budgets.go
@@ -14,6 +14,17 @@
 	return &Budgets{rules: rules, startedAt: now, byService: make(map[string]*Budget)}
 }
 
+// SetRules changes the rules of all budgets, see Budget.SetRules.
+func (b *Budgets) SetRules(now time.Duration, rules Rules) {
+	if rules.Window != b.rules.Window {
+		b.startedAt = now
+	}
+	b.rules = rules
+	for _, budget := range b.byService {
+		budget.SetRules(now, rules)
+	}
+}
+
 // RecordRequest counts a client request to a service.
 func (b *Budgets) RecordRequest(now time.Duration, service string) {
 	b.budgetOf(service).RecordRequest(now)
--- a/internal/dataplane/selection/selector.go
+++ b/internal/dataplane/selection/selector.go
@@ -52,15 +52,22 @@
 
 // New returns a Selector without a view. It rejects all requests until SetView is called.
 func New(options Options) *Selector {
-	if options.RecomputeWindow == 0 {
-		options.RecomputeWindow = defaultRecomputeWindow
-	}
-	return &Selector{
+	selector := &Selector{
 		options:  options,
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
 		nodes:    1,
 		services: map[string]*service{},
 	}
+	selector.SetRecomputeWindow(options.RecomputeWindow)
+	return selector
+}
+
+// SetRecomputeWindow changes Options.RecomputeWindow.
+func (s *Selector) SetRecomputeWindow(window time.Duration) {
+	if window == 0 {
+		window = defaultRecomputeWindow
+	}
+	s.options.RecomputeWindow = window
 }
 
 // SetView applies a new view of the fleet. Workers that are in both views keep their state. A worker whose
