Simulation: what a change costs is measured before schedules are played

Cause: the cost of a change, in simulated time, was measured while schedules ran, by the bytes that the whole process allocates, so that it counted other schedules' work.

--- a/internal/testkit/controlplanesim/apply_cost.go
+++ b/internal/testkit/controlplanesim/apply_cost.go
@@ -3,11 +3,11 @@
 import (
 	"runtime"
 	"strconv"
-	"sync"
 	"time"
 
 	"ospreybend/coord/shards"
 	"ospreybend/internal/controlplane/configuration"
+	"ospreybend/internal/testkit/controlplanesim/schedule"
 )
 
 // The fake clock stands still while a server computes. So that a change that costs much is noticed, the servers of a simulation
@@ -19,25 +19,39 @@
 	measuredChanges      = 5
 )
 
-// measuredCosts holds the results of applyCostOf by the size of the configuration.
-var measuredCosts = struct {
-	mutex  sync.Mutex
-	bySize map[int]time.Duration
-}{bySize: map[int]time.Duration{}}
+// measuredCost is the processor time of a small change of a configuration with that many filler routes.
+type measuredCost struct {
+	routes int
+	cost   time.Duration
+}
+
+// measuredCosts holds the costs for no filler routes and for each of schedule.RouteCounts, in ascending order of routes. measureApplyCosts
+// sets it.
+var measuredCosts []measuredCost
+
+// measureApplyCosts measures what changes cost. It must be called before any schedule is played, with nothing else running: the
+// memory that other goroutines allocate meanwhile would count as well.
+func measureApplyCosts() {
+	measuredCosts = nil
+	for _, routes := range append([]int{0}, schedule.RouteCounts()...) {
+		cost := measureApplyCost(fillerRoutes(routes)).Truncate(applyCostResolution)
+		measuredCosts = append(measuredCosts, measuredCost{routes: routes, cost: cost})
+	}
+}
 
-// applyCostOf returns the processor time of a small change of a configuration with the filler routes, rounded down.
-func applyCostOf(filler string) time.Duration {
-	measuredCosts.mutex.Lock()
-	defer measuredCosts.mutex.Unlock()
-	cost, measured := measuredCosts.bySize[len(filler)]
-	if !measured {
-		cost = measureApplyCost(filler).Truncate(applyCostResolution)
-		measuredCosts.bySize[len(filler)] = cost
+// applyCostOf returns the measured cost of a change for the next larger number of routes, or the largest one.
+func applyCostOf(routes int) time.Duration {
+	var cost time.Duration
+	for _, measured := range measuredCosts {
+		cost = measured.cost
+		if routes <= measured.routes {
+			break
+		}
 	}
 	return cost
 }
 
-// measureApplyCost applies some small changes and returns the lowest cost, as other goroutines allocate at the same time.
+// measureApplyCost applies some small changes and returns the lowest cost, as the runtime allocates now and then.
 func measureApplyCost(filler string) time.Duration {
 	store := configuration.NewStore()
 	apply := func(index uint64, made order) {
--- a/internal/testkit/controlplanesim/schedule/draw.go
+++ b/internal/testkit/controlplanesim/schedule/draw.go
@@ -87,6 +87,9 @@
 // routeCounts are the sizes of large configurations in routes of some 230 bytes.
 var routeCounts = []int{350, 3000, 9000, 17000}
 
+// RouteCounts returns the numbers of routes of large configurations that are drawn, in ascending order.
+func RouteCounts() []int { return slices.Clone(routeCounts) }
+
 // sizeStream is the stream of random numbers for the state's size. It is separate, so that the events of a seed stay the same.
 const sizeStream = 0x512e
 
--- a/internal/testkit/controlplanesim/simulation.go
+++ b/internal/testkit/controlplanesim/simulation.go
@@ -84,7 +84,7 @@
 		triggers: make(map[schedule.Trigger]chan struct{}),
 	}
 	sim.filler = fillerRoutes(played.Routes)
-	sim.applyCost = applyCostOf(sim.filler)
+	sim.applyCost = applyCostOf(played.Routes)
 	sim.recorder = newRecorder(sim)
 	for slot := range played.Servers {
 		m := sim.newMachine(slot)
