Tests: a node that is killed and started again keeps its port, and a start that fails ends

Hypotheses: (1) while the node is down, another process gets its port, as a wildcard listener can, since FreeAddress took a port from the range that the kernel assigns; if that process accepts and never answers, the check whether the node serves waited without an end. Shown for the check: TestChild_serves_silentListener did not end on the old code. That this happened is only suspected. (2) a call of the client repeats for ever, as it has no time-out: possible, not seen.

Change: FreeAddress takes ports outside of the kernel's range; the check has a time-out; a failed start says how the node's log ends; the test ends after 3 minutes at the call that does not return, and prints the log.

--- a/cmd/ospreybend/child_process.go
+++ b/cmd/ospreybend/child_process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +20,12 @@
 // childEnv is the environment variable that makes a test binary run as the program itself.
 const childEnv = "OSPREYBEND_CHILD"
 
+// serveCheckTimeout limits one check whether a process serves: another process may listen at its address and never answer.
+const serveCheckTimeout = time.Second
+
+// logTailBytes is how much of a process's log an error contains.
+const logTailBytes = 4 << 10
+
 // clockTicksPerSecond is the unit of CPU times in /proc on every Linux architecture that Go supports.
 const clockTicksPerSecond = 100
 
@@ -72,13 +79,31 @@
 	if err := c.cmd.Start(); err != nil {
 		return err
 	}
-	return fakeplatform.WaitUntil(ctx, demoReadyTimeout, func() bool { return c.serves(ctx) })
+	if err := fakeplatform.WaitUntil(ctx, demoReadyTimeout, func() bool { return c.serves(ctx) }); err != nil {
+		return fmt.Errorf("start a node: %w; end of its log:\n%s", err, c.logTail())
+	}
+	return nil
+}
+
+// logTail returns the end of the process's log.
+func (c *child) logTail() []byte {
+	text, err := os.ReadFile(filepath.Join(c.dir, "log"))
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return text[max(0, len(text)-logTailBytes):]
 }
 
 // serves reports whether all servers of the process answer. The batch API's administration server opens last, so it is
 // the last one checked.
 func (c *child) serves(ctx context.Context) bool {
-	response, err := http.Get(c.platform + "/healthz")
+	ctx, cancel := context.WithTimeout(ctx, serveCheckTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.platform+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return false
 	}
--- a/cmd/ospreybend/measure_kill_test.go
+++ b/cmd/ospreybend/measure_kill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -42,11 +43,21 @@
 	return fleet, n
 }
 
+// killTestTimeout ends TestNode_killedDuringBulkSubmission at the call that does not return, before the package's tests are ended as a whole.
+const killTestTimeout = 3 * time.Minute
+
 // A node is killed at different times during a bulk submission. Its store must contain all jobs of the bulk or none, and
 // repeating the submission must yield one array whose bookings begin once.
 func TestNode_killedDuringBulkSubmission(t *testing.T) {
 	fleet, n := startChild(t, 2, 16, time.Millisecond)
-	tenant, err := n.admin.CreateTenant(t.Context(), "anna", 100_000)
+	testCtx, cancel := context.WithTimeout(t.Context(), killTestTimeout)
+	defer cancel()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("end of the node's log:\n%s", n.logTail())
+		}
+	})
+	tenant, err := n.admin.CreateTenant(testCtx, "anna", 100_000)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := c.CreateSession(t.Context(), "default")
+	s, err := c.CreateSession(testCtx, "default")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +74,7 @@
 	for round := range 6 {
 		b := drmaa.Bulk{Begin: 1, End: jobs, Template: &drmaa.JobTemplate{RemoteCommand: "auftrag-buchen", SubmitAsHold: true,
 			ClientKey: "bulk " + string(rune('a'+round))}}
-		ctx, stop := context.WithCancel(t.Context())
+		ctx, stop := context.WithCancel(testCtx)
 		bulkErr := make(chan error, 1)
 		go func() { _, err := s.RunBulk(ctx, b); bulkErr <- err }()
 		time.Sleep(time.Duration(5+round*12) * time.Millisecond)
@@ -74,11 +85,11 @@
 		if err := <-bulkErr; err != nil {
 			t.Log("bulk submission during the kill: ", err)
 		}
-		if err := n.start(t.Context()); err != nil {
+		if err := n.start(testCtx); err != nil {
 			t.Fatal(err)
 		}
 		got := 0
-		for _, err := range s.Jobs(t.Context(), drmaa.Filter{States: []drmaa.State{drmaa.QueuedHeld}}) {
+		for _, err := range s.Jobs(testCtx, drmaa.Filter{States: []drmaa.State{drmaa.QueuedHeld}}) {
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -88,22 +99,42 @@
 			t.Fatalf("round %d: store has %d jobs of a bulk of %d after the kill, want all or none", round, got-recorded, jobs)
 		}
 		t.Logf("round %d: killed with %d of the bulk in the store", round, got-recorded)
-		a, err := s.RunBulk(t.Context(), b)
+		a, err := s.RunBulk(testCtx, b)
 		if err != nil || a.Jobs != jobs {
 			t.Fatalf("round %d: repeated bulk submission: array %+v, error %v; want %d jobs", round, a, err, jobs)
 		}
 		recorded += jobs
 	}
 	// A released booking begins once.
-	if err := s.Act(t.Context(), firstID(t, s), "release"); err != nil {
+	if err := s.Act(testCtx, firstID(t, s), "release"); err != nil {
 		t.Fatal(err)
 	}
-	j, err := s.WaitAny(t.Context(), client.Terminated, "")
+	j, err := s.WaitAny(testCtx, client.Terminated, "")
 	if err != nil || j.State != drmaa.Done || fleet.StartCounts()[j.ID] != 1 {
 		t.Errorf("released booking: %+v, began %d times, error %v; want DONE and begun once", j, fleet.StartCounts()[j.ID], err)
 	}
 }
 
+// TestChild_serves_silentListener guards against waiting for ever for a node at whose address another process listens that never answers, as
+// when that process took the port of a killed node.
+func TestChild_serves_silentListener(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	ended := make(chan bool, 1)
+	go func() { ended <- (&child{platform: "http://" + silent.Addr().String()}).serves(t.Context()) }()
+	select {
+	case served := <-ended:
+		if served {
+			t.Fatal("a listener that never answers counts as a node that serves")
+		}
+	case <-time.After(10 * serveCheckTimeout):
+		t.Fatal("the check of a listener that never answers does not end")
+	}
+}
+
 // firstID returns the identifier of the session's first job.
 func firstID(t *testing.T, s *client.Session) string {
 	t.Helper()
--- a/internal/testkit/fakeplatform/node.go
+++ b/internal/testkit/fakeplatform/node.go
@@ -48,13 +48,26 @@
 			"grades": classes}})
 }
 
-// FreeAddress returns a loopback address at which nothing listens. It has a random IP address, because on 127.0.0.1 the
-// kernel may assign a port that was just found free to the next outgoing connection of any process.
+// Ports of FreeAddress. They are below those that Linux assigns by itself (net.ipv4.ip_local_port_range).
+const (
+	minFreePort = 10000
+	maxFreePort = 32000
+)
+
+// freeAddressAttempts is how many addresses FreeAddress tries.
+const freeAddressAttempts = 100
+
+// FreeAddress returns a loopback address at which nothing listens. A process can be started at it, killed and started again: neither its
+// IP address nor its port, which are random, is one that the kernel assigns to a connection or listener of another process meanwhile.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(126), rand.IntN(256), 1+rand.IntN(254)))
-	if err != nil {
-		return "", err
+	var errs error
+	for range freeAddressAttempts {
+		port := minFreePort + rand.IntN(maxFreePort-minFreePort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", 1+rand.IntN(126), rand.IntN(256), 1+rand.IntN(254), port))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
+		errs = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errs
 }
