Zone simulation: a node that its table leaves no zone may use all of them

Trace: at 13.442 s zones a and c are evacuated, and b is cut from c, the node's own zone. Its table assigns it 0 everywhere, and Follower.Shares makes each share 1, as the design says: 'Shares are scaled: the largest counts as 1, so that where all zones are doubted none is' (docs/design/fleet-as-one.md). The check knew this for zones in slow start, not for evacuated ones. The product is unchanged.

The drawn scenario is kept as a test.

--- a/internal/node/zones/simulation/simulation_test.go
+++ b/internal/node/zones/simulation/simulation_test.go
@@ -60,6 +60,23 @@
 	})
 }
 
+// TestRun_evacuatedZonesWhileTheOnlyOtherIsUnreachable guards against a check that finds fault with the last resort of Follower.Shares: two of
+// three zones are evacuated, and the third cannot be reached from the zone of a node, so that its table leaves it none, and each share is 1.
+func TestRun_evacuatedZonesWhileTheOnlyOtherIsUnreachable(t *testing.T) {
+	scenario := Baseline(1)
+	scenario.Length = 20 * time.Second
+	scenario.LossProbability, scenario.DuplicateProbability, scenario.ReorderProbability = 0.03125, 0.140625, 0.1
+	for _, drawn := range []struct {
+		kind FaultKind
+		seed uint64
+	}{{ProcessPause, 0x205}, {ZoneErrors, 0x42}, {LinkPartition, 0xfb}, {ZoneFlaps, 0x139}} {
+		scenario.Faults = append(scenario.Faults, scenario.RandomFault(rand.New(rand.NewPCG(drawn.seed, 1)), drawn.kind))
+	}
+	if r := run(t, scenario); len(r.Violations) > 0 {
+		t.Fatalf("scenario with faults %+v: got violations %v, want none", scenario.Faults, r.Violations)
+	}
+}
+
 // A failing zone is evacuated, all processes apply that within a time limit, and the zone later takes its full share
 // again. This holds at 25 operations per second and node, and at 2.
 func TestRun_failingZoneIsEvacuated(t *testing.T) {
