--- a/internal/controlplane/server/role_assignment.go
+++ b/internal/controlplane/server/role_assignment.go
@@ -58,11 +58,14 @@
 	status := shard.group.Status()
 	machine := s.registryMachine(shard.id)
 	if !status.IsLeader() || !machine.ownsInTerm(status.Term) {
+		s.logRolePlanningEnd(shard, roles.term)
 		*roles = shardRoles{}
 		return
 	}
 	now := s.environment.Now()
 	if roles.term != status.Term {
+		s.logRolePlanningEnd(shard, roles.term)
+		s.logger.Info("role planning started", zap.Uint32("shard", uint32(shard.id)), zap.Uint64("fencingToken", status.Term))
 		*roles = shardRoles{term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}}
 	}
 	if now.Sub(roles.since) < newOwnerQuietPeriod(s.currentSettings().Bounds) || !isCurrent(status) {
@@ -83,6 +86,13 @@
 	}
 }
 
+// logRolePlanningEnd logs that this server does not plan roles for a shard any more in a term; a term of 0 means that it did not.
+func (s *Server) logRolePlanningEnd(shard *shard, term uint64) {
+	if term != 0 {
+		s.logger.Info("role planning ended", zap.Uint32("shard", uint32(shard.id)), zap.Uint64("fencingToken", term))
+	}
+}
+
 // newOwnerQuietPeriod returns how long a new owner sends no commands. After that time, the lease under which the earlier owner may
 // send commands has ended.
 func newOwnerQuietPeriod(bounds bootconfig.Bounds) time.Duration {
