--- a/internal/testkit/controlplanesim/history/types.go
+++ b/internal/testkit/controlplanesim/history/types.go
@@ -181,6 +181,7 @@
 	CheckRegistration   = "registrations" // an agent in contact shows every worker whose heartbeat was acknowledged
 	CheckServeAgain     = "serve-again"   // some operation is answered within ServeAgain of each disruption
 	CheckMajority       = "majority"      // a majority survives any further loss within the tolerance
+	CheckOneOwner       = "one-owner"     // role commands that reach a worker show one owner at a time
 	CheckIsolated       = "isolated"      // servers isolated from a majority acknowledge nothing
 )
 
--- a/internal/testkit/localfleet/fleet_test.go
+++ b/internal/testkit/localfleet/fleet_test.go
@@ -57,11 +57,17 @@
 // newFleetTest starts a fleet and kills its processes at the end of the test.
 func newFleetTest(t *testing.T) *fleetTest {
 	t.Helper()
-	fleet, err := localfleet.New(localfleet.Layout{Binary: binary, Directory: t.TempDir(), Servers: serverCount, Edges: edgeCount})
+	return startFleet(t, localfleet.Layout{Binary: binary, Directory: t.TempDir(), Servers: serverCount, Edges: edgeCount}, testTimeout)
+}
+
+// startFleet starts all processes of a fleet and kills them at the end of the test.
+func startFleet(t *testing.T, layout localfleet.Layout, timeout time.Duration) *fleetTest {
+	t.Helper()
+	fleet, err := localfleet.New(layout)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	operator := localfleet.NewOperator(fleet.ControlAddresses())
 	t.Cleanup(func() {
 		cancel()
