--- a/internal/controlplane/roleplanner/planner.go
+++ b/internal/controlplane/roleplanner/planner.go
@@ -17,6 +17,7 @@
 	Stage    string // reported by the worker: Prefill or Decode
 	Assigned string // stage that the worker is to have; empty if none is assigned
 	Draining bool
+	Held     bool // must not be commanded, and so not be assigned a stage, yet
 }
 
 // transitioning reports whether the worker is assigned a stage that it does not have yet.
@@ -169,7 +170,7 @@
 	byZone := map[string][]string{}
 	for i := range workers {
 		worker := &workers[i]
-		if worker.transitioning() || p.transitions[worker.ID] != nil || worker.Stage != stage || now < p.cooldownUntil[worker.ID] {
+		if worker.Held || worker.transitioning() || p.transitions[worker.ID] != nil || worker.Stage != stage || now < p.cooldownUntil[worker.ID] {
 			continue
 		}
 		byZone[worker.Zone] = append(byZone[worker.Zone], worker.ID)
--- a/internal/controlplane/roleplanner/planner_test.go
+++ b/internal/controlplane/roleplanner/planner_test.go
@@ -348,3 +348,22 @@
 		t.Fatalf("the planner still has %d transitions, want none", len(s.planner.transitions))
 	}
 }
+
+// A worker that is held keeps its role, and goes on with its transition once it is released.
+func TestPlanner_Plan_heldWorkerIsNotCommanded(t *testing.T) {
+	s := newSimulatedService(t, 2, 6)
+	for i := range s.workers {
+		s.workers[i].Held = true
+	}
+	s.workers[5].Assigned = Prefill
+	s.demand = demandOf(4, 1)
+	s.run(20 * time.Second)
+	if len(s.commands) != 0 || s.workers[5].Assigned != Prefill {
+		t.Fatalf("commands %v, assignment %q of the held worker in transition; want none and prefill", s.commands, s.workers[5].Assigned)
+	}
+	s.workers[5].Held = false
+	s.run(time.Second)
+	if len(s.commands) != 1 || s.commands[0].ID != s.workers[5].ID {
+		t.Fatalf("commands %v after one worker was released, want one to it", s.commands)
+	}
+}
--- a/internal/controlplane/roleplanner/transition.go
+++ b/internal/controlplane/roleplanner/transition.go
@@ -60,7 +60,7 @@
 	var plan Plan
 	for i := range workers {
 		worker := &workers[i]
-		if !worker.transitioning() {
+		if worker.Held || !worker.transitioning() {
 			continue
 		}
 		current := p.transitions[worker.ID]
--- a/internal/controlplane/server/lifecycle.go
+++ b/internal/controlplane/server/lifecycle.go
@@ -23,11 +23,7 @@
 // cannot be used or a listener fails.
 func Run(ctx context.Context, settings bootconfig.Settings, changes <-chan bootconfig.Settings, logger *zap.Logger) error {
 	limitMemory(settings.Limits.MemoryMb)
-	workers, err := newHTTPWorkerClient()
-	if err != nil {
-		return err
-	}
-	s, err := Open(ctx, settings, Environment{Workers: workers, SettingsChanges: changes, LimitMemory: true}, logger)
+	s, err := Open(ctx, settings, Environment{Workers: NewWorkerClient(DialWorker), SettingsChanges: changes, LimitMemory: true}, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/server/role_assignment.go
+++ b/internal/controlplane/server/role_assignment.go
@@ -15,27 +15,26 @@
 
 // WorkerClient calls workers. In the messages to and from workers, a worker's role is called its stage.
 type WorkerClient interface {
-	// SendRoleCommand sends a command to a worker and returns the HTTP status of its answer, 0 if there is none.
-	SendRoleCommand(ctx context.Context, command RoleCommand) (status int)
-	// ReportedRole polls a worker for its role. The result is empty if the worker gives no valid answer or is changing its role.
-	ReportedRole(ctx context.Context, instance, address string) string
+	// SendRoleCommand sends a command to a worker. It calls permitted just before it writes the command, and writes nothing if the
+	// result is false. The command reaches the worker's machine within commandDeliveryTimeout of the write or never.
+	SendRoleCommand(ctx context.Context, command RoleCommand, permitted func() bool) CommandDelivery
+	// Report polls a worker for its role.
+	Report(ctx context.Context, instance, address string) WorkerReport
 }
 
-// RoleCommand tells a worker to change its role.
-type RoleCommand struct {
-	Instance     string // the worker's ID
-	Address      string // "ip:port"
-	Role         string
-	LeaseHolder  string // node name of the sending server
-	FencingToken uint64 // the term of the ownership, which rises with every change of owner
+// WorkerReport is the result of polling a worker.
+type WorkerReport struct {
+	Answered bool   // the worker has answered
+	Role     string // empty if the answer is not valid or the worker is changing its role
 }
 
 // shardRoles is the state of role planning for one owned shard. Only the role planner's loop uses it, and discards it when the
 // ownership ends.
 type shardRoles struct {
-	term     uint64                          // of the ownership; 0 if the shard is not owned
-	since    time.Time                       // start of the ownership
-	planners map[string]*roleplanner.Planner // by service
+	term      uint64                          // of the ownership; 0 if the shard is not owned
+	since     time.Time                       // start of the ownership
+	planners  map[string]*roleplanner.Planner // by service
+	clearance *workerClearance
 }
 
 // runRolePlanner plans and assigns the roles (prefill or decode) of the workers in the shards that this server owns, every
@@ -52,8 +51,9 @@
 }
 
 // planShardRoles runs one planning step for the services of a shard: roleplanner.Planner makes a plan, the plan's assignments are
-// recorded in the registry, and only then are its commands sent to the workers. A new owner does nothing during
-// newOwnerQuietPeriod, and an owner without recent contact with a majority does nothing either.
+// recorded in the registry, and only then are its commands sent to the workers. A new owner plans nothing during
+// newOwnerQuietPeriod and holds each worker back until workerClearance allows commands to it. An owner without recent contact with a
+// majority plans nothing either.
 func (s *Server) planShardRoles(ctx context.Context, shard *shard, roles *shardRoles) {
 	status := shard.group.Status()
 	machine := s.registryMachine(shard.id)
@@ -66,13 +66,17 @@
 	if roles.term != status.Term {
 		s.logRolePlanningEnd(shard, roles.term)
 		s.logger.Info("role planning started", zap.Uint32("shard", uint32(shard.id)), zap.Uint64("fencingToken", status.Term))
-		*roles = shardRoles{term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}}
+		*roles = shardRoles{
+			term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}, clearance: newWorkerClearance(now, machine.workersByService()),
+		}
 	}
+	s.pollUncleared(ctx, roles.clearance, machine.workersByService())
 	if now.Sub(roles.since) < newOwnerQuietPeriod(s.currentSettings().Bounds) || !isCurrent(status) {
 		return
 	}
 	demands := s.demands.totalByService(s.uptime(), shard.id)
 	for service, workers := range machine.workersByService() {
+		s.holdUncleared(roles.clearance, workers)
 		planner := roles.planners[service]
 		if planner == nil {
 			planner = roleplanner.NewPlanner()
@@ -86,6 +90,25 @@
 	}
 }
 
+// pollUncleared polls the workers whose answer the clearance waits for, without waiting for them.
+func (s *Server) pollUncleared(ctx context.Context, clearance *workerClearance, workers map[string][]roleplanner.Worker) {
+	for _, worker := range clearance.duePolls(s.environment.Now(), workers) {
+		s.lifecycle.background.Go(func() {
+			if s.environment.Workers.Report(ctx, worker.ID, worker.Address).Answered {
+				clearance.recordAnswer(worker.ID, s.environment.Now())
+			}
+		})
+	}
+}
+
+// holdUncleared marks the workers that must not be commanded yet.
+func (s *Server) holdUncleared(clearance *workerClearance, workers []roleplanner.Worker) {
+	now, bounds := s.environment.Now(), s.currentSettings().Bounds
+	for i := range workers {
+		workers[i].Held = !clearance.mayCommand(workers[i].ID, now, bounds)
+	}
+}
+
 // logRolePlanningEnd logs that this server does not plan roles for a shard any more in a term; a term of 0 means that it did not.
 func (s *Server) logRolePlanningEnd(shard *shard, term uint64) {
 	if term != 0 {
@@ -93,8 +116,7 @@
 	}
 }
 
-// newOwnerQuietPeriod returns how long a new owner sends no commands. After that time, the lease under which the earlier owner may
-// send commands has ended.
+// newOwnerQuietPeriod returns how long a new owner plans nothing, and sends no commands to any worker.
 func newOwnerQuietPeriod(bounds bootconfig.Bounds) time.Duration {
 	return bootconfig.Millis(bounds.LeaseMs) + leaseSafetyMargin
 }
@@ -129,9 +151,7 @@
 	var group errgroup.Group
 	for i, poll := range polls {
 		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, workerCommandTimeout)
-			defer cancel()
-			roles[i] = s.environment.Workers.ReportedRole(ctx, poll.ID, poll.Address)
+			roles[i] = s.environment.Workers.Report(ctx, poll.ID, poll.Address).Role
 			return nil
 		})
 	}
--- a/internal/controlplane/server/role_assignment_test.go
+++ b/internal/controlplane/server/role_assignment_test.go
@@ -26,24 +26,28 @@
 	status int                       // answer to every command
 	before func(command RoleCommand) // called before a command is recorded, if not nil
 	roles  map[string]string         // reported roles by instance ID
+	silent map[string]bool           // workers that do not answer polls, by instance ID
 	polls  int                       // number of polls so far
 }
 
-func (w *scriptedWorkerClient) SendRoleCommand(_ context.Context, command RoleCommand) int {
+func (w *scriptedWorkerClient) SendRoleCommand(_ context.Context, command RoleCommand, permitted func() bool) CommandDelivery {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.before != nil {
 		w.before(command)
 	}
+	if !permitted() {
+		return CommandDelivery{Err: errNotPermitted}
+	}
 	w.sent = append(w.sent, command)
-	return w.status
+	return CommandDelivery{Status: w.status}
 }
 
-func (w *scriptedWorkerClient) ReportedRole(_ context.Context, instance, _ string) string {
+func (w *scriptedWorkerClient) Report(_ context.Context, instance, _ string) WorkerReport {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.polls++
-	return w.roles[instance]
+	return WorkerReport{Answered: !w.silent[instance], Role: w.roles[instance]}
 }
 
 func (w *scriptedWorkerClient) commands() []RoleCommand {
@@ -114,6 +118,7 @@
 			f.server.execute(f.Context(), shardRequest{Kind: callDemand, Shard: id, ID: "self", Body: body})
 		}
 		f.server.planShardRoles(f.Context(), f.server.shards[f.id], &f.roles)
+		f.server.lifecycle.background.Wait() // the polls of a new owner
 	}
 }
 
@@ -142,6 +147,30 @@
 	}
 }
 
+// A worker that an earlier owner knew may be paused with a command of that owner in its sockets, until it answers.
+func TestServer_PlanShardRoles_silentWorkersAreHeld(t *testing.T) {
+	fixture := newRolePlannerFixture(t)
+	fixture.workers.silent = map[string]bool{}
+	for _, worker := range fixture.server.registryMachine(fixture.id).workersByService()[stagedService] {
+		fixture.workers.silent[worker.ID] = true
+	}
+	fixture.run(10 * time.Second)
+	if commands := fixture.workers.commands(); len(commands) != 0 {
+		fixture.Fatalf("%+v were sent to workers that do not answer, want none", commands)
+	}
+	fixture.workers.silent = nil
+	answeredFrom := fixture.now
+	lease := bootconfig.Millis(fixture.server.settings.Bounds.LeaseMs)
+	fixture.run(lease)
+	if commands := fixture.workers.commands(); len(commands) != 0 {
+		fixture.Fatalf("%+v were sent within the lease after the workers answered, want none", commands)
+	}
+	fixture.run(2 * time.Second)
+	if len(fixture.workers.commands()) == 0 {
+		fixture.Fatalf("no command was sent in the %v after the workers answered", fixture.now.Sub(answeredFrom))
+	}
+}
+
 func TestServer_PlanShardRoles_ownerWithoutQuorumContactSendsNothing(t *testing.T) {
 	fixture := newRolePlannerFixture(t)
 	status := leaderStatus()
@@ -165,6 +194,16 @@
 	}
 }
 
+// The owner may lose its term while a worker takes its time to answer, before the command is written.
+func TestServer_SendRoleCommand_termEndsBeforeTheWrite(t *testing.T) {
+	fixture := newRolePlannerFixture(t)
+	fixture.workers.before = func(RoleCommand) { fixture.group.set(followerStatus("b")) }
+	fixture.run(6 * time.Second)
+	if commands := fixture.workers.commands(); len(commands) != 0 {
+		fixture.Fatalf("%+v were written after the term had ended, want none", commands)
+	}
+}
+
 func TestServer_PlanShardRoles_assignmentIsRecordedBeforeCommand(t *testing.T) {
 	fixture := newRolePlannerFixture(t)
 	unrecorded := 0
--- a/internal/controlplane/server/timing.go
+++ b/internal/controlplane/server/timing.go
@@ -45,11 +45,15 @@
 
 // Planning of workers' roles.
 const (
-	rolePlanInterval     = 250 * time.Millisecond // between planning steps
-	roleLogInterval      = 5 * time.Second        // between log messages about a service whose plan has not changed
-	leaseSafetyMargin    = 500 * time.Millisecond // that a new owner waits after the end of the lease before it sends commands
-	workerCommandTimeout = 500 * time.Millisecond // of one command or poll
-	assignmentTimeout    = time.Second            // for recording assignments
+	rolePlanInterval  = 250 * time.Millisecond // between planning steps
+	roleLogInterval   = 5 * time.Second        // between log messages about a service whose plan has not changed
+	leaseSafetyMargin = 500 * time.Millisecond // that a new owner waits after the end of the lease before it sends commands
+	workerCallTimeout = 500 * time.Millisecond // of a poll, and of what precedes a command on its connection
+	assignmentTimeout = time.Second            // for recording assignments
+
+	commandDeliveryTimeout = 500 * time.Millisecond // from the write of a command to its delivery to the worker's machine, or its loss; also for the answer
+	commandDeliveryMargin  = 200 * time.Millisecond // for delays of links and clocks
+	clearancePollInterval  = time.Second            // between polls of a worker that has not answered the new owner yet
 )
 
 // Joining and group membership.
--- a/internal/controlplane/server/worker_client.go
+++ b/internal/controlplane/server/worker_client.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"ospreybend/internal/util/logging"
+	"github.com/rotisserie/eris"
 )
 
 // HTTP statuses of a worker's answer to a role command.
@@ -29,76 +27,96 @@
 	operationSetRole = "stage"
 )
 
+// errNotPermitted means that a role command was not written because its sender may not send it any more.
+var errNotPermitted = eris.New("the role command is not permitted any more")
+
+// errNoReport means that a worker answered a poll without a valid report.
+var errNoReport = eris.New("the worker gave no valid report")
+
 // roleCommandBody is the JSON body of a role command.
 type roleCommandBody struct {
-	Operation    string `json:"op"`
-	Role         string `json:"stage"`
-	LeaseHolder  string `json:"holder"`
-	FencingToken uint64 `json:"fenceToken"`
+	Operation    string  `json:"op"`
+	Role         string  `json:"stage"`
+	LeaseHolder  string  `json:"holder"`
+	FencingToken uint64  `json:"fenceToken"`
+	IfRevision   *uint64 `json:"ifRevision,omitempty"` // number of commands that the worker has taken before this one
 }
 
 // workerReport is the part of a worker's JSON report that role assignment needs.
 type workerReport struct {
-	Role string `json:"stage"`
-	Busy bool   `json:"utilization"` // the worker is executing a command
+	Role     string  `json:"stage"`
+	Busy     bool    `json:"utilization"`        // the worker is executing a command
+	Revision *uint64 `json:"sequence,omitempty"` // number of commands that the worker has taken
 }
 
-// httpWorkerClient calls workers over HTTP. It sends each call once, without retries, on a new connection.
-type httpWorkerClient struct{ client *client.Client }
+// httpWorkerClient calls workers over HTTP. It makes each call on a new connection, without retries.
+type httpWorkerClient struct {
+	dial func(ctx context.Context, address string) (net.Conn, error)
+}
 
-func newHTTPWorkerClient() (*httpWorkerClient, error) {
-	logging.SilenceHertz()
-	httpClient, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
-		client.WithDialTimeout(workerCommandTimeout/2),
-		client.WithClientReadTimeout(workerCommandTimeout),
-		client.WithWriteTimeout(workerCommandTimeout),
-		client.WithKeepAlive(false),
-	)
-	return &httpWorkerClient{client: httpClient}, err
+// NewWorkerClient returns a client that calls workers over connections which dial opens, see DialWorker.
+func NewWorkerClient(dial func(ctx context.Context, address string) (net.Conn, error)) WorkerClient {
+	return &httpWorkerClient{dial: dial}
 }
 
-// SendRoleCommand implements WorkerClient.
-func (h *httpWorkerClient) SendRoleCommand(ctx context.Context, command RoleCommand) int {
-	body, err := json.Marshal(roleCommandBody{
-		Operation: operationSetRole, Role: command.Role, LeaseHolder: command.LeaseHolder, FencingToken: command.FencingToken,
+// SendRoleCommand implements WorkerClient. On one connection it first has the worker answer a report, so that the command is written only
+// to a worker that reads, and then sends the command for the revision that the worker has reported.
+func (h *httpWorkerClient) SendRoleCommand(ctx context.Context, command RoleCommand, permitted func() bool) CommandDelivery {
+	connection, err := openWorkerConnection(ctx, h.dial, command.Address, command.Instance)
+	if err != nil {
+		return CommandDelivery{Err: err}
+	}
+	defer connection.close()
+	status, body, err := connection.exchange(http.MethodGet, reportPath, nil)
+	if err != nil {
+		return CommandDelivery{Err: err}
+	}
+	if status == statusMisdirected {
+		return CommandDelivery{Status: status}
+	}
+	report, err := decodeReport(status, body)
+	if err != nil {
+		return CommandDelivery{Err: err}
+	}
+	encoded, err := json.Marshal(roleCommandBody{
+		Operation: operationSetRole, Role: command.Role, LeaseHolder: command.LeaseHolder, FencingToken: command.FencingToken, IfRevision: report.Revision,
 	})
 	if err != nil {
-		return 0
+		return CommandDelivery{Err: err}
 	}
-	status, _ := h.call(ctx, http.MethodPost, command.Instance, command.Address, commandPath, body)
-	return status
+	connection.setDeadline(time.Now().Add(commandDeliveryTimeout))
+	if !permitted() {
+		return CommandDelivery{Err: errNotPermitted}
+	}
+	delivery := CommandDelivery{WrittenAt: time.Now()}
+	delivery.Status, _, delivery.Err = connection.exchange(http.MethodPost, commandPath, encoded)
+	return delivery
 }
 
-// ReportedRole implements WorkerClient.
-func (h *httpWorkerClient) ReportedRole(ctx context.Context, instance, address string) string {
-	var report workerReport
-	status, body := h.call(ctx, http.MethodGet, instance, address, reportPath, nil)
-	if status != statusOK || json.Unmarshal(body, &report) != nil || report.Busy {
-		return ""
+// Report implements WorkerClient.
+func (h *httpWorkerClient) Report(ctx context.Context, instance, address string) WorkerReport {
+	connection, err := openWorkerConnection(ctx, h.dial, address, instance)
+	if err != nil {
+		return WorkerReport{}
 	}
-	return report.Role
+	defer connection.close()
+	status, body, err := connection.exchange(http.MethodGet, reportPath, nil)
+	if err != nil {
+		return WorkerReport{}
+	}
+	report, err := decodeReport(status, body)
+	if err != nil || report.Busy {
+		return WorkerReport{Answered: true}
+	}
+	return WorkerReport{Answered: true, Role: report.Role}
 }
 
-// call makes one call and returns the HTTP status and the body of the answer. The status is 0 if there is no answer. If ctx has no
-// deadline, the timeout is workerCommandTimeout.
-func (h *httpWorkerClient) call(ctx context.Context, method, instance, address, path string, body []byte) (int, []byte) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
-	request.SetMethod(method)
-	request.SetRequestURI("http://" + address + path)
-	request.SetHeader(headerInstance, instance)
-	if body != nil {
-		request.Header.SetContentTypeBytes([]byte(contentTypeJSON))
-		request.SetBody(body)
-	}
-	deadline, hasDeadline := ctx.Deadline()
-	if !hasDeadline {
-		deadline = time.Now().Add(workerCommandTimeout)
+func decodeReport(status int, body []byte) (report workerReport, err error) {
+	if status != statusOK {
+		return report, errNoReport
 	}
-	if err := h.client.DoDeadline(ctx, request, response, deadline); err != nil {
-		return 0, nil
+	if json.Unmarshal(body, &report) != nil {
+		return report, errNoReport
 	}
-	return response.StatusCode(), append([]byte(nil), response.Body()...)
+	return report, nil
 }
--- a/internal/controlplane/server/worker_client_test.go
+++ b/internal/controlplane/server/worker_client_test.go
@@ -1,71 +1,91 @@
 package server
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"ospreybend/internal/controlplane/roleplanner"
 )
 
-// startFakeWorker starts an HTTP server in place of a worker and counts the calls to it.
-func startFakeWorker(t *testing.T, handler http.HandlerFunc) (address string, calls *atomic.Int64) {
-	t.Helper()
-	calls = new(atomic.Int64)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls.Add(1)
-		handler(w, r)
-	}))
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://"), calls
+// fakeWorker is an HTTP server in place of a worker. It answers each report, and commands by a handler.
+type fakeWorker struct {
+	address  string
+	reports  atomic.Int64
+	commands atomic.Int64
 }
 
-func newTestWorkerClient(t *testing.T) *httpWorkerClient {
+// startFakeWorker starts a worker with the given report.
+func startFakeWorker(t *testing.T, report string, onCommand http.HandlerFunc) *fakeWorker {
 	t.Helper()
-	client, err := newHTTPWorkerClient()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return client
+	worker := &fakeWorker{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+reportPath, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerInstance) != "i-1" {
+			t.Errorf("report asked of instance %q, want i-1", r.Header.Get(headerInstance))
+		}
+		worker.reports.Add(1)
+		_, _ = io.WriteString(w, report)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		worker.commands.Add(1)
+		onCommand(w, r)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	worker.address = strings.TrimPrefix(server.URL, "http://")
+	return worker
 }
 
-func commandContext(t *testing.T, timeout time.Duration) context.Context {
-	ctx, cancel := context.WithTimeout(t.Context(), timeout)
-	t.Cleanup(cancel)
-	return ctx
+func always() bool { return true }
+
+func sendCommand(t *testing.T, address string, permitted func() bool) CommandDelivery {
+	t.Helper()
+	command := RoleCommand{Instance: "i-1", Address: address, Role: roleplanner.Prefill, LeaseHolder: "core-1", FencingToken: 41}
+	return NewWorkerClient(DialWorker).SendRoleCommand(t.Context(), command, permitted)
 }
 
-func TestHTTPWorkerClient_SendRoleCommand_sendsLeaseHolderAndTarget(t *testing.T) {
-	var received roleCommandBody
-	var path, instance string
-	address, calls := startFakeWorker(t, func(w http.ResponseWriter, r *http.Request) {
-		path, instance = r.Method+" "+r.URL.Path, r.Header.Get(headerInstance)
-		body, _ := io.ReadAll(r.Body)
-		if err := json.Unmarshal(body, &received); err != nil {
-			t.Error(err)
+func TestHTTPWorkerClient_SendRoleCommand_sendsLeaseHolderTargetAndRevision(t *testing.T) {
+	for report, revision := range map[string]*uint64{`{"stage":"decode","sequence":7}`: new(uint64(7)), `{"stage":"decode"}`: nil} {
+		var received roleCommandBody
+		var path, instance string
+		worker := startFakeWorker(t, report, func(w http.ResponseWriter, r *http.Request) {
+			path, instance = r.Method+" "+r.URL.Path, r.Header.Get(headerInstance)
+			body, _ := io.ReadAll(r.Body)
+			if err := json.Unmarshal(body, &received); err != nil {
+				t.Error(err)
+			}
+			w.WriteHeader(http.StatusAccepted)
+		})
+		delivery := sendCommand(t, worker.address, always)
+		if delivery.Status != http.StatusAccepted || delivery.Err != nil || delivery.WrittenAt.IsZero() {
+			t.Fatalf("delivery %+v, want status 202 and the time of the write", delivery)
+		}
+		want := roleCommandBody{Operation: "stage", Role: "prefill", LeaseHolder: "core-1", FencingToken: 41, IfRevision: revision}
+		if path != "POST /-/order" || instance != "i-1" || !reflect.DeepEqual(received, want) {
+			t.Fatalf("worker received %q for instance %q with %+v, want POST /-/order for i-1 with %+v", path, instance, received, want)
+		}
+		if worker.commands.Load() != 1 || worker.reports.Load() != 1 {
+			t.Fatalf("worker received %d commands and %d polls, want one each", worker.commands.Load(), worker.reports.Load())
 		}
-		w.WriteHeader(http.StatusAccepted)
-	})
-	command := RoleCommand{Instance: "i-1", Address: address, Role: roleplanner.Prefill, LeaseHolder: "core-1", FencingToken: 41}
-	if status := newTestWorkerClient(t).SendRoleCommand(commandContext(t, workerCommandTimeout), command); status != http.StatusAccepted {
-		t.Fatalf("status %d, want 202", status)
-	}
-	expected := roleCommandBody{Operation: "stage", Role: "prefill", LeaseHolder: "core-1", FencingToken: 41}
-	if path != "POST /-/order" || instance != "i-1" || received != expected || calls.Load() != 1 {
-		t.Fatalf("worker received %q for instance %q with %+v in %d calls, want POST /-/order for i-1 with %+v in one call", path, instance, received, calls.Load(), expected)
 	}
 }
 
 func TestHTTPWorkerClient_SendRoleCommand_unansweredIsSentOnce(t *testing.T) {
 	release := make(chan struct{})
-	unresponsive, unresponsiveCalls := startFakeWorker(t, func(http.ResponseWriter, *http.Request) { <-release })
-	disconnecting, disconnectedCalls := startFakeWorker(t, func(w http.ResponseWriter, _ *http.Request) {
+	unresponsive := startFakeWorker(t, `{"stage":"decode"}`, func(http.ResponseWriter, *http.Request) { <-release })
+	disconnecting := startFakeWorker(t, `{"stage":"decode"}`, func(w http.ResponseWriter, _ *http.Request) {
 		connection, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			t.Error(err)
@@ -74,40 +94,108 @@
 		_ = connection.Close()
 	})
 	defer close(release)
-	client := newTestWorkerClient(t)
-	for _, address := range []string{unresponsive, disconnecting} {
-		command := RoleCommand{Instance: "i-1", Address: address, Role: roleplanner.Decode}
-		if status := client.SendRoleCommand(commandContext(t, 100*time.Millisecond), command); status != 0 {
-			t.Errorf("status %d of a command without an answer, want 0", status)
+	for _, worker := range []*fakeWorker{unresponsive, disconnecting} {
+		if delivery := sendCommand(t, worker.address, always); delivery.Status != 0 || delivery.Err == nil {
+			t.Errorf("delivery %+v of a command without an answer, want status 0 and an error", delivery)
+		}
+		if worker.commands.Load() != 1 {
+			t.Errorf("the command was sent %d times, want once", worker.commands.Load())
+		}
+	}
+}
+
+// A command is not written to a worker that does not answer a report, nor once its sender may not send it any more.
+func TestHTTPWorkerClient_SendRoleCommand_isNotWritten(t *testing.T) {
+	accept := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) }
+	overtaken := startFakeWorker(t, `{"stage":"decode"}`, accept)
+	forbid := func() bool {
+		if overtaken.reports.Load() != 1 {
+			t.Error("permission was asked for before the worker had answered a report")
 		}
+		return false
 	}
-	if unresponsiveCalls.Load() != 1 || disconnectedCalls.Load() != 1 {
-		t.Fatalf("sent %d times to an unresponsive worker and %d times to one that disconnects, want once each", unresponsiveCalls.Load(), disconnectedCalls.Load())
+	if delivery := sendCommand(t, overtaken.address, forbid); !errors.Is(delivery.Err, errNotPermitted) || !delivery.WrittenAt.IsZero() {
+		t.Errorf("delivery %+v without permission, want errNotPermitted and no write", delivery)
 	}
+	invalid := startFakeWorker(t, `{"stage":`, accept)
+	if delivery := sendCommand(t, invalid.address, always); !errors.Is(delivery.Err, errNoReport) {
+		t.Errorf("delivery %+v to a worker with an invalid report, want errNoReport", delivery)
+	}
+	if overtaken.commands.Load()+invalid.commands.Load() != 0 {
+		t.Error("a command was written, want none")
+	}
+}
+
+// A connection on which a command has no answer is reset, so that the kernel discards what it has not delivered.
+func TestHTTPWorkerClient_SendRoleCommand_unansweredIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- answerReportOnly(listener) }()
+	if delivery := sendCommand(t, listener.Addr().String(), always); delivery.Status != 0 || delivery.WrittenAt.IsZero() {
+		t.Errorf("delivery %+v, want a written command without an answer", delivery)
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v at the worker, want ECONNRESET", err)
+	}
+}
+
+// answerReportOnly accepts one connection, answers a report, reads the command and returns how the connection ended.
+func answerReportOnly(listener net.Listener) error {
+	connection, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	if _, err := http.ReadRequest(reader); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, reader)
+	return err
 }
 
-func TestHTTPWorkerClient_ReportedRole_ignoresInvalidReports(t *testing.T) {
-	for body, expected := range map[string]string{
+func TestHTTPWorkerClient_Report_deadline(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0") // never accepts
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if report := NewWorkerClient(DialWorker).Report(ctx, "i-1", listener.Addr().String()); report != (WorkerReport{}) {
+		t.Errorf("report %+v of a worker that does not answer, want none", report)
+	}
+}
+
+func TestHTTPWorkerClient_Report_ignoresInvalidReports(t *testing.T) {
+	for body, role := range map[string]string{
 		`{"stage":"decode","utilization":false,"sequence":2}`: "decode",
 		`{"stage":"prefill","utilization":true}`:              "", // in transition
 		`{"stage":`:                                           "",
 		`{}`:                                                  "",
 	} {
-		address, _ := startFakeWorker(t, func(w http.ResponseWriter, r *http.Request) {
-			if r.Method != http.MethodGet || r.URL.Path != reportPath || r.Header.Get(headerInstance) != "i-1" {
-				t.Errorf("worker received %s %s for instance %q, want GET %s for i-1", r.Method, r.URL.Path, r.Header.Get(headerInstance), reportPath)
-			}
-			_, _ = io.WriteString(w, body)
-		})
-		if role := newTestWorkerClient(t).ReportedRole(commandContext(t, workerCommandTimeout), "i-1", address); role != expected {
-			t.Errorf("role from the report %s is %q, want %q", body, role, expected)
+		worker := startFakeWorker(t, body, http.NotFound)
+		if report := NewWorkerClient(DialWorker).Report(t.Context(), "i-1", worker.address); report != (WorkerReport{Answered: true, Role: role}) {
+			t.Errorf("report %+v from %s, want an answer with role %q", report, body, role)
 		}
 	}
-	address, _ := startFakeWorker(t, func(w http.ResponseWriter, _ *http.Request) {
+	misdirected := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		_, _ = io.WriteString(w, `{"stage":"decode"}`)
-	})
-	if role := newTestWorkerClient(t).ReportedRole(commandContext(t, workerCommandTimeout), "i-1", address); role != "" {
-		t.Errorf("role %q was taken from an answer with status 421, want none", role)
+	}))
+	defer misdirected.Close()
+	address := strings.TrimPrefix(misdirected.URL, "http://")
+	if report := NewWorkerClient(DialWorker).Report(t.Context(), "i-1", address); report.Role != "" {
+		t.Errorf("role %q was taken from an answer with status 421, want none", report.Role)
+	}
+	if delivery := sendCommand(t, address, always); delivery.Status != http.StatusMisdirectedRequest || !delivery.WrittenAt.IsZero() {
+		t.Errorf("delivery %+v to an address at which another instance runs, want status 421 and no write", delivery)
 	}
 }
--- a/internal/testkit/localfleet/command_worker_test.go
+++ b/internal/testkit/localfleet/command_worker_test.go
@@ -108,7 +108,7 @@
 	return slices.ContainsFunc(w.connections, func(c *net.TCPConn) bool { return droppedSegments(c) > 0 })
 }
 
-// cut makes the link of all later connections lose what the filter names.
+// cutCommands makes the link of all later connections lose commands.
 func (w *commandWorker) cutCommands(t *testing.T) { attachFilter(t, w.listener, dropCommands) }
 
 // openNewConnections heals the link for later connections; those that were accepted before stay cut.
@@ -138,12 +138,6 @@
 	w.pauseNext = true
 }
 
-func (w *commandWorker) isPaused() bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.paused
-}
-
 func (w *commandWorker) resume() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/testkit/localfleet/one_owner_test.go
+++ b/internal/testkit/localfleet/one_owner_test.go
@@ -22,7 +22,6 @@
 
 // Times of the scenarios.
 const (
-	takeoverTimeout = 20 * time.Second // until the next owner's first command
 	lateDelivery    = 14 * time.Second // longer than the sender's kernel would go on retransmitting, with pauses doubled up to 6.4 s
 	ownerFreeze     = 6 * time.Second
 	scenarioTimeout = 80 * time.Second
@@ -158,13 +157,19 @@
 // next owner's.
 func TestFleet_commandToPausedWorker(t *testing.T) {
 	t.Parallel()
-	for name, prepare := range map[string]func(w *commandWorker){
-		"paused before the command": (*commandWorker).pause,
-		"paused after its report":   (*commandWorker).pauseAfterReport,
+	for name, pause := range map[string]func(r *oneOwnerTest){
+		"paused before the command": (*oneOwnerTest).pauseOnAssignment,
+		"paused after its report": func(r *oneOwnerTest) {
+			r.await("an assignment", r.anyRoleAssigned)
+			for _, worker := range r.workers {
+				worker.pauseAfterReport()
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := newOneOwnerTest(t, prepare)
+			r := newOneOwnerTest(t, func(*commandWorker) {})
+			pause(r)
 			r.await("a command", r.anyCommandStarted)
 			owner := r.owner()
 			r.fleet.Server(owner).Kill()
@@ -183,19 +188,30 @@
 	}
 }
 
+// pauseOnAssignment pauses the workers once one is assigned a role, which is some planning steps before it is commanded.
+func (r *oneOwnerTest) pauseOnAssignment() {
+	r.await("an assignment", r.anyRoleAssigned)
+	for _, worker := range r.workers {
+		worker.pause()
+	}
+}
+
+// anyRoleAssigned reports whether a server has logged an assignment.
+func (r *oneOwnerTest) anyRoleAssigned() bool { return r.countLogs(`"role assigned"`) > 0 }
+
 // anyCommandStarted reports whether a server has logged the start of a role command.
 func (r *oneOwnerTest) anyCommandStarted() bool { return r.countLogs(`"role command started"`) > 0 }
 
 // planningServers returns the number of servers that have planned roles, or more if one did so in several terms.
 func (r *oneOwnerTest) planningServers() int { return r.countLogs(`"role planning started"`) }
 
-// countLogs returns how often a message stands in the logs of the servers for the shard of the workers' service.
+// countLogs returns how often a message stands in the logs of the servers, for the shard of the workers' service or no shard at all.
 func (r *oneOwnerTest) countLogs(message string) (count int) {
 	shard := fmt.Sprintf(`"shard":%d,`, modelShard)
 	for i := range serverCount {
 		log, _ := os.ReadFile(filepath.Join(r.directory, fmt.Sprintf("machine-1-%d", i+1), "controlplane.log"))
 		for line := range bytes.Lines(log) {
-			if bytes.Contains(line, []byte(message)) && bytes.Contains(line, []byte(shard)) {
+			if bytes.Contains(line, []byte(message)) && (bytes.Contains(line, []byte(shard)) || !bytes.Contains(line, []byte(`"shard":`))) {
 				count++
 			}
 		}
--- a/internal/testkit/localfleet/packet_filter_test.go
+++ b/internal/testkit/localfleet/packet_filter_test.go
@@ -36,9 +36,6 @@
 	{Code: unix.BPF_RET | unix.BPF_K, K: dropSegment},
 }
 
-// dropEverything drops all segments.
-var dropEverything = []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: dropSegment}}
-
 // attachFilter attaches a filter to a socket. Connections that a listener accepts later have its filter.
 func attachFilter(t *testing.T, socket syscall.Conn, filter []unix.SockFilter) {
 	t.Helper()
