--- a/internal/controlplane/registry/store.go
+++ b/internal/controlplane/registry/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 
 	"ospreybend/coord/feed"
@@ -53,6 +54,19 @@
 	}
 }
 
+// KnownIDs returns the IDs of all instances that have a record or a tombstone, sorted.
+func (s *Store) KnownIDs() []string {
+	ids := make([]string, 0, len(s.records)+len(s.tombstones))
+	for id := range s.records {
+		ids = append(ids, id)
+	}
+	for id := range s.tombstones {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Apply applies the committed command at an index of the log. It is deterministic. The returned change is to be published
 // in the feed. It is empty if the command changed nothing.
 func (s *Store) Apply(index uint64, encoded []byte) (Outcome, feed.Change) {
--- a/internal/controlplane/registry/store_test.go
+++ b/internal/controlplane/registry/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -267,3 +268,14 @@
 		t.Error("a superseded instance that deregistered is not removed permanently")
 	}
 }
+
+func TestStore_KnownIDs_includesRemovedInstances(t *testing.T) {
+	store := NewStore()
+	for i, id := range []string{"b", "a"} {
+		store.Apply(uint64(i+1), EncodePut(exampleInstance(id, "10.0.0."+id+":80"), 1))
+	}
+	store.Apply(3, EncodeRemove("b", Expired, 1))
+	if got := store.KnownIDs(); !slices.Equal(got, []string{"a", "b"}) || store.Instance("b") != nil {
+		t.Errorf("known IDs %v, instance b %v; want a and b, which is removed", got, store.Instance("b"))
+	}
+}
--- a/internal/controlplane/server/guards.go
+++ b/internal/controlplane/server/guards.go
@@ -19,6 +19,7 @@
 	GuardPromotedDurable    Guard = "promoted-durable"     // only a learner that has acknowledged nearly all of the log as durable is promoted
 	GuardVotersOdd          Guard = "voters-odd"           // a group has an even number of voters only while it grows to the next odd number
 	GuardSuccessorReady     Guard = "successor-ready"      // a leaving voter releases its vote only to a successor that can take it
+	GuardWorkerCleared      Guard = "worker-cleared"       // a new owner commands a worker only after it has read what earlier owners sent
 	GuardMajorityHandedOver Guard = "majority-handed-over" // leaders among leaving voters make successors voters before a majority of the voters has ended
 )
 
@@ -28,6 +29,6 @@
 		GuardReadConfirmed, GuardFeedCurrent, GuardHeartbeatCurrent, GuardHeartbeatRecorded, GuardOwnershipBarrier,
 		GuardOwnershipTerm, GuardBootstrapOnce, GuardOrphanReplicas,
 		GuardIdentityConfirmed, GuardReplacedRetired, GuardPromotedDurable, GuardSuccessorReady, GuardVotersOdd,
-		GuardMajorityHandedOver,
+		GuardMajorityHandedOver, GuardWorkerCleared,
 	}
 }
--- a/internal/controlplane/server/registry_machine.go
+++ b/internal/controlplane/server/registry_machine.go
@@ -156,6 +156,13 @@
 	return m.owned && m.leaderTerm == term
 }
 
+// knownInstances returns the IDs of the instances that this replica has a record of, or knows to be removed.
+func (m *registryMachine) knownInstances() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.KnownIDs()
+}
+
 // workersByService returns the workers that have a prefill or decode role, by service, each list sorted by ID.
 func (m *registryMachine) workersByService() map[string][]roleplanner.Worker {
 	m.mutex.Lock()
--- a/internal/controlplane/server/role_assignment.go
+++ b/internal/controlplane/server/role_assignment.go
@@ -67,7 +67,7 @@
 		s.logRolePlanningEnd(shard, roles.term)
 		s.logger.Info("role planning started", zap.Uint32("shard", uint32(shard.id)), zap.Uint64("fencingToken", status.Term))
 		*roles = shardRoles{
-			term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}, clearance: newWorkerClearance(now, machine.workersByService()),
+			term: status.Term, since: now, planners: map[string]*roleplanner.Planner{}, clearance: newWorkerClearance(now, machine.knownInstances()),
 		}
 	}
 	s.pollUncleared(ctx, roles.clearance, machine.workersByService())
@@ -103,6 +103,9 @@
 
 // holdUncleared marks the workers that must not be commanded yet.
 func (s *Server) holdUncleared(clearance *workerClearance, workers []roleplanner.Worker) {
+	if !s.environment.guardEnabled(GuardWorkerCleared) {
+		return
+	}
 	now, bounds := s.environment.Now(), s.currentSettings().Bounds
 	for i := range workers {
 		workers[i].Held = !clearance.mayCommand(workers[i].ID, now, bounds)
--- a/internal/controlplane/server/role_command.go
+++ b/internal/controlplane/server/role_command.go
@@ -45,7 +45,7 @@
 		s.metrics.countRoleCommand(outcome.delivery.Status)
 		s.logger.Info("role command finished", zap.Uint32("shard", uint32(shard.id)), zap.Uint64("fencingToken", status.Term),
 			zap.String("worker", outcome.worker), zap.Time("startedAt", outcome.startedAt), zap.Time("writtenAt", outcome.delivery.WrittenAt),
-			zap.Int("status", outcome.delivery.Status), zap.Error(outcome.delivery.Err))
+			zap.Int("status", outcome.delivery.Status), errorText(outcome.delivery.Err))
 	}
 }
 
@@ -69,6 +69,14 @@
 	return outcome
 }
 
+// errorText returns a log field with an error's message, without the stack trace that zap.Error adds.
+func errorText(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // commandResult classifies a worker's answer to a role command.
 func commandResult(status int) roleplanner.CommandResult {
 	switch status {
--- a/internal/controlplane/server/worker_clearance.go
+++ b/internal/controlplane/server/worker_clearance.go
@@ -16,7 +16,7 @@
 
 // workerClearance decides when a new owner of a shard may command each worker. A worker that an earlier owner knew may have a command
 // of that owner in its sockets for as long as it is paused. Once it answers a poll that was sent after formerCommandTimeout, it has
-// read all such commands, and may be commanded when the lease has passed since. Workers that register under the new owner may be
+// read all such commands, and may be commanded when the lease has passed since. Workers that are new under this owner may be
 // commanded at once.
 type workerClearance struct {
 	pollFrom time.Time
@@ -26,15 +26,14 @@
 	answeredAt map[string]time.Time // when each worker answered
 }
 
-// newWorkerClearance returns the state at a change of owner at which the given workers are known.
-func newWorkerClearance(ownedSince time.Time, workers map[string][]roleplanner.Worker) *workerClearance {
+// newWorkerClearance returns the state at a change of owner at which the given instances are known. Removed ones are among them, as a
+// worker that is paused expires, and registers again when it goes on.
+func newWorkerClearance(ownedSince time.Time, known []string) *workerClearance {
 	clearance := &workerClearance{
 		pollFrom: ownedSince.Add(formerCommandTimeout), unanswered: map[string]time.Time{}, answeredAt: map[string]time.Time{},
 	}
-	for _, service := range workers {
-		for i := range service {
-			clearance.unanswered[service[i].ID] = time.Time{}
-		}
+	for _, id := range known {
+		clearance.unanswered[id] = time.Time{}
 	}
 	return clearance
 }
--- a/internal/controlplane/server/worker_clearance_test.go
+++ b/internal/controlplane/server/worker_clearance_test.go
@@ -29,7 +29,7 @@
 	owned := time.Now()
 	bounds := bootconfig.Defaults().Bounds
 	workers := listWorkers("a", "b")
-	clearance := newWorkerClearance(owned, workers)
+	clearance := newWorkerClearance(owned, []string{"a", "b", "removed"})
 	workers[stagedService] = append(workers[stagedService], roleplanner.Worker{ID: "new"})
 
 	if polled := duePollIDs(clearance, owned.Add(formerCommandTimeout-1), workers); polled != nil {
@@ -52,6 +52,7 @@
 		{"a", later.Add(-1), false},
 		{"a", later, true},
 		{"b", later, false},
+		{"removed", later, false}, // it may register again
 	} {
 		if got := clearance.mayCommand(test.worker, test.at, bounds); got != test.want {
 			t.Errorf("may command %s %v after the change of owner: %v, want %v", test.worker, test.at.Sub(owned), got, test.want)
@@ -62,7 +63,7 @@
 func TestWorkerClearance_silentWorkerIsPolledAgain(t *testing.T) {
 	owned := time.Now()
 	workers := listWorkers("a")
-	clearance := newWorkerClearance(owned, workers)
+	clearance := newWorkerClearance(owned, []string{"a"})
 	pollAt := owned.Add(formerCommandTimeout)
 	for i, want := range []int{1, 0, 1} {
 		if polled := clearance.duePolls(pollAt.Add(time.Duration(i)*clearancePollInterval/2), workers); len(polled) != want {
