--- a/cmd/inference-router/measure_simulate.go
+++ b/cmd/inference-router/measure_simulate.go
@@ -28,6 +28,7 @@
 	Operators     int           `arg:"--operators" default:"2" help:"simulated operators, who send commands"`
 	Workers       int           `arg:"--workers" default:"6" help:"simulated workers"`
 	SlowDisks     bool          `arg:"--slow-disks" help:"make all disks slow at times, and have all servers lose power meanwhile"`
+	RoleCommands  bool          `arg:"--role-commands" help:"workers have roles and take role commands, some of which are delayed on the way; needs two workers for each of six services"`
 	Omit          []string      `arg:"--omit,separate" help:"protocol guard to disable; schedules run until one shows its absence; may be repeated, each guard is a separate part"`
 	General       bool          `arg:"--general" help:"with --omit: draw the general mix of events, not mainly those against which the guard protects"`
 	Schedule      string        `arg:"--schedule" help:"file with a schedule; only this one is run"`
@@ -116,7 +117,7 @@
 			return nil, fmt.Errorf("--servers must be positive numbers joined by commas, not %q", c.Servers)
 		}
 		shape := schedule.Shape{Servers: servers, Tolerance: c.tolerance(servers), Agents: c.Agents, Operators: c.Operators, Workers: c.Workers, Length: c.Length,
-			SlowDisks: c.SlowDisks}
+			SlowDisks: c.SlowDisks, RoleCommands: c.RoleCommands}
 		if len(c.Omit) == 0 {
 			shapes = append(shapes, shape)
 		}
--- a/internal/testkit/controlplanesim/campaign/focus.go
+++ b/internal/testkit/controlplanesim/campaign/focus.go
@@ -4,8 +4,9 @@
 
 // focus selects the events that most schedules of a guard's campaign consist of.
 type focus struct {
-	families  []schedule.Family
-	slowDisks bool
+	families     []schedule.Family
+	slowDisks    bool
+	roleCommands bool
 }
 
 // Families that cause the situations which several guards protect against.
@@ -52,6 +53,8 @@
 	"keeper.promoted-durable":     {families: []schedule.Family{schedule.FamilyChain, schedule.FamilyRejoin, schedule.FamilyDisk}},
 	"keeper.successor-ready":      {families: []schedule.Family{schedule.FamilyRollingRestart, schedule.FamilyChain}},
 	"keeper.majority-handed-over": {families: []schedule.Family{schedule.FamilyRollingRestart}},
+	"keeper.worker-cleared":       {roleCommands: true},
+	"worker.command-bounded":      {roleCommands: true},
 	"keeper.voters-odd":           {families: []schedule.Family{schedule.FamilyChain, schedule.FamilyMachine}},
 	"agent.leave-stale":           {families: []schedule.Family{schedule.FamilyPartition, schedule.FamilyOldLeader}},
 }
@@ -62,6 +65,7 @@
 		wanted := focusByGuard[guard]
 		shape.Focus = append(shape.Focus, wanted.families...)
 		shape.SlowDisks = shape.SlowDisks || wanted.slowDisks
+		shape.RoleCommands = shape.RoleCommands || wanted.roleCommands
 	}
 	return shape
 }
--- a/internal/testkit/controlplanesim/events.go
+++ b/internal/testkit/controlplanesim/events.go
@@ -141,10 +141,16 @@
 			thawAll = append(thawAll, process.Thaw)
 		}
 	}
+	endSilence := sim.recorder.beginSilence(event.Workers)
+	for _, i := range event.Workers {
+		thawAll = append(thawAll, sim.workers[i].freeze())
+	}
 	time.Sleep(event.Duration)
+	sim.recorder.exempt(sim.machinesAt(event.Servers))
 	for _, end := range thawAll {
 		end()
 	}
+	endSilence()
 	endFault()
 }
 
@@ -162,6 +168,7 @@
 	} else {
 		time.Sleep(event.Duration)
 	}
+	sim.recorder.exempt(sim.currentMachines())
 	heal()
 	sim.restrictTo(event, nil)
 	endFault()
@@ -348,13 +355,19 @@
 	for _, i := range event.Agents {
 		hosts[sim.edges[i].ip] = true
 	}
+	for _, i := range event.Workers {
+		hosts[sim.workers[i].host] = true
+	}
 	touches := func(p simnet.Path) bool { return p.From != p.To && (hosts[p.From] || hosts[p.To]) }
+	endSilence := sim.recorder.beginSilence(event.Workers)
+	defer endSilence()
 	switch event.Variant {
 	case schedule.LinkReset:
 		sim.network.Reset(touches)
 	case schedule.LinkHold:
 		heal := sim.network.Block(touches)
 		time.Sleep(event.Duration)
+		sim.recorder.exempt(sim.currentMachines())
 		heal()
 	case schedule.LinkSlow:
 		heal := sim.network.Slow(func(p simnet.Path) time.Duration {
--- a/internal/testkit/controlplanesim/guards.go
+++ b/internal/testkit/controlplanesim/guards.go
@@ -32,7 +32,7 @@
 	for _, rule := range configuration.Rules() {
 		names = append(names, configurationPrefix+string(rule))
 	}
-	return append(names, GuardLeaveStale)
+	return append(names, GuardLeaveStale, GuardCommandBounded)
 }
 
 // omissions are the guards and rules that a schedule omits, grouped by component.
@@ -41,6 +41,8 @@
 	consensus     []consensus.Rule
 	configuration []configuration.Rule
 	leaveStale    bool
+
+	commandBounded bool
 }
 
 func parseOmissions(names []string) (omissions, error) {
@@ -52,6 +54,8 @@
 		switch {
 		case name == GuardLeaveStale:
 			out.leaveStale = true
+		case name == GuardCommandBounded:
+			out.commandBounded = true
 		case strings.HasPrefix(name, serverPrefix):
 			out.server = append(out.server, server.Guard(strings.TrimPrefix(name, serverPrefix)))
 		case strings.HasPrefix(name, consensusPrefix):
--- a/internal/testkit/controlplanesim/history/commands.go
+++ b/internal/testkit/controlplanesim/history/commands.go
@@ -52,6 +52,11 @@
 	return found
 }
 
+// checkOneOwner checks the role commands of the run.
+func checkOneOwner(history History) []Violation {
+	return CheckRoleCommands(history.RoleCommands, history.Exemptions, history.Bounds.Lease)
+}
+
 func (e Exemption) covers(command RoleCommand) bool {
 	return e.Holder == command.Holder && e.From <= command.At && command.At <= e.To
 }
--- a/internal/testkit/controlplanesim/machine.go
+++ b/internal/testkit/controlplanesim/machine.go
@@ -43,7 +43,7 @@
 // settings returns the server's settings for one start.
 func (m *machine) settings(seeds []string, bootstrap bool) bootconfig.Settings {
 	config := bootconfig.Defaults()
-	config.NodeName = "core-" + m.ip
+	config.NodeName = m.nodeName()
 	config.IP, config.Zone, config.Region = m.ip, "zone", "region"
 	config.PortRange = [2]int{peerPort, peerPort + 15}
 	config.Listen.Control = controlAddress(m.ip)
@@ -54,6 +54,8 @@
 	return config
 }
 
+func (m *machine) nodeName() string { return "core-" + m.ip }
+
 // start starts a server unless one is running or another machine has taken the slot.
 func (m *machine) start(seeds []string, bootstrap bool) {
 	m.mutex.Lock()
@@ -83,6 +85,7 @@
 		Random:          sim.sharedRandom("keeper "+m.ip, start),
 		Dial:            incarnation.process.Dial,
 		Listen:          incarnation.process.Listen,
+		Workers:         m.workers(incarnation.process),
 		BeforeApply:     sim.chargeApply,
 		SettingsChanges: incarnation.changes,
 		OnGroupStatus:   func(status replica.Status) { sim.recorder.observe(m, status) },
--- a/internal/testkit/controlplanesim/record.go
+++ b/internal/testkit/controlplanesim/record.go
@@ -121,6 +121,29 @@
 	}
 }
 
+// beginSilence records that workers are paused or cut off. The function returned records the end.
+func (r *recorder) beginSilence(workers []int) (endSilence func()) {
+	var instances []string
+	for _, i := range workers {
+		if id := r.simulation.workers[i].instance(); id != "" {
+			instances = append(instances, id)
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	first := len(r.history.Silences)
+	for _, id := range instances {
+		r.history.Silences = append(r.history.Silences, history.Silence{Instance: id, From: r.now()})
+	}
+	return func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		for i := range instances {
+			r.history.Silences[first+i].To = r.now()
+		}
+	}
+}
+
 // addMember records the machine of a member ID.
 func (r *recorder) addMember(id consensus.MemberID, m *machine) {
 	r.mutex.Lock()
--- a/internal/testkit/controlplanesim/schedule/draw.go
+++ b/internal/testkit/controlplanesim/schedule/draw.go
@@ -10,15 +10,16 @@
 
 // Shape holds the parameters for generating schedules.
 type Shape struct {
-	Servers   int `json:"Keepers"`
-	Tolerance int
-	Agents    int
-	Operators int
-	Workers   int
-	Length    time.Duration
-	Omit      []string
-	Focus     []Family // families that most events are drawn from; nil means that each schedule draws its own mix
-	SlowDisks bool     // all disks are slow from time to time, and all servers lose power during these times
+	Servers      int `json:"Keepers"`
+	Tolerance    int
+	Agents       int
+	Operators    int
+	Workers      int
+	Length       time.Duration
+	Omit         []string
+	Focus        []Family // families that most events are drawn from; nil means that each schedule draws its own mix
+	RoleCommands bool     // workers have roles and take role commands, and are paused and cut off at times
+	SlowDisks    bool     // all disks are slow from time to time, and all servers lose power during these times
 }
 
 // startupTime is the time without events at the start, in which the group is bootstrapped and the first configuration sent.
@@ -66,13 +67,16 @@
 		g.slowDisks()
 	}
 	length := g.departures(seed)
+	if shape.RoleCommands {
+		g.commandFaults(seed)
+	}
 	routes, changes := drawStateSize(seed)
 	if changes > 0 {
 		snapshotEntries = 0 // or the changes would not be left to apply
 	}
 	slices.SortStableFunc(g.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return Schedule{Seed: seed, Servers: shape.Servers, Tolerance: shape.Tolerance, Agents: shape.Agents, Operators: shape.Operators,
-		Workers: shape.Workers, Length: length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Routes: routes, Changes: changes, Omit: slices.Clone(shape.Omit),
+		Workers: shape.Workers, Length: length, SnapshotEntries: snapshotEntries, RememberedChanges: remembered, Routes: routes, Changes: changes, RoleCommands: shape.RoleCommands, Omit: slices.Clone(shape.Omit),
 		Events: g.events}
 }
 
--- a/internal/testkit/controlplanesim/schedule/text.go
+++ b/internal/testkit/controlplanesim/schedule/text.go
@@ -42,6 +42,9 @@
 	if s.Changes > 0 {
 		fmt.Fprintf(&text, " changes=%d", s.Changes)
 	}
+	if s.RoleCommands {
+		text.WriteString(" role-commands")
+	}
 	if len(s.Omit) > 0 {
 		text.WriteString(" omit=" + strings.Join(s.Omit, ","))
 	}
@@ -160,6 +163,8 @@
 		s.Routes, err = strconv.Atoi(value)
 	case "changes":
 		s.Changes, err = strconv.Atoi(value)
+	case "role-commands":
+		s.RoleCommands = true
 	case "omit":
 		s.Omit = strings.Split(value, ",")
 	default:
--- a/internal/testkit/controlplanesim/simnet/listener.go
+++ b/internal/testkit/controlplanesim/simnet/listener.go
@@ -114,6 +114,28 @@
 
 // Dial opens a connection to a port, as "ip:port". During a partition it blocks until the partition heals or ctx ends.
 func (p *Process) Dial(ctx context.Context, to string) (net.Conn, error) {
+	opened, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return opened, nil
+}
+
+// DialWorker is like Dial, for a connection whose sent bytes may be unacknowledged for timeout; 0 means without limit. The other end has no
+// time-outs. Bytes that a partition holds back arrive with the next retransmission, up to maxRetransmissionPause after its end.
+func (p *Process) DialWorker(ctx context.Context, to string, timeout time.Duration) (net.Conn, error) {
+	opened, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	opened.worker, opened.peer.worker = true, true
+	opened.userTimeout, opened.peer.userTimeout = timeout, 0
+	return opened, nil
+}
+
+func (p *Process) dial(ctx context.Context, to string) (*conn, error) {
 	host, _, err := net.SplitHostPort(to)
 	if err != nil {
 		return nil, err
@@ -175,10 +197,10 @@
 		return nil, errRefused
 	}
 	n.lastStream++
-	here := &conn{network: n, process: p, path: path, local: address(path.From), remote: address(to), stream: 2 * n.lastStream, changed: make(chan struct{}, 1)}
+	here := &conn{network: n, process: p, path: path, local: address(path.From), remote: address(to), stream: 2 * n.lastStream, changed: make(chan struct{}, 1), userTimeout: userTimeout}
 	there := &conn{
 		network: n, process: port.process, path: path.reverse(), local: address(to), remote: address(path.From),
-		stream: 2*n.lastStream + 1, changed: make(chan struct{}, 1),
+		stream: 2*n.lastStream + 1, changed: make(chan struct{}, 1), userTimeout: userTimeout,
 	}
 	here.peer, there.peer = there, here
 	for _, end := range []*conn{here, there} {
--- a/internal/testkit/controlplanesim/simulation.go
+++ b/internal/testkit/controlplanesim/simulation.go
@@ -28,12 +28,13 @@
 	sampleInterval   = 250 * time.Millisecond
 	recoveryTime     = 8 * time.Second // after the last event
 	seedCount        = 3
+	leaseTime        = 3 * time.Second // the default of the setting leaseMs
 	formationTime    = 4 * time.Second // within which all groups of the core must be formed
 )
 
 // bounds are the time limits that the control plane guarantees.
 var bounds = history.Bounds{
-	Contact: 3 * time.Second, ConfigApply: 2 * time.Second, Drain: drainTime, Registration: 2 * time.Second, ServeAgain: 6 * time.Second,
+	Contact: 3 * time.Second, ConfigApply: 2 * time.Second, Drain: drainTime, Registration: 2 * time.Second, ServeAgain: 6 * time.Second, Lease: leaseTime,
 }
 
 // simulation is the state of one run.
@@ -53,13 +54,15 @@
 	reader    *operator // only reads; its responses are never lost
 	workers   []*worker
 
-	mutex       sync.Mutex
-	machines    []*machine // including replaced ones
-	listings    []listing  // the core machines as callers see them
-	current     []*machine // by slot
-	lostReplies map[string]int
-	triggers    map[schedule.Trigger]chan struct{}
-	syncs       []syncWait
+	mutex           sync.Mutex
+	commandSender   int               // slot of the machine that last wrote a role command
+	workerProcesses []*simnet.Process // of all incarnations of workers
+	machines        []*machine        // including replaced ones
+	listings        []listing         // the core machines as callers see them
+	current         []*machine        // by slot
+	lostReplies     map[string]int
+	triggers        map[schedule.Trigger]chan struct{}
+	syncs           []syncWait
 }
 
 // syncWait is an event that waits until a machine in one of the slots begins to sync its disk; without slots, any machine.
@@ -351,5 +354,11 @@
 	for _, m := range sim.allMachines() {
 		m.kill()
 	}
+	sim.mutex.Lock()
+	processes := slices.Clone(sim.workerProcesses)
+	sim.mutex.Unlock()
+	for _, process := range processes {
+		process.Kill()
+	}
 	sim.goroutines.Wait()
 }
--- a/internal/testkit/controlplanesim/slow_events.go
+++ b/internal/testkit/controlplanesim/slow_events.go
@@ -15,12 +15,16 @@
 // quotaPeriod is the period of the simulated CPU quota.
 const quotaPeriod = 100 * time.Millisecond
 
-// targetLeader replaces an event's first server by the configuration group's leader if the event targets the leader.
+// targetLeader replaces an event's first server by the configuration group's leader, or the sender of the role command that the event waited
+// for, if the event targets the leader.
 func (sim *simulation) targetLeader(event schedule.Event) schedule.Event {
 	if !event.Leader || len(event.Servers) == 0 {
 		return event
 	}
 	leader, found := sim.leaderSlot()
+	if event.Trigger == schedule.RoleCommand {
+		leader, found = sim.lastCommandSender(), true
+	}
 	if !found || slices.Contains(event.Servers[1:], leader) {
 		return event
 	}
