Control plane: a worker that closes its connection after a report is commanded, too

What callers saw: nobody yet, found in review. A worker that answers a report with Connection: close, or without a valid report, would never have been commanded.

Cause: the command had to follow the report on one connection, and the report had to be valid.

Change: if the worker ends the connection, the command goes on a new one, right after the answer; without a valid report it names no revision. Any answer shows that the worker reads.

--- a/internal/controlplane/server/worker_client.go
+++ b/internal/controlplane/server/worker_client.go
@@ -59,14 +59,14 @@
 	return &httpWorkerClient{dial: dial}
 }
 
-// SendRoleCommand implements WorkerClient. On one connection it first has the worker answer a report, so that the command is written only
-// to a worker that reads, and then sends the command for the revision that the worker has reported.
+// SendRoleCommand implements WorkerClient. It first has the worker answer a report, so that the command is written only to a worker that
+// reads, and then sends the command for the revision that the worker has reported, on the same connection if the worker keeps it open.
 func (h *httpWorkerClient) SendRoleCommand(ctx context.Context, command RoleCommand, permitted func() bool) CommandDelivery {
 	connection, err := openWorkerConnection(ctx, h.dial, command.Address, command.Instance)
 	if err != nil {
 		return CommandDelivery{Err: err}
 	}
-	defer connection.close()
+	defer func() { connection.close() }()
 	status, body, err := connection.exchange(http.MethodGet, reportPath, nil)
 	if err != nil {
 		return CommandDelivery{Err: err}
@@ -74,10 +74,13 @@
 	if status == statusMisdirected {
 		return CommandDelivery{Status: status}
 	}
-	report, err := decodeReport(status, body)
-	if err != nil {
-		return CommandDelivery{Err: err}
+	if connection.ended {
+		connection.close()
+		if connection, err = openWorkerConnection(ctx, h.dial, command.Address, command.Instance); err != nil {
+			return CommandDelivery{Err: err}
+		}
 	}
+	report, _ := decodeReport(status, body) // without a valid report, the command names no revision
 	encoded, err := json.Marshal(roleCommandBody{
 		Operation: operationSetRole, Role: command.Role, LeaseHolder: command.LeaseHolder, FencingToken: command.FencingToken, IfRevision: report.Revision,
 	})
--- a/internal/controlplane/server/worker_connection.go
+++ b/internal/controlplane/server/worker_connection.go
@@ -41,6 +41,7 @@
 	reader     *bufio.Reader
 	address    string
 	instance   string
+	ended      bool // the worker closes the connection after its last answer
 }
 
 // openWorkerConnection opens a connection whose deadline is that of ctx, or workerCallTimeout from now if that is earlier.
@@ -83,6 +84,7 @@
 		return 0, nil, eris.Wrap(err, "read a worker's answer")
 	}
 	c.setLinger(lingerGraceful)
+	c.ended = response.Close
 	answer, err = io.ReadAll(io.LimitReader(response.Body, maxWorkerAnswerBytes))
 	if err != nil {
 		return response.StatusCode, nil, eris.Wrap(err, "read the body of a worker's answer")
