--- a/internal/testkit/controlplanesim/history/commands.go
+++ b/internal/testkit/controlplanesim/history/commands.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -31,7 +32,7 @@
 // one, or two senders that take turns within the lease. All arrivals count, whatever the worker answered.
 func CheckRoleCommands(commands []RoleCommand, exemptions []Exemption, lease time.Duration) []Violation {
 	sorted := slices.Clone(commands)
-	slices.SortStableFunc(sorted, func(a, b RoleCommand) int { return int(a.At - b.At) })
+	slices.SortStableFunc(sorted, func(a, b RoleCommand) int { return cmp.Compare(a.At, b.At) })
 	workers := map[string]*commandOrder{}
 	var found []Violation
 	for _, command := range sorted {
