--- a/internal/testkit/localfleet/command_worker_test.go
+++ b/internal/testkit/localfleet/command_worker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -25,7 +26,8 @@
 	mutex       sync.Mutex
 	running     *sync.Cond // signals the end of a pause
 	paused      bool
-	pauseNext   bool // pause after the next report
+	pauseNext   bool       // pause after the next report
+	refusals    *rand.Rand // decides which commands are answered 503; nil: none
 	connections []*net.TCPConn
 	stage       string
 	sequence    int
@@ -84,6 +86,8 @@
 	switch {
 	case body.IfRevision != nil && *body.IfRevision != w.sequence:
 		status = http.StatusConflict
+	case w.refusals != nil && w.refusals.IntN(takenShare) > 0:
+		status = http.StatusServiceUnavailable
 	case body.Stage == w.stage:
 		status = http.StatusOK
 	default:
@@ -94,6 +98,16 @@
 	response.WriteHeader(status)
 }
 
+// takenShare is the share of commands that a worker takes that refuses some: one in this many.
+const takenShare = 4
+
+// refuse makes the worker answer most commands 503, so that they are repeated.
+func (w *commandWorker) refuse(seed uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.refusals = rand.New(rand.NewPCG(seed, 1))
+}
+
 // received returns the commands that the worker has read.
 func (w *commandWorker) received() []history.RoleCommand {
 	w.mutex.Lock()
--- a/internal/testkit/localfleet/one_owner_test.go
+++ b/internal/testkit/localfleet/one_owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,10 +34,12 @@
 // oneOwnerTest is a fleet with two workers, one of which its owner commands to decode.
 type oneOwnerTest struct {
 	*fleetTest
-	directory  string
-	workers    []*commandWorker
-	started    time.Time
-	exemptions []history.Exemption
+	directory string
+	workers   []*commandWorker
+	started   time.Time
+
+	exemptionsMutex sync.Mutex
+	exemptions      []history.Exemption
 }
 
 func newOneOwnerTest(t *testing.T, prepare func(w *commandWorker)) *oneOwnerTest {
@@ -94,6 +97,8 @@
 
 // exempt excludes a server's commands for thawTime from the check.
 func (r *oneOwnerTest) exempt(server int) {
+	r.exemptionsMutex.Lock()
+	defer r.exemptionsMutex.Unlock()
 	now := time.Since(r.started)
 	r.exemptions = append(r.exemptions, history.Exemption{Holder: r.fleet.Server(server).Node, From: now, To: now + thawTime})
 }
